Start the whole path with separate processes

Cause: there was no code. A thin path from caller to engine had to exist before any decision could be measured.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of the request path."""
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,223 @@
+// Messages between jayyoke instances. One struct per message; MessageKind numbers them on the wire.
+namespace py jayyoke.wire.gen
+
+// Revision of this protocol, sent in Hello; instances refuse peers of an older revision.
+const i32 REVISION = 1
+
+enum MessageKind {
+  HELLO = 1
+  WELCOME = 2
+  FAILURE = 3
+  DIGEST = 4
+  ASK = 10
+  PLACED = 11
+  RESERVE = 12
+  GRANTED = 13
+  RELEASE = 14
+  HOLDINGS = 15
+  PULL_CHANGES = 20
+  CHANGES = 21
+  CHANGE_NOTICE = 22
+  COMMIT = 30
+  COMMITTED = 31
+  EVIDENCE = 40
+  HALT = 41
+  SHARE = 42
+  DRAIN = 43
+  STATUS_REQUEST = 50
+  STATUS = 51
+}
+
+// Opens a connection in both directions; nonce keys the frame authentication of this connection.
+struct Hello {
+  1: string instance
+  2: string domain
+  3: i64 incarnation
+  4: i32 revision
+  5: string peer_address
+  6: string operator_address
+  7: binary nonce
+  8: i64 control_version
+}
+
+struct Welcome {
+  1: string instance
+  2: string domain
+  3: i64 incarnation
+  4: i32 revision
+  5: string operator_address
+  6: binary nonce
+  7: i64 control_version
+}
+
+// Answers a request that could not be served.
+struct Failure {
+  1: string code
+  2: string detail
+}
+
+struct EngineName {
+  1: i32 index
+  2: string upstream
+}
+
+// Load of an engine that the sender is the steward of; index refers to an EngineName sent before on this connection.
+struct EngineLoad {
+  1: i32 index
+  2: i32 requests
+  3: i32 work_tokens
+  4: i32 limit_tokens
+  5: i16 state
+  6: i64 incarnation
+}
+
+struct TeamLoad {
+  1: string team
+  2: i32 work_tokens
+}
+
+// Heartbeat and load digest in one message.
+struct Digest {
+  1: i64 control_version
+  2: i32 sequence
+  3: list<EngineName> names
+  4: list<EngineLoad> loads
+  5: list<TeamLoad> teams
+  6: bool leaving
+  7: i64 confirmed_age_ms
+  8: list<string> halts
+}
+
+// Asks a chat's owner where to place a request.
+struct Ask {
+  1: string request_id
+  2: string service_name
+  3: i64 chat
+  4: i32 prompt_tokens
+  5: i32 output_tokens
+  6: string team
+  7: i16 priority
+  8: list<string> exclude
+}
+
+struct Placed {
+  1: string upstream
+  2: string reason
+  3: i32 passed_over
+  4: i64 reservation
+  5: i32 retry_after_ms
+}
+
+// Asks an engine's steward to admit work.
+struct Reserve {
+  1: string request_id
+  2: string upstream
+  3: i32 work_tokens
+  4: string entry
+  5: double mean_work_tokens
+}
+
+struct Granted {
+  1: bool granted
+  2: string reason
+  3: i32 work_tokens
+  4: i32 limit_tokens
+}
+
+// Ends reservations of the sender, several at a time.
+struct Release {
+  1: string upstream
+  2: list<string> request_ids
+}
+
+// Registers the sender's live reservations with a new steward.
+struct Holding {
+  1: string request_id
+  2: i32 work_tokens
+}
+
+struct Holdings {
+  1: string upstream
+  2: list<Holding> holdings
+}
+
+struct PullChanges {
+  1: i64 after
+  2: i32 limit
+}
+
+struct Change {
+  1: i64 version
+  2: binary body
+}
+
+// confirmed_age_ms tells how long ago the platform last confirmed latest as the newest version; -1: never.
+struct Changes {
+  1: list<Change> changes
+  2: i64 latest
+  3: i64 confirmed_age_ms
+}
+
+struct ChangeNotice {
+  1: i64 version
+}
+
+struct TablePut {
+  1: string key
+  2: optional binary value
+  3: optional i64 expect
+}
+
+// Asks the domain's writer to commit each group of puts atomically in its next batch.
+struct Commit {
+  1: list<TablePut> puts
+}
+
+// status: 0 committed, 1 conflict, 2 not committed, 3 unknown.
+struct Committed {
+  1: i16 status
+  2: list<i32> conflicts
+}
+
+struct RouteEvidence {
+  1: string route
+  2: i32 requests
+  3: i32 failures
+  4: i32 slow
+}
+
+// Outcomes the sender saw on a version since the move began, by route; counts only grow.
+struct Evidence {
+  1: string move
+  2: string version
+  3: list<RouteEvidence> routes
+}
+
+// Stops a version everywhere; halts are never withdrawn.
+struct Halt {
+  1: string move
+  2: string version
+  3: string reason
+}
+
+// Share of new chats that a version under way may receive, in parts per million.
+struct Share {
+  1: string move
+  2: string version
+  3: i64 fence
+  4: i32 share_ppm
+}
+
+// Takes a domain out while the platform cannot be reached.
+struct Drain {
+  1: string id
+  2: string domain
+  3: bool out
+}
+
+struct StatusRequest {
+}
+
+struct Status {
+  1: binary body
+}
--- /dev/null
+++ b/jayyoke/__init__.py
@@ -0,0 +1,1 @@
+"""Router fleet for returning chats and plain services."""
--- /dev/null
+++ b/jayyoke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable records, the exception tree and the plug-in registry."""
--- /dev/null
+++ b/jayyoke/core/error.py
@@ -0,0 +1,104 @@
+"""Exception tree of jayyoke; each error carries what its handler needs."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+
+from jayyoke.core.finding import Finding
+
+
+class JayyokeError(Exception):
+    """Base of every error that jayyoke raises itself."""
+
+
+class InvalidDocument(JayyokeError):
+    """Reports every finding of a settings or configuration document."""
+
+    def __init__(self, findings: Sequence[Finding]):
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = tuple(findings)
+
+
+class PlatformError(JayyokeError):
+    """Base of errors of the platform's services."""
+
+
+class Effect(enum.Enum):
+    """What is known about the effect of a write whose answer did not arrive."""
+
+    NONE = "none"
+    UNKNOWN = "unknown"
+
+
+class StoreUnavailable(PlatformError):
+    """Reports that the table, the object store or the list did not answer usefully."""
+
+    def __init__(self, detail: str, effect: Effect = Effect.NONE):
+        super().__init__(detail)
+        self.effect = effect
+
+
+class Conflict(PlatformError):
+    """Reports the puts of a commit whose condition did not hold; nothing was written."""
+
+    def __init__(self, indexes: Sequence[int]):
+        super().__init__(f"conditions of puts {list(indexes)} do not hold")
+        self.indexes = tuple(indexes)
+
+
+class PeerError(JayyokeError):
+    """Base of errors between instances."""
+
+
+class PeerUnavailable(PeerError):
+    """Reports that a peer could not be reached or did not answer in time."""
+
+
+class PeerProtocolError(PeerError):
+    """Reports a malformed, unauthenticated or outdated message."""
+
+
+class UpstreamError(JayyokeError):
+    """Base of errors of an upstream call."""
+
+
+class ConnectFailed(UpstreamError):
+    """Reports that no byte of the request was sent."""
+
+
+class AnswerBroken(UpstreamError):
+    """Reports an answer that was truncated, went silent or timed out; the request may have run."""
+
+
+class AnswerMismatched(UpstreamError):
+    """Reports an answer that carries another request's id."""
+
+
+class Run(enum.Enum):
+    """Whether a refused request ran; the values of the Jayyoke-Run header."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Refusal(JayyokeError):
+    """Refuses a request; becomes a problem document at the callers' interface.
+
+    `retry_after_s` is in seconds; None omits the Retry-After header.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        detail: str,
+        run: Run,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(f"{code}: {detail}")
+        self.status = status
+        self.code = code
+        self.detail = detail
+        self.run = run
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/jayyoke/core/kernel.py
@@ -0,0 +1,52 @@
+"""Registry of plug-ins; each plug-in module registers its one function when it is imported."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from collections.abc import Callable
+from typing import Any
+
+from jayyoke.core.error import JayyokeError
+
+_KINDS = ("policy", "class", "protocol")
+_plugins: dict[tuple[str, str], Callable[..., Any]] = {}
+
+
+class UnknownPlugin(JayyokeError):
+    """Reports a plug-in name that no module registers."""
+
+
+def register(kind: str, name: str) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
+    """Return a decorator that registers a function as the plug-in of this kind and name."""
+    if kind not in _KINDS:
+        raise UnknownPlugin(f"plug-in kind {kind!r} does not exist; kinds are {_KINDS}")
+
+    def decorate(function: Callable[..., Any]) -> Callable[..., Any]:
+        _plugins[(kind, name)] = function
+        return function
+
+    return decorate
+
+
+def load(package: str = "jayyoke.plugins") -> None:
+    """Import every module of the package, so that its plug-ins register themselves."""
+    parent = importlib.import_module(package)
+    for module in pkgutil.iter_modules(parent.__path__):
+        if module.name.endswith("_test"):
+            continue
+        importlib.import_module(f"{package}.{module.name}")
+
+
+def find(kind: str, name: str) -> Callable[..., Any]:
+    """Return a registered plug-in; raise UnknownPlugin if there is none."""
+    try:
+        return _plugins[(kind, name)]
+    except KeyError:
+        known = ", ".join(names(kind)) or "none"
+        raise UnknownPlugin(f"{kind} plug-in {name!r} does not exist; known: {known}") from None
+
+
+def names(kind: str) -> tuple[str, ...]:
+    """Return the registered names of one kind, sorted."""
+    return tuple(sorted(name for known, name in _plugins if known == kind))
--- /dev/null
+++ b/jayyoke/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Routing and control decisions."""
--- /dev/null
+++ b/jayyoke/ops/control.py
@@ -0,0 +1,78 @@
+"""The change log: accepted configuration changes in order, applied and never reverted."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from absl import logging
+
+from jayyoke.core.config import Configuration
+from jayyoke.core.error import Conflict, StoreUnavailable
+from jayyoke.parser.configuration import build_configuration, format_configuration
+from jayyoke.platform.table import Put, Table
+
+POLL_INTERVAL_S = 1.0
+PAGE_ROWS = 100
+
+
+def change_key(version: int) -> str:
+    """Return the table key of a change; keys sort in version order."""
+    return f"change/{version:012d}"
+
+
+class Control:
+    """Holds the newest configuration that this instance knows."""
+
+    def __init__(self, table: Table):
+        self._table = table
+        self._configuration = Configuration()
+        self._confirmed = False
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force at this instance."""
+        return self._configuration
+
+    @property
+    def confirmed(self) -> bool:
+        """Tell whether the platform confirmed the version since the start."""
+        return self._confirmed
+
+    async def run(self) -> None:
+        """Follow the change log until cancelled."""
+        while True:
+            try:
+                await self.refresh()
+            except StoreUnavailable as error:
+                logging.warning("change log cannot be read: %s", error)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Apply every change that the table holds; raise StoreUnavailable."""
+        while True:
+            after = change_key(self._configuration.version)
+            rows = await self._table.scan("change/", after, PAGE_ROWS)
+            for row in rows:
+                version = int(row.key.rpartition("/")[2])
+                self._configuration = build_configuration(json.loads(row.value), version)
+            if len(rows) < PAGE_ROWS:
+                self._confirmed = True
+                return
+
+    async def accept(self, configuration: Configuration) -> int:
+        """Append a change and return its version; raise Conflict or StoreUnavailable."""
+        await self.refresh()
+        version = self._configuration.version + 1
+        value = json.dumps(format_configuration(configuration)).encode()
+        try:
+            await self._table.commit([Put(change_key(version), value, expect=0)])
+        except StoreUnavailable:
+            row = await self._table.get(change_key(version))
+            if row is None or row.value != value:
+                raise
+        except Conflict:
+            await self.refresh()
+            raise
+        await self.refresh()
+        return version
--- /dev/null
+++ b/jayyoke/parser/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of settings and configuration files."""
--- /dev/null
+++ b/jayyoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/jayyoke/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Policies, class kinds and upstream protocols that register themselves."""
--- /dev/null
+++ b/jayyoke/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the daemon and the command-line tool."""
--- /dev/null
+++ b/jayyoke/server/__init__.py
@@ -0,0 +1,1 @@
+"""Network listeners."""
--- /dev/null
+++ b/jayyoke/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without domain knowledge."""
--- /dev/null
+++ b/jayyoke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codec between instances."""
--- /dev/null
+++ b/jayyoke/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/standin/deployment.py
@@ -0,0 +1,41 @@
+"""The two deployments of today: domains, services and worker counts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describes a deployment; each service maps to its upstream protocol and worker count."""
+
+    name: str
+    region: str
+    domains: tuple[str, ...]
+    engine_service: str
+    engines: int
+    plain_service: str
+    plains: int
+    instances_per_domain: int = 2
+
+
+DEPLOYMENTS = {
+    "ballenticket": Deployment(
+        name="ballenticket",
+        region="ch-central",
+        domains=("luzern-a", "luzern-b", "zug-c"),
+        engine_service="jayyoke-pool",
+        engines=5,
+        plain_service="ticket-desk",
+        plains=3,
+    ),
+    "tapir-ridge": Deployment(
+        name="tapir-ridge",
+        region="cr-central",
+        domains=("cr-central-a", "cr-central-b", "cr-central-c"),
+        engine_service="guide-assist",
+        engines=6,
+        plain_service="booking-desk",
+        plains=3,
+    ),
+}
--- /dev/null
+++ b/standin/table.py
@@ -0,0 +1,93 @@
+"""Stand-in of the transactional table service."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+
+from aiohttp import web
+
+from standin.fault import Faults, add_fault_routes
+
+
+class TableServer:
+    """Keeps rows in memory and commits all puts of a call or none."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, tuple[bytes, int]] = {}
+        self.writes = 0
+        self.reads = 0
+        self.faults = Faults()
+
+    def build(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=8 << 20)
+        app.router.add_post("/v1/get", self._get)
+        app.router.add_post("/v1/scan", self._scan)
+        app.router.add_post("/v1/commit", self._commit)
+        app.router.add_get("/stats", self._stats)
+        add_fault_routes(app, self.faults)
+        return app
+
+    async def _get(self, request: web.Request) -> web.Response:
+        await self.faults.before()
+        self.reads += 1
+        key = (await request.json())["key"]
+        row = self._format(key) if key in self.rows else None
+        return web.json_response({"row": row})
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        await self.faults.before()
+        self.reads += 1
+        body = await request.json()
+        keys = sorted(
+            key for key in self.rows if key.startswith(body["prefix"]) and key > body["after"]
+        )
+        return web.json_response({"rows": [self._format(key) for key in keys[: body["limit"]]]})
+
+    async def _commit(self, request: web.Request) -> web.Response:
+        await self.faults.before()
+        self.writes += 1
+        puts = (await request.json())["puts"]
+        conflicts = [index for index, put in enumerate(puts) if not self._holds(put)]
+        if not conflicts:
+            for put in puts:
+                self._apply(put)
+        await self.faults.after_write()
+        if conflicts:
+            return web.json_response({"conflicts": conflicts})
+        return web.json_response({"committed": True})
+
+    async def _stats(self, request: web.Request) -> web.Response:
+        counts = {"writes": self.writes, "reads": self.reads, "rows": len(self.rows)}
+        return web.json_response(counts)
+
+    def _holds(self, put: dict[str, Any]) -> bool:
+        if put["expect"] is None:
+            return True
+        current = self.rows[put["key"]][1] if put["key"] in self.rows else 0
+        return current == put["expect"]
+
+    def _apply(self, put: dict[str, Any]) -> None:
+        key = put["key"]
+        if put["value"] is None:
+            self.rows.pop(key, None)
+            return
+        version = self.rows[key][1] + 1 if key in self.rows else 1
+        self.rows[key] = (base64.b64decode(put["value"]), version)
+
+    def _format(self, key: str) -> dict[str, Any]:
+        value, version = self.rows[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "version": version}
+
+
+def main() -> None:
+    """Serve the table on the address given on the command line."""
+    from standin.serve import serve_application
+
+    asyncio.run(serve_application(TableServer().build()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that span several packages, with real processes."""
