--- /dev/null
+++ b/jayyoke/wire/local.py
@@ -0,0 +1,121 @@
+"""Peers within one process, for tests and benchmarks of decisions."""
+
+from __future__ import annotations
+
+import asyncio
+
+from reactivex import Observable
+from reactivex.subject import Subject
+
+from jayyoke.core.error import PeerUnavailable
+from jayyoke.core.member import Member, MemberChange, MemberState
+from jayyoke.core.peering import Handler, Message
+
+
+class LocalHub:
+    """Connects local peers and cuts them off from each other on request."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, LocalPeers] = {}
+        self._cut: set[frozenset[str]] = set()
+
+    def join(self, member: Member) -> LocalPeers:
+        """Add a member and return its view."""
+        peers = LocalPeers(self, member)
+        self.peers[member.name] = peers
+        self._announce(member, MemberState.LIVE)
+        return peers
+
+    def leave(self, name: str) -> None:
+        """Remove a member as if its process had died."""
+        member = self.peers.pop(name).me
+        self._announce(member, MemberState.DEAD)
+
+    def cut(self, one: str, other: str) -> None:
+        """Partition two members; their views change at once."""
+        self._cut.add(frozenset((one, other)))
+        for left, right in ((one, other), (other, one)):
+            change = MemberChange(self.peers[right].me, MemberState.DEAD)
+            self.peers[left].subject.on_next(change)
+
+    def heal(self, one: str, other: str) -> None:
+        """End a partition of two members."""
+        self._cut.discard(frozenset((one, other)))
+        for left, right in ((one, other), (other, one)):
+            change = MemberChange(self.peers[right].me, MemberState.LIVE)
+            self.peers[left].subject.on_next(change)
+
+    def connects(self, one: str, other: str) -> bool:
+        """Tell whether messages pass between two members."""
+        return other in self.peers and frozenset((one, other)) not in self._cut
+
+    def _announce(self, member: Member, state: MemberState) -> None:
+        for name, peers in self.peers.items():
+            if name != member.name and self.connects(name, member.name):
+                peers.subject.on_next(MemberChange(member, state))
+
+
+class LocalPeers:
+    """Implements the Peers interface over a hub."""
+
+    def __init__(self, hub: LocalHub, me: Member):
+        self.subject: Subject[MemberChange] = Subject()
+        self.handlers: dict[type, Handler] = {}
+        self._hub = hub
+        self._me = me
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def me(self) -> Member:
+        """Return this member."""
+        return self._me
+
+    @property
+    def changes(self) -> Observable[MemberChange]:
+        """Return the stream of changes of the live view."""
+        return self.subject
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members that messages reach, by name, self included."""
+        found = []
+        for name in sorted(self._hub.peers):
+            if name == self._me.name or self._hub.connects(self._me.name, name):
+                found.append(self._hub.peers[name].me)
+        return tuple(found)
+
+    def reachable_domains(self) -> frozenset[str]:
+        """Return the domains of the members that messages reach."""
+        return frozenset(member.domain for member in self.members())
+
+    async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
+        """Return the answer of a member's handler; raise PeerUnavailable."""
+        handler = self._find_handler(instance, message)
+        if handler is None:
+            raise PeerUnavailable(f"{instance} cannot be reached")
+        async with asyncio.timeout(timeout_s):
+            return await handler(self._me, message)
+
+    def tell(self, instance: str, message: Message) -> None:
+        """Run a member's handler in the background."""
+        handler = self._find_handler(instance, message)
+        if handler is None:
+            return
+        task = asyncio.ensure_future(handler(self._me, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def broadcast(self, message: Message) -> None:
+        """Tell every other member that messages reach."""
+        for member in self.members():
+            if member.name != self._me.name:
+                self.tell(member.name, message)
+
+    def serve(self, message_type: type, handler: Handler) -> None:
+        """Register the handler of one message type."""
+        self.handlers[message_type] = handler
+
+    def _find_handler(self, instance: str, message: Message) -> Handler | None:
+        if instance != self._me.name and not self._hub.connects(self._me.name, instance):
+            return None
+        peers = self._hub.peers.get(instance)
+        return None if peers is None else peers.handlers.get(type(message))
