Give the stand-in engine its faults and add a fault-injecting proxy

Cause: placement, resumption and version moves need an engine with batching, a prefix cache, events, orders and cold starts, and links that can be cut. Change: engine with priorities, prefix cache with eviction, lagging load reports and cache events with gaps, orders with fencing tokens, bad versions; a TCP proxy with rules by source address.

--- a/standin/engine.py
+++ b/standin/engine.py
@@ -1,96 +1,341 @@
-"""Stand-in of a model engine with streams, resumption and a prefix cache."""
+"""Stand-in of a model engine; docs/platform.md describes its protocol."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
-import hashlib
-import json
 import secrets
+import time
 from typing import Any
 
 from aiohttp import web
 
-from standin.fault import Faults, add_fault_routes
+from standin.batch import Batch
+from standin.enginemodel import (
+    Capacity,
+    EngineFaults,
+    Event,
+    flatten_prompt,
+    format_chunk,
+    generate_token,
+    write_event,
+)
+from standin.fault import add_fault_routes
+from standin.prefixcache import PrefixCache, hash_blocks, split_tokens
 
 KEEP_ALIVE_S = 0.5
-
-
-def generate_token(prompt: str, position: int) -> str:
-    """Return the token at a position; the same for the same prompt on every engine."""
-    digest = hashlib.sha256(f"{prompt}|{position}".encode()).hexdigest()
-    return f" {digest[:4]}"
-
-
-def flatten_prompt(messages: list[dict[str, Any]]) -> str:
-    """Return the messages as one text."""
-    return "\n".join(f"{message.get('role')}:{message.get('content')}" for message in messages)
+PREFILL_TOKEN_S = 0.0002
+DEFAULT_TOKENS = 16
+EVENT_LIMIT = 2000
 
 
 class EngineServer:
-    """Streams deterministic tokens and counts the requests it runs."""
+    """Streams deterministic tokens; caches prefixes, batches, obeys orders and fails on request."""
 
-    def __init__(self, name: str, version: str = "v1", token_s: float = 0.01):
+    def __init__(
+        self,
+        name: str,
+        version: str = "v1",
+        token_s: float = 0.01,
+        slots: int = 16,
+        cache_tokens: int = 200_000,
+        capacity: Capacity | None = None,
+        checks_fencing: bool = True,
+        warm: bool = True,
+        load_s: float = 0.5,
+    ):
         self.name = name
         self.version = version
         self.token_s = token_s
+        self.load_s = load_s
+        self.checks_fencing = checks_fencing
+        self.capacity = capacity or Capacity()
+        self.batch = Batch(slots)
+        self.cache = PrefixCache(cache_tokens)
+        self.faults = EngineFaults()
         self.incarnation = secrets.token_hex(4)
-        self.running = 0
-        self.served = 0
-        self.faults = Faults()
+        self.started_s = time.monotonic() - (self.capacity.warm_up_s if warm else 0.0)
+        self.loading = False
+        self.leaving = False
+        self.fence = 0
+        self.orders: list[dict[str, Any]] = []
+        self.served_by_version: dict[str, int] = {}
+        self.received = 0
+        self.last_received_s = 0.0
+        self.cold_peak = 0.0
+        self.streams: dict[str, asyncio.Task[Any]] = {}
+        self._events: list[Event] = []
+        self._sequence = 0
+        self._reports: list[tuple[float, dict[str, Any]]] = []
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=8 << 20)
         app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_post("/cancel", self._cancel)
         app.router.add_get("/load", self._load)
+        app.router.add_get("/stats", self._stats)
+        app.router.add_get("/events", self._list_events)
+        app.router.add_post("/orders", self._order)
+        app.router.add_get("/kv/{chat}", self._export)
+        app.router.add_put("/kv/{chat}", self._import)
+        app.router.add_post("/restart", self._restart)
         add_fault_routes(app, self.faults)
         return app
 
-    def _headers(self, request: web.Request) -> dict[str, str]:
-        return {
-            "X-Request-Id": request.headers.get("X-Request-Id", ""),
-            "X-Engine-Incarnation": self.incarnation,
-            "X-Engine-Version": self.version,
-        }
-
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         await self.faults.before()
+        if self.loading or self.leaving:
+            # Refused before the body is read; the router may try elsewhere.
+            return web.json_response({"error": "not accepting work"}, status=503)
         body = await request.json()
+        self.received += 1
+        self.last_received_s = time.monotonic()
         prompt = flatten_prompt(body["messages"])
-        start = int(request.headers.get("X-Resume-From", "0"))
-        count = int(body.get("max_tokens") or body.get("max_completion_tokens") or 16)
-        response = web.StreamResponse(headers=self._headers(request))
-        response.content_type = "text/event-stream"
-        await response.prepare(request)
-        self.running += 1
+        tokens = split_tokens(prompt)
+        count = int(body.get("max_completion_tokens") or body.get("max_tokens") or DEFAULT_TOKENS)
+        work_tokens = len(tokens) + count
+        request_id = request.headers.get("X-Request-Id", "")
+        if self._fails(body):
+            return web.json_response({"error": "engine failed"}, status=500)
+        self.streams[request_id] = asyncio.current_task()  # type: ignore[assignment]
+        response = await self._open(request)
+        priority = int(request.headers.get("X-Priority", "5"))
+        entered = self.batch.request(priority, work_tokens)
+        self._note_cold_load()
         try:
-            for position in range(start, count):
-                await asyncio.sleep(self.token_s)
-                await self._send(response, body, generate_token(prompt, position), None)
-            await self._send(response, body, "", "stop")
-            await response.write(b"data: [DONE]\n\n")
-            self.served += 1
+            await self._keep_alive_until(entered, response)
+            await self._stream(request, response, body, prompt, tokens, count)
         finally:
-            self.running -= 1
+            self.batch.leave(entered, work_tokens)
+            self.streams.pop(request_id, None)
         return response
 
-    async def _send(
-        self, response: web.StreamResponse, body: dict[str, Any], token: str, finish: str | None
+    async def _open(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        if self.faults.wrong_id > 0:
+            self.faults.wrong_id -= 1
+            request_id = f"other-{secrets.token_hex(4)}"
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Engine-Incarnation": self.incarnation,
+            "X-Engine-Version": self.version,
+        }
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        return response
+
+    async def _keep_alive_until(
+        self, entered: asyncio.Future[None], response: web.StreamResponse
+    ) -> None:
+        while not entered.done():
+            await asyncio.wait((entered,), timeout=KEEP_ALIVE_S)
+            if not entered.done():
+                await response.write(b": keep-alive\n\n")
+
+    async def _stream(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        body: dict[str, Any],
+        prompt: str,
+        tokens: list[str],
+        count: int,
     ) -> None:
-        delta = {"content": token} if token else {}
-        event = {
-            "id": response.headers["X-Request-Id"],
-            "object": "chat.completion.chunk",
-            "created": 0,
-            "model": body.get("model", ""),
-            "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+        hashes = hash_blocks(tokens)
+        cached = self.cache.count_cached(hashes)
+        await asyncio.sleep((len(tokens) - cached) * PREFILL_TOKEN_S * self._slowness(body))
+        start = int(request.headers.get("X-Resume-From", "0"))
+        truncate, silent = self._take_stream_faults()
+        for position in range(start, count):
+            await asyncio.sleep(self.token_s * self._slowness(body))
+            if position == truncate and request.transport is not None:
+                request.transport.close()
+                return
+            if position == silent:
+                await asyncio.sleep(3600)
+            await self._send(response, body, generate_token(prompt, position))
+        self._remember(body, prompt, count, hashes)
+        usage = {
+            "prompt_tokens": len(tokens),
+            "completion_tokens": count,
+            "total_tokens": len(tokens) + count,
+            "prompt_tokens_details": {"cached_tokens": cached},
         }
-        await response.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        await self._finish(response, body, usage)
+        self.served_by_version[self.version] = self.served_by_version.get(self.version, 0) + 1
+
+    def _remember(self, body: dict[str, Any], prompt: str, count: int, hashes: list[str]) -> None:
+        answer = "".join(generate_token(prompt, position) for position in range(count))
+        whole = split_tokens(f"{prompt}\nassistant {answer}")
+        chat = str(body.get("prompt_cache_key") or "")
+        evicted = self.cache.store(chat, [*hashes, *hash_blocks(whole)[len(hashes) :]])
+        self._add_event("stored", chat, len(whole))
+        for loser in evicted:
+            if loser != chat:
+                self._add_event("evicted", loser, 0)
+
+    def _take_stream_faults(self) -> tuple[int, int]:
+        if self.faults.count <= 0:
+            return -1, -1
+        self.faults.count -= 1
+        return self.faults.truncate_after, self.faults.silent_after
+
+    async def _send(self, response: web.StreamResponse, body: dict[str, Any], token: str) -> None:
+        await write_event(response, format_chunk(response, body, {"content": token}, None))
+
+    async def _finish(
+        self, response: web.StreamResponse, body: dict[str, Any], usage: dict[str, Any]
+    ) -> None:
+        await write_event(response, format_chunk(response, body, {}, "stop") | {"usage": usage})
+        if (body.get("stream_options") or {}).get("include_usage"):
+            chunk = format_chunk(response, body, {}, None) | {"choices": [], "usage": usage}
+            await write_event(response, chunk)
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+
+    def _bad(self, body: dict[str, Any]) -> dict[str, Any] | None:
+        bad = self.faults.bad_versions.get(self.version)
+        if bad is None:
+            return None
+        if time.monotonic() - self.started_s < bad.get("after_s", 0.0):
+            return None
+        if self.batch.running < bad.get("above_running", 0):
+            return None
+        if bad.get("route") and bad["route"] != body.get("model"):
+            return None
+        return bad
+
+    def _fails(self, body: dict[str, Any]) -> bool:
+        bad = self._bad(body)
+        return self.faults.fail or (bad is not None and bad.get("mode") == "fail")
+
+    def _slowness(self, body: dict[str, Any]) -> float:
+        bad = self._bad(body)
+        factor = self.faults.slow_factor
+        if bad is not None and bad.get("mode") == "slow":
+            factor *= bad.get("factor", 10.0)
+        return factor
+
+    def _note_cold_load(self) -> None:
+        age_s = time.monotonic() - self.started_s
+        if age_s < self.capacity.warm_up_s:
+            ratio = self.batch.work_tokens / self.capacity.bears(age_s)
+            self.cold_peak = max(self.cold_peak, ratio)
+
+    def _add_event(self, kind: str, chat: str, tokens: int) -> None:
+        self._sequence += 1
+        if self.faults.event_gap > 0:
+            self.faults.event_gap -= 1
+            return
+        self._events.append(Event(self._sequence, time.monotonic(), kind, chat, tokens))
+        del self._events[:-EVENT_LIMIT]
+
+    async def _list_events(self, request: web.Request) -> web.Response:
+        await self.faults.before()
+        after = int(request.query.get("after", "0"))
+        visible_s = time.monotonic() - self.faults.event_lag_s
+        events = []
+        for event in self._events:
+            if event.sequence <= after or event.at_s > visible_s:
+                continue
+            events.append(
+                {
+                    "seq": event.sequence,
+                    "kind": event.kind,
+                    "chat": event.chat,
+                    "tokens": event.tokens,
+                }
+            )
+        return web.json_response({"incarnation": self.incarnation, "events": events})
 
     async def _load(self, request: web.Request) -> web.Response:
-        load = {"running": self.running, "served": self.served, "version": self.version}
-        return web.json_response(load | {"incarnation": self.incarnation})
+        await self.faults.before()
+        now_s = time.monotonic()
+        self._reports.append((now_s, self._report()))
+        while len(self._reports) > 1 and self._reports[1][0] <= now_s - self.faults.load_lag_s:
+            self._reports.pop(0)
+        # Identity and state are current; the load figures lag.
+        return web.json_response(self._reports[0][1] | self._identity())
+
+    async def _stats(self, request: web.Request) -> web.Response:
+        stats = self._report() | self._identity()
+        stats["cold_peak"] = self.cold_peak
+        stats["received"] = self.received
+        stats["idle_s"] = time.monotonic() - self.last_received_s
+        stats["served_by_version"] = self.served_by_version
+        stats["orders"] = self.orders
+        return web.json_response(stats)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "running": self.batch.running,
+            "waiting": self.batch.waiting,
+            "work_tokens": self.batch.work_tokens,
+        }
+
+    def _identity(self) -> dict[str, Any]:
+        state = "leaving" if self.leaving else "loading" if self.loading else "live"
+        return {
+            "incarnation": self.incarnation,
+            "version": self.version,
+            "state": state,
+            "fence": self.fence,
+        }
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        task = self.streams.get(str((await request.json()).get("request_id")))
+        if task is not None:
+            task.cancel()
+        return web.json_response({"cancelled": task is not None})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        await self.faults.before()
+        order = await request.json()
+        fence = int(order.get("fence", 0))
+        if self.checks_fencing and fence < self.fence:
+            detail = {"error": "old fencing token", "fence": self.fence}
+            return web.json_response(detail, status=409)
+        self.fence = max(self.fence, fence)
+        self.orders.append(order)
+        if order.get("action") == "load-version" and order["version"] != self.version:
+            await self._switch_version(str(order["version"]))
+        if order.get("action") == "leave":
+            self.leaving = True
+        await self.faults.after_write()
+        return web.json_response(self._identity())
+
+    async def _switch_version(self, version: str) -> None:
+        # Requests in progress finish on the old weights while the new ones load.
+        self.loading = True
+        try:
+            await asyncio.sleep(self.load_s)
+        finally:
+            self.loading = False
+        self.version = version
+        self._become_cold()
+
+    async def _restart(self, request: web.Request) -> web.Response:
+        """Turn cold without notice, at the same address."""
+        for task in list(self.streams.values()):
+            task.cancel()
+        self._become_cold()
+        return web.json_response(self._identity())
+
+    def _become_cold(self) -> None:
+        self.incarnation = secrets.token_hex(4)
+        self.started_s = time.monotonic()
+        self.cache.clear()
+        self._events.clear()
+
+    async def _export(self, request: web.Request) -> web.Response:
+        return web.json_response({"blocks": self.cache.export(request.match_info["chat"])})
+
+    async def _import(self, request: web.Request) -> web.Response:
+        blocks = [str(block) for block in (await request.json())["blocks"]]
+        self.cache.store(request.match_info["chat"], blocks)
+        return web.json_response({"imported": len(blocks)})
 
 
 def main() -> None:
@@ -101,8 +346,24 @@
     parser.add_argument("address")
     parser.add_argument("--name", required=True)
     parser.add_argument("--version", default="v1")
+    parser.add_argument("--token-s", type=float, default=0.01)
+    parser.add_argument("--load-s", type=float, default=0.5)
+    parser.add_argument("--cold-work-tokens", type=int, default=2000)
+    parser.add_argument("--full-work-tokens", type=int, default=16000)
+    parser.add_argument("--warm-up-s", type=float, default=30.0)
+    parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--cold", action="store_true")
     options = parser.parse_args()
-    server = EngineServer(options.name, options.version)
+    capacity = Capacity(options.cold_work_tokens, options.full_work_tokens, options.warm_up_s)
+    server = EngineServer(
+        options.name,
+        options.version,
+        token_s=options.token_s,
+        load_s=options.load_s,
+        capacity=capacity,
+        checks_fencing=not options.ignores_fencing,
+        warm=not options.cold,
+    )
     asyncio.run(serve_application(server.build(), options.address))
 
 
--- /dev/null
+++ b/standin/proxy.py
@@ -0,0 +1,176 @@
+"""Fault-injecting TCP proxy between real processes; faults are switched on with POST /rules."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+from dataclasses import dataclass, fields
+
+from aiohttp import web
+
+CHUNK_BYTES = 65536
+REORDER_DELAY_S = 0.05
+
+
+@dataclass(slots=True)
+class Rules:
+    """Holds the faults of one forwarded port.
+
+    `truncate_after_bytes` closes a connection after that many bytes of an answer; `reorder`
+    delays every second chunk of different connections, so that answers overtake each other.
+    `silence` keeps connections open and drops all bytes; new connections made while
+    `silence_old_only` is set pass.
+    """
+
+    refuse: bool = False
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    silence: bool = False
+    silence_old_only: bool = False
+    truncate_after_bytes: int = -1
+    reorder: bool = False
+    drop_connections: bool = False
+
+
+class Proxy:
+    """Forwards one listening port to a target, applying its rules to every connection."""
+
+    def __init__(self, target: str, seed: int = 1):
+        self.target = target
+        self.generation = 0
+        self._rules: dict[str, Rules] = {"": Rules()}
+        self._random = random.Random(seed)
+        self._writers: dict[asyncio.StreamWriter, str] = {}
+        self._chunks = 0
+
+    async def serve(self, address: str) -> asyncio.Server:
+        """Listen on HOST:PORT."""
+        host, _, port = address.rpartition(":")
+        return await asyncio.start_server(self._accept, host, int(port))
+
+    def set_rules(self, rules: Rules, source: str = "") -> None:
+        """Put rules in force for connections from addresses with this prefix."""
+        self._rules[source] = rules
+        if rules.silence_old_only:
+            self.generation += 1
+        if not rules.drop_connections and not rules.refuse:
+            return
+        for writer, origin in list(self._writers.items()):
+            if origin.startswith(source):
+                writer.close()
+
+    def find_rules(self, origin: str) -> Rules:
+        """Return the rules of the longest source prefix that matches an address."""
+        best = ""
+        for source in self._rules:
+            if origin.startswith(source) and len(source) > len(best):
+                best = source
+        return self._rules[best]
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        generation = self.generation
+        origin = writer.get_extra_info("peername")[0]
+        if self.find_rules(origin).refuse:
+            writer.close()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        self._writers[writer] = origin
+        self._writers[target_writer] = origin
+        try:
+            await asyncio.gather(
+                self._copy(reader, target_writer, origin, generation, answer=False),
+                self._copy(target_reader, writer, origin, generation, answer=True),
+            )
+        finally:
+            self._writers.pop(writer, None)
+            self._writers.pop(target_writer, None)
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        origin: str,
+        generation: int,
+        answer: bool,
+    ) -> None:
+        passed = 0
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                rules = self.find_rules(origin)
+                await self._delay(rules)
+                if rules.silence or (rules.silence_old_only and generation < self.generation):
+                    continue
+                limit = rules.truncate_after_bytes
+                if answer and 0 <= limit < passed + len(chunk):
+                    writer.write(chunk[: max(0, limit - passed)])
+                    break
+                passed += len(chunk)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def _delay(self, rules: Rules) -> None:
+        delay_s = rules.delay_s + self._random.random() * rules.jitter_s
+        self._chunks += 1
+        if rules.reorder and self._chunks % 2:
+            delay_s += REORDER_DELAY_S
+        if delay_s:
+            await asyncio.sleep(delay_s)
+
+
+def build_control(proxies: dict[str, Proxy]) -> web.Application:
+    """Return the HTTP application that sets rules by proxy name and source address prefixes."""
+
+    async def set_rules(request: web.Request) -> web.Response:
+        body = await request.json()
+        known = {field.name for field in fields(Rules)}
+        rules = {key: value for key, value in body.get("rules", {}).items() if key in known}
+        count = 0
+        for name, proxy in proxies.items():
+            if not name.startswith(body.get("prefix", "")):
+                continue
+            proxy.set_rules(Rules(**rules), body.get("source", ""))
+            count += 1
+        return web.json_response({"proxies": count})
+
+    app = web.Application()
+    app.router.add_post("/rules", set_rules)
+    return app
+
+
+async def run_proxies(control_address: str, links: list[str], seed: int) -> None:
+    """Forward every link NAME=LISTEN=TARGET and serve the control port until SIGTERM."""
+    from standin.serve import serve_application
+
+    proxies: dict[str, Proxy] = {}
+    servers = []
+    for link in links:
+        name, listen, target = link.split("=")
+        proxies[name] = Proxy(target, seed)
+        servers.append(await proxies[name].serve(listen))
+    await serve_application(build_control(proxies), control_address)
+    for server in servers:
+        server.close()
+
+
+def main() -> None:
+    """Run the proxy process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("address", help="control address")
+    parser.add_argument("links", nargs="*", help="NAME=LISTEN=TARGET")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    asyncio.run(run_proxies(options.address, options.links, options.seed))
+
+
+if __name__ == "__main__":
+    main()
