Read settings and configuration with places and report all findings together

Cause: a wrong document ended in a traceback or in the first finding only, and the operator interface knew two routes. Targets are written as durations. The same reader checks plain data from the table.

--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -16,8 +16,8 @@
     """Reports every finding of a settings or configuration document."""
 
     def __init__(self, findings: Sequence[Finding]):
-        super().__init__("\n".join(str(finding) for finding in findings))
-        self.findings = tuple(findings)
+        self.findings = tuple(sorted(findings, key=lambda finding: finding.line))
+        super().__init__("\n".join(str(finding) for finding in self.findings))
 
 
 class PlatformError(JayyokeError):
--- a/jayyoke/core/finding.py
+++ b/jayyoke/core/finding.py
@@ -16,4 +16,6 @@
     expected: str
 
     def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.key}: given {self.given}, expected {self.expected}"
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        key = f"{self.key}: " if self.key else ""
+        return f"{place}: {key}given {self.given}, expected {self.expected}"
--- a/jayyoke/ops/control.py
+++ b/jayyoke/ops/control.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import time
 
 from absl import logging
+from reactivex import Observable
+from reactivex.subject import Subject
 
 from jayyoke.core.config import Configuration
 from jayyoke.core.error import Conflict, StoreUnavailable
@@ -28,6 +31,20 @@
         self._table = table
         self._configuration = Configuration()
         self._confirmed = False
+        self._confirmed_at_s: float | None = None
+        self._versions: Subject[int] = Subject()
+
+    @property
+    def versions(self) -> Observable[int]:
+        """Return the stream of versions that come into force at this instance."""
+        return self._versions
+
+    @property
+    def confirmed_age_s(self) -> float | None:
+        """Return how long ago the platform confirmed the version, in seconds; None: never."""
+        if self._confirmed_at_s is None:
+            return None
+        return time.monotonic() - self._confirmed_at_s
 
     @property
     def configuration(self) -> Configuration:
@@ -56,13 +73,20 @@
             for row in rows:
                 version = int(row.key.rpartition("/")[2])
                 self._configuration = build_configuration(json.loads(row.value), version)
+                self._versions.on_next(version)
             if len(rows) < PAGE_ROWS:
                 self._confirmed = True
+                self._confirmed_at_s = time.monotonic()
                 return
 
-    async def accept(self, configuration: Configuration) -> int:
-        """Append a change and return its version; raise Conflict or StoreUnavailable."""
+    async def accept(self, configuration: Configuration, base: int | None = None) -> int:
+        """Append a change and return its version; raise Conflict or StoreUnavailable.
+
+        `base` is the version that the change was made from; a newer version is a conflict.
+        """
         await self.refresh()
+        if base is not None and base != self._configuration.version:
+            raise Conflict([0])
         version = self._configuration.version + 1
         value = json.dumps(format_configuration(configuration)).encode()
         try:
--- a/jayyoke/parser/configuration.py
+++ b/jayyoke/parser/configuration.py
@@ -1,9 +1,7 @@
-"""The configuration that operators declare, from YAML to records and to and from JSON."""
+"""The configuration that operators declare, between YAML, plain data and records."""
 
 from __future__ import annotations
 
-import json
-from dataclasses import asdict
 from typing import Any
 
 from jayyoke.core.config import (
@@ -15,54 +13,239 @@
     TeamSpec,
 )
 from jayyoke.core.error import InvalidDocument
-from jayyoke.parser.document import Document
+from jayyoke.parser.document import Document, Place
+from jayyoke.parser.section import NAME_FORM, Section, is_name
+from jayyoke.parser.unit import format_duration
+
+PROTOCOLS = ("engine", "plain")
+MAX_SERVICES = 1000
+MAX_CLASSES = 1000
+MAX_TEAMS = 20_000
+MAX_DOMAINS = 1000
+MAX_DURATION_S = 30 * 86400.0
+
+_WEIGHT = "no weight: the fleet shares work out by itself to meet the targets of the classes"
+_UPSTREAM = "no upstream: the platform's instance list names the upstreams of a service"
+_ADDRESS = "no address: the platform's instance list tells where upstreams are"
+FORBIDDEN = {
+    "weight": _WEIGHT,
+    "weights": _WEIGHT,
+    "upstream": _UPSTREAM,
+    "upstreams": _UPSTREAM,
+    "address": _ADDRESS,
+    "addresses": _ADDRESS,
+    "host": _ADDRESS,
+    "port": _ADDRESS,
+    "url": _ADDRESS,
+    "domains_out": "no domain states: use `jayyoke domain out NAME` and `jayyoke domain back NAME`",
+}
+_SPECIFIC = {
+    "first_token_within": (ClassKind.CHAT,),
+    "between_tokens_within": (ClassKind.CHAT,),
+    "model": (ClassKind.CHAT,),
+    "stale_for": (ClassKind.LOOKUP,),
+    "keep": (ClassKind.ONCE, ClassKind.LATE, ClassKind.TAG),
+}
 
 
 def parse_configuration(text: str, file: str) -> Configuration:
     """Return the configuration of a YAML text; raise InvalidDocument with all findings."""
     document = Document(file)
     root = document.parse(text)
-    plain = _strip(root)
-    if document.findings:
-        raise InvalidDocument(document.findings)
-    return build_configuration(plain, 0)
+    return _read(document, root, 0, with_domains=False)
+
+
+def parse_plain(plain: Any, file: str = "request") -> Configuration:
+    """Return the configuration of an operator's document in JSON; raise InvalidDocument."""
+    document = Document(file)
+    return _read(document, document.wrap(plain), 0, with_domains=False)
+
+
+def build_configuration(plain: Any, version: int, file: str = "") -> Configuration:
+    """Return the configuration that format_configuration wrote; raise InvalidDocument."""
+    document = Document(file or f"configuration {version}")
+    return _read(document, document.wrap(plain), version, with_domains=True)
 
 
-def build_configuration(plain: dict[str, Any], version: int) -> Configuration:
-    """Return the records of a plain mapping that was checked before."""
+def format_configuration(configuration: Configuration) -> dict[str, Any]:
+    """Return plain data that build_configuration accepts, domain states included."""
+    plain = format_document(configuration)
+    plain["domains_out"] = sorted(configuration.domains_out)
+    return plain
+
+
+def format_document(configuration: Configuration) -> dict[str, Any]:
+    """Return the document that an operator can apply again, without domain states."""
+    services = {spec.name: _format_service(spec) for spec in configuration.services.values()}
+    classes = {spec.name: _format_class(spec) for spec in configuration.classes.values()}
+    teams = {}
+    for team in configuration.teams.values():
+        teams[team.name] = {"key_sha256": team.key_sha256, "classes": list(team.classes)}
+    return {"services": services, "classes": classes, "teams": teams}
+
+
+def _read(document: Document, root: Place, version: int, with_domains: bool) -> Configuration:
+    section = Section(document, root, "")
     services = {}
-    for name, value in plain.get("services", {}).items():
-        value = dict(value, settle=Settle(value.get("settle", "none")))
-        services[name] = ServiceSpec(name=name, **value)
+    for name, place in section.section("services").entries(MAX_SERVICES):
+        services[name] = _read_service(Section(document, place, f"services.{name}"), name)
     classes = {}
-    for name, value in plain.get("classes", {}).items():
-        value = dict(value, kind=ClassKind(value["kind"]))
-        classes[name] = ClassSpec(name=name, **value)
-    teams = {}
-    for name, value in plain.get("teams", {}).items():
-        teams[name] = TeamSpec(name, value["key_sha256"], tuple(value.get("classes", ())))
-    out = frozenset(plain.get("domains_out", ()))
+    for name, place in section.section("classes").entries(MAX_CLASSES):
+        classes[name] = _read_class(Section(document, place, f"classes.{name}"), name, services)
+    teams: dict[str, TeamSpec] = {}
+    keys: dict[str, str] = {}
+    for name, place in section.section("teams").entries(MAX_TEAMS):
+        team = _read_team(Section(document, place, f"teams.{name}"), name, classes, keys)
+        teams[name] = team
+    out = _read_domains(section) if with_domains else frozenset()
+    section.finish(FORBIDDEN)
+    if document.findings:
+        raise InvalidDocument(document.findings)
     return Configuration(version, services, classes, teams, out)
 
 
-def format_configuration(configuration: Configuration) -> dict[str, Any]:
-    """Return a plain mapping that build_configuration accepts."""
-    plain: dict[str, Any] = {"services": {}, "classes": {}, "teams": {}}
-    for name, service in configuration.services.items():
-        plain["services"][name] = asdict(service) | {"settle": service.settle.value}
-        del plain["services"][name]["name"]
-    for name, spec in configuration.classes.items():
-        plain["classes"][name] = asdict(spec) | {"kind": spec.kind.value}
-        del plain["classes"][name]["name"]
-    for name, team in configuration.teams.items():
-        plain["teams"][name] = {"key_sha256": team.key_sha256, "classes": list(team.classes)}
-    plain["domains_out"] = sorted(configuration.domains_out)
-    return json.loads(json.dumps(plain))
+def _read_service(section: Section, name: str) -> ServiceSpec:
+    defaults = ServiceSpec(name, "")
+    protocol = section.choice("protocol", PROTOCOLS)
+    settle = section.choice("settle", [item.value for item in Settle], Settle.NONE.value)
+    checks_fencing = section.flag("checks_fencing", False)
+    stores_durably = section.flag("stores_durably", False)
+    bound = section.number("load_bound", defaults.bound_multiple, 1.0, 10.0)
+    workers = section.section("workers")
+    cold = workers.count("cold_tokens", defaults.cold_work_tokens, 1, 10**9)
+    full = workers.count("full_tokens", max(defaults.full_work_tokens, cold), 1, 10**9)
+    warm_up_s = workers.duration("warm_up", defaults.warm_up_s, 0.0, 86400.0)
+    if cold > full:
+        workers.reject("cold_tokens", f"at most full_tokens, {full}")
+    workers.finish(FORBIDDEN)
+    section.finish(FORBIDDEN)
+    return ServiceSpec(
+        name=name,
+        protocol=protocol,
+        settle=Settle(settle),
+        checks_fencing=checks_fencing,
+        stores_durably=stores_durably,
+        bound_multiple=bound,
+        cold_work_tokens=cold,
+        full_work_tokens=full,
+        warm_up_s=warm_up_s,
+    )
+
+
+def _read_class(section: Section, name: str, services: dict[str, ServiceSpec]) -> ClassSpec:
+    defaults = ClassSpec(name, ClassKind.CHAT, "", 0.0)
+    kind_name = section.choice("kind", [item.value for item in ClassKind])
+    kind = ClassKind(kind_name) if kind_name else ClassKind.CHAT
+    service = section.name("service")
+    within_s = section.duration("within", None, 0.001, MAX_DURATION_S)
+    first = min(defaults.first_token_within_s, within_s or MAX_DURATION_S)
+    spec = ClassSpec(
+        name=name,
+        kind=kind,
+        service=service,
+        within_s=within_s,
+        first_token_within_s=section.duration("first_token_within", first, 0.001, MAX_DURATION_S),
+        between_tokens_within_s=section.duration(
+            "between_tokens_within", defaults.between_tokens_within_s, 0.001, 3600.0
+        ),
+        sure=section.number("sure", defaults.sure, 0.5, 0.99999),
+        repeat=section.count("repeat", 0, 0, 10),
+        stale_for_s=section.duration("stale_for", 0.0, 0.0, MAX_DURATION_S),
+        keep_s=section.duration("keep", defaults.keep_s, 1.0, MAX_DURATION_S),
+        priority=section.count("priority", defaults.priority, 0, 9),
+        model=section.text("model", ""),
+    )
+    section.finish(FORBIDDEN)
+    if kind_name:
+        _check_class(section, spec, services)
+    return spec
+
+
+def _check_class(section: Section, spec: ClassSpec, services: dict[str, ServiceSpec]) -> None:
+    if spec.service and spec.service not in services:
+        section.reject("service", "a service that exists: " + _list(services))
+    elif spec.service and services[spec.service].protocol:
+        protocol = "engine" if spec.kind is ClassKind.CHAT else "plain"
+        if services[spec.service].protocol != protocol:
+            section.reject(
+                "service", f"a service of protocol {protocol} for kind {spec.kind.value}"
+            )
+    for key, kinds in _SPECIFIC.items():
+        if section.has(key) and spec.kind not in kinds:
+            names = " and ".join(kind.value for kind in kinds)
+            section.reject(key, f"no such key for kind {spec.kind.value}; it belongs to {names}")
+    if spec.kind is ClassKind.ONCE and spec.repeat:
+        section.reject("repeat", "0: a once-only request is never sent a second time")
+    if spec.kind is ClassKind.CHAT and spec.first_token_within_s > spec.within_s > 0:
+        section.reject("first_token_within", f"at most within, {spec.within_s:g}s")
+
+
+def _read_team(
+    section: Section, name: str, classes: dict[str, ClassSpec], keys: dict[str, str]
+) -> TeamSpec:
+    digest = section.digest("key_sha256")
+    if digest and digest in keys:
+        expected = f"a key of its own; team {keys[digest]!r} has the same"
+        section.document.add(section.line, f"{section.path}.key_sha256", "a key in use", expected)
+    keys.setdefault(digest, name)
+    allowed = []
+    for place in section.items("classes", "classes", MAX_CLASSES):
+        if isinstance(place.value, str) and place.value in classes:
+            allowed.append(place.value)
+            continue
+        path = f"{section.path}.classes"
+        expected = "a class that exists: " + _list(classes)
+        section.document.reject(place, path, expected)
+    section.finish(FORBIDDEN)
+    return TeamSpec(name, digest, tuple(allowed))
+
+
+def _read_domains(section: Section) -> frozenset[str]:
+    names = set()
+    for place in section.items("domains_out", "domains", MAX_DOMAINS):
+        if is_name(place.value):
+            names.add(place.value)
+            continue
+        section.document.reject(place, "domains_out", NAME_FORM)
+    return frozenset(names)
+
+
+def _format_service(spec: ServiceSpec) -> dict[str, Any]:
+    return {
+        "protocol": spec.protocol,
+        "settle": spec.settle.value,
+        "checks_fencing": spec.checks_fencing,
+        "stores_durably": spec.stores_durably,
+        "load_bound": spec.bound_multiple,
+        "workers": {
+            "cold_tokens": spec.cold_work_tokens,
+            "full_tokens": spec.full_work_tokens,
+            "warm_up": format_duration(spec.warm_up_s),
+        },
+    }
+
+
+def _format_class(spec: ClassSpec) -> dict[str, Any]:
+    plain: dict[str, Any] = {
+        "kind": spec.kind.value,
+        "service": spec.service,
+        "within": format_duration(spec.within_s),
+        "first_token_within": format_duration(spec.first_token_within_s),
+        "between_tokens_within": format_duration(spec.between_tokens_within_s),
+        "sure": spec.sure,
+        "repeat": spec.repeat,
+        "stale_for": format_duration(spec.stale_for_s),
+        "keep": format_duration(spec.keep_s),
+        "priority": spec.priority,
+        "model": spec.model,
+    }
+    for key, kinds in _SPECIFIC.items():
+        if spec.kind not in kinds or plain[key] == "":
+            del plain[key]
+    return plain
 
 
-def _strip(place: Any) -> Any:
-    if isinstance(place.value, dict):
-        return {key: _strip(value) for key, value in place.value.items()}
-    if isinstance(place.value, list):
-        return [_strip(value) for value in place.value]
-    return place.value
+def _list(names: dict[str, Any]) -> str:
+    shown = sorted(names)[:10]
+    more = ", ..." if len(names) > len(shown) else ""
+    return ", ".join(shown) + more if shown else "none is declared"
--- a/jayyoke/parser/settings.py
+++ b/jayyoke/parser/settings.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 from dataclasses import dataclass
-from typing import Any
+from urllib.parse import urlsplit
 
 from jayyoke.core.error import InvalidDocument
-from jayyoke.parser.document import Document, Place
+from jayyoke.parser.document import Document
+from jayyoke.parser.section import Section
+
+MAX_SEEDS = 1000
+LOG_LEVELS = ("debug", "info", "warning", "error")
+_ADDRESS_FORM = "IP number and port, such as 10.0.0.7:8080"
+_URL_FORM = "a URL such as http://10.0.0.5:7000"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,39 +38,101 @@
     log_level: str = "info"
 
 
-_REQUIRED = (
-    "instance",
-    "region",
-    "domain",
-    "caller_address",
-    "operator_address",
-    "peer_address",
-    "table_url",
-    "objects_url",
-    "listing_url",
-    "weights_url",
-    "peer_key",
-    "operator_key_sha256",
-)
-
-
 def parse_settings(text: str, file: str) -> Settings:
     """Return the settings of a YAML text; raise InvalidDocument with all findings."""
     document = Document(file)
-    root = document.parse(text)
-    values: dict[str, Any] = {}
-    for key in _REQUIRED:
-        place = root.value.get(key)
-        if place is None:
-            document.add(root.line, key, "nothing", "a value")
-            continue
-        values[key] = str(place.value)
+    section = Section(document, document.parse(text), "")
+    settings = Settings(
+        instance=section.name("instance"),
+        region=section.name("region"),
+        domain=section.name("domain"),
+        caller_address=_read_address(section, "caller_address"),
+        operator_address=_read_address(section, "operator_address"),
+        peer_address=_read_address(section, "peer_address"),
+        table_url=_read_url(section, "table_url"),
+        objects_url=_read_url(section, "objects_url"),
+        listing_url=_read_url(section, "listing_url"),
+        weights_url=_read_url(section, "weights_url"),
+        peer_key=_read_key(section, "peer_key"),
+        operator_key_sha256=section.digest("operator_key_sha256"),
+        seeds=_read_seeds(section),
+        policy=section.text("policy", "owner"),
+        log_level=section.choice("log_level", LOG_LEVELS, "info"),
+    )
+    _check_distinct(section, settings)
+    section.finish()
     if document.findings:
         raise InvalidDocument(document.findings)
-    values["peer_key"] = hashlib.sha256(values["peer_key"].encode()).digest()
-    seeds = root.value.get("seeds", Place(1, []))
-    values["seeds"] = tuple(str(seed.value) for seed in seeds.value)
-    for key in ("policy", "log_level"):
-        if key in root.value:
-            values[key] = str(root.value[key].value)
-    return Settings(**values)
+    return settings
+
+
+def _read_address(section: Section, key: str) -> str:
+    place = section.take(key, _ADDRESS_FORM)
+    if place is None:
+        return ""
+    if _is_address(place.value):
+        return place.value
+    section.reject(key, _ADDRESS_FORM)
+    return ""
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536
+
+
+def _read_url(section: Section, key: str) -> str:
+    place = section.take(key, _URL_FORM)
+    if place is None:
+        return ""
+    if _is_url(place.value):
+        return place.value.rstrip("/")
+    section.reject(key, _URL_FORM)
+    return ""
+
+
+def _is_url(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    try:
+        parts = urlsplit(value)
+        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
+def _read_key(section: Section, key: str) -> bytes:
+    expected = "the secret text that all instances share"
+    place = section.take(key, expected)
+    if place is None:
+        return b""
+    if not isinstance(place.value, str) or not place.value:
+        # The value is not shown, since it may be a secret.
+        section.document.add(place.line, key, "something else", expected)
+        return b""
+    return hashlib.sha256(place.value.encode("utf-8", "surrogatepass")).digest()
+
+
+def _read_seeds(section: Section) -> tuple[str, ...]:
+    seeds = []
+    for place in section.items("seeds", "peer addresses", MAX_SEEDS):
+        if _is_address(place.value):
+            seeds.append(place.value)
+            continue
+        section.document.reject(place, "seeds", _ADDRESS_FORM)
+    return tuple(seeds)
+
+
+def _check_distinct(section: Section, settings: Settings) -> None:
+    used: dict[str, str] = {}
+    for key in ("caller_address", "operator_address", "peer_address"):
+        address = getattr(settings, key)
+        if address and address in used:
+            section.reject(key, f"an address of its own; {used[address]} has the same")
+        used.setdefault(address, key)
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -7,9 +7,21 @@
 
 from aiohttp import web
 
-from jayyoke.core.error import Conflict, StoreUnavailable
 from jayyoke.ops.node import Node
-from jayyoke.parser.configuration import build_configuration, format_configuration
+from jayyoke.parser.configuration import format_document
+from jayyoke.server.change import Accepted, apply_document, known_domains, set_domain
+from jayyoke.server.moves import add_move_routes
+from jayyoke.server.reply import (
+    MAX_BODY_BYTES,
+    OperatorProblem,
+    format_operator_problem,
+    read_json,
+)
+from jayyoke.server.status import collect_status, find_unconfirmed, serve_status
+from jayyoke.server.watch import Watch
+
+_OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
+_MAX_KEY_CHARACTERS = 512
 
 
 class OperatorServer:
@@ -17,26 +29,50 @@
 
     def __init__(self, node: Node):
         self._node = node
+        self._watch = Watch(node)
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=8 << 20, middlewares=[self._check_key])
+        middlewares = [self._explain, self._check_key]
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=middlewares)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
         app.router.add_get("/v1/configuration", self._show)
         app.router.add_put("/v1/configuration", self._apply)
+        app.router.add_get("/v1/status", self._status)
+        app.router.add_get("/v1/domains", self._domains)
+        app.router.add_post("/v1/domains/{name}/{action:out|back}", self._set_domain)
+        app.router.add_get("/v1/watch", self._watch.serve)
+        add_move_routes(app, self._node)
+        app.on_shutdown.append(self._close)
+        serve_status(self._node)
         return app
 
+    @web.middleware
+    async def _explain(self, http: web.Request, handler) -> web.StreamResponse:
+        try:
+            return await handler(http)
+        except OperatorProblem as problem:
+            return format_operator_problem(problem)
+        except web.HTTPError as error:
+            detail = f"{http.method} {http.path[:200]}: {error.reason}"
+            code = "-".join(error.reason.lower().split())
+            return format_operator_problem(OperatorProblem(error.status, code, detail))
+
     @web.middleware
     async def _check_key(self, http: web.Request, handler) -> web.StreamResponse:
-        if http.path in ("/healthz", "/readyz", "/metrics"):
+        if http.path in _OPEN_PATHS:
             return await handler(http)
-        key = http.headers.get("Authorization", "").removeprefix("Bearer ")
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        if not hmac.compare_digest(digest, self._node.settings.operator_key_sha256):
-            return web.json_response({"error": "operator key is missing or wrong"}, status=401)
+        scheme, _, key = http.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key[:_MAX_KEY_CHARACTERS].encode("utf-8", "replace")).hexdigest()
+        matches = hmac.compare_digest(digest, self._node.settings.operator_key_sha256)
+        if scheme.lower() != "bearer" or not matches:
+            raise OperatorProblem(401, "wrong-operator-key", "the operator key is missing or wrong")
         return await handler(http)
 
+    async def _close(self, app: web.Application) -> None:
+        self._watch.close()
+
     async def _health(self, http: web.Request) -> web.Response:
         return web.json_response({"instance": self._node.settings.instance})
 
@@ -48,15 +84,62 @@
 
     async def _show(self, http: web.Request) -> web.Response:
         configuration = self._node.control.configuration
-        body = {"version": configuration.version, "spec": format_configuration(configuration)}
-        return web.json_response(body)
+        body = {
+            "version": configuration.version,
+            "document": format_document(configuration),
+            "domains_out": sorted(configuration.domains_out),
+        }
+        return web.json_response(body, headers={"ETag": f'"{configuration.version}"'})
 
     async def _apply(self, http: web.Request) -> web.Response:
-        configuration = build_configuration(await http.json(), 0)
-        try:
-            version = await self._node.control.accept(configuration)
-        except Conflict:
-            return web.json_response({"error": "another change was accepted first"}, status=409)
-        except StoreUnavailable as error:
-            return web.json_response({"error": str(error)}, status=503)
-        return web.json_response({"version": version})
+        if_match = _parse_if_match(http.headers.get("If-Match", ""))
+        return _answer(await apply_document(self._node, await read_json(http), if_match))
+
+    async def _status(self, http: web.Request) -> web.Response:
+        version = _parse_version(http.query.get("version"), self._node)
+        statuses = await collect_status(self._node)
+        body = {
+            "instance": self._node.settings.instance,
+            "version": version,
+            "unconfirmed": find_unconfirmed(statuses, version),
+            "instances": statuses,
+        }
+        return web.json_response(body)
+
+    async def _domains(self, http: web.Request) -> web.Response:
+        out = self._node.control.configuration.domains_out
+        names = sorted(known_domains(self._node))
+        domains = [{"domain": name, "state": "out" if name in out else "in"} for name in names]
+        version = self._node.control.configuration.version
+        return web.json_response({"version": version, "domains": domains})
+
+    async def _set_domain(self, http: web.Request) -> web.Response:
+        out = http.match_info["action"] == "out"
+        force = http.query.get("force") == "true"
+        return _answer(await set_domain(self._node, http.match_info["name"], out, force))
+
+
+def _answer(accepted: Accepted) -> web.Response:
+    body = {
+        "version": accepted.version,
+        "changed": accepted.changed,
+        "changes": accepted.changes,
+    }
+    return web.json_response(body, headers={"ETag": f'"{accepted.version}"'})
+
+
+def _parse_if_match(header: str) -> int | None:
+    value = header.strip().strip('"')
+    if value in ("", "*"):
+        return None
+    if value.isascii() and value.isdigit() and len(value) <= 15:
+        return int(value)
+    raise OperatorProblem(400, "malformed-version", "If-Match must hold one version number")
+
+
+def _parse_version(value: str | None, node: Node) -> int:
+    if value is None:
+        return node.control.configuration.version
+    if value.isascii() and value.isdigit() and len(value) <= 15:
+        return int(value)
+    raise OperatorProblem(400, "malformed-version", "version must be a whole number")
--- /dev/null
+++ b/jayyoke/server/status.py
@@ -0,0 +1,85 @@
+"""Status of this instance and of its live peers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from jayyoke.core.error import PeerError
+from jayyoke.core.member import Member
+from jayyoke.ops.node import Node
+from jayyoke.wire.gen.ttypes import Status, StatusRequest
+
+ASK_TIMEOUT_S = 1.0
+MAX_CONCURRENT_ASKS = 32
+MAX_STATUS_BYTES = 4096
+
+
+def describe_instance(node: Node) -> dict[str, Any]:
+    """Return the status of this instance; ages are in seconds."""
+    incarnation = node.peers.me.incarnation if node.peers is not None else 0
+    age_s = node.control.confirmed_age_s
+    return {
+        "instance": node.settings.instance,
+        "domain": node.settings.domain,
+        "incarnation": incarnation,
+        "configuration": node.control.configuration.version,
+        "confirmed_age_s": None if age_s is None else round(age_s, 3),
+        "ready": node.control.confirmed,
+        "answers": True,
+    }
+
+
+def serve_status(node: Node) -> None:
+    """Answer status requests of peers."""
+    if node.peers is None:
+        return
+
+    async def answer(sender: Member, message: StatusRequest) -> Status:
+        return Status(body=json.dumps(describe_instance(node)).encode())
+
+    node.peers.serve(StatusRequest, answer)
+
+
+async def collect_status(node: Node) -> list[dict[str, Any]]:
+    """Return the status of every live instance by name; one that is silent has `answers` false."""
+    found = [describe_instance(node)]
+    if node.peers is not None:
+        gate = asyncio.Semaphore(MAX_CONCURRENT_ASKS)
+        others = [item for item in node.peers.members() if item.name != node.peers.me.name]
+        found += await asyncio.gather(*(_ask(node, member, gate) for member in others))
+    return sorted(found, key=lambda status: status["instance"])
+
+
+def find_unconfirmed(statuses: list[dict[str, Any]], version: int) -> list[str]:
+    """Return the live instances at which this configuration version is not known in force."""
+    names = []
+    for status in statuses:
+        known = status["configuration"]
+        if not isinstance(known, int) or known < version:
+            names.append(status["instance"])
+    return names
+
+
+async def _ask(node: Node, member: Member, gate: asyncio.Semaphore) -> dict[str, Any]:
+    silent = {
+        "instance": member.name,
+        "domain": member.domain,
+        "incarnation": member.incarnation,
+        "configuration": None,
+        "confirmed_age_s": None,
+        "ready": False,
+        "answers": False,
+    }
+    try:
+        async with gate:
+            answer = await node.peers.ask(member.name, StatusRequest(), ASK_TIMEOUT_S)
+        if len(answer.body) > MAX_STATUS_BYTES:
+            return silent
+        body = json.loads(answer.body)
+        # Name and domain come from the membership, which authenticated the peer.
+        known = {key: body[key] for key in ("configuration", "confirmed_age_s", "ready")}
+    except (PeerError, TimeoutError, ValueError, KeyError, TypeError, AttributeError):
+        return silent
+    return silent | known | {"answers": True}
