--- a/jayyoke/parser/configuration.py
+++ b/jayyoke/parser/configuration.py
@@ -86,15 +86,17 @@
 
 def _read(document: Document, root: Place, version: int, with_domains: bool) -> Configuration:
     section = Section(document, root, "")
+    # An operator's document without a part would remove everything in it, mostly by mistake.
+    required = "" if with_domains else "a mapping, {} if it shall be empty"
     services = {}
-    for name, place in section.section("services").entries(MAX_SERVICES):
+    for name, place in section.section("services", required).entries(MAX_SERVICES):
         services[name] = _read_service(Section(document, place, f"services.{name}"), name)
     classes = {}
-    for name, place in section.section("classes").entries(MAX_CLASSES):
+    for name, place in section.section("classes", required).entries(MAX_CLASSES):
         classes[name] = _read_class(Section(document, place, f"classes.{name}"), name, services)
     teams: dict[str, TeamSpec] = {}
     keys: dict[str, str] = {}
-    for name, place in section.section("teams").entries(MAX_TEAMS):
+    for name, place in section.section("teams", required).entries(MAX_TEAMS):
         team = _read_team(Section(document, place, f"teams.{name}"), name, classes, keys)
         teams[name] = team
     out = _read_domains(section) if with_domains else frozenset()
--- a/jayyoke/parser/document.py
+++ b/jayyoke/parser/document.py
@@ -19,7 +19,7 @@
 # libyaml parses a document of 3,900 teams in well under a second; the pure parser is the fallback.
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 _SCALARS = frozenset(f"tag:yaml.org,2002:{name}" for name in ("null", "bool", "int", "float"))
-_STRING = "tag:yaml.org,2002:str"
+_TAGS = _SCALARS | {None, "!", *(f"tag:yaml.org,2002:{name}" for name in ("str", "map", "seq"))}
 
 
 # Stands for a value that already has a finding, so that readers report it only once.
@@ -96,6 +96,8 @@
     ) -> Place:
         line = event.start_mark.line + 1
         self._count(line, key, depth)
+        if getattr(event, "tag", None) not in _TAGS:
+            self.add(line, key, f"tag {event.tag}", "a value without a tag")
         match event:
             case yaml.MappingStartEvent():
                 return Place(line, self._parse_mapping(events, key, depth))
@@ -104,7 +106,7 @@
             case yaml.AliasEvent():
                 self.add(line, key, f"alias *{event.anchor}", "a value without YAML aliases")
                 return Place(line, UNREADABLE)
-        return Place(line, self._parse_scalar(event, key))
+        return Place(line, self._parse_scalar(event))
 
     def _parse_mapping(
         self, events: Iterator[yaml.Event], path: str, depth: int
@@ -131,9 +133,8 @@
             items.append(self._parse_value(event, events, f"{path}[{len(items)}]", depth + 1))
         return items
 
-    def _parse_scalar(self, event: yaml.ScalarEvent, key: str) -> Any:
-        if event.tag not in (None, "!", _STRING, *_SCALARS):
-            self.add(event.start_mark.line + 1, key, f"tag {event.tag}", "a value without a tag")
+    def _parse_scalar(self, event: yaml.ScalarEvent) -> Any:
+        if event.tag not in _TAGS:
             return UNREADABLE
         tag = event.tag
         if tag is None or tag == "!":
--- a/jayyoke/parser/section.py
+++ b/jayyoke/parser/section.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Mapping, Sequence
 
-from jayyoke.parser.document import Document, Place, describe, join
+from jayyoke.parser.document import Document, Place, join
 from jayyoke.parser.unit import format_duration, parse_count, parse_duration
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -92,7 +92,8 @@
 
     def duration(self, key: str, default: float | None, low: float, high: float) -> float:
         """Return seconds; `low` and `high` are included."""
-        expected = f"a duration from {format_duration(low)} to {format_duration(high)}, such as 300ms, 1s, 10m or 1h"
+        bounds = f"from {format_duration(low)} to {format_duration(high)}"
+        expected = f"a duration {bounds}, such as 300ms, 1s, 10m or 1h"
         place = self.take(key, expected if default is None else "")
         if place is None:
             return default or 0.0
@@ -147,9 +148,9 @@
         self.reject(key, f"a list of at most {limit} {expected}")
         return []
 
-    def section(self, key: str) -> Section:
-        """Return the mapping below an optional key."""
-        place = self.take(key)
+    def section(self, key: str, expected: str = "") -> Section:
+        """Return the mapping below a key, which is optional unless `expected` is given."""
+        place = self.take(key, expected)
         place = Place(self.line, {}) if place is None else place
         return Section(self.document, place, join(self.path, key))
 
@@ -169,14 +170,17 @@
 
     def finish(self, forbidden: Mapping[str, str] | None = None) -> None:
         """Report keys that nothing asked for, with the reason for those that are forbidden."""
+        forbidden = forbidden or {}
         for key, place in self._entries.items():
             if key in self._asked:
                 continue
             path = join(self.path, key)
-            reason = (forbidden or {}).get(key.lower())
-            if reason is None:
-                reason = self._suggest(key, forbidden or {})
-            self.document.add(place.line, path, "a key that does not exist here", reason)
+            if key.lower() in forbidden:
+                self.document.reject(place, path, forbidden[key.lower()])
+                continue
+            # The value is not shown, since it may be a secret below a misspelt key.
+            expected = self._suggest(key, forbidden)
+            self.document.add(place.line, path, "an unknown key", expected)
 
     def _suggest(self, key: str, forbidden: Mapping[str, str]) -> str:
         names = sorted({*self._asked, *forbidden})
@@ -184,7 +188,7 @@
         if close and close[0] not in self._asked:
             return forbidden[close[0]]
         if close:
-            return f"{close[0]}, perhaps"
+            return f"a known key; did you mean {close[0]}?"
         return "one of " + ", ".join(sorted(set(self._asked)))
 
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import signal
-import sys
 from pathlib import Path
+from typing import Annotated
 
 import aiohttp
 import typer
@@ -22,12 +22,17 @@
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
+from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.operator import OperatorServer
 
-EXIT_INVALID_SETTINGS = 2
 DRAIN_TIMEOUT_S = 60.0
-_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 
 
 def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
@@ -76,23 +81,38 @@
 
 def main() -> None:
     """Run the command line of the daemon."""
-    typer.run(_command)
+    app()
 
 
-def _command(settings: Path = typer.Option(..., help="YAML file of this instance.")) -> None:  # noqa: B008
-    """Run one entry instance until SIGTERM."""
-    try:
-        parsed = parse_settings(settings.read_text(encoding="utf-8"), str(settings))
-    except InvalidDocument as error:
-        print(error, file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    except OSError as error:
-        print(f"{settings}: {error.strerror}", file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    logging.set_verbosity(_LEVELS.get(parsed.log_level, logging.INFO))
+app = typer.Typer(rich_markup_mode=None, add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def _command(
+    settings: Annotated[Path, typer.Option(help="YAML file with the settings of this instance.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings, then exit without serving.")
+    ] = False,
+) -> None:
+    """Run one entry instance until SIGTERM, then finish the requests in progress.
+
+    Exit codes: 0 stopped or settings without findings; 2 bad usage or settings.
+    """
+    parsed = _read_settings(settings)
+    if check:
+        print(f"{settings}: no findings")
+        return
+    logging.set_verbosity(_LEVELS[parsed.log_level])
     logging.use_absl_handler()
     asyncio.run(run_daemon(parsed))
 
 
+def _read_settings(path: Path) -> Settings:
+    try:
+        return parse_settings(read_file(path), str(path))
+    except InvalidDocument as error:
+        raise fail(str(error), EXIT_USAGE) from error
+
+
 if __name__ == "__main__":
     main()
--- a/jayyoke/server/change.py
+++ b/jayyoke/server/change.py
@@ -12,6 +12,7 @@
 from jayyoke.parser.configuration import parse_plain
 from jayyoke.server.reply import OperatorProblem, explain_findings
 
+MAX_CONFLICTS = 5
 _PARTS = ("services", "classes", "teams")
 
 
@@ -41,11 +42,29 @@
     if if_match is not None and if_match != current.version:
         raise _changed(f"version {current.version} is in force, not {if_match}", current.version)
     wanted = replace(wanted, domains_out=current.domains_out)
-    return Accepted(await _accept(node, wanted, current.version), changes)
+    try:
+        return Accepted(await _accept(node, wanted, current.version), changes)
+    except OperatorProblem:
+        # The other change may be this very document, sent again after its answer was lost.
+        current = node.control.configuration
+        if compare(current, wanted):
+            raise
+        return Accepted(current.version, {})
 
 
 async def set_domain(node: Node, name: str, out: bool, force: bool) -> Accepted:
     """Take a domain out or back; a domain already in that state makes no new version."""
+    for _ in range(MAX_CONFLICTS):
+        try:
+            return await _set_domain(node, name, out, force)
+        except OperatorProblem as problem:
+            # The change concerns one domain only, so it can follow any other change.
+            if problem.status != 409:
+                raise
+    raise _changed("other changes were accepted first", node.control.configuration.version)
+
+
+async def _set_domain(node: Node, name: str, out: bool, force: bool) -> Accepted:
     current = await _refresh(node, lambda known: (name in known.domains_out) == out)
     if (name in current.domains_out) == out:
         if not out:
--- /dev/null
+++ b/tests/operator_test.py
@@ -0,0 +1,212 @@
+"""Tests of the operators' HTTP interface."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import replace
+
+import aiohttp
+import pytest
+import yaml
+
+from jayyoke.platform.table import Row
+from standin.fleet import load_example
+from tests.operator_fleet import KEY, OperatorFleet
+
+DOCUMENT = load_example("ballenticket")
+EMPTY = {"services": {}, "classes": {}, "teams": {}}
+
+
+@pytest.fixture
+def fleet() -> Iterator[OperatorFleet]:
+    with OperatorFleet(("luzern-a", "luzern-b")) as running:
+        yield running
+
+
+def send(fleet: OperatorFleet, method: str, path: str, index: int = 0, **options) -> tuple:
+    headers = {"Authorization": f"Bearer {KEY}"} | options.pop("headers", {})
+
+    async def work() -> tuple:
+        async with (
+            aiohttp.ClientSession() as http,
+            http.request(method, fleet.urls[index] + path, headers=headers, **options) as answer,
+        ):
+            return answer.status, json.loads(await answer.read())
+
+    return fleet.call(work())
+
+
+def apply(fleet: OperatorFleet, document: object = DOCUMENT, index: int = 0, **options) -> tuple:
+    return send(fleet, "PUT", "/v1/configuration", index, json=document, **options)
+
+
+class TestKey:
+    @pytest.mark.parametrize("value", ["", "Bearer", "Bearer wrong", f"Basic {KEY}", KEY])
+    def test_every_route_needs_the_key(self, fleet, value):
+        """Guards against an operator route that anyone can call."""
+        routes = [("GET", "/v1/configuration"), ("POST", "/v1/domains/luzern-a/out")]
+        routes += [("GET", "/v1/watch"), ("GET", "/v1/moves"), ("PUT", "/v1/configuration")]
+        for method, path in routes:
+            status, body = send(fleet, method, path, headers={"Authorization": value})
+            assert (status, body["code"]) == (401, "wrong-operator-key")
+        assert fleet.table.rows == {}
+
+    def test_health_and_readiness_are_open_and_apart(self, fleet):
+        """Guards against a health check that fails while an instance waits for the platform."""
+        assert send(fleet, "GET", "/healthz", headers={"Authorization": ""})[0] == 200
+        assert send(fleet, "GET", "/readyz", headers={"Authorization": ""})[0] == 503
+        fleet.refresh(0)
+        assert send(fleet, "GET", "/readyz", headers={"Authorization": ""})[0] == 200
+
+
+class TestConfiguration:
+    def test_same_document_makes_no_new_version(self, fleet):
+        """Guards against a repeat after a lost answer being accepted as a second change."""
+        first = apply(fleet)[1]
+        assert (first["version"], first["changed"]) == (1, True)
+        assert len(first["changes"]["teams"]["added"]) == 10
+        repeated = apply(fleet, index=1, headers={"If-Match": '"0"'})
+        assert repeated == (200, {"version": 1, "changed": False, "changes": {}})
+        shown = send(fleet, "GET", "/v1/configuration")[1]
+        assert apply(fleet, shown["document"])[1]["changed"] is False
+
+    def test_same_document_accepted_during_the_request_is_no_conflict(self, fleet):
+        """Guards against a refusal when the first, lost request takes effect in between."""
+
+        async def accept_first() -> None:
+            key, value = "change/000000000001", json.dumps(DOCUMENT).encode()
+            fleet.table.rows[key] = Row(key, value, 1)
+
+        fleet.table.before_commit = accept_first
+        assert apply(fleet) == (200, {"version": 1, "changed": False, "changes": {}})
+
+    def test_document_keeps_domain_states(self, fleet):
+        """Guards against a new document that brings a domain back unasked."""
+        apply(fleet)
+        send(fleet, "POST", "/v1/domains/zug-c/out")
+        changed = yaml.safe_load(yaml.safe_dump(DOCUMENT))
+        del changed["classes"]["depot-reply"]
+        changed["teams"]["office-altdorf"]["classes"] = ["draft"]
+        status, body = apply(fleet, changed)
+        assert status == 200
+        assert body["changes"] == {
+            "classes": {"removed": ["depot-reply"]},
+            "teams": {"changed": ["office-altdorf"]},
+        }
+        assert send(fleet, "GET", "/v1/configuration")[1]["domains_out"] == ["zug-c"]
+
+    def test_wrong_base_version_is_refused(self, fleet):
+        """Guards against an operator who overwrites a change that he has not seen."""
+        apply(fleet)
+        status, body = apply(fleet, EMPTY, headers={"If-Match": '"7"'})
+        assert (status, body["code"], body["version"]) == (409, "configuration-changed", 1)
+
+    @pytest.mark.parametrize(
+        ("body", "status"),
+        [
+            (b"{", 400),
+            (b"[" * 100_000, 400),
+            (b"[]", 422),
+            (b"{}", 422),
+            (b'{"domains_out": ["zug-c"]}', 422),
+            (b'{"services": {"a": {"protocol": "engine", "weight": 3}}}', 422),
+            (b" " * (5 << 20), 413),
+        ],
+    )
+    def test_bad_body_changes_nothing(self, fleet, body, status):
+        """Guards against a half-applied or crashing document."""
+        seen, problem = send(fleet, "PUT", "/v1/configuration", data=body)
+        assert (seen, problem["status"]) == (status, status)
+        assert fleet.table.rows == {}
+
+    def test_table_down(self, fleet):
+        """Guards against an accepted answer for a change that no one recorded."""
+        apply(fleet)
+        fleet.table.down = True
+        status, body = apply(fleet, EMPTY)
+        assert (status, body["effect"]) == (503, "none")
+        assert apply(fleet)[1] == {"version": 1, "changed": False, "changes": {}}
+
+
+class TestDomains:
+    def test_out_and_back_are_idempotent(self, fleet):
+        """Guards against a repeated command that makes a second change."""
+        apply(fleet)
+        versions = []
+        for action in ("out", "out", "back", "back"):
+            versions.append(send(fleet, "POST", f"/v1/domains/zug-c/{action}")[1]["version"])
+        assert versions == [2, 2, 3, 3]
+
+    def test_unknown_domain_is_refused_unless_forced(self, fleet):
+        """Guards against a misspelt domain that leaves the broken one in service."""
+        status, body = send(fleet, "POST", "/v1/domains/zug-d/out")
+        assert (status, body["known"]) == (404, ["luzern-a", "luzern-b"])
+        assert send(fleet, "POST", "/v1/domains/zug-d/out?force=true")[0] == 200
+
+    def test_out_follows_another_change(self, fleet):
+        """Guards against a domain that stays in because a configuration changed meanwhile."""
+
+        async def change_first() -> None:
+            await fleet.nodes[1].control.accept(fleet.nodes[1].control.configuration)
+
+        fleet.table.before_commit = change_first
+        body = send(fleet, "POST", "/v1/domains/luzern-a/out")[1]
+        assert body["version"] == 2
+
+
+class TestStatus:
+    def test_names_instances_without_the_version(self, fleet):
+        """Guards against a version reported in force while an instance still lags."""
+        apply(fleet)
+        body = send(fleet, "GET", "/v1/status")[1]
+        assert (body["version"], body["unconfirmed"]) == (1, ["luzern-b"])
+        fleet.refresh(1)
+        body = send(fleet, "GET", "/v1/status")[1]
+        assert body["unconfirmed"] == []
+        assert [item["incarnation"] for item in body["instances"]] == [7, 7]
+
+    def test_silent_instance_counts_as_unconfirmed(self, fleet):
+        """Guards against counting a live instance that does not answer."""
+        fleet.hub.peers["luzern-b"].handlers = {}
+        body = send(fleet, "GET", "/v1/status")[1]
+        assert body["unconfirmed"] == ["luzern-b"]
+
+
+class TestMoves:
+    def test_not_built(self, fleet):
+        """Guards against a move that seems to be accepted although nothing carries it out."""
+        for method, path in (("GET", "/v1/moves"), ("POST", "/v1/moves"), ("GET", "/v1/moves/a")):
+            assert send(fleet, method, path)[0] == 501
+
+
+class TestWatch:
+    def test_events(self, fleet):
+        """Guards against a watch that misses versions, domain states or members."""
+
+        async def read(count: int) -> list[tuple[str, dict]]:
+            headers = {"Authorization": f"Bearer {KEY}"}
+            found = []
+            async with (
+                aiohttp.ClientSession() as http,
+                http.get(fleet.urls[0] + "/v1/watch", headers=headers) as answer,
+            ):
+                async for line in answer.content:
+                    if line.startswith(b"event: "):
+                        name = line[7:].decode().strip()
+                    if line.startswith(b"data: "):
+                        found.append((name, json.loads(line[6:])))
+                    if len(found) == 3 and line == b"\n":
+                        control = fleet.nodes[0].control
+                        out = frozenset({"zug-c"})
+                        await control.accept(replace(control.configuration, domains_out=out))
+                        fleet.hub.cut("luzern-a", "luzern-b")
+                    if len(found) == count:
+                        return found
+            return found
+
+        events = fleet.call(read(6))
+        assert [name for name, _ in events[:3]] == ["member", "member", "configuration"]
+        assert events[3] == ("configuration", {"version": 1})
+        assert events[4] == ("domain", {"domain": "zug-c", "state": "out"})
+        assert (events[5][0], events[5][1]["state"]) == ("member", "dead")
--- /dev/null
+++ b/tests/tool_test.py
@@ -0,0 +1,187 @@
+"""Tests of the command-line tools, against operator servers of two instances."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+import pytest
+import yaml
+from typer.testing import CliRunner, Result
+
+from jayyoke.scripts import daemon, tool
+from jayyoke.scripts.move import name_move
+from standin.fleet import EXAMPLES, find_free_address
+from tests.operator_fleet import KEY, OperatorFleet
+
+EXAMPLE = str(EXAMPLES / "ballenticket.yaml")
+
+
+@pytest.fixture
+def fleet() -> Iterator[OperatorFleet]:
+    with OperatorFleet(("luzern-a", "luzern-b")) as running:
+        yield running
+
+
+def run(fleet: OperatorFleet | None, *arguments: str, urls: str = "", key: str = KEY) -> Result:
+    if fleet is not None:
+        urls = urls or " ".join(fleet.urls)
+    environment = {"JAYYOKE_INSTANCES": urls or None, "JAYYOKE_OPERATOR_KEY": key or None}
+    environment |= {"COLUMNS": "100", "TERMINAL_WIDTH": "100", "NO_COLOR": "1"}
+    return CliRunner().invoke(tool.app, list(arguments), env=environment, prog_name="jayyoke")
+
+
+class TestHelp:
+    @pytest.mark.parametrize(
+        "command",
+        [
+            "",
+            "check",
+            "apply",
+            "show",
+            "status",
+            "domain",
+            "domain out",
+            "domain back",
+            "domain list",
+            "version start",
+            "moves",
+            "watch",
+        ],
+    )
+    def test_tool(self, command, snapshot):
+        """Guards against a command or option without an explanation."""
+        result = run(None, *command.split(), "--help")
+        assert (result.exit_code, result.output) == (0, snapshot)
+
+    def test_daemon(self, snapshot):
+        """Guards against an option of the daemon without an explanation."""
+        environment = {"COLUMNS": "100", "TERMINAL_WIDTH": "100", "NO_COLOR": "1"}
+        result = CliRunner().invoke(daemon.app, ["--help"], env=environment, prog_name="jayyoked")
+        assert (result.exit_code, result.output) == (0, snapshot)
+
+
+class TestUsage:
+    def test_check(self, tmp_path, snapshot):
+        """Guards against a check that needs an instance or misses a finding."""
+        assert run(None, "check", EXAMPLE, key="").exit_code == 0
+        bad = tmp_path / "bad.yaml"
+        bad.write_text("services: {pool: {protocol: engin, weight: 3}}\nclases: {}\n")
+        result = run(None, "check", str(bad), key="")
+        assert (result.exit_code, result.output.replace(str(tmp_path), "")) == (2, snapshot)
+
+    @pytest.mark.parametrize(
+        ("arguments", "code"),
+        [
+            (("check", "/nonexistent.yaml"), 2),
+            (("apply", EXAMPLE), 2),
+            (("status",), 2),
+            (("apply", EXAMPLE, "--timeout", "soon"), 2),
+            (("domain", "out"), 2),
+            (("fly",), 2),
+        ],
+    )
+    def test_bad_usage(self, arguments, code):
+        """Guards against scripts that cannot tell bad usage from a refusal."""
+        assert run(None, *arguments).exit_code == code
+
+    def test_missing_and_wrong_key(self, fleet):
+        """Guards against a traceback in place of a message about the key."""
+        assert run(fleet, "status", key="").exit_code == 2
+        result = run(fleet, "status", key="wrong")
+        assert (result.exit_code, result.stderr) == (
+            1,
+            "refused: the operator key is missing or wrong\n",
+        )
+
+    def test_key_file(self, fleet, tmp_path):
+        """Guards against a line end that becomes part of the key."""
+        path = tmp_path / "key"
+        path.write_text(f"{KEY}\n")
+        assert run(fleet, "--key-file", str(path), "domain", "list", key="").exit_code == 0
+
+
+class TestApply:
+    def test_apply_show_status(self, fleet, snapshot):
+        """Guards against output that changes for scripts and operators without notice."""
+        assert run(fleet, "apply", EXAMPLE).output == snapshot(name="first")
+        assert run(fleet, "apply", EXAMPLE).output == snapshot(name="again")
+        assert run(fleet, "show").output == snapshot(name="show")
+        result = run(fleet, "--json", "status")
+        assert (result.exit_code, json.loads(result.output)["unconfirmed"]) == (1, ["luzern-b"])
+        fleet.refresh(1)
+        result = run(fleet, "status")
+        assert (result.exit_code, result.output.splitlines()[-1]) == (
+            0,
+            "version 1 is in force at all live instances",
+        )
+
+    def test_wait_names_instances_that_lag(self, fleet):
+        """Guards against a change reported in force before every live instance has it."""
+        result = run(fleet, "--json", "apply", EXAMPLE, "--wait", "--timeout", "300ms")
+        body = json.loads(result.output)
+        assert (result.exit_code, body["in_force"]) == (4, False)
+        assert body["unconfirmed"] == ["luzern-b"]
+        fleet.refresh(1)
+        assert run(fleet, "apply", EXAMPLE, "--wait").exit_code == 0
+
+    def test_shown_configuration_can_be_applied(self, fleet, tmp_path):
+        """Guards against output of `show` that `apply` refuses or reads differently."""
+        run(fleet, "apply", EXAMPLE)
+        path = tmp_path / "shown.yaml"
+        path.write_text(run(fleet, "show").output)
+        result = run(fleet, "--json", "apply", str(path))
+        assert json.loads(result.output)["changed"] is False
+
+    def test_bad_file_changes_nothing(self, fleet, tmp_path):
+        """Guards against a file that is applied in part."""
+        document = yaml.safe_load((EXAMPLES / "ballenticket.yaml").read_text())
+        document["classes"]["stamp"]["repeat"] = 1
+        path = tmp_path / "bad.yaml"
+        path.write_text(yaml.safe_dump(document))
+        assert run(fleet, "apply", str(path)).exit_code == 2
+        assert fleet.table.rows == {}
+
+    def test_stale_version_is_refused(self, fleet):
+        """Guards against --if-version that is not passed on."""
+        assert run(fleet, "apply", EXAMPLE, "--if-version", "3").exit_code == 1
+
+
+class TestInstances:
+    def test_next_instance_is_tried(self, fleet):
+        """Guards against one dead instance that stops operators."""
+        urls = f"{find_free_address()} {fleet.urls[1]}"
+        assert run(fleet, "apply", EXAMPLE, urls=urls).exit_code == 0
+
+    def test_no_instance_answers(self):
+        """Guards against an unreachable fleet that looks like a refusal."""
+        result = run(None, "apply", EXAMPLE, urls=find_free_address())
+        assert result.exit_code == 3
+
+    def test_table_down(self, fleet):
+        """Guards against a lost change that is reported as done."""
+        fleet.table.down = True
+        assert run(fleet, "apply", EXAMPLE).exit_code == 1
+
+
+class TestDomain:
+    def test_out_and_back(self, fleet, snapshot):
+        """Guards against a domain command that is not safe to repeat."""
+        run(fleet, "apply", EXAMPLE)
+        for action in ("out", "out", "back"):
+            result = run(fleet, "domain", action, "zug-c")
+            assert (result.exit_code, result.output) == (0, snapshot)
+        assert run(fleet, "domain", "out", "zug-d").exit_code == 1
+        assert run(fleet, "domain", "list").output == snapshot
+
+
+class TestMove:
+    def test_repeated_start_names_the_same_move(self):
+        """Guards against a repeated command that starts a second move."""
+        assert name_move("pool", "v2", 1) == name_move("pool", "v2", 1)
+        assert name_move("pool", "v2", 1) != name_move("pool", "v2", 2)
+
+    def test_not_built(self, fleet):
+        """Guards against a tool that reports a move that no one carries out."""
+        assert run(fleet, "version", "start", "pool", "v2", "--deadline", "10m").exit_code == 1
+        assert run(fleet, "moves", "x").exit_code == 1
