--- /dev/null
+++ b/jayyoke/core/code.py
@@ -0,0 +1,42 @@
+"""Stable codes of refusals; docs/refusals.md tells callers what to do about each."""
+
+from __future__ import annotations
+
+from jayyoke.core.error import Refusal, Run
+
+HEADER_INVALID = "header-invalid"
+REQUEST_ID_INVALID = "request-id-invalid"
+REQUEST_ID_IN_USE = "request-id-in-use"
+IDEMPOTENCY_KEY_INVALID = "idempotency-key-invalid"
+BODY_TOO_LARGE = "body-too-large"
+BODY_TIMEOUT = "body-timeout"
+MALFORMED_REQUEST = "malformed-request"
+FIELD_INVALID = "field-invalid"
+UNKNOWN_TEAM = "unknown-team"
+UNKNOWN_CLASS = "unknown-class"
+UNKNOWN_PATH = "unknown-path"
+METHOD_NOT_ALLOWED = "method-not-allowed"
+CLASS_NOT_ALLOWED = "class-not-allowed"
+TEAM_OVER_SHARE = "team-over-share"
+OVERLOADED = "overloaded"
+DEADLINE_TOO_SHORT = "deadline-too-short"
+NO_UPSTREAM = "no-upstream"
+UPSTREAM_UNREACHABLE = "upstream-unreachable"
+UPSTREAM_REJECTED = "upstream-rejected"
+ANSWER_BROKEN = "answer-broken"
+NO_ANSWER = "no-answer"
+INTERNAL = "internal-error"
+
+
+def refuse(
+    status: int, code: str, detail: str, retry_after_s: float | None = None
+) -> Refusal:
+    """Return a refusal of a request of which nothing was dispatched."""
+    return Refusal(status, code, detail, Run.NOT_RUN, retry_after_s)
+
+
+def refuse_unknown(
+    status: int, code: str, detail: str, retry_after_s: float | None = None
+) -> Refusal:
+    """Return a refusal of a request that may have run."""
+    return Refusal(status, code, detail, Run.UNKNOWN, retry_after_s)
--- /dev/null
+++ b/jayyoke/ops/metrics.py
@@ -0,0 +1,74 @@
+"""Counters, gauges and latency histograms of one instance."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from jayyoke.core.config import ClassSpec
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+# Bounds the memory: a histogram takes about 30 KB, and classes come from the configuration.
+MAX_HISTOGRAMS = 128
+
+
+class Metrics:
+    """Holds the metrics of one instance; every label has a bounded set of values."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.latencies: dict[tuple[str, str], HdrHistogram] = {}
+        registry = self.registry
+        self.requests = Counter(
+            "jayyoke_requests", "Callers' requests by outcome.", ["class_name", "outcome"],
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "jayyoke_refusals", "Refusals by stable code.", ["code", "run"], registry=registry
+        )
+        self.tokens = Counter(
+            "jayyoke_tokens_delivered", "Tokens sent to callers.", ["class_name"],
+            registry=registry,
+        )
+        self.resumptions = Counter(
+            "jayyoke_resumptions", "Streams resumed, by the fault that broke them.", ["fault"],
+            registry=registry,
+        )
+        self.missed = Counter(
+            "jayyoke_targets_missed", "Events later than the class's target.",
+            ["class_name", "target"], registry=registry,
+        )
+        self.running = Gauge(
+            "jayyoke_requests_running", "Requests in progress.", registry=registry
+        )
+        self.dropped_lines = Counter(
+            "jayyoke_decision_lines_dropped", "Decision log lines over the rate limit.",
+            registry=registry,
+        )
+
+    def observe(self, name: str, class_name: str, seconds: float) -> None:
+        """Record a latency of a class under a name such as first_token."""
+        histogram = self.latencies.get((name, class_name))
+        if histogram is None:
+            if len(self.latencies) >= MAX_HISTOGRAMS:
+                return
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.latencies[(name, class_name)] = histogram
+        value_us = int(seconds * 1e6)
+        histogram.record_value(min(HIGHEST_US, max(LOWEST_US, value_us)))
+
+    def observe_first_token(self, spec: ClassSpec, seconds: float) -> None:
+        """Record the time to the first token and whether it met the class's target."""
+        self.observe("first_token", spec.name, seconds)
+        if seconds > spec.first_token_within_s:
+            self.missed.labels(spec.name, "first_token").inc()
+
+    def observe_stream(self, spec: ClassSpec, tokens: int, late: int, mean_gap_s: float) -> None:
+        """Record a stream: its tokens, the late ones among them and the mean gap."""
+        self.tokens.labels(spec.name).inc(tokens)
+        if late:
+            self.missed.labels(spec.name, "between_tokens").inc(late)
+        if tokens > 1:
+            self.observe("between_tokens", spec.name, mean_gap_s)
