Relay whole answers and serve the callers' interface with limits

Cause: a broken or silent stream lost the answer; unreadable input got no problem document. Change: resumable relay over placement, frame counter, checked chat completions, models list, bounded listener, metrics exposition, graceful drain.

--- a/jayyoke/core/code.py
+++ b/jayyoke/core/code.py
@@ -28,9 +28,7 @@
 INTERNAL = "internal-error"
 
 
-def refuse(
-    status: int, code: str, detail: str, retry_after_s: float | None = None
-) -> Refusal:
+def refuse(status: int, code: str, detail: str, retry_after_s: float | None = None) -> Refusal:
     """Return a refusal of a request of which nothing was dispatched."""
     return Refusal(status, code, detail, Run.NOT_RUN, retry_after_s)
 
--- a/jayyoke/core/request.py
+++ b/jayyoke/core/request.py
@@ -28,6 +28,8 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     headers: Mapping[str, str] = field(default_factory=dict)
+    stream: bool = False
+    include_usage: bool = False
 
     @property
     def work_tokens(self) -> int:
--- a/jayyoke/ops/metrics.py
+++ b/jayyoke/ops/metrics.py
@@ -22,29 +22,36 @@
         self.latencies: dict[tuple[str, str], HdrHistogram] = {}
         registry = self.registry
         self.requests = Counter(
-            "jayyoke_requests", "Callers' requests by outcome.", ["class_name", "outcome"],
+            "jayyoke_requests",
+            "Callers' requests by outcome.",
+            ["class_name", "outcome"],
             registry=registry,
         )
         self.refusals = Counter(
             "jayyoke_refusals", "Refusals by stable code.", ["code", "run"], registry=registry
         )
         self.tokens = Counter(
-            "jayyoke_tokens_delivered", "Tokens sent to callers.", ["class_name"],
+            "jayyoke_tokens_delivered",
+            "Tokens sent to callers.",
+            ["class_name"],
             registry=registry,
         )
         self.resumptions = Counter(
-            "jayyoke_resumptions", "Streams resumed, by the fault that broke them.", ["fault"],
+            "jayyoke_resumptions",
+            "Streams resumed, by the fault that broke them.",
+            ["fault"],
             registry=registry,
         )
         self.missed = Counter(
-            "jayyoke_targets_missed", "Events later than the class's target.",
-            ["class_name", "target"], registry=registry,
-        )
-        self.running = Gauge(
-            "jayyoke_requests_running", "Requests in progress.", registry=registry
+            "jayyoke_targets_missed",
+            "Events later than the class's target.",
+            ["class_name", "target"],
+            registry=registry,
         )
+        self.running = Gauge("jayyoke_requests_running", "Requests in progress.", registry=registry)
         self.dropped_lines = Counter(
-            "jayyoke_decision_lines_dropped", "Decision log lines over the rate limit.",
+            "jayyoke_decision_lines_dropped",
+            "Decision log lines over the rate limit.",
             registry=registry,
         )
 
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
 from jayyoke.core.clock import Clock
 from jayyoke.ops.control import Control
+from jayyoke.ops.drain import Drain
+from jayyoke.ops.forward import Engines
 from jayyoke.ops.health import Health
+from jayyoke.ops.limits import Limits
+from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -27,3 +31,11 @@
     control: Control
     health: Health
     placer: Placer
+    engines: Engines = field(init=False)
+    limits: Limits = field(init=False)
+    metrics: Metrics = field(default_factory=Metrics)
+    drain: Drain = field(default_factory=Drain)
+
+    def __post_init__(self) -> None:
+        self.engines = Engines(self.http, self.clock)
+        self.limits = Limits(self.clock)
--- /dev/null
+++ b/jayyoke/ops/resume.py
@@ -0,0 +1,258 @@
+"""Whole answers: relays an engine's stream and resumes it without a lost or doubled token."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from absl import logging
+
+from jayyoke.core.code import NO_ANSWER, refuse_unknown
+from jayyoke.core.error import (
+    AnswerBroken,
+    AnswerMismatched,
+    ConnectFailed,
+    JayyokeError,
+    Refusal,
+    Run,
+    UpstreamError,
+)
+from jayyoke.core.request import CallerRequest
+from jayyoke.ops.deadline import remain_s
+from jayyoke.ops.decisions import log_decision
+from jayyoke.ops.forward import (
+    PROBE_TIMEOUT_S,
+    EngineBusy,
+    EngineRejected,
+    Outcome,
+)
+from jayyoke.ops.node import Node
+from jayyoke.ops.placement import Placement
+from jayyoke.ops.sse import Frames
+from jayyoke.utils.backoff import choose_backoff
+
+MAX_ATTEMPTS = 6
+# A second break on the same engine is no accident of one connection.
+MAX_BREAKS_PER_ENGINE = 2
+END_TIMEOUT_S = 0.5
+BACKOFF_BASE_S = 0.05
+BACKOFF_MOST_S = 0.5
+
+Send = Callable[[bytes], Awaitable[None]]
+
+
+class CallerGone(JayyokeError):
+    """Reports that the caller's connection broke."""
+
+
+class Relay:
+    """Relays one answer to `send`, which gets whole events only."""
+
+    def __init__(self, node: Node, request: CallerRequest, send: Send):
+        self.frames = Frames()
+        self.dispatched = False
+        self._node = node
+        self._request = request
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._exclude: tuple[str, ...] = ()
+        self._breaks: dict[str, int] = {}
+        self._late = 0
+        self._first_s = 0.0
+        self._last_s = 0.0
+
+    async def run(self) -> None:
+        """Relay the whole answer; raise Refusal, CallerGone or UpstreamError.
+
+        The error leaves `frames.started` set if the caller already received a part.
+        """
+        try:
+            async with asyncio.timeout(remain_s(self._request, self._node.clock.now_s())):
+                await self._run_attempts()
+        except TimeoutError:
+            detail = "the answer did not end before the deadline"
+            raise refuse_unknown(504, NO_ANSWER, detail) from None
+        except Refusal as refusal:
+            if self.dispatched and refusal.run is Run.NOT_RUN:
+                raise refuse_unknown(
+                    refusal.status, refusal.code, refusal.detail, refusal.retry_after_s
+                ) from refusal
+            raise
+        finally:
+            self._record()
+
+    async def _run_attempts(self) -> None:
+        placement: Placement | None = None
+        fresh = False
+        attempt = 0
+        try:
+            while True:
+                if placement is None:
+                    placement = await self._place(attempt)
+                try:
+                    await self._attempt(placement, fresh)
+                    return
+                except UpstreamError as error:
+                    attempt += 1
+                    self._note_failure(error, placement, attempt)
+                    fresh = placement.upstream.name not in self._exclude
+                if not fresh:
+                    self._node.placer.release(self._request, placement)
+                    placement = None
+        except (asyncio.CancelledError, CallerGone):
+            if placement is not None and self.dispatched:
+                self._node.engines.cancel(placement.upstream, self._request.request_id)
+            raise
+        finally:
+            if placement is not None:
+                self._node.placer.release(self._request, placement)
+
+    async def _place(self, attempt: int) -> Placement:
+        try:
+            placement = await self._node.placer.place(self._request, exclude=self._exclude)
+        except Refusal:
+            if not self._exclude:
+                raise
+            # Every engine failed once; one of them may be back after a pause.
+            pause_s = choose_backoff(attempt, BACKOFF_BASE_S, BACKOFF_MOST_S, random)  # type: ignore[arg-type]
+            await asyncio.sleep(pause_s)
+            self._exclude = ()
+            self._breaks.clear()
+            placement = await self._node.placer.place(self._request, exclude=())
+        log_decision(
+            self._request, placement.upstream.name, placement.reason, placement.passed_over
+        )
+        return placement
+
+    async def _attempt(self, placement: Placement, fresh: bool) -> None:
+        upstream = placement.upstream
+        began_s = self._loop.time()
+        answer = await self._open(placement, fresh)
+        headers = answer.headers
+        before = self.frames.tokens
+        answered = False
+        try:
+            self.frames.restart()
+            await self._pump(answer)
+            answered = True
+        finally:
+            # A connection is reused only after the answer's regular end.
+            if not answer.content.at_eof():
+                answer.close()
+            seconds = (self._first_s or self._loop.time()) - began_s if not before else 0.0
+            outcome = Outcome(
+                upstream,
+                self._request.spec.name,
+                headers.get("X-Engine-Incarnation", ""),
+                headers.get("X-Engine-Version", ""),
+                answered,
+                seconds > self._request.spec.first_token_within_s,
+                seconds,
+            )
+            self._node.engines.report(outcome)
+
+    async def _open(self, placement: Placement, fresh: bool) -> aiohttp.ClientResponse:
+        engines = self._node.engines
+        delivered = self.frames.tokens
+        upstream = placement.upstream
+        try:
+            if not fresh:
+                answer = await engines.open(upstream, self._request, delivered, False)
+            else:
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    answer = await engines.open(upstream, self._request, delivered, True)
+        except ConnectFailed:
+            raise
+        except TimeoutError:
+            self.dispatched = True
+            raise AnswerBroken(f"{upstream.name} does not answer on a new connection") from None
+        except BaseException:
+            self.dispatched = True
+            raise
+        self.dispatched = True
+        return answer
+
+    async def _pump(self, answer: aiohttp.ClientResponse) -> None:
+        frames = self.frames
+        content = answer.content
+        while True:
+            try:
+                chunk = await content.readany()
+            except (TimeoutError, aiohttp.ClientError) as error:
+                if isinstance(error, aiohttp.SocketTimeoutError):
+                    raise AnswerBroken("silent") from error
+                if isinstance(error, aiohttp.ClientError):
+                    if frames.finished:
+                        return
+                    raise AnswerBroken(type(error).__name__) from error
+                raise
+            if not chunk:
+                if frames.finished:
+                    return
+                raise AnswerBroken("truncated")
+            before = frames.tokens
+            whole = frames.feed(chunk)
+            if whole:
+                if frames.tokens != before:
+                    self._observe()
+                await self._deliver(whole)
+            if frames.failed:
+                raise AnswerBroken("the engine sent an error event")
+            if frames.done:
+                await self._end(content)
+                return
+
+    async def _deliver(self, whole: bytes) -> None:
+        try:
+            await self._send(whole)
+        except (ConnectionError, aiohttp.ClientError) as error:
+            raise CallerGone("the caller's connection broke") from error
+
+    async def _end(self, content: aiohttp.StreamReader) -> None:
+        if not self.frames.finished:
+            raise AnswerBroken("truncated")
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await content.readany()
+        except (TimeoutError, aiohttp.ClientError):
+            return
+
+    def _observe(self) -> None:
+        now_s = self._loop.time()
+        if self._first_s == 0.0:
+            self._first_s = now_s
+            since_s = self._node.clock.now_s() - self._request.arrival_s
+            self._node.metrics.observe_first_token(self._request.spec, since_s)
+        elif now_s - self._last_s > self._request.spec.between_tokens_within_s:
+            self._late += 1
+        self._last_s = now_s
+
+    def _note_failure(self, error: UpstreamError, placement: Placement, attempt: int) -> None:
+        """Decide where the next attempt goes; raise the error if there is none."""
+        name = placement.upstream.name
+        fault = type(error).__name__
+        if isinstance(error, EngineRejected):
+            raise error
+        if isinstance(error, AnswerBroken | AnswerMismatched):
+            self._node.engines.suspect(placement.upstream)
+        breaks = self._breaks[name] = self._breaks.get(name, 0) + 1
+        elsewhere = isinstance(error, ConnectFailed | EngineBusy)
+        if elsewhere or breaks >= MAX_BREAKS_PER_ENGINE:
+            self._exclude = (*self._exclude, name)
+            if not elsewhere:
+                self._node.engines.cancel(placement.upstream, self._request.request_id)
+        if attempt >= MAX_ATTEMPTS or not self._node.limits.retries.spend():
+            raise error
+        self._node.metrics.resumptions.labels(fault).inc()
+        passed = (name,) if name in self._exclude else ()
+        log_decision(self._request, name, f"{fault}: {error}", passed, "resumption")
+        logging.debug("request %s resumes after %s", self._request.request_id, fault)
+
+    def _record(self) -> None:
+        tokens = self.frames.tokens
+        if not tokens:
+            return
+        mean_s = (self._last_s - self._first_s) / max(1, tokens - 1)
+        self._node.metrics.observe_stream(self._request.spec, tokens, self._late, mean_s)
--- a/jayyoke/plugins/chat.py
+++ b/jayyoke/plugins/chat.py
@@ -1,86 +1,167 @@
-"""Class kind `chat`: streams from a model engine."""
+"""Class kind `chat`: answers from model engines, streamed or whole."""
 
 from __future__ import annotations
 
 import json
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
-from jayyoke.core.error import AnswerBroken, ConnectFailed, Refusal, Run
+from jayyoke.core.code import (
+    ANSWER_BROKEN,
+    UPSTREAM_REJECTED,
+    UPSTREAM_UNREACHABLE,
+    refuse,
+    refuse_unknown,
+)
+from jayyoke.core.error import Refusal, UpstreamError
 from jayyoke.core.kernel import register
 from jayyoke.core.request import CallerRequest
-from jayyoke.ops.decisions import log_decision
+from jayyoke.ops.forward import EngineRejected
 from jayyoke.ops.node import Node
-from jayyoke.ops.placement import Placement
+from jayyoke.ops.resume import CallerGone, Relay
+from jayyoke.ops.sse import DONE
 
 __plugins__ = ("handle_chat",)
 
 
 @register("class", "chat")
 async def handle_chat(node: Node, request: CallerRequest, http: web.Request) -> web.StreamResponse:
-    """Relay the stream of the chosen engine to the caller."""
-    placement = await node.placer.place(request)
-    log_decision(request, placement.upstream.name, placement.reason, placement.passed_over)
-    try:
-        return await _relay(node, request, http, placement)
-    except ConnectFailed as error:
-        raise Refusal(503, "upstream-unreachable", str(error), Run.NOT_RUN, 1.0) from error
-    except AnswerBroken as error:
-        raise Refusal(502, "answer-broken", str(error), Run.UNKNOWN) from error
-    finally:
-        node.placer.release(request, placement)
-
-
-async def _relay(
-    node: Node, request: CallerRequest, http: web.Request, placement: Placement
-) -> web.StreamResponse:
-    body: dict[str, Any] = json.loads(request.body)
-    stream = bool(body.get("stream"))
-    body["stream"] = True
-    url = f"{placement.upstream.url}/v1/chat/completions"
-    headers = {"X-Request-Id": request.request_id, "X-Priority": str(request.spec.priority)}
-    timeout = aiohttp.ClientTimeout(total=request.spec.within_s, sock_connect=1.0)
-    try:
-        async with node.http.post(url, json=body, headers=headers, timeout=timeout) as answer:
-            if stream:
-                return await _relay_events(request, http, answer)
-            return await _collect(request, body, answer)
-    except aiohttp.ClientConnectorError as error:
-        raise ConnectFailed(str(error)) from error
-    except (TimeoutError, aiohttp.ClientError) as error:
-        raise AnswerBroken(type(error).__name__) from error
-
-
-async def _relay_events(
-    request: CallerRequest, http: web.Request, answer: aiohttp.ClientResponse
-) -> web.StreamResponse:
-    response = web.StreamResponse(headers={"X-Request-Id": request.request_id})
+    """Relay the answer of an engine; a stream that cannot be completed ends visibly broken."""
+    if request.stream:
+        return await _stream(node, request, http)
+    collector = _Collector()
+    relay = Relay(node, request, collector.send)
+    await _run(relay)
+    body = collector.build(request, _build_usage(request, relay))
+    return web.json_response(body, headers={"X-Request-Id": request.request_id})
+
+
+async def _stream(node: Node, request: CallerRequest, http: web.Request) -> web.StreamResponse:
+    headers = {"X-Request-Id": request.request_id, "Cache-Control": "no-cache"}
+    response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
-    await response.prepare(http)
-    async for chunk in answer.content.iter_any():
-        await response.write(chunk)
-    await response.write_eof()
+    if node.drain.draining:
+        response.force_close()
+
+    async def send(frames: bytes) -> None:
+        if not response.prepared:
+            await response.prepare(http)
+        await response.write(frames)
+
+    relay = Relay(node, request, send)
+    try:
+        await _run(relay)
+        if request.include_usage:
+            await send(_format_usage(request, relay))
+        await send(DONE)
+        await response.write_eof()
+    except Refusal as refusal:
+        if not response.prepared:
+            raise
+        await _break(response, http, refusal)
     return response
 
 
-async def _collect(
-    request: CallerRequest, body: dict[str, Any], answer: aiohttp.ClientResponse
-) -> web.Response:
-    parts = []
-    async for line in answer.content:
-        if not line.startswith(b"data: {"):
-            continue
-        event = json.loads(line[6:])
-        parts.append(event["choices"][0]["delta"].get("content", ""))
-    message = {"role": "assistant", "content": "".join(parts)}
-    choice = {"index": 0, "message": message, "finish_reason": "stop"}
-    whole = {
+async def _run(relay: Relay) -> None:
+    try:
+        await relay.run()
+    except CallerGone:
+        raise ConnectionResetError("the caller's connection broke") from None
+    except EngineRejected as error:
+        raise refuse_unknown(error.status, UPSTREAM_REJECTED, str(error)) from error
+    except UpstreamError as error:
+        if not relay.dispatched:
+            raise refuse(503, UPSTREAM_UNREACHABLE, str(error), 1.0) from error
+        raise refuse_unknown(502, ANSWER_BROKEN, str(error)) from error
+
+
+async def _break(response: web.StreamResponse, http: web.Request, refusal: Refusal) -> None:
+    """Send an error event and close the connection without the end of the chunked body."""
+    error = {"message": refusal.detail, "type": "server_error", "code": refusal.code}
+    event = json.dumps({"error": error | {"run": refusal.run.value}}).encode()
+    try:
+        await response.write(b"data: " + event + b"\n\n")
+    except ConnectionError:
+        return
+    if http.transport is not None:
+        http.transport.close()
+
+
+def _build_usage(request: CallerRequest, relay: Relay) -> dict[str, Any]:
+    """Return the engine's usage with the tokens that were delivered over all connections."""
+    usage = dict(relay.frames.usage or {"prompt_tokens": request.prompt_tokens})
+    prompt = usage.get("prompt_tokens")
+    prompt = prompt if isinstance(prompt, int) else request.prompt_tokens
+    usage["prompt_tokens"] = prompt
+    usage["completion_tokens"] = relay.frames.tokens
+    usage["total_tokens"] = prompt + relay.frames.tokens
+    return usage
+
+
+def _format_usage(request: CallerRequest, relay: Relay) -> bytes:
+    event = {
         "id": request.request_id,
-        "object": "chat.completion",
+        "object": "chat.completion.chunk",
         "created": 0,
-        "model": body["model"],
-        "choices": [choice],
+        "model": request.spec.name,
+        "choices": [],
+        "usage": _build_usage(request, relay),
     }
-    return web.json_response(whole, headers={"X-Request-Id": request.request_id})
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+class _Collector:
+    """Joins the events of a stream into one message."""
+
+    def __init__(self) -> None:
+        self._texts: dict[str, list[str]] = {}
+        self._tools: dict[int, dict[str, Any]] = {}
+        self._finish = "stop"
+
+    async def send(self, frames: bytes) -> None:
+        """Take over whole events."""
+        for frame in frames.split(b"\n\n"):
+            if not frame.startswith(b"data:"):
+                continue
+            try:
+                choice = json.loads(frame[5:])["choices"][0]
+                self._add(choice)
+            except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+                detail = "the engine sent an event that is not a completion chunk"
+                raise refuse_unknown(502, ANSWER_BROKEN, detail) from error
+
+    def build(self, request: CallerRequest, usage: dict[str, Any]) -> dict[str, Any]:
+        """Return the completion object."""
+        message: dict[str, Any] = {"role": "assistant", "content": None}
+        for name, parts in self._texts.items():
+            message[name] = "".join(parts)
+        if self._tools:
+            message["tool_calls"] = [self._tools[index] for index in sorted(self._tools)]
+        choice = {"index": 0, "message": message, "finish_reason": self._finish}
+        return {
+            "id": request.request_id,
+            "object": "chat.completion",
+            "created": 0,
+            "model": request.spec.name,
+            "choices": [choice],
+            "usage": usage,
+        }
+
+    def _add(self, choice: dict[str, Any]) -> None:
+        delta = choice.get("delta") or {}
+        for name in ("content", "reasoning_content", "reasoning", "refusal"):
+            if isinstance(delta.get(name), str):
+                self._texts.setdefault(name, []).append(delta[name])
+        for part in delta.get("tool_calls") or ():
+            self._add_tool(part)
+        if choice.get("finish_reason"):
+            self._finish = choice["finish_reason"]
+
+    def _add_tool(self, part: dict[str, Any]) -> None:
+        empty = {"id": "", "type": "function", "function": {"name": "", "arguments": ""}}
+        tool = self._tools.setdefault(part["index"], empty)
+        tool["id"] = tool["id"] or part.get("id") or ""
+        function = part.get("function") or {}
+        tool["function"]["name"] += function.get("name") or ""
+        tool["function"]["arguments"] += function.get("arguments") or ""
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -23,10 +23,14 @@
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
 from jayyoke.server.caller import CallerServer
+from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
 
 EXIT_INVALID_SETTINGS = 2
+# Longer than any class's deadline of today (30 s).
 DRAIN_TIMEOUT_S = 60.0
+# The balancer probes readiness about once a second.
+SETTLE_S = 2.0
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
 
@@ -56,22 +60,29 @@
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
-        logging.info("instance %s drains", settings.instance)
-        await callers.cleanup()
-        await operators.cleanup()
+        await _drain(node, callers)
+        await callers.close()
+        await operators.close()
+        await node.engines.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _listen(app: web.Application, address: str) -> web.AppRunner:
-    host, _, port = address.rpartition(":")
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=DRAIN_TIMEOUT_S
-    )
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port)).start()
-    return runner
+async def _drain(node: Node, callers: Listener) -> None:
+    """Finish the requests in progress; the listener stays open until the balancer noticed."""
+    logging.info("instance %s drains", node.settings.instance)
+    node.drain.draining = True
+    await asyncio.sleep(SETTLE_S)
+    callers.stop()
+    if not await node.drain.wait(DRAIN_TIMEOUT_S):
+        logging.warning("%d requests run after the drain timeout", node.drain.running)
+
+
+async def _listen(app: web.Application, address: str) -> Listener:
+    listener = Listener(app)
+    await listener.start(address)
+    return listener
 
 
 def main() -> None:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -2,36 +2,52 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
-import json
+import re
 import uuid
-from typing import Any
 
+from absl import logging
 from aiohttp import web
 
-from jayyoke.core.config import ClassKind, ClassSpec, TeamSpec
+from jayyoke.core import code
+from jayyoke.core.code import refuse
+from jayyoke.core.config import ClassKind, ClassSpec, Configuration, TeamSpec
 from jayyoke.core.error import Refusal, Run
 from jayyoke.core.kernel import find
 from jayyoke.core.request import CallerRequest
+from jayyoke.ops.deadline import HEADER, parse_deadline
 from jayyoke.ops.node import Node
+from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat, format_body, parse_completion
 from jayyoke.server.problem import format_problem
 
 MAX_BODY_BYTES = 4 << 20
-DEFAULT_OUTPUT_TOKENS = 256
+BODY_TIMEOUT_S = 10.0
+MAX_KEY_CHARACTERS = 512
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._~:/+=@-]{1,128}")
+_IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_METHODS = {"/v1/chat/completions": "POST", "/v1/models": "GET"}
 
 
 class CallerServer:
     """Authenticates callers, parses requests and hands them to class plug-ins."""
 
-    def __init__(self, node: Node):
+    def __init__(self, node: Node, body_timeout_s: float = BODY_TIMEOUT_S):
         self._node = node
+        self._body_timeout_s = body_timeout_s
+        self._indexed: Configuration | None = None
+        self._teams: dict[str, TeamSpec] = {}
+        self._running: set[tuple[str, str]] = set()
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_get("/v1/models/{class}", self._models)
         app.router.add_route("*", "/v1/work/{class}", self._work)
         app.router.add_route("*", "/v1/work/{class}/{path:.*}", self._work)
+        app.router.add_route("*", "/{path:.*}", self._unknown)
         return app
 
     async def _chat(self, http: web.Request) -> web.StreamResponse:
@@ -40,76 +56,170 @@
     async def _work(self, http: web.Request) -> web.StreamResponse:
         return await self._serve(http, chat=False)
 
+    async def _unknown(self, http: web.Request) -> web.StreamResponse:
+        allowed = _METHODS.get(http.path)
+        if allowed is None:
+            refusal = refuse(404, code.UNKNOWN_PATH, "no such path")
+            return self._refuse(refusal, uuid.uuid4().hex)
+        refusal = refuse(405, code.METHOD_NOT_ALLOWED, f"use {allowed}")
+        response = self._refuse(refusal, uuid.uuid4().hex)
+        response.headers["Allow"] = allowed
+        return response
+
+    async def _models(self, http: web.Request) -> web.StreamResponse:
+        try:
+            team = self._authenticate(http)
+            name = http.match_info.get("class")
+            if name is not None:
+                return web.json_response(_format_model(self._find_class(name, team, True)))
+        except Refusal as refusal:
+            return self._refuse(refusal, uuid.uuid4().hex)
+        models = []
+        for spec in self._node.control.configuration.classes.values():
+            if spec.kind is ClassKind.CHAT and (not team.classes or spec.name in team.classes):
+                models.append(_format_model(spec))
+        return web.json_response({"object": "list", "data": models})
+
     async def _serve(self, http: web.Request, chat: bool) -> web.StreamResponse:
-        request_id = http.headers.get("X-Request-Id") or uuid.uuid4().hex
+        node = self._node
+        node.drain.enter()
+        request_id = uuid.uuid4().hex
         try:
+            request_id = _read_request_id(http) or request_id
             request = await self._parse(http, request_id, chat)
-            handle = find("class", request.spec.kind.value)
-            return await handle(self._node, request, http)
+            response = await self._run(request, http)
         except Refusal as refusal:
-            return format_problem(refusal, request_id)
+            response = self._refuse(refusal, request_id)
+        except (ConnectionError, asyncio.CancelledError):
+            node.metrics.requests.labels("", "caller-gone").inc()
+            raise
+        except Exception:
+            logging.exception("request %s failed", request_id)
+            refusal = Refusal(500, code.INTERNAL, "the router failed", Run.UNKNOWN)
+            response = self._refuse(refusal, request_id)
+        finally:
+            node.drain.leave()
+        if node.drain.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _run(self, request: CallerRequest, http: web.Request) -> web.StreamResponse:
+        """Wait for the team's turn and let the class's plug-in answer."""
+        node = self._node
+        held = (request.team.name, request.request_id)
+        if held in self._running:
+            # The other request with this id may run, so this answer must not deny it.
+            detail = "a request with this id is in progress"
+            raise Refusal(409, code.REQUEST_ID_IN_USE, detail, Run.UNKNOWN)
+        self._running.add(held)
+        try:
+            ticket = await node.limits.admit(request)
+            try:
+                handle = find("class", request.spec.kind.value)
+                response = await handle(node, request, http)
+            finally:
+                node.limits.leave(request, ticket)
+        finally:
+            self._running.discard(held)
+        took_s = node.clock.now_s() - request.arrival_s
+        node.limits.durations.add(request.spec.name, took_s)
+        node.metrics.observe("whole", request.spec.name, took_s)
+        node.metrics.requests.labels(request.spec.name, "answered").inc()
+        return response
+
+    def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
+        metrics = self._node.metrics
+        metrics.refusals.labels(refusal.code, refusal.run.value).inc()
+        metrics.requests.labels("", "refused").inc()
+        return format_problem(refusal, request_id)
 
     async def _parse(self, http: web.Request, request_id: str, chat: bool) -> CallerRequest:
         team = self._authenticate(http)
-        body = await http.read()
+        now_s = self._node.clock.now_s()
+        idempotency_key = http.headers.get("Idempotency-Key", "")
+        if idempotency_key and not _IDEMPOTENCY_KEY.fullmatch(idempotency_key):
+            detail = "Idempotency-Key is not 1 to 255 visible ASCII characters"
+            raise refuse(400, code.IDEMPOTENCY_KEY_INVALID, detail)
+        body = await self._read_body(http)
+        fields = {}
         if chat:
-            document = _parse_chat(body)
-            spec = self._find_class(str(document.get("model", "")), team, chat=True)
-            key, prompt, output = _describe_chat(document, http)
+            completion = parse_completion(body)
+            spec = self._find_class(completion.model, team, chat=True)
+            fields = {
+                "chat": find_chat(completion, http.headers.get("X-Chat-Id")),
+                "prompt_tokens": len(body) // BYTES_PER_TOKEN,
+                "output_tokens": completion.output_tokens,
+                "stream": completion.stream,
+                "include_usage": completion.include_usage,
+            }
+            body = format_body(completion, body, spec.model)
         else:
             spec = self._find_class(http.match_info["class"], team, chat=False)
-            key, prompt, output = "", 0, 0
-        now_s = self._node.clock.now_s()
+        within_s = parse_deadline(http.headers.get(HEADER), spec.within_s)
         return CallerRequest(
             request_id=request_id,
             team=team,
             spec=spec,
             service=self._node.control.configuration.services[spec.service],
             arrival_s=now_s,
-            deadline_s=now_s + spec.within_s,
+            deadline_s=now_s + within_s,
             method=http.method,
             path=http.match_info.get("path", ""),
             query=http.query_string,
             content_type=http.content_type,
             body=body,
-            chat=key,
-            idempotency_key=http.headers.get("Idempotency-Key", ""),
-            prompt_tokens=prompt,
-            output_tokens=output,
+            idempotency_key=idempotency_key,
+            **fields,
         )
 
+    async def _read_body(self, http: web.Request) -> bytes:
+        if (http.content_length or 0) > MAX_BODY_BYTES:
+            raise _refuse_large()
+        try:
+            async with asyncio.timeout(self._body_timeout_s):
+                return await http.read()
+        except TimeoutError:
+            detail = f"the body did not arrive within {self._body_timeout_s:g} s"
+            raise refuse(408, code.BODY_TIMEOUT, detail) from None
+        except web.HTTPRequestEntityTooLarge:
+            raise _refuse_large() from None
+        except web.RequestPayloadError as error:
+            raise refuse(400, code.MALFORMED_REQUEST, "the body cannot be decoded") from error
+
     def _authenticate(self, http: web.Request) -> TeamSpec:
+        configuration = self._node.control.configuration
+        if configuration is not self._indexed:
+            self._teams = {team.key_sha256: team for team in configuration.teams.values()}
+            self._indexed = configuration
         scheme, _, key = http.headers.get("Authorization", "").partition(" ")
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for team in self._node.control.configuration.teams.values():
-            if scheme == "Bearer" and team.key_sha256 == digest:
+        if scheme.lower() == "bearer" and 0 < len(key) <= MAX_KEY_CHARACTERS:
+            digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+            team = self._teams.get(digest)
+            if team is not None:
                 return team
-        raise Refusal(401, "unknown-team", "the bearer key belongs to no team", Run.NOT_RUN)
+        raise refuse(401, code.UNKNOWN_TEAM, "the bearer key is missing or belongs to no team")
 
     def _find_class(self, name: str, team: TeamSpec, chat: bool) -> ClassSpec:
         spec = self._node.control.configuration.classes.get(name)
         if spec is None or chat != (spec.kind is ClassKind.CHAT):
-            raise Refusal(404, "unknown-class", f"class {name!r} does not exist", Run.NOT_RUN)
+            raise refuse(404, code.UNKNOWN_CLASS, f"class {name[:100]!r} does not exist")
         if team.classes and name not in team.classes:
             detail = f"team {team.name!r} may not call class {name!r}"
-            raise Refusal(403, "class-not-allowed", detail, Run.NOT_RUN)
+            raise refuse(403, code.CLASS_NOT_ALLOWED, detail)
         return spec
 
 
-def _parse_chat(body: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(body)
-        if isinstance(document["messages"], list) and document["messages"]:
-            return document
-    except (ValueError, KeyError, TypeError):
-        pass
-    raise Refusal(400, "malformed-request", "body is not a chat completion request", Run.NOT_RUN)
+def _read_request_id(http: web.Request) -> str | None:
+    given = http.headers.get("X-Request-Id")
+    if given is not None and not _REQUEST_ID.fullmatch(given):
+        detail = "X-Request-Id is not 1 to 128 letters, digits or characters of ._~:/+=@-"
+        raise refuse(400, code.REQUEST_ID_INVALID, detail)
+    return given
+
+
+def _refuse_large() -> Refusal:
+    return refuse(413, code.BODY_TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
 
 
-def _describe_chat(document: dict[str, Any], http: web.Request) -> tuple[str, int, int]:
-    messages = json.dumps(document["messages"])
-    key = document.get("prompt_cache_key") or http.headers.get("X-Chat-Id")
-    if not key:
-        key = hashlib.sha256(json.dumps(document["messages"][:2]).encode()).hexdigest()
-    output = document.get("max_completion_tokens") or document.get("max_tokens")
-    return str(key), len(messages) // 4, int(output or DEFAULT_OUTPUT_TOKENS)
+def _format_model(spec: ClassSpec) -> dict[str, object]:
+    return {"id": spec.name, "object": "model", "created": 0, "owned_by": spec.service}
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -10,6 +10,7 @@
 from jayyoke.core.error import Conflict, StoreUnavailable
 from jayyoke.ops.node import Node
 from jayyoke.parser.configuration import build_configuration, format_configuration
+from jayyoke.server.metrics import add_metrics_route
 
 
 class OperatorServer:
@@ -23,6 +24,7 @@
         app = web.Application(client_max_size=8 << 20, middlewares=[self._check_key])
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
+        add_metrics_route(app, self._node.metrics)
         app.router.add_get("/v1/configuration", self._show)
         app.router.add_put("/v1/configuration", self._apply)
         return app
@@ -41,7 +43,7 @@
         return web.json_response({"instance": self._node.settings.instance})
 
     async def _ready(self, http: web.Request) -> web.Response:
-        ready = self._node.control.confirmed
+        ready = self._node.control.confirmed and not self._node.drain.draining
         version = self._node.control.configuration.version
         body = {"ready": ready, "configuration": version}
         return web.json_response(body, status=200 if ready else 503)
--- a/jayyoke/server/problem.py
+++ b/jayyoke/server/problem.py
@@ -9,9 +9,12 @@
 
 from jayyoke.core.error import Refusal
 
+_ERROR_TYPES = {401: "authentication_error", 403: "permission_error", 429: "rate_limit_error"}
+
 
 def format_problem(refusal: Refusal, request_id: str) -> web.Response:
-    """Return the response of a refusal."""
+    """Return the response of a refusal; `error` is what chat-completions clients read."""
+    kind = "server_error" if refusal.status >= 500 else "invalid_request_error"
     document = {
         "type": f"urn:jayyoke:problem:{refusal.code}",
         "title": refusal.code,
@@ -19,10 +22,18 @@
         "detail": refusal.detail,
         "code": refusal.code,
         "request_id": request_id,
+        "error": {
+            "message": refusal.detail,
+            "type": _ERROR_TYPES.get(refusal.status, kind),
+            "param": None,
+            "code": refusal.code,
+        },
     }
     headers = {"Jayyoke-Run": refusal.run.value, "X-Request-Id": request_id}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    if refusal.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
     return web.Response(
         status=refusal.status,
         body=json.dumps(document).encode(),
