--- /dev/null
+++ b/standin/scripted.py
@@ -0,0 +1,135 @@
+"""Engine that follows a script for each connection, to show one fault at a time.
+
+A script is a text of steps: a number sends so many tokens; `half` sends part of an event; `break`
+aborts the connection; `end` ends the body without a finish event; `silent` sends nothing for good;
+`mute` does so before the response head; `error` sends an error event; `crossed` answers with
+another request's id; `status:503` refuses; `comments` sends keep-alive comments; `usage` sends the
+usage numbers of this connection; `finish` sends the finish event and `stop` also the end mark;
+`wait` waits for `go_on`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from aiohttp import web
+
+from standin.engine import flatten_prompt, generate_token
+
+COMPLETE = "rest stop"
+
+
+class ScriptedEngine:
+    """Follows one script per connection, then answers completely."""
+
+    def __init__(self, name: str, *scripts: str):
+        self.name = name
+        self.scripts = list(scripts)
+        self.ports: list[int] = []
+        self.headers: list[dict[str, str]] = []
+        self.bodies: list[dict] = []
+        self.cancelled: list[str] = []
+        self.hung_up = asyncio.Event()
+        self.called = asyncio.Event()
+        self.cancel_seen = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def start(self, address: str = "127.0.0.1:0") -> None:
+        """Listen on a loopback port."""
+        app = web.Application(client_max_size=8 << 20)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_post("/cancel", self._cancel)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        self.cancelled.append(request.headers.get("X-Request-Id", ""))
+        self.cancel_seen.set()
+        return web.json_response({})
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        assert request.transport is not None
+        self.ports.append(request.transport.get_extra_info("peername")[1])
+        self.headers.append(dict(request.headers))
+        self.called.set()
+        body = await request.json()
+        self.bodies.append(body)
+        steps = (self.scripts.pop(0) if self.scripts else COMPLETE).split()
+        try:
+            return await self._follow(request, body, steps)
+        except (asyncio.CancelledError, ConnectionError):
+            self.hung_up.set()
+            raise
+
+    async def _follow(
+        self, request: web.Request, body: dict, steps: list[str]
+    ) -> web.StreamResponse:
+        if steps[0].startswith("status:"):
+            return web.Response(status=int(steps[0][7:]))
+        if steps[0] == "mute":
+            await asyncio.Event().wait()
+        crossed = steps[0] == "crossed"
+        request_id = "other" if crossed else request.headers["X-Request-Id"]
+        headers = {"X-Request-Id": request_id, "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        position = int(request.headers.get("X-Resume-From", "0"))
+        await response.write(_format_event({"role": "assistant", "content": ""}))
+        for step in steps:
+            position = await self._take(request, response, body, step, position)
+        return response
+
+    async def _take(
+        self, request: web.Request, response: web.StreamResponse, body: dict, step: str, at: int
+    ) -> int:
+        prompt = flatten_prompt(body["messages"])
+        total = int(body.get("max_tokens") or 16)
+        if step.isdigit() or step == "rest":
+            count = total - at if step == "rest" else int(step)
+            for position in range(at, at + count):
+                await response.write(_format_event({"content": generate_token(prompt, position)}))
+            return at + count
+        match step:
+            case "half":
+                event = _format_event({"content": generate_token(prompt, at)})
+                await response.write(event[: len(event) // 2])
+            case "break":
+                # Lets what was written reach the router before the connection ends.
+                await asyncio.sleep(0.02)
+                request.transport.abort()
+            case "silent":
+                await asyncio.Event().wait()
+            case "wait":
+                await self.go_on.wait()
+            case "error":
+                await response.write(b'data: {"error": {"message": "out of memory"}}\n\n')
+            case "comments":
+                await response.write(b": keep-alive\n\n" * 2)
+            case "usage":
+                used = {"prompt_tokens": 7, "completion_tokens": total - at, "total_tokens": 9}
+                event = json.dumps({"choices": [], "usage": used}).encode()
+                await response.write(b"data: " + event + b"\n\n")
+            case "finish":
+                await response.write(_format_event({}, "stop"))
+            case "stop":
+                await response.write(_format_event({}, "stop") + b"data: [DONE]\n\n")
+        return at
+
+
+def _format_event(delta: dict, finish: str | None = None) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    event = {"id": "c", "object": "chat.completion.chunk", "created": 0, "model": "m"}
+    return b"data: " + json.dumps(event | {"choices": [choice]}).encode() + b"\n\n"
