--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -24,15 +24,19 @@
 from jayyoke.platform.table import Table
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
+from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
 
-DRAIN_TIMEOUT_S = 60.0
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
     "warning": logging.WARNING,
     "error": logging.ERROR,
 }
+# Longer than any class's deadline of today (30 s).
+DRAIN_TIMEOUT_S = 60.0
+# The balancer probes readiness about once a second.
+SETTLE_S = 2.0
 
 
 def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
@@ -54,29 +58,40 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
+    # One caller's cookies must not reach an upstream with another caller's request.
+    jar = aiohttp.DummyCookieJar()
+    async with aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, cookie_jar=jar
+    ) as http:
         node = build_node(settings, http)
         tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
-        logging.info("instance %s drains", settings.instance)
-        await callers.cleanup()
-        await operators.cleanup()
+        await _drain(node, callers)
+        await callers.close()
+        await operators.close()
+        await node.engines.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _listen(app: web.Application, address: str) -> web.AppRunner:
-    host, _, port = address.rpartition(":")
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=DRAIN_TIMEOUT_S
-    )
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port)).start()
-    return runner
+async def _drain(node: Node, callers: Listener) -> None:
+    """Finish the requests in progress; the listener stays open until the balancer noticed."""
+    logging.info("instance %s drains", node.settings.instance)
+    node.drain.draining = True
+    await asyncio.sleep(SETTLE_S)
+    callers.stop()
+    if not await node.drain.wait(DRAIN_TIMEOUT_S):
+        logging.warning("%d requests run after the drain timeout", node.drain.running)
+
+
+async def _listen(app: web.Application, address: str) -> Listener:
+    listener = Listener(app)
+    await listener.start(address)
+    return listener
 
 
 def main() -> None:
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -10,6 +10,7 @@
 from jayyoke.ops.node import Node
 from jayyoke.parser.configuration import format_document
 from jayyoke.server.change import Accepted, apply_document, known_domains, set_domain
+from jayyoke.server.metrics import add_metrics_route
 from jayyoke.server.moves import add_move_routes
 from jayyoke.server.reply import (
     MAX_BODY_BYTES,
@@ -37,6 +38,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=middlewares)
         app.router.add_get("/healthz", self._health)
         app.router.add_get("/readyz", self._ready)
+        add_metrics_route(app, self._node.metrics)
         app.router.add_get("/v1/configuration", self._show)
         app.router.add_put("/v1/configuration", self._apply)
         app.router.add_get("/v1/status", self._status)
@@ -77,7 +79,7 @@
         return web.json_response({"instance": self._node.settings.instance})
 
     async def _ready(self, http: web.Request) -> web.Response:
-        ready = self._node.control.confirmed
+        ready = self._node.control.confirmed and not self._node.drain.draining
         version = self._node.control.configuration.version
         body = {"ready": ready, "configuration": version}
         return web.json_response(body, status=200 if ready else 503)
