Connect instances with authenticated links and membership

Instances had no way to exchange messages.

Region is added to Hello, Welcome, Member and the listed instances so that the placement group can be told from other regions.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -28,7 +28,7 @@
   STATUS = 51
 }
 
-// Opens a connection in both directions; nonce keys the frame authentication of this connection.
+// Opens a connection; both sides exchange raw nonces before it, so the nonce fields stay unset.
 struct Hello {
   1: string instance
   2: string domain
@@ -38,6 +38,7 @@
   6: string operator_address
   7: binary nonce
   8: i64 control_version
+  9: string region
 }
 
 struct Welcome {
@@ -48,6 +49,8 @@
   5: string operator_address
   6: binary nonce
   7: i64 control_version
+  8: string peer_address
+  9: string region
 }
 
 // Answers a request that could not be served.
@@ -76,7 +79,22 @@
   2: i32 work_tokens
 }
 
-// Heartbeat and load digest in one message.
+// Takes a domain out while the platform cannot be reached; out = false withdraws the drain of this id.
+struct Drain {
+  1: string id
+  2: string domain
+  3: bool out
+}
+
+// Stops a version everywhere; halts are never withdrawn.
+struct Halt {
+  1: string move
+  2: string version
+  3: string reason
+}
+
+// Heartbeat and load digest in one message. halt_list and drains hold what the change log does not hold yet.
+// Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -86,6 +104,8 @@
   6: bool leaving
   7: i64 confirmed_age_ms
   8: list<string> halts
+  9: list<Halt> halt_list
+  10: list<Drain> drains
 }
 
 // Asks a chat's owner where to place a request.
@@ -151,11 +171,13 @@
   2: binary body
 }
 
+// snapshot holds the full state if the sender no longer keeps the changes asked for.
 // confirmed_age_ms tells how long ago the platform last confirmed latest as the newest version; -1: never.
 struct Changes {
   1: list<Change> changes
   2: i64 latest
   3: i64 confirmed_age_ms
+  4: optional Change snapshot
 }
 
 struct ChangeNotice {
@@ -193,13 +215,6 @@
   3: list<RouteEvidence> routes
 }
 
-// Stops a version everywhere; halts are never withdrawn.
-struct Halt {
-  1: string move
-  2: string version
-  3: string reason
-}
-
 // Share of new chats that a version under way may receive, in parts per million.
 struct Share {
   1: string move
@@ -208,13 +223,6 @@
   4: i32 share_ppm
 }
 
-// Takes a domain out while the platform cannot be reached.
-struct Drain {
-  1: string id
-  2: string domain
-  3: bool out
-}
-
 struct StatusRequest {
 }
 
--- a/jayyoke/core/member.py
+++ b/jayyoke/core/member.py
@@ -15,6 +15,7 @@
     incarnation: int
     peer_address: str
     operator_address: str = ""
+    region: str = ""
 
 
 class MemberState(enum.Enum):
--- /dev/null
+++ b/jayyoke/ops/digest.py
@@ -0,0 +1,58 @@
+"""Digests: the heartbeat message, filled and read by the parts of an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from jayyoke.core.member import Member
+from jayyoke.core.peering import Peers
+from jayyoke.wire.gen.ttypes import Digest
+
+Fill = Callable[[Digest], None]
+Receive = Callable[[Member, Digest], None]
+_SEQUENCE_LIMIT = 1 << 31
+
+
+class Digests:
+    """Builds this instance's digests and hands received ones to every registered part."""
+
+    def __init__(self, peers: Peers):
+        self.leaving = False
+        self._peers = peers
+        self._fills: list[Fill] = []
+        self._handlers: list[Receive] = []
+        self._sequence = 0
+        peers.serve(Digest, self._receive)
+
+    def add_part(self, fill: Fill) -> None:
+        """Let a function set its fields of each heartbeat digest; unset fields cost no bytes."""
+        self._fills.append(fill)
+
+    def add_handler(self, handler: Receive) -> None:
+        """Hand every received digest to a function; fields may be None."""
+        self._handlers.append(handler)
+
+    def build(self) -> Digest:
+        """Return the next heartbeat digest."""
+        self._sequence = (self._sequence + 1) % _SEQUENCE_LIMIT
+        digest = Digest(sequence=self._sequence)
+        if self.leaving:
+            digest.leaving = True
+        for fill in self._fills:
+            fill(digest)
+        return digest
+
+    def beat(self) -> None:
+        """Broadcast the next heartbeat digest."""
+        self._peers.broadcast(self.build())
+
+    def send_part(self, fill: Fill) -> None:
+        """Broadcast a digest at once with only the fields that one function sets."""
+        digest = Digest()
+        fill(digest)
+        self._peers.broadcast(digest)
+
+    async def _receive(self, sender: Member, digest: Digest) -> Digest:
+        for handler in self._handlers:
+            handler(sender, digest)
+        return Digest()
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
 from jayyoke.ops.health import Health
 from jayyoke.ops.placement import Placer
@@ -27,3 +28,4 @@
     control: Control
     health: Health
     placer: Placer
+    peers: Peers
--- a/jayyoke/platform/listing.py
+++ b/jayyoke/platform/listing.py
@@ -19,6 +19,7 @@
     domain: str
     peer_address: str
     leaving: bool = False
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,8 +58,9 @@
     for entry in body["instances"]:
         leaving = entry["state"] == "leaving"
         if entry["kind"] == "router":
+            region = entry.get("region", "")
             instances.append(
-                ListedInstance(entry["name"], entry["domain"], entry["address"], leaving)
+                ListedInstance(entry["name"], entry["domain"], entry["address"], leaving, region)
             )
             continue
         state = UpstreamState.LEAVING if leaving else UpstreamState.LIVE
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 import aiohttp
@@ -13,10 +14,12 @@
 from aiohttp import web
 
 from jayyoke.core import kernel
-from jayyoke.core.clock import SystemClock
+from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.error import InvalidDocument
+from jayyoke.core.member import Member
 from jayyoke.ops.control import Control
 from jayyoke.ops.health import Health
+from jayyoke.ops.membership import Membership
 from jayyoke.ops.node import Node
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings, parse_settings
@@ -24,6 +27,7 @@
 from jayyoke.platform.table import Table
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.operator import OperatorServer
+from jayyoke.server.peer import TcpPeers
 
 EXIT_INVALID_SETTINGS = 2
 DRAIN_TIMEOUT_S = 60.0
@@ -38,7 +42,21 @@
     health = Health(listing)
     placer = Placer(control, health)
     clock = SystemClock()
-    return Node(settings, clock, http, table, listing, control, health, placer)
+    peers = build_peers(settings, clock)
+    return Node(settings, clock, http, table, listing, control, health, placer, peers)
+
+
+def build_peers(settings: Settings, clock: Clock) -> TcpPeers:
+    """Return the connections with other instances, not yet running."""
+    me = Member(
+        settings.instance,
+        settings.domain,
+        time.time_ns(),
+        settings.peer_address,
+        settings.operator_address,
+        settings.region,
+    )
+    return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -51,12 +69,19 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
         node = build_node(settings, http)
-        tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
+        await node.peers.start()
+        tasks = [
+            asyncio.create_task(node.peers.run()),
+            asyncio.create_task(node.peers.membership.follow_listing(node.listing)),
+            asyncio.create_task(node.control.run()),
+            asyncio.create_task(node.health.run()),
+        ]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         logging.info("instance %s drains", settings.instance)
+        node.peers.announce_leaving()
         await callers.cleanup()
         await operators.cleanup()
         for task in tasks:
--- /dev/null
+++ b/jayyoke/server/peer.py
@@ -0,0 +1,268 @@
+"""Connections with other instances: the listener, a dialled link per peer and heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+from absl import logging
+from reactivex import Observable
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.error import PeerProtocolError, PeerUnavailable
+from jayyoke.core.member import Member, MemberChange
+from jayyoke.core.peering import Handler, Message
+from jayyoke.ops.digest import Digests
+from jayyoke.ops.membership import HEARTBEAT_INTERVAL_S, Membership
+from jayyoke.wire.gen.constants import REVISION
+from jayyoke.wire.gen.ttypes import Failure, Hello, Welcome
+from jayyoke.wire.link import HANDSHAKE_TIMEOUT_S, Connection, Traffic, accept, dial
+
+# Longer than two acknowledgement intervals, and short enough to reconnect before peers are dead.
+LINK_SILENT_S = 4.0
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+MAX_ACCEPTED = 1024
+# No ask uses this id, so the acknowledgement of a heartbeat only shows that the link works.
+_HEARTBEAT_CORRELATION = (1 << 30) + 1
+_ACKNOWLEDGED_EVERY = 2
+
+
+class TcpPeers:
+    """Implements the Peers interface over TCP; views come from the membership."""
+
+    def __init__(self, membership: Membership, key: bytes, clock: Clock):
+        self.traffic = Traffic()
+        self.address = membership.me.peer_address
+        self.membership = membership
+        self._key = key
+        self._clock = clock
+        self._handlers: dict[type, Handler] = {}
+        self._dialled: dict[str, Connection] = {}
+        self._accepted: dict[str, Connection] = {}
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._serving: set[asyncio.Task[None]] = set()
+        self._handshakes = 0
+        self._server: asyncio.Server | None = None
+        self.digests = Digests(self)
+        self.digests.add_handler(membership.on_digest)
+
+    @property
+    def me(self) -> Member:
+        """Return this instance."""
+        return self.membership.me
+
+    @property
+    def changes(self) -> Observable[MemberChange]:
+        """Return the stream of changes of the view."""
+        return self.membership.changes
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the live members of the placement group by name, self included."""
+        return self.membership.members()
+
+    def reachable_domains(self) -> frozenset[str]:
+        """Return the domains of which at least one instance is live, the own one included."""
+        return self.membership.reachable_domains()
+
+    async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
+        """Return a peer's answer; raise PeerUnavailable after `timeout_s` seconds at the latest."""
+        if instance == self.me.name:
+            return await self._ask_self(message, timeout_s)
+        connection = self._find(instance)
+        if connection is None:
+            raise PeerUnavailable(f"no connection with {instance}")
+        return await connection.ask(message, timeout_s)
+
+    def tell(self, instance: str, message: Message) -> None:
+        """Send a message without waiting for delivery or an answer."""
+        if instance == self.me.name:
+            task = asyncio.ensure_future(self._dispatch(self.me, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return
+        connection = self._find(instance)
+        if connection is None:
+            self.traffic.dropped += 1
+            return
+        connection.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Tell every connected peer: the placement group and the links to other domains."""
+        for connection in self._connections():
+            connection.send(message)
+
+    def serve(self, message_type: type, handler: Handler) -> None:
+        """Let a handler answer every message of one type, also those of this instance itself."""
+        self._handlers[message_type] = handler
+
+    async def start(self) -> None:
+        """Listen on the peer address; raise OSError."""
+        host, _, port = self.me.peer_address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve_peer, host, int(port))
+
+    async def run(self) -> None:
+        """Keep links and send heartbeats until cancelled."""
+        try:
+            while True:
+                self.tick()
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        finally:
+            await self.stop()
+
+    def tick(self) -> None:
+        """Judge silence, adjust the links and send one heartbeat."""
+        self.membership.check()
+        self._close_silent()
+        self._adjust_links()
+        digest = self.digests.build()
+        acknowledged = digest.sequence % _ACKNOWLEDGED_EVERY == 0
+        for connection in self._connections():
+            connection.send(digest, _HEARTBEAT_CORRELATION if acknowledged else 0)
+
+    def announce_leaving(self) -> None:
+        """Tell every peer that this instance drains."""
+        self.digests.leaving = True
+        self.broadcast(self.digests.build())
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._links.values():
+            task.cancel()
+        await asyncio.gather(*self._links.values(), return_exceptions=True)
+        for connection in (*self._dialled.values(), *self._accepted.values()):
+            connection.close()
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=HANDSHAKE_TIMEOUT_S)
+
+    async def _ask_self(self, message: Message, timeout_s: float) -> Message:
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._dispatch(self.me, message)
+        except TimeoutError:
+            detail = f"{self.me.name} did not answer itself within {timeout_s} s"
+            raise PeerUnavailable(detail) from None
+        if isinstance(answer, Failure):
+            raise PeerUnavailable(f"{self.me.name}: {answer.code}: {answer.detail}")
+        return answer
+
+    async def _dispatch(self, sender: Member, message: Message) -> Message | None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return Failure("no-handler", f"{type(message).__name__} is not served")
+        return await handler(sender, message)
+
+    def _find(self, instance: str) -> Connection | None:
+        for connections in (self._dialled, self._accepted):
+            connection = connections.get(instance)
+            if connection is not None and not connection.closed:
+                return connection
+        return None
+
+    def _connections(self) -> Iterator[Connection]:
+        """Yield one open connection per peer, the dialled one if there is one."""
+        for name in sorted({*self._dialled, *self._accepted}):
+            connection = self._find(name)
+            if connection is not None:
+                yield connection
+
+    def _close_silent(self) -> None:
+        now_s = self._clock.now_s()
+        for name, connection in (*self._dialled.items(), *self._accepted.items()):
+            if not connection.closed and now_s - connection.heard_s > LINK_SILENT_S:
+                logging.warning("connection with %s closed: silent", name)
+                connection.close()
+
+    def _adjust_links(self) -> None:
+        targets = self.membership.targets()
+        for address in list(self._links):
+            if address not in targets:
+                self._links.pop(address).cancel()
+        for address in targets:
+            if address not in self._links:
+                self._links[address] = asyncio.create_task(self._keep_link(address))
+
+    async def _keep_link(self, address: str) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                connection = await dial(
+                    address, self._key, self._build_hello(), self._clock, self.traffic
+                )
+                if connection.member.name == self.me.name:
+                    connection.close()
+                    await asyncio.sleep(MAX_BACKOFF_S)
+                    continue
+                backoff_s = FIRST_BACKOFF_S
+                await self._hold(connection, self._dialled)
+            except PeerProtocolError as error:
+                logging.warning("connection to %s closed: %s", address, error)
+            except (TimeoutError, OSError) as error:
+                logging.debug("%s cannot be reached: %r", address, error)
+            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+
+    async def _serve_peer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._accepted) + self._handshakes >= MAX_ACCEPTED:
+            logging.warning("connection refused: %d connections are open", MAX_ACCEPTED)
+            writer.close()
+            return
+        task = asyncio.current_task()
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        self._handshakes += 1
+        try:
+            connection = await accept(
+                reader, writer, self._key, self._build_welcome(), self._clock, self.traffic
+            )
+        except (PeerProtocolError, TimeoutError, OSError) as error:
+            address = writer.get_extra_info("peername")
+            logging.warning("connection from %s closed: %s", address, error or "handshake timeout")
+            return
+        finally:
+            self._handshakes -= 1
+        await self._hold(connection, self._accepted)
+
+    async def _hold(self, connection: Connection, connections: dict[str, Connection]) -> None:
+        name = connection.member.name
+        try:
+            if not self.membership.hear(connection.member):
+                logging.warning("connection with %s closed: earlier incarnation", name)
+                return
+            previous = connections.get(name)
+            connections[name] = connection
+            if previous is not None:
+                previous.close()
+            await connection.run(self._dispatch)
+        finally:
+            connection.close()
+            if connections.get(name) is connection:
+                del connections[name]
+
+    def _build_hello(self) -> Hello:
+        me = self.me
+        return Hello(
+            instance=me.name,
+            domain=me.domain,
+            incarnation=me.incarnation,
+            revision=REVISION,
+            peer_address=me.peer_address,
+            operator_address=me.operator_address,
+            region=me.region,
+        )
+
+    def _build_welcome(self) -> Welcome:
+        me = self.me
+        return Welcome(
+            instance=me.name,
+            domain=me.domain,
+            incarnation=me.incarnation,
+            revision=REVISION,
+            peer_address=me.peer_address,
+            operator_address=me.operator_address,
+            region=me.region,
+        )
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -99,6 +99,7 @@
      - operator_address
      - nonce
      - control_version
+     - region
 
     """
 
@@ -111,10 +112,11 @@
         'operator_address',
         'nonce',
         'control_version',
+        'region',
     )
 
 
-    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, peer_address=None, operator_address=None, nonce=None, control_version=None,):
+    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, peer_address=None, operator_address=None, nonce=None, control_version=None, region=None,):
         self.instance = instance
         self.domain = domain
         self.incarnation = incarnation
@@ -123,6 +125,7 @@
         self.operator_address = operator_address
         self.nonce = nonce
         self.control_version = control_version
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -173,6 +176,11 @@
                     self.control_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -215,6 +223,10 @@
             oprot.writeFieldBegin('control_version', TType.I64, 8)
             oprot.writeI64(self.control_version)
             oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 9)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -250,6 +262,8 @@
      - operator_address
      - nonce
      - control_version
+     - peer_address
+     - region
 
     """
 
@@ -261,10 +275,12 @@
         'operator_address',
         'nonce',
         'control_version',
+        'peer_address',
+        'region',
     )
 
 
-    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, operator_address=None, nonce=None, control_version=None,):
+    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, operator_address=None, nonce=None, control_version=None, peer_address=None, region=None,):
         self.instance = instance
         self.domain = domain
         self.incarnation = incarnation
@@ -272,6 +288,8 @@
         self.operator_address = operator_address
         self.nonce = nonce
         self.control_version = control_version
+        self.peer_address = peer_address
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -317,6 +335,16 @@
                     self.control_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -355,6 +383,14 @@
             oprot.writeFieldBegin('control_version', TType.I64, 7)
             oprot.writeI64(self.control_version)
             oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 8)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 9)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -748,6 +784,190 @@
         return not (self == other)
 
 
+class Drain(object):
+    """
+    Attributes:
+     - id
+     - domain
+     - out
+
+    """
+
+    __slots__ = (
+        'id',
+        'domain',
+        'out',
+    )
+
+
+    def __init__(self, id=None, domain=None, out=None,):
+        self.id = id
+        self.domain = domain
+        self.out = out
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.out = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Drain')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.out is not None:
+            oprot.writeFieldBegin('out', TType.BOOL, 3)
+            oprot.writeBool(self.out)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Halt(object):
+    """
+    Attributes:
+     - move
+     - version
+     - reason
+
+    """
+
+    __slots__ = (
+        'move',
+        'version',
+        'reason',
+    )
+
+
+    def __init__(self, move=None, version=None, reason=None,):
+        self.move = move
+        self.version = version
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Halt')
+        if self.move is not None:
+            oprot.writeFieldBegin('move', TType.STRING, 1)
+            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -759,6 +979,8 @@
      - leaving
      - confirmed_age_ms
      - halts
+     - halt_list
+     - drains
 
     """
 
@@ -771,10 +993,12 @@
         'leaving',
         'confirmed_age_ms',
         'halts',
+        'halt_list',
+        'drains',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, halt_list=None, drains=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -783,6 +1007,8 @@
         self.leaving = leaving
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
+        self.halt_list = halt_list
+        self.drains = drains
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +1082,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.halt_list = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = Halt()
+                        _elem29.read(iprot)
+                        self.halt_list.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.drains = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Drain()
+                        _elem35.read(iprot)
+                        self.drains.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -877,22 +1125,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter24 in self.names:
-                iter24.write(oprot)
+            for iter36 in self.names:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter25 in self.loads:
-                iter25.write(oprot)
+            for iter37 in self.loads:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter26 in self.teams:
-                iter26.write(oprot)
+            for iter38 in self.teams:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -906,8 +1154,22 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter27 in self.halts:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter39 in self.halts:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.halt_list is not None:
+            oprot.writeFieldBegin('halt_list', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.halt_list))
+            for iter40 in self.halt_list:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.drains is not None:
+            oprot.writeFieldBegin('drains', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.drains))
+            for iter41 in self.drains:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1018,10 +1280,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1066,8 +1328,8 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter34 in self.exclude:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter48 in self.exclude:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1466,10 +1728,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1490,8 +1752,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter41 in self.request_ids:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter55 in self.request_ids:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1634,11 +1896,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Holding()
-                        _elem47.read(iprot)
-                        self.holdings.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Holding()
+                        _elem61.read(iprot)
+                        self.holdings.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1659,8 +1921,8 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter48 in self.holdings:
-                iter48.write(oprot)
+            for iter62 in self.holdings:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1854,6 +2116,7 @@
      - changes
      - latest
      - confirmed_age_ms
+     - snapshot
 
     """
 
@@ -1861,13 +2124,15 @@
         'changes',
         'latest',
         'confirmed_age_ms',
+        'snapshot',
     )
 
 
-    def __init__(self, changes=None, latest=None, confirmed_age_ms=None,):
+    def __init__(self, changes=None, latest=None, confirmed_age_ms=None, snapshot=None,):
         self.changes = changes
         self.latest = latest
         self.confirmed_age_ms = confirmed_age_ms
+        self.snapshot = snapshot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1881,11 +2146,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Change()
-                        _elem54.read(iprot)
-                        self.changes.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Change()
+                        _elem68.read(iprot)
+                        self.changes.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1899,6 +2164,12 @@
                     self.confirmed_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.snapshot = Change()
+                    self.snapshot.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1912,8 +2183,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter55 in self.changes:
-                iter55.write(oprot)
+            for iter69 in self.changes:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -1924,6 +2195,10 @@
             oprot.writeFieldBegin('confirmed_age_ms', TType.I64, 3)
             oprot.writeI64(self.confirmed_age_ms)
             oprot.writeFieldEnd()
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.STRUCT, 4)
+            self.snapshot.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2136,11 +2411,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TablePut()
-                        _elem61.read(iprot)
-                        self.puts.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = TablePut()
+                        _elem75.read(iprot)
+                        self.puts.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2157,8 +2432,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter62 in self.puts:
-                iter62.write(oprot)
+            for iter76 in self.puts:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2221,10 +2496,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI32()
-                        self.conflicts.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI32()
+                        self.conflicts.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2245,8 +2520,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter69 in self.conflicts:
-                oprot.writeI32(iter69)
+            for iter83 in self.conflicts:
+                oprot.writeI32(iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2421,11 +2696,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RouteEvidence()
-                        _elem75.read(iprot)
-                        self.routes.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = RouteEvidence()
+                        _elem89.read(iprot)
+                        self.routes.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2450,8 +2725,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter76 in self.routes:
-                iter76.write(oprot)
+            for iter90 in self.routes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2479,98 +2754,6 @@
         return not (self == other)
 
 
-class Halt(object):
-    """
-    Attributes:
-     - move
-     - version
-     - reason
-
-    """
-
-    __slots__ = (
-        'move',
-        'version',
-        'reason',
-    )
-
-
-    def __init__(self, move=None, version=None, reason=None,):
-        self.move = move
-        self.version = version
-        self.reason = reason
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Halt')
-        if self.move is not None:
-            oprot.writeFieldBegin('move', TType.STRING, 1)
-            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
-            oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 3)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Share(object):
     """
     Attributes:
@@ -2675,98 +2858,6 @@
         return not (self == other)
 
 
-class Drain(object):
-    """
-    Attributes:
-     - id
-     - domain
-     - out
-
-    """
-
-    __slots__ = (
-        'id',
-        'domain',
-        'out',
-    )
-
-
-    def __init__(self, id=None, domain=None, out=None,):
-        self.id = id
-        self.domain = domain
-        self.out = out
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.out = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Drain')
-        if self.id is not None:
-            oprot.writeFieldBegin('id', TType.STRING, 1)
-            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
-            oprot.writeFieldEnd()
-        if self.domain is not None:
-            oprot.writeFieldBegin('domain', TType.STRING, 2)
-            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
-            oprot.writeFieldEnd()
-        if self.out is not None:
-            oprot.writeFieldBegin('out', TType.BOOL, 3)
-            oprot.writeBool(self.out)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class StatusRequest(object):
 
     __slots__ = (
@@ -2894,6 +2985,7 @@
     (6, TType.STRING, 'operator_address', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'nonce', 'BINARY', None, ),  # 7
     (8, TType.I64, 'control_version', None, None, ),  # 8
+    (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
 )
 all_structs.append(Welcome)
 Welcome.thrift_spec = (
@@ -2905,6 +2997,8 @@
     (5, TType.STRING, 'operator_address', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'nonce', 'BINARY', None, ),  # 6
     (7, TType.I64, 'control_version', None, None, ),  # 7
+    (8, TType.STRING, 'peer_address', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
 )
 all_structs.append(Failure)
 Failure.thrift_spec = (
@@ -2934,6 +3028,20 @@
     (1, TType.STRING, 'team', 'UTF8', None, ),  # 1
     (2, TType.I32, 'work_tokens', None, None, ),  # 2
 )
+all_structs.append(Drain)
+Drain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'out', None, None, ),  # 3
+)
+all_structs.append(Halt)
+Halt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -2945,6 +3053,8 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'confirmed_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'halt_list', (TType.STRUCT, [Halt, None], False), None, ),  # 9
+    (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
@@ -3020,6 +3130,7 @@
     (1, TType.LIST, 'changes', (TType.STRUCT, [Change, None], False), None, ),  # 1
     (2, TType.I64, 'latest', None, None, ),  # 2
     (3, TType.I64, 'confirmed_age_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'snapshot', [Change, None], None, ),  # 4
 )
 all_structs.append(ChangeNotice)
 ChangeNotice.thrift_spec = (
@@ -3059,13 +3170,6 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'routes', (TType.STRUCT, [RouteEvidence, None], False), None, ),  # 3
 )
-all_structs.append(Halt)
-Halt.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
-)
 all_structs.append(Share)
 Share.thrift_spec = (
     None,  # 0
@@ -3074,13 +3178,6 @@
     (3, TType.I64, 'fence', None, None, ),  # 3
     (4, TType.I32, 'share_ppm', None, None, ),  # 4
 )
-all_structs.append(Drain)
-Drain.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
-    (3, TType.BOOL, 'out', None, None, ),  # 3
-)
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
 )
