--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -32,7 +32,7 @@
     control: Control
     health: Health
     placer: Placer
-    peers: Peers | None = None
+    peers: Peers
     engines: Engines = field(init=False)
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
