--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -15,6 +15,9 @@
   GRANTED = 13
   RELEASE = 14
   HOLDINGS = 15
+  OBSERVED = 16
+  ABANDONED = 17
+  CACHE_EVENTS = 18
   PULL_CHANGES = 20
   CHANGES = 21
   CHANGE_NOTICE = 22
@@ -106,6 +109,7 @@
   3: i32 passed_over
   4: i64 reservation
   5: i32 retry_after_ms
+  6: list<string> passed
 }
 
 // Asks an engine's steward to admit work.
@@ -115,6 +119,8 @@
   3: i32 work_tokens
   4: string entry
   5: double mean_work_tokens
+  6: double mean_requests
+  7: bool forced
 }
 
 struct Granted {
@@ -122,12 +128,14 @@
   2: string reason
   3: i32 work_tokens
   4: i32 limit_tokens
+  5: i32 requests
 }
 
-// Ends reservations of the sender, several at a time.
+// Ends reservations of an entry, several at a time; an empty entry is the sender.
 struct Release {
   1: string upstream
   2: list<string> request_ids
+  3: string entry
 }
 
 // Registers the sender's live reservations with a new steward.
@@ -141,6 +149,31 @@
   2: list<Holding> holdings
 }
 
+// Tells an engine's steward what the sender saw of it. incarnation 0: none was seen; failed: a connection broke.
+struct Observed {
+  1: string upstream
+  2: i64 incarnation
+  3: bool failed
+}
+
+// Tells a chat's owner that the sender gave up waiting; the owner releases what it reserved.
+struct Abandoned {
+  1: list<string> request_ids
+}
+
+// tokens 0: the chat was evicted.
+struct CacheEvent {
+  1: i64 chat
+  2: i32 tokens
+}
+
+// Tells a chat's owner what an engine reported; gap: events before these were lost.
+struct CacheEvents {
+  1: string upstream
+  2: list<CacheEvent> events
+  3: bool gap
+}
+
 struct PullChanges {
   1: i64 after
   2: i32 limit
--- /dev/null
+++ b/jayyoke/ops/account.py
@@ -0,0 +1,107 @@
+"""Reservations on one engine, as its steward accounts for them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jayyoke.ops.slowstart import Ramp
+
+# Entries repeat their holdings every 30 s; two missed repeats and a margin end a reservation whose
+# release was lost.
+RESERVATION_AGE_S = 75.0
+# A holdings message and a reservation under way may cross; younger reservations stay.
+CROSSING_S = 2.0
+MAX_RESERVATIONS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Holds one admitted request; `registered` tells that its entry re-registered it."""
+
+    work_tokens: int
+    seen_s: float
+    registered: bool = False
+
+
+@dataclass(slots=True)
+class Account:
+    """Holds what is admitted to one engine; times are monotonic seconds."""
+
+    taken_s: float
+    ramp: Ramp = field(default_factory=Ramp)
+    incarnation: int = 0
+    confirmed_s: float = -1e9
+    unconfirmed: bool = False
+    predecessor: bool = False
+    inherited_requests: int = 0
+    inherited_tokens: int = 0
+    entries: dict[str, dict[str, Reservation]] = field(default_factory=dict)
+    granted_requests: int = 0
+    granted_tokens: int = 0
+    registered_requests: int = 0
+    registered_tokens: int = 0
+
+    @property
+    def requests(self) -> int:
+        """Return the admitted requests; inherited and re-registered ones are the same requests."""
+        return self.granted_requests + max(self.inherited_requests, self.registered_requests)
+
+    @property
+    def work_tokens(self) -> int:
+        """Return the admitted work in tokens."""
+        return self.granted_tokens + max(self.inherited_tokens, self.registered_tokens)
+
+    @property
+    def full(self) -> bool:
+        """Tell whether the account takes no more reservations."""
+        return self.granted_requests + self.registered_requests >= MAX_RESERVATIONS
+
+    def holds(self, entry: str, request_id: str) -> bool:
+        """Tell whether a reservation exists."""
+        return request_id in self.entries.get(entry, ())
+
+    def add(self, entry: str, request_id: str, reservation: Reservation) -> None:
+        """Add a reservation; one of the same id is replaced."""
+        self.remove(entry, request_id)
+        if self.full:
+            return
+        self.entries.setdefault(entry, {})[request_id] = reservation
+        self._count(reservation, 1)
+
+    def remove(self, entry: str, request_id: str) -> None:
+        """Remove a reservation if it exists."""
+        reservation = self.entries.get(entry, {}).pop(request_id, None)
+        if reservation is not None:
+            self._count(reservation, -1)
+
+    def replace(self, entry: str, holdings: dict[str, int], now_s: float) -> None:
+        """Make an entry's reservations those of its holdings, but for ones still crossing."""
+        for request_id, reservation in list(self.entries.get(entry, {}).items()):
+            if request_id in holdings or now_s - reservation.seen_s < CROSSING_S:
+                continue
+            self.remove(entry, request_id)
+        for request_id, work_tokens in holdings.items():
+            known = self.entries.get(entry, {}).get(request_id)
+            registered = known is None or known.registered
+            self.add(entry, request_id, Reservation(work_tokens, now_s, registered))
+
+    def drop_entry(self, entry: str) -> None:
+        """Remove every reservation of an entry."""
+        for request_id in list(self.entries.get(entry, ())):
+            self.remove(entry, request_id)
+        self.entries.pop(entry, None)
+
+    def drop_old(self, now_s: float) -> None:
+        """Remove reservations that no holdings message confirmed for too long."""
+        for entry, reservations in self.entries.items():
+            for request_id, reservation in list(reservations.items()):
+                if now_s - reservation.seen_s >= RESERVATION_AGE_S:
+                    self.remove(entry, request_id)
+
+    def _count(self, reservation: Reservation, sign: int) -> None:
+        if reservation.registered:
+            self.registered_requests += sign
+            self.registered_tokens += sign * reservation.work_tokens
+            return
+        self.granted_requests += sign
+        self.granted_tokens += sign * reservation.work_tokens
--- /dev/null
+++ b/jayyoke/ops/dispatch.py
@@ -0,0 +1,75 @@
+"""The parts of placement of one instance, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from reactivex import Observable
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.member import Member, MemberChange, MemberState
+from jayyoke.core.peering import Peers
+from jayyoke.ops.loads import Loads, Reporter
+from jayyoke.ops.owner import Owner
+from jayyoke.ops.placement import Placer
+from jayyoke.ops.policy import Policy
+from jayyoke.ops.steward import Directory, Steward
+from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName
+
+SWEEP_INTERVAL_S = 0.5
+
+
+class Dispatch:
+    """Holds placement's parts; the heartbeat calls `build_loads` and `accept_loads`."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers: Peers,
+        loads: Loads,
+        directory: Directory,
+        policy: Policy,
+        out: Callable[[], frozenset[str]],
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        seed: int | None = None,
+    ):
+        self.loads = loads
+        self.steward = Steward(clock, peers, loads, directory, out)
+        rng = random.Random(seed)
+        self.owner = Owner(clock, peers, loads, directory, policy, out, rng)
+        self.placer = Placer(clock, peers, self.owner, directory, policy, sleep)
+        self._reporter = Reporter(self.steward.list_loads)
+        peers.changes.subscribe(self._on_change)
+
+    @property
+    def notices(self) -> Observable[str]:
+        """Return engines near the bound; the heartbeat is to send a digest at once."""
+        return self.steward.notices
+
+    def build_loads(self) -> tuple[list[EngineName], list[EngineLoad]]:
+        """Return the names and loads of the next digest to all peers."""
+        return self._reporter.build_loads()
+
+    def accept_loads(self, sender: Member, digest: Digest) -> None:
+        """Learn from a received digest."""
+        for engine in self.loads.accept_loads(sender, digest):
+            self.owner.memory.forget_engine(engine)
+
+    async def run(self) -> None:
+        """Release, report and sweep until cancelled."""
+        releases = asyncio.create_task(self.placer.run())
+        try:
+            while True:
+                await asyncio.sleep(SWEEP_INTERVAL_S)
+                self.steward.check_domains()
+                self.steward.sweep()
+        finally:
+            releases.cancel()
+
+    def _on_change(self, change: MemberChange) -> None:
+        if change.state is MemberState.LIVE:
+            self._reporter.require_full()
+            return
+        self.loads.heard.discard(change.member.name)
--- /dev/null
+++ b/jayyoke/ops/loads.py
@@ -0,0 +1,168 @@
+"""What digests say about the load of engines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.config import ServiceSpec
+from jayyoke.core.member import Member
+from jayyoke.core.upstream import UpstreamState
+from jayyoke.ops.bound import Mean, compute_bound, tighten
+from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName, Granted
+
+MEAN_AGE_S = 0.05
+MIN_CACHED_ENGINES = 33  # Below, one request moves the mean, and summing costs little.
+FULL_EVERY = 10  # A full digest every 10 s repairs deltas that a receiver missed.
+MAX_ENGINES = 4096
+_STATES = (UpstreamState.LIVE, UpstreamState.LEAVING, UpstreamState.DOWN)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Holds the load of one engine as its steward last reported it."""
+
+    requests: int = 0
+    work_tokens: int = 0
+    limit_tokens: int = 0
+    state: UpstreamState = UpstreamState.LIVE
+    incarnation: int = 0
+    seen_s: float = -1.0
+
+
+def state_number(state: UpstreamState) -> int:
+    """Return the number of a state in a digest."""
+    return _STATES.index(state)
+
+
+class Loads:
+    """Keeps the last known load of every engine of the placement group."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self.heard: set[str] = set()
+        self._loads: dict[str, Load] = {}
+        self._names: dict[str, dict[int, str]] = {}
+        self._incarnations: dict[str, int] = {}
+        self._means: dict[str, tuple[float, Mean]] = {}
+
+    def find(self, engine: str) -> Load | None:
+        """Return the last known load of an engine."""
+        return self._loads.get(engine)
+
+    def mean(self, service: str, engines: Iterable[str]) -> Mean:
+        """Return the mean load of a service's engines, at most 50 ms old."""
+        now_s = self._clock.now_s()
+        cached = self._means.get(service)
+        fresh = cached is not None and now_s - cached[0] < MEAN_AGE_S
+        if cached is not None and fresh and cached[1].engines >= MIN_CACHED_ENGINES:
+            return cached[1]
+        count = requests = work = 0
+        for name in engines:
+            count += 1
+            load = self._loads.get(name)
+            if load is not None:
+                requests += load.requests
+                work += load.work_tokens
+        divisor = max(count, 1)
+        mean = Mean(count, requests / divisor, work / divisor)
+        self._means[service] = (now_s, mean)
+        return mean
+
+    def utilisation(self, engine: str, service: ServiceSpec, mean: Mean) -> float:
+        """Return the larger share that requests and work take of the bound or the limit."""
+        load = self._loads.get(engine)
+        if load is None:
+            return 0.0
+        multiple = tighten(service.bound_multiple)
+        share = load.requests / compute_bound(multiple, mean.requests)
+        if mean.work_tokens > 0 and load.work_tokens > mean.work_tokens:
+            share = max(share, load.work_tokens / (multiple * mean.work_tokens))
+        if load.limit_tokens > 0:
+            share = max(share, load.work_tokens / load.limit_tokens)
+        return share
+
+    def put(self, engine: str, load: Load) -> None:
+        """Record the load of an engine that this instance is the steward of."""
+        if engine in self._loads or len(self._loads) < MAX_ENGINES:
+            self._loads[engine] = load
+
+    def learn_granted(self, engine: str, granted: Granted) -> None:
+        """Record the load that a steward's answer carries; it is newer than its digest."""
+        known = self._loads.get(engine, Load())
+        load = Load(
+            granted.requests,
+            granted.work_tokens,
+            granted.limit_tokens,
+            known.state,
+            known.incarnation,
+            self._clock.now_s(),
+        )
+        self.put(engine, load)
+
+    def accept_loads(self, sender: Member, digest: Digest) -> list[str]:
+        """Record the loads of a received digest and return the engines of a new incarnation."""
+        if self._incarnations.get(sender.name) != sender.incarnation:
+            self._incarnations[sender.name] = sender.incarnation
+            self._names[sender.name] = {}
+        names = self._names[sender.name]
+        self.heard.add(sender.name)
+        for name in (digest.names or [])[:MAX_ENGINES]:
+            names[name.index] = name.upstream
+        restarted = []
+        now_s = self._clock.now_s()
+        for entry in (digest.loads or [])[:MAX_ENGINES]:
+            engine = names.get(entry.index)
+            if engine is None or not 0 <= entry.state < len(_STATES):
+                continue
+            known = self._loads.get(engine)
+            changed = known is not None and known.incarnation not in (0, entry.incarnation)
+            if changed and entry.incarnation != 0:
+                restarted.append(engine)
+            state = _STATES[entry.state]
+            work = max(entry.work_tokens, 0)
+            limit = entry.limit_tokens
+            load = Load(max(entry.requests, 0), work, limit, state, entry.incarnation, now_s)
+            self.put(engine, load)
+        return restarted
+
+
+class Reporter:
+    """Builds the load part of this instance's digests: changes only, all every tenth time."""
+
+    def __init__(self, list_loads: Callable[[], dict[str, Load]]):
+        self._list_loads = list_loads
+        self._indexes: dict[str, int] = {}
+        self._sent: dict[str, tuple[int, int, int, int, int]] = {}
+        self._count = 0
+
+    def require_full(self) -> None:
+        """Send every name and load next time, for instance to a new member."""
+        self._count = 0
+
+    def build_loads(self) -> tuple[list[EngineName], list[EngineLoad]]:
+        """Return the names and loads of the next digest."""
+        full = self._count % FULL_EVERY == 0
+        self._count += 1
+        if full:
+            self._sent.clear()
+        names = []
+        loads = []
+        for engine, load in self._list_loads().items():
+            index = self._indexes.get(engine)
+            if index is None or full:
+                index = self._indexes.setdefault(engine, len(self._indexes))
+                names.append(EngineName(index, engine))
+            values = (
+                load.requests,
+                load.work_tokens,
+                load.limit_tokens,
+                state_number(load.state),
+                load.incarnation,
+            )
+            if self._sent.get(engine) == values:
+                continue
+            self._sent[engine] = values
+            loads.append(EngineLoad(index, *values))
+        return names, loads
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -8,8 +8,10 @@
 
 from jayyoke.core.clock import Clock
 from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.health import Health
 from jayyoke.ops.placement import Placer
+from jayyoke.ops.probe import Prober
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -27,3 +29,5 @@
     control: Control
     health: Health
     placer: Placer
+    dispatch: Dispatch
+    prober: Prober
--- /dev/null
+++ b/jayyoke/ops/owner.py
@@ -0,0 +1,195 @@
+"""Owner of a chat: knows where the chat's cache is and places its requests."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.config import ServiceSpec
+from jayyoke.core.error import PeerUnavailable
+from jayyoke.core.member import Member
+from jayyoke.core.peering import Peers
+from jayyoke.ops.loads import Loads
+from jayyoke.ops.memory import Memory
+from jayyoke.ops.policy import Policy, Question
+from jayyoke.ops.steward import Directory, Stewardship
+from jayyoke.wire.gen.ttypes import Abandoned, Ask, CacheEvents, Placed, Release, Reserve
+
+RESERVE_TIMEOUT_S = 0.005
+MAX_TRIES = 4
+MAX_RECENT = 4096
+LOCAL_PERIOD_S = 5.0
+RETRY_AFTER_MS = 1000
+MAX_EVENTS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Holds the engine chosen, or none and why, and the engines that were passed over."""
+
+    upstream: str
+    reason: str
+    passed_over: tuple[str, ...] = ()
+
+
+class Owner:
+    """Decides for one instance, as the owner of chats and for its own requests."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers: Peers,
+        loads: Loads,
+        directory: Directory,
+        policy: Policy,
+        out: Callable[[], frozenset[str]],
+        rng: random.Random,
+    ):
+        self.memory = Memory()
+        self._clock = clock
+        self._peers = peers
+        self._loads = loads
+        self._directory = directory
+        self._policy = policy
+        self._out = out
+        self._stewardship = Stewardship(peers)
+        self._random = rng
+        self._turn = self._random.randrange(1 << 16)
+        self._recent: OrderedDict[tuple[str, str], str] = OrderedDict()
+        self._abandoned: OrderedDict[tuple[str, str], None] = OrderedDict()
+        self._local: dict[str, list[float]] = {}
+        peers.serve(Ask, self._serve_ask)
+        peers.serve(Abandoned, self._serve_abandoned)
+        peers.serve(CacheEvents, self._serve_events)
+
+    def list_engines(self, service: str, exclude: Sequence[str] = ()) -> list[str]:
+        """Return the engines that may receive new work: live, reachable and not taken out."""
+        out = self._out()
+        reachable = self._peers.reachable_domains()
+        names = []
+        for upstream in self._directory.candidates(service):
+            if upstream.domain in out or upstream.domain not in reachable:
+                continue
+            if upstream.name not in exclude:
+                names.append(upstream.name)
+        return names
+
+    async def decide(self, entry: str, ask: Ask) -> Choice:
+        """Choose an engine and reserve the request's work at its steward."""
+        service = self._directory.service(ask.service_name)
+        engines = self.list_engines(ask.service_name, ask.exclude or ())
+        if service is None or not engines:
+            return Choice("", "no-upstream")
+        mean = self._loads.mean(service.name, engines)
+
+        def utilisation(engine: str) -> float:
+            return self._loads.utilisation(engine, service, mean)
+
+        remembered, cached = self.memory.find(ask.chat, self._clock.now_s()) or ("", 0)
+        self._turn += 1
+        question = Question(
+            str(ask.chat), engines, utilisation, self._random, self._turn, remembered, cached
+        )
+        order = self._policy.order(question)
+        work = ask.prompt_tokens + ask.output_tokens
+        if not self._policy.admission:
+            reserve = Reserve(ask.request_id, order[0], work, entry, 0.0, 0.0, True)
+            self._peers.tell(self._stewardship.find(order[0]), reserve)
+            return Choice(order[0], "policy")
+        passed: list[str] = []
+        tries = 0
+        for engine in order:
+            if utilisation(engine) >= 1.0:
+                if len(passed) < MAX_TRIES:
+                    passed.append(engine)
+                continue
+            reserve = Reserve(
+                ask.request_id, engine, work, entry, mean.work_tokens, mean.requests, False
+            )
+            reason = await self._reserve(reserve, service)
+            if not reason:
+                self._remember(ask, entry, engine)
+                found = "remembered" if engine == remembered else "rendezvous"
+                return Choice(engine, found, tuple(passed))
+            passed.append(engine)
+            tries += 1
+            if tries >= MAX_TRIES:
+                break
+        return Choice("", "overloaded", tuple(passed))
+
+    async def _reserve(self, reserve: Reserve, service: ServiceSpec) -> str:
+        """Return why the work was refused, or an empty string if it was admitted."""
+        engine = reserve.upstream
+        steward = self._stewardship.find(engine)
+        try:
+            granted = await self._peers.ask(steward, reserve, RESERVE_TIMEOUT_S)
+        except (PeerUnavailable, TimeoutError):
+            # The reservation may have been made; the local decision replaces it.
+            release = Release(engine, [reserve.request_id], reserve.entry)
+            self._peers.tell(steward, release)
+            return self._reserve_locally(reserve, service)
+        if granted.reason not in ("not-steward", "unknown-upstream"):
+            self._loads.learn_granted(engine, granted)
+        return "" if granted.granted else granted.reason
+
+    def _reserve_locally(self, reserve: Reserve, service: ServiceSpec) -> str:
+        """Admit as if every member did the same; nothing on an engine in slow start."""
+        engine = reserve.upstream
+        load = self._loads.find(engine)
+        if load is None or load.limit_tokens < service.full_work_tokens:
+            return "steward-unreachable"
+        now_s = self._clock.now_s()
+        recent = [at_s for at_s in self._local.get(engine, ()) if now_s - at_s < LOCAL_PERIOD_S]
+        members = len(self._peers.members())
+        mean = self._loads.mean(service.name, self.list_engines(service.name))
+        used = self._loads.utilisation(engine, service, mean)
+        if used + len(recent) * members / max(mean.requests, 1.0) >= 1.0:
+            return "steward-unreachable"
+        self._local[engine] = [*recent, now_s]
+        return ""
+
+    def _remember(self, ask: Ask, entry: str, engine: str) -> None:
+        tokens = ask.prompt_tokens + ask.output_tokens
+        self.memory.learn(ask.chat, engine, tokens, self._clock.now_s())
+        if (entry, ask.request_id) in self._abandoned:
+            del self._abandoned[(entry, ask.request_id)]
+            self._release(entry, ask.request_id, engine)
+            return
+        self._recent[(entry, ask.request_id)] = engine
+        if len(self._recent) > MAX_RECENT:
+            self._recent.popitem(last=False)
+
+    async def _serve_ask(self, sender: Member, ask: Ask) -> Placed:
+        choice = await self.decide(sender.name, ask)
+        retry_after_ms = 0 if choice.upstream else RETRY_AFTER_MS
+        passed = list(choice.passed_over) or None
+        count = len(choice.passed_over)
+        return Placed(choice.upstream, choice.reason, count, 0, retry_after_ms, passed)
+
+    async def _serve_abandoned(self, sender: Member, message: Abandoned) -> None:
+        for request_id in message.request_ids:
+            engine = self._recent.pop((sender.name, request_id), None)
+            if engine is not None:
+                self._release(sender.name, request_id, engine)
+                continue
+            # The decision is still under way, or the Ask comes later.
+            self._abandoned[(sender.name, request_id)] = None
+            if len(self._abandoned) > MAX_RECENT:
+                self._abandoned.popitem(last=False)
+
+    def _release(self, entry: str, request_id: str, engine: str) -> None:
+        release = Release(engine, [request_id], entry)
+        self._peers.tell(self._stewardship.find(engine), release)
+
+    async def _serve_events(self, sender: Member, message: CacheEvents) -> None:
+        now_s = self._clock.now_s()
+        if message.gap:
+            self.memory.doubt(message.upstream, now_s)
+        for event in message.events[:MAX_EVENTS]:
+            if event.tokens > 0:
+                self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+            else:
+                self.memory.evict(event.chat, message.upstream, now_s)
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -1,15 +1,38 @@
-"""Placement: which upstream a request goes to."""
+"""Placement at the entry instance: which upstream a request goes to."""
 
 from __future__ import annotations
 
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from jayyoke.core.error import Refusal, Run
+from absl import logging
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.error import PeerUnavailable, Refusal, Run
+from jayyoke.core.member import MemberChange
+from jayyoke.core.peering import Peers
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.control import Control
-from jayyoke.ops.health import Health
-from jayyoke.ops.rendezvous import rank
+from jayyoke.ops.memory import hash_chat
+from jayyoke.ops.owner import Choice, Owner
+from jayyoke.ops.policy import Policy
+from jayyoke.ops.rendezvous import choose
+from jayyoke.ops.steward import Directory, Stewardship
+from jayyoke.wire.gen.ttypes import Abandoned, Ask, Holding, Holdings, Observed, Release
+
+OWNER_TIMEOUT_S = 0.005
+# A lost placement costs a prefill of 100 ms and more, so an owner that answered lately gets longer.
+OWNER_HARD_TIMEOUT_S = 0.025
+OWNER_DISTRUST_S = 1.0
+RELEASE_INTERVAL_S = 0.1
+HOLDINGS_INTERVAL_S = 30.0
+OVERLOAD_WAIT_S = 0.5
+OVERLOAD_WAIT_SHARE = 0.25  # Of the time left, so that a later answer still meets the deadline.
+OVERLOAD_RETRY_S = 0.025
+RETRY_AFTER_S = 1.0
+ENGINE_PROTOCOL = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,28 +42,168 @@
     upstream: Upstream
     reason: str
     passed_over: tuple[str, ...] = ()
+    reservation: str = ""
 
 
 class Placer:
-    """Chooses upstreams and accounts for the work placed on them."""
+    """Places the requests of this entry instance and accounts for them."""
 
-    def __init__(self, control: Control, health: Health):
-        self._control = control
-        self._health = health
+    def __init__(
+        self,
+        clock: Clock,
+        peers: Peers,
+        owner: Owner,
+        directory: Directory,
+        policy: Policy,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ):
+        self._clock = clock
+        self._peers = peers
+        self._owner = owner
+        self._directory = directory
+        self._policy = policy
+        self._sleep = sleep
+        self._stewardship = Stewardship(peers)
+        self._counter = itertools.count(1)
+        self._held: dict[str, dict[str, int]] = {}
+        self._ended: dict[str, list[str]] = {}
+        self._plain: dict[str, int] = {}
+        self._plain_turn = 0
+        self._distrusted: dict[str, float] = {}
+        self._incarnations: dict[str, int] = {}
+        self._stewards: dict[str, str] = {}
+        self._reported_s = clock.now_s()
+        peers.changes.subscribe(self._on_change)
 
     async def place(self, request: CallerRequest, exclude: tuple[str, ...] = ()) -> Placement:
         """Return a placement that `release` ends; raise Refusal if no upstream may be used."""
-        out = self._control.configuration.domains_out
-        candidates = {}
-        for upstream in self._health.candidates(request.service.name):
-            if upstream.domain in out or upstream.name in exclude:
-                continue
-            candidates[upstream.name] = upstream
-        order = rank(request.chat or request.request_id, candidates)
-        if not order:
-            detail = f"no upstream of service {request.service.name!r} may receive new work"
-            raise Refusal(503, "no-upstream", detail, Run.NOT_RUN, retry_after_s=1.0)
-        return Placement(candidates[order[0]], "rendezvous")
+        if request.service.protocol != ENGINE_PROTOCOL:
+            return self._place_plain(request, exclude)
+        now_s = self._clock.now_s()
+        wait_s = min(OVERLOAD_WAIT_S, (request.deadline_s - now_s) * OVERLOAD_WAIT_SHARE)
+        while True:
+            ask = self._build_ask(request, exclude)
+            choice = await self._choose(ask)
+            upstream = self._directory.find(choice.upstream) if choice.upstream else None
+            if upstream is not None:
+                held = self._held.setdefault(upstream.name, {})
+                held[ask.request_id] = request.work_tokens
+                passed = choice.passed_over
+                return Placement(upstream, choice.reason, passed, ask.request_id)
+            if choice.upstream:
+                self._ended.setdefault(choice.upstream, []).append(ask.request_id)
+            if choice.reason == "no-upstream":
+                raise self._refuse(request, "no-upstream")
+            if self._clock.now_s() + OVERLOAD_RETRY_S > now_s + wait_s:
+                raise self._refuse(request, "overloaded")
+            await self._sleep(OVERLOAD_RETRY_S)
 
     def release(self, request: CallerRequest, placement: Placement) -> None:
-        """End the accounting of a placement."""
+        """End the accounting of a placement; the steward hears of it within 100 ms."""
+        name = placement.upstream.name
+        if not placement.reservation:
+            self._plain[name] = max(0, self._plain.get(name, 0) - 1)
+            return
+        held = self._held.get(name, {})
+        if held.pop(placement.reservation, None) is None:
+            return
+        if not held:
+            del self._held[name]
+        self._ended.setdefault(name, []).append(placement.reservation)
+
+    def observe(self, engine: str, incarnation: int = 0, failed: bool = False) -> None:
+        """Report a broken connection or the incarnation in an answer to the engine's steward."""
+        if not failed and self._incarnations.get(engine) == incarnation:
+            return
+        if failed:
+            self._directory.avoid(engine)
+        if incarnation != 0:
+            self._incarnations[engine] = incarnation
+        steward = self._stewardship.find(engine)
+        self._peers.tell(steward, Observed(engine, incarnation, failed))
+
+    def flush(self) -> None:
+        """Send the releases collected since the last call; call every 100 ms."""
+        ended, self._ended = self._ended, {}
+        for engine, request_ids in ended.items():
+            self._peers.tell(self._stewardship.find(engine), Release(engine, request_ids, ""))
+        now_s = self._clock.now_s()
+        if now_s - self._reported_s >= HOLDINGS_INTERVAL_S:
+            self._reported_s = now_s
+            self._report()
+
+    async def run(self) -> None:
+        """Send releases and holdings until cancelled."""
+        while True:
+            await asyncio.sleep(RELEASE_INTERVAL_S)
+            self.flush()
+
+    def _report(self) -> None:
+        for engine in list(self._held):
+            holdings = [Holding(key, work) for key, work in self._held[engine].items()]
+            self._peers.tell(self._stewardship.find(engine), Holdings(engine, holdings))
+
+    def _on_change(self, change: MemberChange) -> None:
+        for engine in list(self._held):
+            steward = self._stewardship.find(engine)
+            if self._stewards.get(engine) != steward or change.member.name == steward:
+                holdings = [Holding(key, work) for key, work in self._held[engine].items()]
+                self._peers.tell(steward, Holdings(engine, holdings))
+            self._stewards[engine] = steward
+
+    def _build_ask(self, request: CallerRequest, exclude: tuple[str, ...]) -> Ask:
+        # Callers choose request ids and may repeat them; the reservation's id is the entry's own.
+        reservation = f"{self._peers.me.incarnation & 0xFFFFFF:x}.{next(self._counter):x}"
+        chat = hash_chat(request.chat or request.request_id)
+        return Ask(
+            reservation,
+            request.service.name,
+            chat,
+            request.prompt_tokens,
+            request.output_tokens,
+            request.team.name,
+            request.spec.priority,
+            list(exclude),
+        )
+
+    async def _choose(self, ask: Ask) -> Choice:
+        me = self._peers.me.name
+        if not self._policy.asks_owner:
+            return await self._owner.decide(me, ask)
+        members = (member.name for member in self._peers.members())
+        owner = choose(str(ask.chat), members) or me
+        if owner == me:
+            return await self._owner.decide(me, ask)
+        now_s = self._clock.now_s()
+        distrusted = now_s - self._distrusted.get(owner, -1e9) < OWNER_DISTRUST_S
+        timeout_s = OWNER_TIMEOUT_S if distrusted else OWNER_HARD_TIMEOUT_S
+        try:
+            placed = await self._peers.ask(owner, ask, timeout_s)
+        except (PeerUnavailable, TimeoutError):
+            self._distrusted[owner] = now_s
+            self._peers.tell(owner, Abandoned([ask.request_id]))
+            logging.debug("owner %s did not answer; instance %s decides", owner, me)
+            # The abandoned reservation has the old id; its release must not end the new one.
+            ask.request_id = f"{ask.request_id}r"
+            return await self._owner.decide(me, ask)
+        return Choice(placed.upstream, placed.reason, tuple(placed.passed or ()))
+
+    def _place_plain(self, request: CallerRequest, exclude: tuple[str, ...]) -> Placement:
+        names = self._owner.list_engines(request.service.name, exclude)
+        if not names:
+            raise self._refuse(request, "no-upstream")
+        self._plain_turn += 1
+        start = self._plain_turn % len(names)
+        turned = [*names[start:], *names[:start]]
+        name = min(turned, key=lambda candidate: self._plain.get(candidate, 0))
+        upstream = self._directory.find(name)
+        assert upstream is not None
+        self._plain[name] = self._plain.get(name, 0) + 1
+        return Placement(upstream, "least-loaded")
+
+    def _refuse(self, request: CallerRequest, code: str) -> Refusal:
+        service = request.service.name
+        detail = f"no upstream of service {service!r} may receive new work"
+        if code == "overloaded":
+            detail = f"every engine of service {service!r} is at its load bound or limit"
+        return Refusal(503, code, detail, Run.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/jayyoke/ops/slowstart.py
@@ -0,0 +1,36 @@
+"""Slow start: the work limit of an engine grows with the time since it turned cold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jayyoke.core.config import ServiceSpec
+
+
+@dataclass(frozen=True, slots=True)
+class Ramp:
+    """Holds when an engine turned cold, in monotonic seconds; None means that it is warm."""
+
+    started_s: float | None = None
+
+    def limit_tokens(self, service: ServiceSpec, now_s: float) -> int:
+        """Return the work that the engine bears now, in tokens."""
+        if not self.warming(service, now_s):
+            return service.full_work_tokens
+        assert self.started_s is not None
+        share = max(0.0, now_s - self.started_s) / service.warm_up_s
+        span = service.full_work_tokens - service.cold_work_tokens
+        return service.cold_work_tokens + int(span * share)
+
+    def warming(self, service: ServiceSpec, now_s: float) -> bool:
+        """Tell whether the limit is still below the full one."""
+        return self.started_s is not None and now_s - self.started_s < service.warm_up_s
+
+    @classmethod
+    def resume(cls, service: ServiceSpec, limit_tokens: int, now_s: float) -> Ramp:
+        """Return the ramp of an engine that a predecessor limited to `limit_tokens`."""
+        if limit_tokens >= service.full_work_tokens:
+            return cls()
+        span = max(service.full_work_tokens - service.cold_work_tokens, 1)
+        share = max(0, limit_tokens - service.cold_work_tokens) / span
+        return cls(now_s - share * service.warm_up_s)
--- /dev/null
+++ b/jayyoke/plugins/hashing.py
@@ -0,0 +1,22 @@
+"""Policy `rendezvous`: a baseline."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from jayyoke.core.kernel import register
+from jayyoke.ops.policy import Policy, Question
+from jayyoke.ops.rendezvous import rank
+
+__plugins__ = ("build_hashing",)
+
+
+@register("policy", "rendezvous")
+def build_hashing() -> Policy:
+    """Return the policy."""
+    return Policy(_order)
+
+
+def _order(question: Question) -> Sequence[str]:
+    """Try engines in rendezvous order of the chat."""
+    return rank(question.key, question.engines)
--- /dev/null
+++ b/jayyoke/plugins/roundrobin.py
@@ -0,0 +1,22 @@
+"""Policy `round-robin`: a baseline."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from jayyoke.core.kernel import register
+from jayyoke.ops.policy import Policy, Question
+
+__plugins__ = ("build_roundrobin",)
+
+
+@register("policy", "round-robin")
+def build_roundrobin() -> Policy:
+    """Return the policy."""
+    return Policy(_order)
+
+
+def _order(question: Question) -> Sequence[str]:
+    """Try engines in turn."""
+    start = question.turn % len(question.engines)
+    return [*question.engines[start:], *question.engines[:start]]
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 import aiohttp
@@ -15,15 +16,20 @@
 from jayyoke.core import kernel
 from jayyoke.core.clock import SystemClock
 from jayyoke.core.error import InvalidDocument
+from jayyoke.core.member import Member
 from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.events import CacheFollower
 from jayyoke.ops.health import Health
+from jayyoke.ops.loads import Loads
 from jayyoke.ops.node import Node
-from jayyoke.ops.placement import Placer
+from jayyoke.ops.probe import Prober
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.operator import OperatorServer
+from jayyoke.wire.local import LocalHub
 
 EXIT_INVALID_SETTINGS = 2
 DRAIN_TIMEOUT_S = 60.0
@@ -35,10 +41,30 @@
     table = Table(http, settings.table_url)
     listing = Listing(http, settings.listing_url)
     control = Control(table)
-    health = Health(listing)
-    placer = Placer(control, health)
     clock = SystemClock()
-    return Node(settings, clock, http, table, listing, control, health, placer)
+    incarnation = time.time_ns() // 1_000_000
+    me = Member(settings.instance, settings.domain, incarnation, settings.peer_address)
+    # This instance alone, until the network implementation of Peers takes its place.
+    peers = LocalHub().join(me)
+    loads = Loads(clock)
+    health = Health(listing, clock, loads, lambda name: control.configuration.services.get(name))
+    policy = kernel.find("policy", settings.policy)()
+    dispatch = Dispatch(
+        clock, peers, loads, health, policy, lambda: control.configuration.domains_out
+    )
+    prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
+    return Node(
+        settings,
+        clock,
+        http,
+        table,
+        listing,
+        control,
+        health,
+        dispatch.placer,
+        dispatch,
+        prober,
+    )
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -51,7 +77,8 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
         node = build_node(settings, http)
-        tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
+        parts = (node.control, node.health, node.dispatch, node.prober)
+        tasks = [asyncio.create_task(part.run()) for part in parts]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -27,6 +27,9 @@
     GRANTED = 13
     RELEASE = 14
     HOLDINGS = 15
+    OBSERVED = 16
+    ABANDONED = 17
+    CACHE_EVENTS = 18
     PULL_CHANGES = 20
     CHANGES = 21
     CHANGE_NOTICE = 22
@@ -50,6 +53,9 @@
         13: "GRANTED",
         14: "RELEASE",
         15: "HOLDINGS",
+        16: "OBSERVED",
+        17: "ABANDONED",
+        18: "CACHE_EVENTS",
         20: "PULL_CHANGES",
         21: "CHANGES",
         22: "CHANGE_NOTICE",
@@ -74,6 +80,9 @@
         "GRANTED": 13,
         "RELEASE": 14,
         "HOLDINGS": 15,
+        "OBSERVED": 16,
+        "ABANDONED": 17,
+        "CACHE_EVENTS": 18,
         "PULL_CHANGES": 20,
         "CHANGES": 21,
         "CHANGE_NOTICE": 22,
@@ -1103,6 +1112,7 @@
      - passed_over
      - reservation
      - retry_after_ms
+     - passed
 
     """
 
@@ -1112,15 +1122,17 @@
         'passed_over',
         'reservation',
         'retry_after_ms',
+        'passed',
     )
 
 
-    def __init__(self, upstream=None, reason=None, passed_over=None, reservation=None, retry_after_ms=None,):
+    def __init__(self, upstream=None, reason=None, passed_over=None, reservation=None, retry_after_ms=None, passed=None,):
         self.upstream = upstream
         self.reason = reason
         self.passed_over = passed_over
         self.reservation = reservation
         self.retry_after_ms = retry_after_ms
+        self.passed = passed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1156,6 +1168,16 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.passed = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.passed.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1186,6 +1208,13 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 5)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.passed is not None:
+            oprot.writeFieldBegin('passed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.passed))
+            for iter41 in self.passed:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1219,6 +1248,8 @@
      - work_tokens
      - entry
      - mean_work_tokens
+     - mean_requests
+     - forced
 
     """
 
@@ -1228,15 +1259,19 @@
         'work_tokens',
         'entry',
         'mean_work_tokens',
+        'mean_requests',
+        'forced',
     )
 
 
-    def __init__(self, request_id=None, upstream=None, work_tokens=None, entry=None, mean_work_tokens=None,):
+    def __init__(self, request_id=None, upstream=None, work_tokens=None, entry=None, mean_work_tokens=None, mean_requests=None, forced=None,):
         self.request_id = request_id
         self.upstream = upstream
         self.work_tokens = work_tokens
         self.entry = entry
         self.mean_work_tokens = mean_work_tokens
+        self.mean_requests = mean_requests
+        self.forced = forced
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1272,6 +1307,16 @@
                     self.mean_work_tokens = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.mean_requests = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.forced = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1302,6 +1347,14 @@
             oprot.writeFieldBegin('mean_work_tokens', TType.DOUBLE, 5)
             oprot.writeDouble(self.mean_work_tokens)
             oprot.writeFieldEnd()
+        if self.mean_requests is not None:
+            oprot.writeFieldBegin('mean_requests', TType.DOUBLE, 6)
+            oprot.writeDouble(self.mean_requests)
+            oprot.writeFieldEnd()
+        if self.forced is not None:
+            oprot.writeFieldBegin('forced', TType.BOOL, 7)
+            oprot.writeBool(self.forced)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1334,6 +1387,7 @@
      - reason
      - work_tokens
      - limit_tokens
+     - requests
 
     """
 
@@ -1342,14 +1396,16 @@
         'reason',
         'work_tokens',
         'limit_tokens',
+        'requests',
     )
 
 
-    def __init__(self, granted=None, reason=None, work_tokens=None, limit_tokens=None,):
+    def __init__(self, granted=None, reason=None, work_tokens=None, limit_tokens=None, requests=None,):
         self.granted = granted
         self.reason = reason
         self.work_tokens = work_tokens
         self.limit_tokens = limit_tokens
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1380,6 +1436,11 @@
                     self.limit_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1406,6 +1467,10 @@
             oprot.writeFieldBegin('limit_tokens', TType.I32, 4)
             oprot.writeI32(self.limit_tokens)
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 5)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1436,18 +1501,21 @@
     Attributes:
      - upstream
      - request_ids
+     - entry
 
     """
 
     __slots__ = (
         'upstream',
         'request_ids',
+        'entry',
     )
 
 
-    def __init__(self, upstream=None, request_ids=None,):
+    def __init__(self, upstream=None, request_ids=None, entry=None,):
         self.upstream = upstream
         self.request_ids = request_ids
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1466,13 +1534,18 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1490,10 +1563,14 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter41 in self.request_ids:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.request_ids:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 3)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1634,11 +1711,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Holding()
-                        _elem47.read(iprot)
-                        self.holdings.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Holding()
+                        _elem54.read(iprot)
+                        self.holdings.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1659,8 +1736,176 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter48 in self.holdings:
-                iter48.write(oprot)
+            for iter55 in self.holdings:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Observed(object):
+    """
+    Attributes:
+     - upstream
+     - incarnation
+     - failed
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'incarnation',
+        'failed',
+    )
+
+
+    def __init__(self, upstream=None, incarnation=None, failed=None,):
+        self.upstream = upstream
+        self.incarnation = incarnation
+        self.failed = failed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Observed')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.BOOL, 3)
+            oprot.writeBool(self.failed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Abandoned(object):
+    """
+    Attributes:
+     - request_ids
+
+    """
+
+    __slots__ = (
+        'request_ids',
+    )
+
+
+    def __init__(self, request_ids=None,):
+        self.request_ids = request_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.request_ids = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Abandoned')
+        if self.request_ids is not None:
+            oprot.writeFieldBegin('request_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.request_ids))
+            for iter62 in self.request_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1688,6 +1933,187 @@
         return not (self == other)
 
 
+class CacheEvent(object):
+    """
+    Attributes:
+     - chat
+     - tokens
+
+    """
+
+    __slots__ = (
+        'chat',
+        'tokens',
+    )
+
+
+    def __init__(self, chat=None, tokens=None,):
+        self.chat = chat
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.chat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheEvent')
+        if self.chat is not None:
+            oprot.writeFieldBegin('chat', TType.I64, 1)
+            oprot.writeI64(self.chat)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CacheEvents(object):
+    """
+    Attributes:
+     - upstream
+     - events
+     - gap
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'events',
+        'gap',
+    )
+
+
+    def __init__(self, upstream=None, events=None, gap=None,):
+        self.upstream = upstream
+        self.events = events
+        self.gap = gap
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.events = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = CacheEvent()
+                        _elem68.read(iprot)
+                        self.events.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.gap = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheEvents')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.events))
+            for iter69 in self.events:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gap is not None:
+            oprot.writeFieldBegin('gap', TType.BOOL, 3)
+            oprot.writeBool(self.gap)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PullChanges(object):
     """
     Attributes:
@@ -1881,11 +2307,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Change()
-                        _elem54.read(iprot)
-                        self.changes.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Change()
+                        _elem75.read(iprot)
+                        self.changes.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1912,8 +2338,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter55 in self.changes:
-                iter55.write(oprot)
+            for iter76 in self.changes:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -2136,11 +2562,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TablePut()
-                        _elem61.read(iprot)
-                        self.puts.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TablePut()
+                        _elem82.read(iprot)
+                        self.puts.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2157,8 +2583,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter62 in self.puts:
-                iter62.write(oprot)
+            for iter83 in self.puts:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2221,10 +2647,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI32()
-                        self.conflicts.append(_elem68)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI32()
+                        self.conflicts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2245,8 +2671,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter69 in self.conflicts:
-                oprot.writeI32(iter69)
+            for iter90 in self.conflicts:
+                oprot.writeI32(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2421,11 +2847,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RouteEvidence()
-                        _elem75.read(iprot)
-                        self.routes.append(_elem75)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = RouteEvidence()
+                        _elem96.read(iprot)
+                        self.routes.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2450,8 +2876,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter76 in self.routes:
-                iter76.write(oprot)
+            for iter97 in self.routes:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2966,6 +3392,7 @@
     (3, TType.I32, 'passed_over', None, None, ),  # 3
     (4, TType.I64, 'reservation', None, None, ),  # 4
     (5, TType.I32, 'retry_after_ms', None, None, ),  # 5
+    (6, TType.LIST, 'passed', (TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(Reserve)
 Reserve.thrift_spec = (
@@ -2975,6 +3402,8 @@
     (3, TType.I32, 'work_tokens', None, None, ),  # 3
     (4, TType.STRING, 'entry', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'mean_work_tokens', None, None, ),  # 5
+    (6, TType.DOUBLE, 'mean_requests', None, None, ),  # 6
+    (7, TType.BOOL, 'forced', None, None, ),  # 7
 )
 all_structs.append(Granted)
 Granted.thrift_spec = (
@@ -2983,12 +3412,14 @@
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.I32, 'work_tokens', None, None, ),  # 3
     (4, TType.I32, 'limit_tokens', None, None, ),  # 4
+    (5, TType.I32, 'requests', None, None, ),  # 5
 )
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'entry', 'UTF8', None, ),  # 3
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
@@ -3002,6 +3433,31 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), None, ),  # 2
 )
+all_structs.append(Observed)
+Observed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.BOOL, 'failed', None, None, ),  # 3
+)
+all_structs.append(Abandoned)
+Abandoned.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(CacheEvent)
+CacheEvent.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'chat', None, None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+)
+all_structs.append(CacheEvents)
+CacheEvents.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 2
+    (3, TType.BOOL, 'gap', None, None, ),  # 3
+)
 all_structs.append(PullChanges)
 PullChanges.thrift_spec = (
     None,  # 0
