--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -9,12 +9,14 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.drain import Drain
 from jayyoke.ops.forward import Engines
 from jayyoke.ops.health import Health
 from jayyoke.ops.limits import Limits
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
+from jayyoke.ops.probe import Prober
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -33,6 +35,8 @@
     health: Health
     placer: Placer
     peers: Peers
+    dispatch: Dispatch
+    prober: Prober
     engines: Engines = field(init=False)
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -125,4 +125,6 @@
         )
         control = Control(self.table)
         clock = ManualClock()
-        return Node(settings, clock, None, self.table, None, control, FakeHealth(), None, peers)
+        return Node(
+            settings, clock, None, self.table, None, control, FakeHealth(), None, peers, None, None
+        )
