Join the status of all given instances and count listed ones out of reach

Cause: an instance that its peers cannot reach was left out of the status, so that a version could be reported in force while that instance served an older one. In a large region an instance reaches only the peers of its own domain. Change: live instances of the platform's list that do not answer count as unconfirmed; the tool joins what all given instances know. A test loses the answer of an accepted change.

--- a/jayyoke/scripts/client.py
+++ b/jayyoke/scripts/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 REQUEST_TIMEOUT_S = 10.0
 MAX_ANSWER_BYTES = 16 << 20
 MAX_EVENT_LINE_BYTES = 64 << 10
+_SILENT = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
 
 
 class NoInstanceAnswered(JayyokeError):
@@ -64,12 +66,24 @@
                 # Another instance may still reach the table.
                 if error.status != 503:
                     raise
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            except _SILENT as error:
                 silent.append(f"{url}: {str(error) or type(error).__name__}")
         if refused is not None:
             raise refused
         raise NoInstanceAnswered("no instance answered\n" + "\n".join(silent))
 
+    async def gather(self, path: str) -> list[Any]:
+        """Return the answers of all instances that answer; raise Refused or NoInstanceAnswered."""
+        asked = (self._request_one(url, "GET", path, None, {}) for url in self._instances)
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        found = [answer for answer in answers if not isinstance(answer, BaseException)]
+        if found:
+            return found
+        for answer in answers:
+            if isinstance(answer, Refused) or not isinstance(answer, _SILENT):
+                raise answer
+        raise NoInstanceAnswered("no instance answered")
+
     async def watch(self) -> AsyncIterator[Event]:
         """Yield events of the first instance that answers until it closes the stream."""
         silent: list[str] = []
@@ -84,7 +98,7 @@
                     async for event in _read_events(answer):
                         yield event
                 return
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            except _SILENT as error:
                 silent.append(f"{url}: {str(error) or type(error).__name__}")
         raise NoInstanceAnswered("no instance answered\n" + "\n".join(silent))
 
--- a/jayyoke/scripts/session.py
+++ b/jayyoke/scripts/session.py
@@ -104,8 +104,7 @@
     names: list[str] | None = None
     while True:
         try:
-            status = await client.request("GET", f"/v1/status?version={version}")
-            names = status["unconfirmed"]
+            names = (await read_status(client, version))["unconfirmed"]
             if not names:
                 return True, []
         except NoInstanceAnswered:
@@ -116,6 +115,29 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
+async def read_status(client: Client, version: int | None) -> dict[str, Any]:
+    """Return the status that all given instances together know.
+
+    In a large region, an instance reaches only the instances of its own failure domain.
+    """
+    bodies = await client.gather("/v1/status")
+    best: dict[str, dict[str, Any]] = {}
+    for body in bodies:
+        for item in body["instances"]:
+            known = best.get(item["instance"])
+            if known is None or _freshness(item) > _freshness(known):
+                best[item["instance"]] = item
+    if version is None:
+        version = max(body["version"] for body in bodies)
+    unconfirmed = [name for name in sorted(best) if _freshness(best[name]) < version]
+    instances = [best[name] for name in sorted(best)]
+    return {"version": version, "unconfirmed": unconfirmed, "instances": instances}
+
+
+def _freshness(item: dict[str, Any]) -> int:
+    return item["configuration"] if item["answers"] else -1
+
+
 async def _run(session: Session, key: str, work: Callable[[Client], Awaitable[int]]) -> int:
     async with aiohttp.ClientSession() as http:
         return await work(Client(http, session.instances, key))
--- a/jayyoke/scripts/table.py
+++ b/jayyoke/scripts/table.py
@@ -21,14 +21,15 @@
     """Return the instances of a status, and those that have not confirmed the version."""
     rows = []
     for item in body["instances"]:
+        incarnation = "?" if item["incarnation"] is None else item["incarnation"]
         if not item["answers"]:
-            rows.append((item["instance"], item["domain"], item["incarnation"], "?", "?", "silent"))
+            rows.append((item["instance"], item["domain"], incarnation, "?", "?", "silent"))
             continue
         age_s = item["confirmed_age_s"]
         age = "never" if age_s is None else f"{age_s:.1f} s ago"
         ready = "ready" if item["ready"] else "not ready"
         version = item["configuration"]
-        rows.append((item["instance"], item["domain"], item["incarnation"], version, age, ready))
+        rows.append((item["instance"], item["domain"], incarnation, version, age, ready))
     titles = ("instance", "domain", "incarnation", "version", "confirmed", "state")
     return format_table(titles, rows) + "\n" + format_force(body["version"], body["unconfirmed"])
 
--- a/jayyoke/scripts/tool.py
+++ b/jayyoke/scripts/tool.py
@@ -22,6 +22,7 @@
     fail,
     read_duration,
     read_file,
+    read_status,
     run,
     show,
     wait_for,
@@ -140,10 +141,9 @@
 ) -> None:
     """Print the live instances; exit with 1 unless all of them have confirmed the version."""
     session: Session = context.obj
-    path = "/v1/status" if version is None else f"/v1/status?version={version}"
 
     async def work(client: Client) -> int:
-        body = await client.request("GET", path)
+        body = await read_status(client, version)
         show(session, body, format_status(body))
         return EXIT_REFUSED if body["unconfirmed"] else EXIT_DONE
 
--- a/jayyoke/server/status.py
+++ b/jayyoke/server/status.py
@@ -6,9 +6,10 @@
 import json
 from typing import Any
 
-from jayyoke.core.error import PeerError
+from jayyoke.core.error import PeerError, StoreUnavailable
 from jayyoke.core.member import Member
 from jayyoke.ops.node import Node
+from jayyoke.platform.listing import ListedInstance
 from jayyoke.wire.gen.ttypes import Status, StatusRequest
 
 ASK_TIMEOUT_S = 1.0
@@ -43,12 +44,20 @@
 
 
 async def collect_status(node: Node) -> list[dict[str, Any]]:
-    """Return the status of every live instance by name; one that is silent has `answers` false."""
+    """Return the status of every live instance by name; one that is silent has `answers` false.
+
+    Instances that the platform lists as live count too: one that this instance cannot reach may
+    still serve callers with an old configuration.
+    """
     found = [describe_instance(node)]
     if node.peers is not None:
         gate = asyncio.Semaphore(MAX_CONCURRENT_ASKS)
         others = [item for item in node.peers.members() if item.name != node.peers.me.name]
         found += await asyncio.gather(*(_ask(node, member, gate) for member in others))
+    names = {status["instance"] for status in found}
+    for listed in await _read_list(node):
+        if listed.name not in names and not listed.leaving:
+            found.append(_describe_silent(listed.name, listed.domain, None))
     return sorted(found, key=lambda status: status["instance"])
 
 
@@ -63,15 +72,7 @@
 
 
 async def _ask(node: Node, member: Member, gate: asyncio.Semaphore) -> dict[str, Any]:
-    silent = {
-        "instance": member.name,
-        "domain": member.domain,
-        "incarnation": member.incarnation,
-        "configuration": None,
-        "confirmed_age_s": None,
-        "ready": False,
-        "answers": False,
-    }
+    silent = _describe_silent(member.name, member.domain, member.incarnation)
     try:
         async with gate:
             answer = await node.peers.ask(member.name, StatusRequest(), ASK_TIMEOUT_S)
@@ -83,3 +84,22 @@
     except (PeerError, TimeoutError, ValueError, KeyError, TypeError, AttributeError):
         return silent
     return silent | known | {"answers": True}
+
+
+async def _read_list(node: Node) -> tuple[ListedInstance, ...]:
+    try:
+        return (await node.listing.read()).instances
+    except StoreUnavailable:
+        return ()
+
+
+def _describe_silent(name: str, domain: str, incarnation: int | None) -> dict[str, Any]:
+    return {
+        "instance": name,
+        "domain": domain,
+        "incarnation": incarnation,
+        "configuration": None,
+        "confirmed_age_s": None,
+        "ready": False,
+        "answers": False,
+    }
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -17,6 +17,7 @@
 from jayyoke.ops.control import Control
 from jayyoke.ops.node import Node
 from jayyoke.parser.settings import Settings
+from jayyoke.platform.listing import ListedInstance, Snapshot
 from jayyoke.platform.table import Put, Row
 from jayyoke.server.operator import OperatorServer
 from jayyoke.wire.local import LocalHub
@@ -70,12 +71,27 @@
         return (Upstream("worker-0", service, "zug-c", "127.0.0.1:1"),)
 
 
+class FakeListing:
+    """Lists the instances of the fleet and whatever a test adds."""
+
+    def __init__(self, names: tuple[str, ...]):
+        self.names = list(names)
+        self.down = False
+
+    async def read(self) -> Snapshot:
+        """Return the list."""
+        if self.down:
+            raise StoreUnavailable("down")
+        return Snapshot(tuple(ListedInstance(name, name, "") for name in self.names), ())
+
+
 class OperatorFleet:
     """Runs the operator servers of some instances; instance names are their domains."""
 
     def __init__(self, names: tuple[str, ...]):
         self.names = names
         self.table = MemoryTable()
+        self.listing = FakeListing(names)
         self.hub = LocalHub()
         self.nodes: list[Node] = []
         self.urls: list[str] = []
@@ -125,4 +141,6 @@
         )
         control = Control(self.table)
         clock = ManualClock()
-        return Node(settings, clock, None, self.table, None, control, FakeHealth(), None, peers)
+        return Node(
+            settings, clock, None, self.table, self.listing, control, FakeHealth(), None, peers
+        )
--- a/tests/operator_test.py
+++ b/tests/operator_test.py
@@ -172,6 +172,13 @@
         body = send(fleet, "GET", "/v1/status")[1]
         assert body["unconfirmed"] == ["luzern-b"]
 
+    def test_listed_instance_out_of_reach_counts_as_unconfirmed(self, fleet):
+        """Guards against a version reported in force while a cut-off instance serves another."""
+        fleet.hub.cut("luzern-a", "luzern-b")
+        assert send(fleet, "GET", "/v1/status")[1]["unconfirmed"] == ["luzern-b"]
+        fleet.listing.down = True
+        assert send(fleet, "GET", "/v1/status")[1]["unconfirmed"] == []
+
 
 class TestMoves:
     def test_not_built(self, fleet):
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
+import re
+import socket
 from collections.abc import Iterator
 
 import pytest
@@ -11,7 +15,7 @@
 
 from jayyoke.scripts import daemon, tool
 from jayyoke.scripts.move import name_move
-from standin.fleet import EXAMPLES, find_free_address
+from standin.fleet import EXAMPLES
 from tests.operator_fleet import KEY, OperatorFleet
 
 EXAMPLE = str(EXAMPLES / "ballenticket.yaml")
@@ -31,6 +35,13 @@
     return CliRunner().invoke(tool.app, list(arguments), env=environment, prog_name="jayyoke")
 
 
+@contextlib.contextmanager
+def refuse_connections() -> Iterator[str]:
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{bound.getsockname()[1]}"
+
+
 class TestHelp:
     @pytest.mark.parametrize(
         "command",
@@ -150,19 +161,53 @@
 class TestInstances:
     def test_next_instance_is_tried(self, fleet):
         """Guards against one dead instance that stops operators."""
-        urls = f"{find_free_address()} {fleet.urls[1]}"
-        assert run(fleet, "apply", EXAMPLE, urls=urls).exit_code == 0
+        with refuse_connections() as url:
+            result = run(fleet, "apply", EXAMPLE, urls=f"{url} {fleet.urls[1]}")
+        assert result.exit_code == 0
 
     def test_no_instance_answers(self):
         """Guards against an unreachable fleet that looks like a refusal."""
-        result = run(None, "apply", EXAMPLE, urls=find_free_address())
-        assert result.exit_code == 3
+        with refuse_connections() as url:
+            assert run(None, "apply", EXAMPLE, urls=url).exit_code == 3
+            assert run(None, "status", urls=url).exit_code == 3
+            assert run(None, "watch", urls=url).exit_code == 3
 
     def test_table_down(self, fleet):
         """Guards against a lost change that is reported as done."""
         fleet.table.down = True
         assert run(fleet, "apply", EXAMPLE).exit_code == 1
 
+    def test_lost_answer_is_followed_by_the_same_request(self, fleet):
+        """Guards against a change made twice, or reported lost, after its answer was lost."""
+
+        async def start_deaf_relay() -> tuple[asyncio.Server, str]:
+            host, _, port = fleet.urls[0].rpartition("/")[2].rpartition(":")
+
+            async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                upstream_reader, upstream = await asyncio.open_connection(host, int(port))
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(re.search(rb"Content-Length: (\d+)", head)[1])
+                upstream.write(head + await reader.readexactly(size))
+                await upstream_reader.readline()
+                upstream.close()
+                writer.close()
+
+            server = await asyncio.start_server(relay, "127.0.0.1", 0)
+            return server, f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+        server, url = fleet.call(start_deaf_relay())
+        result = run(fleet, "--json", "apply", EXAMPLE, urls=f"{url} {fleet.urls[1]}")
+        server.get_loop().call_soon_threadsafe(server.close)
+        body = json.loads(result.output)
+        assert (result.exit_code, body["version"], body["changed"]) == (0, 1, False)
+        assert len(fleet.table.rows) == 1
+
+    def test_status_joins_what_instances_know(self, fleet):
+        """Guards against a large region in which no instance reaches all others."""
+        fleet.hub.cut("luzern-a", "luzern-b")
+        assert run(fleet, "status").exit_code == 0
+        assert run(fleet, "status", urls=fleet.urls[0]).exit_code == 1
+
 
 class TestDomain:
     def test_out_and_back(self, fleet, snapshot):
