Pick ports outside the range of outgoing connections

Cause: tests/path_test.py failed in 1 of 4 runs of the suite, since another socket held a port that find_free_address had just found free in the ephemeral range (48785). Change: ports come from 10000 to 32767, and none is returned twice. Conclusion: two fleets on one machine can still pick the same port, which is less likely.

--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,10 @@
 TEAM_KEYS = ("demo-key-1", "demo-key-2")
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+# Ports below 32768 are not given to outgoing connections, which took a picked port before the
+# process that it was meant for could bind it.
+PORTS = (10_000, 32_768)
+_given_ports: set[int] = set()
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
 
@@ -119,10 +124,18 @@
 
 
 def find_free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port was free a moment ago; no port is returned twice."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def load_example(name: str) -> dict:
