--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.drain import Drain
+from jayyoke.ops.forward import Engines
 from jayyoke.ops.health import Health
+from jayyoke.ops.limits import Limits
+from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -28,4 +32,12 @@
     control: Control
     health: Health
     placer: Placer
-    peers: Peers | None = None
+    peers: Peers
+    engines: Engines = field(init=False)
+    limits: Limits = field(init=False)
+    metrics: Metrics = field(default_factory=Metrics)
+    drain: Drain = field(default_factory=Drain)
+
+    def __post_init__(self) -> None:
+        self.engines = Engines(self.http, self.clock)
+        self.limits = Limits(self.clock)
