Let stand-ins of the platform and of plain services fail on request

Once-only, tag and late work depend on what is known after a fault. The table and object stand-ins gain rate limits, lost and malformed answers; the plain stand-in gains deduplication, outcomes and broken answers. The table client rejects malformed conflicts and rows. Upstream calls no longer follow redirects, which would send a request a second time.

--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -33,8 +33,14 @@
         headers["Idempotency-Key"] = request.idempotency_key
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
+        # A followed redirect would send a request that must not be repeated a second time.
         async with http.request(
-            request.method, url, data=request.body, headers=headers, timeout=timeout
+            request.method,
+            url,
+            data=request.body,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
         ) as response:
             body = await response.read()
             echoed = response.headers.get("X-Request-Id")
--- a/jayyoke/platform/table.py
+++ b/jayyoke/platform/table.py
@@ -45,8 +45,15 @@
     async def get(self, key: str) -> Row | None:
         """Return a row or None; raise StoreUnavailable."""
         answer = await self._post("get", {"key": key})
-        row = answer.get("row")
-        return None if row is None else _parse_row(row)
+        if "row" not in answer:
+            raise StoreUnavailable("table answered a get without a row")
+        row = answer["row"]
+        if row is None:
+            return None
+        parsed = _parse_row(row)
+        if parsed.key != key:
+            raise StoreUnavailable(f"table answered with another row than {key!r}")
+        return parsed
 
     async def scan(self, prefix: str, after: str = "", limit: int = 100) -> list[Row]:
         """Return rows whose keys start with the prefix, in key order; raise StoreUnavailable."""
@@ -64,7 +71,7 @@
         answer = await self._post("commit", body, effect=Effect.UNKNOWN)
         conflicts = answer.get("conflicts")
         if conflicts:
-            raise Conflict(conflicts)
+            raise Conflict(_parse_conflicts(conflicts, len(puts)))
         if answer.get("committed") is not True:
             raise StoreUnavailable("table answered a commit without a result", Effect.UNKNOWN)
 
@@ -96,8 +103,17 @@
     return {"key": put.key, "value": value, "expect": put.expect}
 
 
+def _parse_conflicts(conflicts: Any, count: int) -> list[int]:
+    indexes = conflicts if isinstance(conflicts, list) else []
+    valid = [index for index in indexes if type(index) is int and 0 <= index < count]
+    if not valid or len(valid) != len(indexes):
+        raise StoreUnavailable("table answered with malformed conflicts", Effect.UNKNOWN)
+    return valid
+
+
 def _parse_row(row: Any) -> Row:
     try:
-        return Row(str(row["key"]), base64.b64decode(row["value"]), int(row["version"]))
+        value = base64.b64decode(row["value"], validate=True)
+        return Row(str(row["key"]), value, int(row["version"]))
     except (KeyError, TypeError, ValueError) as error:
         raise StoreUnavailable(f"table answered with a malformed row: {error!r}") from error
--- a/standin/fault.py
+++ b/standin/fault.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass, fields
 
 from aiohttp import web
@@ -10,11 +11,22 @@
 
 @dataclass(slots=True)
 class Faults:
-    """Holds the faults in force; delay_s is in seconds."""
+    """Holds the faults in force; delay_s is in seconds, whole numbers count affected calls."""
 
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    malformed: int = 0
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+    # The remaining faults concern plain services.
+    deduplicates: bool = False
+    stores_durably: bool = True
+    late_s: float = 0.0
+    cross: int = 0
+    truncate: int = 0
+    silence: int = 0
+    fail_after: int = 0
 
     async def before(self) -> None:
         """Refuse or delay a call before it takes effect."""
@@ -25,10 +37,38 @@
 
     async def after_write(self) -> None:
         """Lose the answer of a write that took effect."""
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
+        if self.take("lose_answers"):
             raise web.HTTPGatewayTimeout
 
+    def take(self, name: str) -> bool:
+        """Use up one call of a counted fault and tell whether it was in force."""
+        left = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+class RateLimit:
+    """Refuses calls above a rate with 429; a rate of 0 sets no limit."""
+
+    __slots__ = ("_seen_s", "_tokens")
+
+    def __init__(self) -> None:
+        self._seen_s = time.monotonic()
+        self._tokens = 0.0
+
+    def admit(self, per_s: float) -> None:
+        """Count one call; raise HTTPTooManyRequests above the rate with a burst of 1 s."""
+        if per_s <= 0:
+            return
+        now_s = time.monotonic()
+        self._tokens = min(per_s, self._tokens + (now_s - self._seen_s) * per_s)
+        self._seen_s = now_s
+        if self._tokens < 1:
+            raise web.HTTPTooManyRequests
+        self._tokens -= 1
+
 
 def add_fault_routes(app: web.Application, faults: Faults) -> None:
     """Let POST /fault set fields of the faults."""
--- a/standin/objects.py
+++ b/standin/objects.py
@@ -6,7 +6,10 @@
 
 from aiohttp import web
 
-from standin.fault import Faults, add_fault_routes
+from standin.fault import Faults, RateLimit, add_fault_routes
+
+WRITES_PER_S = 400.0
+READS_PER_S = 2000.0
 
 
 class ObjectServer:
@@ -14,7 +17,9 @@
 
     def __init__(self) -> None:
         self.objects: dict[str, bytes] = {}
-        self.faults = Faults()
+        self.faults = Faults(writes_per_s=WRITES_PER_S, reads_per_s=READS_PER_S)
+        self._write_limit = RateLimit()
+        self._read_limit = RateLimit()
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
@@ -27,6 +32,7 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         await self.faults.before()
+        self._read_limit.admit(self.faults.reads_per_s)
         value = self.objects.get(request.match_info["key"])
         if value is None:
             raise web.HTTPNotFound
@@ -34,12 +40,14 @@
 
     async def _put(self, request: web.Request) -> web.Response:
         await self.faults.before()
+        self._write_limit.admit(self.faults.writes_per_s)
         self.objects[request.match_info["key"]] = await request.read()
         await self.faults.after_write()
         return web.Response(status=204)
 
     async def _delete(self, request: web.Request) -> web.Response:
         await self.faults.before()
+        self._write_limit.admit(self.faults.writes_per_s)
         self.objects.pop(request.match_info["key"], None)
         return web.Response(status=204)
 
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -4,45 +4,103 @@
 
 import argparse
 import asyncio
+import json
 from collections import Counter
+from dataclasses import dataclass
 
 from aiohttp import web
 
 from standin.fault import Faults, add_fault_routes
 
 
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Holds the result of one run."""
+
+    status: int
+    body: bytes
+
+
 class PlainServer:
-    """Answers every call and counts runs by idempotency key and by request id."""
+    """Answers every call and counts runs by idempotency key, else by request id."""
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, deduplicates: bool = False):
         self.name = name
         self.runs: Counter[str] = Counter()
-        self.faults = Faults()
+        self.requests: list[str] = []
+        self.outcomes: dict[str, Outcome] = {}
+        self.faults = Faults(deduplicates=deduplicates)
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=8 << 20)
         app.router.add_get("/runs", self._runs)
+        app.router.add_get("/requests", self._requests)
+        app.router.add_get("/outcomes/{key:.+}", self._outcome)
         add_fault_routes(app, self.faults)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
-    async def _serve(self, request: web.Request) -> web.Response:
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
         await self.faults.before()
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
         key = request.headers.get("Idempotency-Key") or request_id
+        outcome = self.outcomes.get(key) if self.faults.deduplicates else None
+        if outcome is None:
+            outcome = self._run(request, key, request_id, body)
+        return await self._answer(request, request_id, outcome)
+
+    def _run(self, request: web.Request, key: str, request_id: str, body: bytes) -> Outcome:
         self.runs[key] += 1
+        self.requests.append(request_id)
         answer = {
             "server": self.name,
             "path": request.path,
+            "run": self.runs[key],
             "echo": body.decode("utf-8", "replace"),
         }
-        return web.json_response(answer, headers={"X-Request-Id": request_id})
+        outcome = Outcome(200, json.dumps(answer).encode())
+        if self.faults.stores_durably:
+            self.outcomes[key] = outcome
+            self.outcomes[request_id] = outcome
+        return outcome
+
+    async def _answer(
+        self, request: web.Request, request_id: str, outcome: Outcome
+    ) -> web.StreamResponse:
+        if self.faults.late_s:
+            await asyncio.sleep(self.faults.late_s)
+        if self.faults.take("silence"):
+            await asyncio.sleep(3600)
+        if self.faults.take("fail_after"):
+            return web.Response(status=500, headers={"X-Request-Id": request_id})
+        if self.faults.take("cross"):
+            request_id = "another-request"
+        headers = {"X-Request-Id": request_id, "Content-Type": "application/json"}
+        if not self.faults.take("truncate"):
+            return web.Response(status=outcome.status, body=outcome.body, headers=headers)
+        headers["Content-Length"] = str(len(outcome.body))
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(outcome.body[: len(outcome.body) // 2])
+        request.transport.close()
+        return response
+
+    async def _outcome(self, request: web.Request) -> web.Response:
+        outcome = self.outcomes.get(request.match_info["key"])
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if outcome is None:
+            return web.Response(status=404, headers=headers)
+        headers["Content-Type"] = "application/json"
+        return web.Response(status=outcome.status, body=outcome.body, headers=headers)
 
     async def _runs(self, request: web.Request) -> web.Response:
         return web.json_response(dict(self.runs))
 
+    async def _requests(self, request: web.Request) -> web.Response:
+        return web.json_response(self.requests)
+
 
 def main() -> None:
     """Serve a plain service on an address."""
@@ -51,8 +109,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("address")
     parser.add_argument("--name", required=True)
+    parser.add_argument("--deduplicates", action="store_true")
     options = parser.parse_args()
-    asyncio.run(serve_application(PlainServer(options.name).build(), options.address))
+    server = PlainServer(options.name, options.deduplicates)
+    asyncio.run(serve_application(server.build(), options.address))
 
 
 if __name__ == "__main__":
--- a/standin/table.py
+++ b/standin/table.py
@@ -8,7 +8,10 @@
 
 from aiohttp import web
 
-from standin.fault import Faults, add_fault_routes
+from standin.fault import Faults, RateLimit, add_fault_routes
+
+WRITES_PER_S = 400.0
+READS_PER_S = 2000.0
 
 
 class TableServer:
@@ -18,7 +21,9 @@
         self.rows: dict[str, tuple[bytes, int]] = {}
         self.writes = 0
         self.reads = 0
-        self.faults = Faults()
+        self.faults = Faults(writes_per_s=WRITES_PER_S, reads_per_s=READS_PER_S)
+        self._write_limit = RateLimit()
+        self._read_limit = RateLimit()
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
@@ -30,16 +35,24 @@
         add_fault_routes(app, self.faults)
         return app
 
-    async def _get(self, request: web.Request) -> web.Response:
+    async def _before_read(self) -> None:
         await self.faults.before()
+        self._read_limit.admit(self.faults.reads_per_s)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        await self._before_read()
         self.reads += 1
+        if self.faults.take("malformed"):
+            return web.json_response({"row": {"key": 1}, "rows": [{"value": "?"}]})
         key = (await request.json())["key"]
         row = self._format(key) if key in self.rows else None
         return web.json_response({"row": row})
 
     async def _scan(self, request: web.Request) -> web.Response:
-        await self.faults.before()
+        await self._before_read()
         self.reads += 1
+        if self.faults.take("malformed"):
+            return web.json_response({"row": {"key": 1}, "rows": [{"value": "?"}]})
         body = await request.json()
         keys = sorted(
             key for key in self.rows if key.startswith(body["prefix"]) and key > body["after"]
@@ -48,6 +61,7 @@
 
     async def _commit(self, request: web.Request) -> web.Response:
         await self.faults.before()
+        self._write_limit.admit(self.faults.writes_per_s)
         self.writes += 1
         puts = (await request.json())["puts"]
         conflicts = [index for index, put in enumerate(puts) if not self._holds(put)]
@@ -55,6 +69,8 @@
             for put in puts:
                 self._apply(put)
         await self.faults.after_write()
+        if self.faults.take("malformed"):
+            return web.Response(text="{", content_type="application/json")
         if conflicts:
             return web.json_response({"conflicts": conflicts})
         return web.json_response({"committed": True})
