--- /dev/null
+++ b/bench/fuzz_once.py
@@ -0,0 +1,299 @@
+"""Fuzz model of once-only requests: instances with faults, pauses and crashes, and an oracle."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Sequence
+
+from absl import logging
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from bench.memory import MemoryObjects, MemoryTable, VirtualLoop
+from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, Settle, TeamSpec
+from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, Refusal, Run
+from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops.claim import Claims
+from jayyoke.ops.forward import Answer
+from jayyoke.ops.settle import OnceRunner, Outcome
+from jayyoke.platform.table import Put
+
+INSTANCES = 3
+KEYS = 2
+WITHIN_S = 4.0
+FINISH_S = 300.0
+TEAM = TeamSpec("team", "")
+
+
+class Gate:
+    """Stops everything that one process does, for a while or for good."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.open.set()
+        self.dead = False
+
+    async def __call__(self) -> None:
+        """Wait while the process is paused; never return if it was killed."""
+        await self.open.wait()
+        if self.dead:
+            await asyncio.get_running_loop().create_future()
+
+
+class GatedTable:
+    """Lets a process reach the table only while it runs."""
+
+    def __init__(self, table: MemoryTable, gate: Gate):
+        self._table = table
+        self._gate = gate
+
+    async def get(self, key: str):
+        """Read a row."""
+        return await self._call(self._table.get(key))
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 100):
+        """Read rows."""
+        return await self._call(self._table.scan(prefix, after, limit))
+
+    async def commit(self, puts: Sequence[Put]) -> None:
+        """Write rows."""
+        await self._call(self._table.commit(puts))
+
+    async def _call(self, work):
+        task = asyncio.ensure_future(_sent(self._gate, work))
+        try:
+            return await asyncio.shield(task)
+        finally:
+            await self._gate()
+
+
+async def _sent(gate: Gate, work):
+    await gate()
+    return await work
+
+
+class CountingService:
+    """Runs requests and remembers which request caused each run."""
+
+    def __init__(self, rng: random.Random, settle: Settle):
+        self.rng = rng
+        self.settle = settle
+        self.fault_rate = 0.0
+        self.refuses = False
+        self.causes: dict[str, list[str]] = defaultdict(list)
+        self.answers: dict[str, list[Answer]] = defaultdict(list)
+
+    async def call(self, request: CallerRequest, timeout_s: float) -> Answer:
+        """Run a request, or fail before, while or after it runs."""
+        if self.refuses or self.rng.random() < self.fault_rate / 3:
+            raise ConnectFailed("refused")
+        transit_s = self.rng.choice((0.0, 0.01, 0.5, 3.0))
+        answer = asyncio.ensure_future(self._run_later(request, transit_s))
+        try:
+            answer = await asyncio.wait_for(asyncio.shield(answer), timeout_s)
+        except TimeoutError as error:
+            raise AnswerBroken("silent") from error
+        if self.rng.random() < self.fault_rate:
+            match self.rng.randrange(3):
+                case 0:
+                    raise AnswerBroken("truncated")
+                case 1:
+                    raise AnswerMismatched("crossed")
+                case 2:
+                    return Answer(500, "text/plain", b"failed after the run")
+        return answer
+
+    async def _run_later(self, request: CallerRequest, transit_s: float) -> Answer:
+        await asyncio.sleep(transit_s)
+        key = request.idempotency_key
+        if self.settle is Settle.DEDUPLICATES and self.answers[key]:
+            return self.answers[key][0]
+        self.causes[key].append(request.request_id)
+        status = self.rng.choice((200, 200, 201, 404))
+        body = f"{key} run {len(self.causes[key])}".encode()
+        answer = Answer(status, "text/plain", body * self.rng.choice((1, 2000)))
+        self.answers[key].append(answer)
+        return answer
+
+    async def lookup(self, key: str) -> Answer | None:
+        """Return what the service recorded for a key."""
+        await asyncio.sleep(0.005)
+        if self.rng.random() < self.fault_rate:
+            raise AnswerBroken("lookup failed")
+        return self.answers[key][0] if self.answers[key] else None
+
+
+class GatedService:
+    """Lets a process reach the service only while it runs."""
+
+    def __init__(self, service: CountingService, gate: Gate):
+        self._service = service
+        self._gate = gate
+
+    async def place(self, request: CallerRequest, exclude: tuple[str, ...]) -> Upstream:
+        """Return one of two upstreams; raise Refusal if both are excluded."""
+        await self._gate()
+        for name in ("one", "two"):
+            if name not in exclude:
+                return Upstream(name, "service", "domain", "")
+        raise Refusal(503, "no-upstream", "none left", Run.NOT_RUN)
+
+    async def send(self, upstream: Upstream, request: CallerRequest, timeout_s: float) -> Answer:
+        """Send a request once."""
+        return await self._call(self._service.call(request, timeout_s))
+
+    async def lookup(self, request: CallerRequest, timeout_s: float) -> Answer | None:
+        """Ask for a recorded answer."""
+        return await self._call(self._service.lookup(request.idempotency_key))
+
+    async def _call(self, work):
+        task = asyncio.ensure_future(_sent(self._gate, work))
+        try:
+            return await asyncio.shield(task)
+        finally:
+            await self._gate()
+
+
+class Process:
+    """Holds one simulated instance of the fleet."""
+
+    def __init__(self, name: str, loop: VirtualLoop, table, objects, service: CountingService):
+        self.gate = Gate()
+        gated = GatedTable(table, self.gate)
+        claims = Claims(gated, objects, gated.commit, loop, name, wall_s=loop.time)
+        self.runner = OnceRunner(claims, GatedService(service, self.gate), loop)
+        self.tasks: list[asyncio.Task] = []
+
+    def kill(self) -> None:
+        """End everything that this process does, at whatever it waits for."""
+        self.gate.dead = True
+        self.gate.open.set()
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Checks runs, refusals and answers after each step."""
+
+    @initialize(seed=st.integers(0, 2**32), settle=st.sampled_from(list(Settle)))
+    def start(self, seed: int, settle: Settle) -> None:
+        """Start the instances around one table and one service."""
+        logging.set_verbosity(logging.ERROR)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        rng = random.Random(seed)
+        self.table = MemoryTable(rng)
+        self.objects = MemoryObjects()
+        self.service = CountingService(rng, settle)
+        self.spec = ClassSpec("stamp", ClassKind.ONCE, "service", WITHIN_S)
+        self.service_spec = ServiceSpec("service", "plain", settle)
+        self.processes = [self._new_process(index) for index in range(INSTANCES)]
+        self.results: dict[str, Outcome | Refusal] = {}
+        self.keys: dict[str, str] = {}
+
+    def _new_process(self, index: int) -> Process:
+        return Process(str(index), self.loop, self.table, self.objects, self.service)
+
+    @rule(index=st.integers(0, INSTANCES - 1), key=st.integers(0, KEYS - 1))
+    def send(self, index: int, key: int) -> None:
+        """Let a caller send a request with a key through an instance."""
+        request_id = f"request-{len(self.keys)}"
+        self.keys[request_id] = f"team:stamp:{key}"
+        now_s = self.loop.time()
+        request = CallerRequest(
+            request_id,
+            TEAM,
+            self.spec,
+            self.service_spec,
+            now_s,
+            now_s + WITHIN_S,
+            idempotency_key=str(key),
+        )
+        process = self.processes[index]
+        process.tasks.append(self.loop.create_task(self._call(process, request)))
+
+    async def _call(self, process: Process, request: CallerRequest) -> None:
+        await process.gate()
+        try:
+            result = await process.runner.run(request)
+        except Refusal as refusal:
+            result = refusal
+        await process.gate()
+        self.results[request.request_id] = result
+
+    @rule(iterations=st.integers(1, 30))
+    def step(self, iterations: int) -> None:
+        """Let a few callbacks run, so that the next rule strikes between them."""
+        for _ in range(iterations):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    @rule(seconds=st.sampled_from((0.004, 0.02, 0.3, 1.1, 6.0, 40.0)))
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @rule(index=st.integers(0, INSTANCES - 1))
+    def crash(self, index: int) -> None:
+        """Kill an instance and start another in its place."""
+        self.processes[index].kill()
+        self.processes[index] = self._new_process(index)
+
+    @rule(index=st.integers(0, INSTANCES - 1))
+    def pause(self, index: int) -> None:
+        """Pause an instance, as SIGSTOP does."""
+        self.processes[index].gate.open.clear()
+
+    @rule(index=st.integers(0, INSTANCES - 1))
+    def resume(self, index: int) -> None:
+        """Resume an instance."""
+        self.processes[index].gate.open.set()
+
+    @rule(table=st.sampled_from((0.0, 0.2, 0.6)), service=st.sampled_from((0.0, 0.3, 1.0)))
+    def set_faults(self, table: float, service: float) -> None:
+        """Change how often calls go wrong."""
+        self.table.fault_rate = table
+        self.service.fault_rate = service
+
+    @rule(down=st.booleans(), refuses=st.booleans())
+    def set_outage(self, down: bool, refuses: bool) -> None:
+        """Begin or end an outage of the table or the service."""
+        self.table.down = down
+        self.service.refuses = refuses
+
+    @invariant()
+    def check(self) -> None:
+        """Compare what callers were told with what ran."""
+        if not hasattr(self, "loop"):
+            return
+        for key, causes in self.service.causes.items():
+            assert len(causes) <= 1, f"{key} ran for {causes}"
+        for request_id, result in self.results.items():
+            key = self.keys[request_id]
+            if isinstance(result, Outcome):
+                assert result.answer in self.service.answers[key], f"{request_id}: wrong answer"
+                continue
+            if result.run is Run.NOT_RUN:
+                causes = self.service.causes[key]
+                assert request_id not in causes, f"{request_id} ran after {result}"
+
+    def teardown(self) -> None:
+        """Let everything finish without further faults and check once more."""
+        if not hasattr(self, "loop"):
+            return
+        self.set_faults(0.0, 0.0)
+        self.set_outage(False, False)
+        for process in self.processes:
+            process.gate.open.set()
+        try:
+            self.advance(FINISH_S)
+            self.check()
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self.loop.close()
--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,131 @@
+"""Table, object store and event loop in memory with virtual time, for fuzz models and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections.abc import Sequence
+
+from jayyoke.core.error import Conflict, Effect, StoreUnavailable
+from jayyoke.platform.table import Put, Row
+
+LATENCY_S = 0.005
+MAX_DELAYED_S = 20.0
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Advances virtual time instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1000.0
+
+    def select(self, timeout: float | None = None):
+        if timeout:
+            self.now_s += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs timers at once, in order of their virtual time."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.now_s
+
+    def now_s(self) -> float:
+        """Return the virtual time in seconds, as a Clock does."""
+        return self.time()
+
+
+class MemoryTable:
+    """Keeps rows in memory; `fault_rate` is the share of calls that go wrong.
+
+    A deleted row starts again at version 1, which is the worst that the protocol allows.
+    """
+
+    def __init__(self, rng: random.Random, fault_rate: float = 0.0):
+        self.rows: dict[str, tuple[bytes, int]] = {}
+        self.rng = rng
+        self.fault_rate = fault_rate
+        self.down = False
+        self.commits = 0
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row or None; raise StoreUnavailable."""
+        await self._before()
+        row = self.rows.get(key)
+        return None if row is None else Row(key, *row)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 100) -> list[Row]:
+        """Return rows in key order; raise StoreUnavailable."""
+        await self._before()
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        return [Row(key, *self.rows[key]) for key in keys[:limit]]
+
+    async def commit(self, puts: Sequence[Put]) -> None:
+        """Write all puts or none; raise Conflict or StoreUnavailable."""
+        await self._before()
+        if self.rng.random() >= self.fault_rate:
+            self._apply(puts)
+            await asyncio.sleep(LATENCY_S)
+            return
+        match self.rng.randrange(3):
+            case 0:  # The answer is lost after the write.
+                self._apply_quietly(puts)
+            case 1:  # The request is lost.
+                pass
+            case 2:  # The request arrives long after the caller gave up.
+                delay_s = self.rng.uniform(0.0, MAX_DELAYED_S)
+                asyncio.get_running_loop().call_later(delay_s, self._apply_quietly, list(puts))
+        await asyncio.sleep(1.0)
+        raise StoreUnavailable("answer lost", Effect.UNKNOWN)
+
+    async def _before(self) -> None:
+        await asyncio.sleep(LATENCY_S)
+        if self.down or self.rng.random() < self.fault_rate / 2:
+            raise StoreUnavailable("refused")
+
+    def _apply_quietly(self, puts: Sequence[Put]) -> None:
+        try:
+            self._apply(puts)
+        except Conflict:
+            pass
+
+    def _apply(self, puts: Sequence[Put]) -> None:
+        self.commits += 1
+        conflicts = []
+        for index, put in enumerate(puts):
+            version = self.rows[put.key][1] if put.key in self.rows else 0
+            if put.expect is not None and put.expect != version:
+                conflicts.append(index)
+        if conflicts:
+            raise Conflict(conflicts)
+        for put in puts:
+            version = self.rows[put.key][1] if put.key in self.rows else 0
+            if put.value is None:
+                self.rows.pop(put.key, None)
+                continue
+            self.rows[put.key] = (put.value, version + 1)
+
+
+class MemoryObjects:
+    """Keeps objects in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+
+    async def get(self, key: str) -> bytes | None:
+        """Return an object or None."""
+        await asyncio.sleep(LATENCY_S)
+        return self.objects.get(key)
+
+    async def put(self, key: str, value: bytes) -> None:
+        """Write an object."""
+        await asyncio.sleep(LATENCY_S)
+        self.objects[key] = value
--- /dev/null
+++ b/jayyoke/ops/claim.py
@@ -0,0 +1,290 @@
+"""Claims of once-only requests: rows `once/{team}/{class}/{key}` of the table.
+
+A row is never deleted while its key may be used: a version that started again at 1 would let a
+delayed conditional write of an earlier holder hit the row of a later one.
+"""
+
+from __future__ import annotations
+
+import base64
+import enum
+import hashlib
+import json
+import secrets
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, replace
+from urllib.parse import quote
+
+from jayyoke.core.clock import Clock
+from jayyoke.core.error import Conflict, Effect, JayyokeError, StoreUnavailable
+from jayyoke.core.request import CallerRequest
+from jayyoke.ops.forward import Answer
+from jayyoke.platform.objects import Objects
+from jayyoke.platform.table import Put, Row, Table
+
+CLAIM_LEASE_S = 5.0
+MAX_INLINE_BYTES = 16 << 10  # Larger answers would crowd out the other puts of a batch.
+CLAIM_ATTEMPTS = 4
+
+Commit = Callable[[Sequence[Put]], Awaitable[None]]
+
+
+class ClaimState(enum.Enum):
+    """What the row says; the values are stored."""
+
+    CLAIMED = "claimed"
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+    RELEASED = "released"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Holds the value of a claim row; since_ms is wall-clock time and only a hint."""
+
+    token: str
+    fingerprint: str
+    request_id: str
+    holder: str
+    state: ClaimState = ClaimState.CLAIMED
+    fence: int = 1
+    since_ms: int = 0
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    object_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Holds a claim of this instance; checked_s is when the last write of it began.
+
+    `inherited` tells that another holder of the claim may have sent the request before.
+    """
+
+    key: str
+    claim: Claim
+    version: int
+    checked_s: float
+    inherited: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Holds the claim that another request put."""
+
+    key: str
+    claim: Claim
+    version: int
+
+
+class ClaimLost(JayyokeError):
+    """Reports that a claim changed hands before its holder sent the request."""
+
+
+def new_token() -> str:
+    """Return a random claim token."""
+    return secrets.token_hex(16)
+
+
+def claim_key(request: CallerRequest) -> str:
+    """Return the table key of a request's claim."""
+    parts = (request.team.name, request.spec.name, request.idempotency_key)
+    return "once/" + "/".join(quote(part, safe="") for part in parts)
+
+
+def upstream_key(request: CallerRequest) -> str:
+    """Return the idempotency key for the service, distinct between teams and classes."""
+    parts = (request.team.name, request.spec.name, request.idempotency_key)
+    return ":".join(quote(part, safe="") for part in parts)
+
+
+def fingerprint(request: CallerRequest) -> str:
+    """Return a digest of what must not differ between uses of one key."""
+    digest = hashlib.sha256()
+    for part in (request.method, request.path, request.query):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def encode_claim(claim: Claim) -> bytes:
+    """Return the stored form of a claim."""
+    plain = {name: getattr(claim, name) for name in Claim.__dataclass_fields__}
+    plain["state"] = claim.state.value
+    plain["body"] = base64.b64encode(claim.body).decode()
+    return json.dumps(plain).encode()
+
+
+def decode_claim(value: bytes) -> Claim:
+    """Return a claim from its stored form; raise StoreUnavailable if it is malformed."""
+    try:
+        plain = json.loads(value)
+        plain["state"] = ClaimState(plain["state"])
+        plain["body"] = base64.b64decode(plain["body"], validate=True)
+        return Claim(**plain)
+    except (ValueError, KeyError, TypeError) as error:
+        raise StoreUnavailable(f"claim row is malformed: {error!r}") from error
+
+
+class Claims:
+    """Puts, validates, answers and releases claims."""
+
+    def __init__(
+        self,
+        table: Table,
+        objects: Objects,
+        commit: Commit,
+        clock: Clock,
+        holder: str,
+        wall_s: Callable[[], float] = time.time,
+    ):
+        self._wall_s = wall_s
+        self._table = table
+        self._objects = objects
+        self._commit = commit
+        self._clock = clock
+        self._holder = holder
+
+    async def acquire(self, request: CallerRequest, token: str) -> Held | Found:
+        """Put a claim with a token of the caller unless there is one; raise StoreUnavailable.
+
+        After StoreUnavailable with an unknown effect, the row may exist or appear later with a
+        token that nobody holds.
+        """
+        key = claim_key(request)
+        mine = self._new_claim(request, token)
+        expect = 0
+        doubt = Effect.NONE
+        for _ in range(CLAIM_ATTEMPTS):
+            started_s = self._clock.now_s()
+            try:
+                await self._commit([Put(key, encode_claim(mine), expect)])
+                return Held(key, mine, expect + 1, started_s)
+            except Conflict:
+                pass
+            except StoreUnavailable as error:
+                if error.effect is Effect.NONE:
+                    raise StoreUnavailable(str(error), doubt) from error
+                doubt = Effect.UNKNOWN
+            found = await self._read(key, doubt)
+            if found is None:
+                continue
+            if found.claim.token == token:
+                return Held(key, found.claim, found.version, started_s)
+            if found.claim.state is not ClaimState.RELEASED:
+                return found
+            expect = found.version
+        raise StoreUnavailable(f"claim was not settled in {CLAIM_ATTEMPTS} attempts", doubt)
+
+    async def _read(self, key: str, doubt: Effect) -> Found | None:
+        try:
+            return await self.find(key)
+        except StoreUnavailable as error:
+            raise StoreUnavailable(str(error), doubt) from error
+
+    async def find(self, key: str) -> Found | None:
+        """Return the claim of a key; raise StoreUnavailable."""
+        row = await self._table.get(key)
+        return None if row is None else Found(key, decode_claim(row.value), row.version)
+
+    def expired(self, claim: Claim) -> bool:
+        """Tell whether the lease has passed by the wall clocks of holder and reader."""
+        return self._wall_ms() - claim.since_ms > CLAIM_LEASE_S * 1000
+
+    async def validate(self, held: Held) -> Held:
+        """Return the claim with a lease in force; raise ClaimLost or StoreUnavailable.
+
+        The caller sends without waiting for anything else after this returns.
+        """
+        while self._clock.now_s() - held.checked_s > CLAIM_LEASE_S:
+            bumped = replace(held.claim, fence=held.claim.fence + 1, since_ms=self._wall_ms())
+            held = await self._replace(held, bumped)
+        return held
+
+    async def take_over(self, found: Found, request: CallerRequest) -> Held:
+        """Take a claim whose outcome is unknown; only for services that deduplicate.
+
+        Raises ClaimLost or StoreUnavailable.
+        """
+        mine = self._new_claim(request, new_token())
+        mine = replace(mine, fence=found.claim.fence + 1)
+        before = Held(found.key, found.claim, found.version, self._clock.now_s())
+        return replace(await self._replace(before, mine), inherited=True)
+
+    async def answer(self, held: Held | Found, answer: Answer) -> None:
+        """Record the answer; raise ClaimLost if the row changed, or StoreUnavailable."""
+        claim = replace(
+            held.claim,
+            state=ClaimState.ANSWERED,
+            status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body,
+        )
+        if len(answer.body) > MAX_INLINE_BYTES:
+            name = f"once/{held.claim.token}-{held.claim.fence}"
+            await self._objects.put(name, answer.body)
+            claim = replace(claim, body=b"", object_key=name)
+        await self._replace(self._as_held(held), claim)
+
+    async def mark(self, key: str, token: str, state: ClaimState) -> bool:
+        """Record that a claim is released or its outcome unknown; raise StoreUnavailable.
+
+        Returns False if the table has no such claim; it may still appear after a lost answer.
+        """
+        found = await self.find(key)
+        if found is None:
+            return False
+        if found.claim.token != token or found.claim.state is not ClaimState.CLAIMED:
+            return True
+        try:
+            await self._replace(self._as_held(found), replace(found.claim, state=state))
+        except ClaimLost:
+            return False
+        return True
+
+    async def read_answer(self, claim: Claim) -> Answer:
+        """Return a recorded answer; raise StoreUnavailable."""
+        body: bytes | None = claim.body
+        if claim.object_key:
+            body = await self._objects.get(claim.object_key)
+        if body is None:
+            raise StoreUnavailable(f"object {claim.object_key!r} is missing")
+        return Answer(claim.status, claim.content_type, body)
+
+    def _as_held(self, held: Held | Found) -> Held:
+        if isinstance(held, Held):
+            return held
+        return Held(held.key, held.claim, held.version, self._clock.now_s())
+
+    def _new_claim(self, request: CallerRequest, token: str) -> Claim:
+        return Claim(
+            token=token,
+            fingerprint=fingerprint(request),
+            request_id=request.request_id,
+            holder=self._holder,
+            since_ms=self._wall_ms(),
+        )
+
+    async def _replace(self, held: Held, claim: Claim) -> Held:
+        """Write a claim over the version held; read back if the effect is unknown."""
+        started_s = self._clock.now_s()
+        value = encode_claim(claim)
+        try:
+            await self._commit([Put(held.key, value, held.version)])
+            return Held(held.key, claim, held.version + 1, started_s, held.inherited)
+        except Conflict:
+            pass
+        except StoreUnavailable as error:
+            if error.effect is Effect.NONE:
+                raise
+        row: Row | None = await self._table.get(held.key)
+        if row is not None and row.value == value:
+            return Held(held.key, claim, row.version, started_s, held.inherited)
+        if row is not None and row.version == held.version:
+            raise StoreUnavailable(f"write of {held.key!r} has no effect yet", Effect.UNKNOWN)
+        raise ClaimLost(f"claim {held.key!r} changed hands")
+
+    def _wall_ms(self) -> int:
+        return int(self._wall_s() * 1000)
--- /dev/null
+++ b/jayyoke/plugins/once.py
@@ -0,0 +1,22 @@
+"""Class kind `once`: calls of a plain service that must run at most once."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from jayyoke.core.kernel import register
+from jayyoke.core.request import CallerRequest
+from jayyoke.ops.node import Node
+
+__plugins__ = ("handle_once",)
+
+
+@register("class", "once")
+async def handle_once(node: Node, request: CallerRequest, http: web.Request) -> web.StreamResponse:
+    """Run the request at most once, or replay the recorded answer of its key."""
+    outcome = await node.once.run(request)
+    answer = outcome.answer
+    headers = {"X-Request-Id": request.request_id, "Content-Type": answer.content_type}
+    if outcome.replayed:
+        headers["Jayyoke-Replayed"] = "true"
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
--- a/standin/deployment.py
+++ b/standin/deployment.py
@@ -17,6 +17,7 @@
     plain_service: str
     plains: int
     instances_per_domain: int = 2
+    plains_deduplicate: bool = False
 
 
 DEPLOYMENTS = {
@@ -37,5 +38,6 @@
         engines=6,
         plain_service="booking-desk",
         plains=3,
+        plains_deduplicate=True,
     ),
 }
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -196,7 +196,12 @@
     for index in range(deployment.plains):
         name = f"{deployment.plain_service}-{index}"
         domain = deployment.domains[index % len(deployment.domains)]
-        fleet.plains.append(build(name, "plain", "--name", name, domain=domain))
+        arguments = ["--name", name]
+        if fleet.plains:
+            arguments += ["--book", fleet.plains[0].url]
+        if deployment.plains_deduplicate:
+            arguments.append("--deduplicates")
+        fleet.plains.append(build(name, "plain", *arguments, domain=domain))
     for domain in deployment.domains:
         for index in range(deployment.instances_per_domain):
             fleet.instances.append(_build_instance(fleet, f"{domain}-{index}", domain))
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -1,4 +1,7 @@
-"""Stand-in of a plain service that counts how often each request ran."""
+"""Stand-in of a plain service that counts how often each request ran.
+
+The processes of one service share their runs: the first keeps the book, the others ask it.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +11,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import aiohttp
 from aiohttp import web
 
 from standin.fault import Faults, add_fault_routes
@@ -24,8 +28,9 @@
 class PlainServer:
     """Answers every call and counts runs by idempotency key, else by request id."""
 
-    def __init__(self, name: str, deduplicates: bool = False):
+    def __init__(self, name: str, deduplicates: bool = False, book_url: str = ""):
         self.name = name
+        self.book_url = book_url
         self.runs: Counter[str] = Counter()
         self.requests: list[str] = []
         self.outcomes: dict[str, Outcome] = {}
@@ -37,6 +42,7 @@
         app.router.add_get("/runs", self._runs)
         app.router.add_get("/requests", self._requests)
         app.router.add_get("/outcomes/{key:.+}", self._outcome)
+        app.router.add_post("/book", self._serve_book)
         add_fault_routes(app, self.faults)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
@@ -46,17 +52,36 @@
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
         key = request.headers.get("Idempotency-Key") or request_id
-        outcome = self.outcomes.get(key) if self.faults.deduplicates else None
-        if outcome is None:
+        if self.book_url:
+            outcome = await self._run_in_book(request, body)
+        else:
             outcome = self._run(request, key, request_id, body)
         return await self._answer(request, request_id, outcome)
 
+    async def _run_in_book(self, request: web.Request, body: bytes) -> Outcome:
+        names = ("X-Request-Id", "Idempotency-Key")
+        headers = {name: request.headers[name] for name in names if name in request.headers}
+        headers["X-Path"] = request.path
+        async with (
+            aiohttp.ClientSession() as http,
+            http.post(f"{self.book_url}/book", data=body, headers=headers) as answer,
+        ):
+            return Outcome(answer.status, await answer.read())
+
+    async def _serve_book(self, request: web.Request) -> web.Response:
+        request_id = request.headers.get("X-Request-Id", "")
+        key = request.headers.get("Idempotency-Key") or request_id
+        outcome = self._run(request, key, request_id, await request.read())
+        return web.Response(status=outcome.status, body=outcome.body)
+
     def _run(self, request: web.Request, key: str, request_id: str, body: bytes) -> Outcome:
+        if self.faults.deduplicates and key in self.outcomes:
+            return self.outcomes[key]
         self.runs[key] += 1
         self.requests.append(request_id)
         answer = {
             "server": self.name,
-            "path": request.path,
+            "path": request.headers.get("X-Path", request.path),
             "run": self.runs[key],
             "echo": body.decode("utf-8", "replace"),
         }
@@ -88,7 +113,17 @@
         return response
 
     async def _outcome(self, request: web.Request) -> web.Response:
-        outcome = self.outcomes.get(request.match_info["key"])
+        await self.faults.before()
+        if self.book_url:
+            async with (
+                aiohttp.ClientSession() as http,
+                http.get(f"{self.book_url}{request.rel_url}") as answer,
+            ):
+                outcome = None
+                if answer.status == 200:
+                    outcome = Outcome(answer.status, await answer.read())
+        else:
+            outcome = self.outcomes.get(request.match_info["key"])
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         if outcome is None:
             return web.Response(status=404, headers=headers)
@@ -110,8 +145,9 @@
     parser.add_argument("address")
     parser.add_argument("--name", required=True)
     parser.add_argument("--deduplicates", action="store_true")
+    parser.add_argument("--book", default="", help="URL of the process that keeps the runs")
     options = parser.parse_args()
-    server = PlainServer(options.name, options.deduplicates)
+    server = PlainServer(options.name, options.deduplicates, options.book)
     asyncio.run(serve_application(server.build(), options.address))
 
 
