--- a/bench/fuzz_once.py
+++ b/bench/fuzz_once.py
@@ -35,12 +35,14 @@
         self.open = asyncio.Event()
         self.open.set()
         self.dead = False
+        # Held here so that the tasks of a killed process are not collected before the end.
+        self._never: asyncio.Future[None] = asyncio.get_event_loop().create_future()
 
     async def __call__(self) -> None:
         """Wait while the process is paused; never return if it was killed."""
         await self.open.wait()
         if self.dead:
-            await asyncio.get_running_loop().create_future()
+            await self._never
 
 
 class GatedTable:
@@ -52,15 +54,15 @@
 
     async def get(self, key: str):
         """Read a row."""
-        return await self._call(self._table.get(key))
+        return await self._call(lambda: self._table.get(key))
 
     async def scan(self, prefix: str, after: str = "", limit: int = 100):
         """Read rows."""
-        return await self._call(self._table.scan(prefix, after, limit))
+        return await self._call(lambda: self._table.scan(prefix, after, limit))
 
     async def commit(self, puts: Sequence[Put]) -> None:
         """Write rows."""
-        await self._call(self._table.commit(puts))
+        await self._call(lambda: self._table.commit(puts))
 
     async def _call(self, work):
         task = asyncio.ensure_future(_sent(self._gate, work))
@@ -72,7 +74,7 @@
 
 async def _sent(gate: Gate, work):
     await gate()
-    return await work
+    return await work()
 
 
 class CountingService:
@@ -143,11 +145,11 @@
 
     async def send(self, upstream: Upstream, request: CallerRequest, timeout_s: float) -> Answer:
         """Send a request once."""
-        return await self._call(self._service.call(request, timeout_s))
+        return await self._call(lambda: self._service.call(request, timeout_s))
 
     async def lookup(self, request: CallerRequest, timeout_s: float) -> Answer | None:
         """Ask for a recorded answer."""
-        return await self._call(self._service.lookup(request.idempotency_key))
+        return await self._call(lambda: self._service.lookup(request.idempotency_key))
 
     async def _call(self, work):
         task = asyncio.ensure_future(_sent(self._gate, work))
@@ -188,12 +190,15 @@
         self.service = CountingService(rng, settle)
         self.spec = ClassSpec("stamp", ClassKind.ONCE, "service", WITHIN_S)
         self.service_spec = ServiceSpec("service", "plain", settle)
+        self.gates: list[Gate] = []
         self.processes = [self._new_process(index) for index in range(INSTANCES)]
         self.results: dict[str, Outcome | Refusal] = {}
         self.keys: dict[str, str] = {}
 
     def _new_process(self, index: int) -> Process:
-        return Process(str(index), self.loop, self.table, self.objects, self.service)
+        process = Process(str(index), self.loop, self.table, self.objects, self.service)
+        self.gates.append(process.gate)
+        return process
 
     @rule(index=st.integers(0, INSTANCES - 1), key=st.integers(0, KEYS - 1))
     def send(self, index: int, key: int) -> None:
@@ -292,6 +297,9 @@
             self._close()
 
     def _close(self) -> None:
+        for gate in self.gates:
+            gate.dead = False
+            gate.open.set()
         tasks = asyncio.all_tasks(self.loop)
         for task in tasks:
             task.cancel()
--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -52,7 +52,14 @@
 
 
 class PeerUnavailable(PeerError):
-    """Reports that a peer could not be reached or did not answer in time."""
+    """Reports that a peer could not be reached or did not answer in time.
+
+    `sent` is False only if it is certain that the peer did not receive the message.
+    """
+
+    def __init__(self, detail: str, sent: bool = True):
+        super().__init__(detail)
+        self.sent = sent
 
 
 class PeerProtocolError(PeerError):
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -8,6 +8,7 @@
 
 from jayyoke.core.clock import Clock
 from jayyoke.ops.control import Control
+from jayyoke.ops.durable import Durable
 from jayyoke.ops.health import Health
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
@@ -27,3 +28,4 @@
     control: Control
     health: Health
     placer: Placer
+    durable: Durable
--- a/jayyoke/plugins/once.py
+++ b/jayyoke/plugins/once.py
@@ -14,7 +14,7 @@
 @register("class", "once")
 async def handle_once(node: Node, request: CallerRequest, http: web.Request) -> web.StreamResponse:
     """Run the request at most once, or replay the recorded answer of its key."""
-    outcome = await node.once.run(request)
+    outcome = await node.durable.once.run(request)
     answer = outcome.answer
     headers = {"X-Request-Id": request.request_id, "Content-Type": answer.content_type}
     if outcome.replayed:
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 import aiohttp
@@ -15,7 +16,10 @@
 from jayyoke.core import kernel
 from jayyoke.core.clock import SystemClock
 from jayyoke.core.error import InvalidDocument
+from jayyoke.core.member import Member
+from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.durable import build_durable
 from jayyoke.ops.health import Health
 from jayyoke.ops.node import Node
 from jayyoke.ops.placement import Placer
@@ -24,13 +28,17 @@
 from jayyoke.platform.table import Table
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.operator import OperatorServer
+from jayyoke.wire.local import LocalHub
 
 EXIT_INVALID_SETTINGS = 2
 DRAIN_TIMEOUT_S = 60.0
+DURABLE_DRAIN_TIMEOUT_S = 3.0  # What is left is adopted by another instance.
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
 
-def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
+def build_node(
+    settings: Settings, http: aiohttp.ClientSession, http_single: aiohttp.ClientSession
+) -> Node:
     """Return the parts of an instance, not yet running."""
     table = Table(http, settings.table_url)
     listing = Listing(http, settings.listing_url)
@@ -38,7 +46,15 @@
     health = Health(listing)
     placer = Placer(control, health)
     clock = SystemClock()
-    return Node(settings, clock, http, table, listing, control, health, placer)
+    durable = build_durable(settings, table, http_single, placer, build_peers(settings), clock)
+    return Node(settings, clock, http, table, listing, control, health, placer, durable)
+
+
+def build_peers(settings: Settings) -> Peers:
+    """Return peers of an instance that knows no other."""
+    incarnation = time.time_ns() // 1_000_000
+    member = Member(settings.instance, settings.domain, incarnation, settings.peer_address)
+    return LocalHub().join(member)
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -49,15 +65,23 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
-        node = build_node(settings, http)
+    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
+    # must not be repeated, so they use each connection once.
+    single = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=connector, auto_decompress=False) as http,
+        aiohttp.ClientSession(connector=single, auto_decompress=False) as http_single,
+    ):
+        node = build_node(settings, http, http_single)
         tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
+        tasks.append(asyncio.create_task(node.durable.outbox.run()))
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         logging.info("instance %s drains", settings.instance)
         await callers.cleanup()
+        await node.durable.drain(DURABLE_DRAIN_TIMEOUT_S)
         await operators.cleanup()
         for task in tasks:
             task.cancel()
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -14,6 +14,7 @@
 from jayyoke.core.kernel import find
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.node import Node
+from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.problem import format_problem
 
 MAX_BODY_BYTES = 4 << 20
@@ -32,8 +33,17 @@
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_route("*", "/v1/work/{class}", self._work)
         app.router.add_route("*", "/v1/work/{class}/{path:.*}", self._work)
+        app.router.add_get("/v1/replies/{request_id}", self._reply)
         return app
 
+    async def _reply(self, http: web.Request) -> web.StreamResponse:
+        request_id = http.match_info["request_id"]
+        try:
+            team = self._authenticate(http)
+            return await fetch_reply(self._node, request_id, team)
+        except Refusal as refusal:
+            return format_problem(refusal, request_id)
+
     async def _chat(self, http: web.Request) -> web.StreamResponse:
         return await self._serve(http, chat=True)
 
--- a/jayyoke/wire/local.py
+++ b/jayyoke/wire/local.py
@@ -91,9 +91,12 @@
         """Return the answer of a member's handler; raise PeerUnavailable."""
         handler = self._find_handler(instance, message)
         if handler is None:
-            raise PeerUnavailable(f"{instance} cannot be reached")
-        async with asyncio.timeout(timeout_s):
-            return await handler(self._me, message)
+            raise PeerUnavailable(f"{instance} cannot be reached", sent=False)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await handler(self._me, message)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{instance} did not answer in {timeout_s} s") from error
 
     def tell(self, instance: str, message: Message) -> None:
         """Run a member's handler in the background."""
