--- a/jayyoke/ops/outbox.py
+++ b/jayyoke/ops/outbox.py
@@ -1,7 +1,7 @@
 """Late and tag work that was acknowledged: rows of the table until delivered.
 
-The rows are `outbox/{owner}/{request_id}.{token}`. The owner is one run of an instance. It renews the row `owner/{owner}`; a live instance adopts the
-rows of an owner that died or stopped renewing.
+The rows are `outbox/{owner}/{request_id}.{token}`. The owner is one run of an instance. It renews
+the row `owner/{owner}`; a live instance adopts the rows of an owner that died or stopped renewing.
 """
 
 from __future__ import annotations
@@ -28,9 +28,9 @@
 from jayyoke.ops.settle import OnceUpstream
 from jayyoke.platform.table import Put, Row, Table
 
-RENEW_INTERVAL_S = 5.0
-OWNER_LEASE_S = 15.0  # Three renewals; a paused owner costs a second delivery, never a lost one.
-SWEEP_INTERVAL_S = 5.0
+RENEW_INTERVAL_S = 3.0
+OWNER_LEASE_S = 9.0  # Three renewals; a paused owner costs a second delivery, never a lost one.
+SWEEP_INTERVAL_S = 3.0
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 30.0
 ADD_ATTEMPTS = 3
