--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -11,6 +11,7 @@
 from jayyoke.ops.control import Control
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.drain import Drain
+from jayyoke.ops.durable import Durable
 from jayyoke.ops.forward import Engines
 from jayyoke.ops.health import Health
 from jayyoke.ops.limits import Limits
@@ -37,6 +38,7 @@
     peers: Peers
     dispatch: Dispatch
     prober: Prober
+    durable: Durable
     engines: Engines = field(init=False)
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -13,6 +13,7 @@
 from jayyoke.core.member import Member
 from jayyoke.ops.control import Control
 from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.durable import build_durable
 from jayyoke.ops.events import CacheFollower
 from jayyoke.ops.health import Health
 from jayyoke.ops.loads import Loads
@@ -26,8 +27,13 @@
 from jayyoke.wire.gen.ttypes import Digest
 
 
-def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
-    """Return the parts of an instance, not yet running; plug-ins must be loaded."""
+def build_node(
+    settings: Settings, http: aiohttp.ClientSession, http_single: aiohttp.ClientSession
+) -> Node:
+    """Return the parts of an instance, not yet running; plug-ins must be loaded.
+
+    `http_single` uses each connection once.
+    """
     clock = SystemClock()
     table = Table(http, settings.table_url)
     listing = Listing(http, settings.listing_url)
@@ -40,18 +46,20 @@
         clock, peers, loads, health, policy, lambda: control.configuration.domains_out
     )
     prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
+    durable = build_durable(settings, table, http_single, dispatch.placer, peers, clock)
     node = Node(
-        settings,
-        clock,
-        http,
-        table,
-        listing,
-        control,
-        health,
-        dispatch.placer,
-        peers,
-        dispatch,
-        prober,
+        settings=settings,
+        clock=clock,
+        http=http,
+        table=table,
+        listing=listing,
+        control=control,
+        health=health,
+        placer=dispatch.placer,
+        peers=peers,
+        dispatch=dispatch,
+        prober=prober,
+        durable=durable,
     )
     _connect_digests(node, peers)
     return node
@@ -66,6 +74,7 @@
         node.health.run(),
         node.dispatch.run(),
         node.prober.run(),
+        node.durable.outbox.run(),
     ]
 
 
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -18,6 +18,7 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.deadline import HEADER, parse_deadline
 from jayyoke.ops.node import Node
+from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat, format_body, parse_completion
 from jayyoke.server.problem import format_problem
 
@@ -47,9 +48,18 @@
         app.router.add_get("/v1/models/{class}", self._models)
         app.router.add_route("*", "/v1/work/{class}", self._work)
         app.router.add_route("*", "/v1/work/{class}/{path:.*}", self._work)
+        app.router.add_get("/v1/replies/{request_id}", self._reply)
         app.router.add_route("*", "/{path:.*}", self._unknown)
         return app
 
+    async def _reply(self, http: web.Request) -> web.StreamResponse:
+        request_id = http.match_info["request_id"]
+        try:
+            team = self._authenticate(http)
+            return await fetch_reply(self._node, request_id, team)
+        except Refusal as refusal:
+            return format_problem(refusal, request_id)
+
     async def _chat(self, http: web.Request) -> web.StreamResponse:
         return await self._serve(http, chat=True)
 
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -142,15 +142,16 @@
         control = Control(self.table)
         clock = ManualClock()
         return Node(
-            settings,
-            clock,
-            None,
-            self.table,
-            self.listing,
-            control,
-            FakeHealth(),
-            None,
-            peers,
-            None,
-            None,
+            settings=settings,
+            clock=clock,
+            http=None,
+            table=self.table,
+            listing=self.listing,
+            control=control,
+            health=FakeHealth(),
+            placer=None,
+            peers=peers,
+            dispatch=None,
+            prober=None,
+            durable=None,
         )
