Test version moves over a real table and engines, and send copies of chats

Cause: the plan was tested alone. With real engines a good version with little traffic was taken back at its deadline: the steps asked for up to 80 outcomes while 60 existed. Outcomes seen before an instance's first tick were dropped.

Change: a step needs 20 outcomes, or half of the expected copies if traffic is low; the recorder counts from the first outcome; the sender of copies; tests of racing operators, lease, paused holder, lost answers and a table outage.

--- a/jayyoke/ops/moveplan.py
+++ b/jayyoke/ops/moveplan.py
@@ -32,7 +32,7 @@
     Step(PPM, 1.0),
 )
 LAST_STEP = len(STEPS) - 1
-MIN_REQUESTS_PER_STEP = 20
+MIN_REQUESTS = 20
 # One engine of 260 saw two copies a second, too few to find a fault on a rare route in time.
 CANARY_ENGINES_PPM = 20_000
 # Loads run at once; a weight store that hands out few copies a second allows no more.
@@ -163,12 +163,17 @@
     total_s = move.deadline_s - move.started_s
     if now_s < move.started_s + total_s * STEPS[move.step].ends_at:
         return False
-    seen = count_requests(new.values())
-    if seen >= MIN_REQUESTS_PER_STEP * (move.step + 1):
-        return True
-    # Without traffic there is no evidence to wait for, and nobody whom the version could harm.
     old = count_requests(evidence.get(move.old_version, {}).values())
-    return old < MIN_REQUESTS_PER_STEP
+    return count_requests(new.values()) >= count_needed(old, move.shadow_ppm)
+
+
+def count_needed(old_requests: int, shadow_ppm: int) -> int:
+    """Return how many outcomes of the new version a step needs before the next one.
+
+    With little traffic it is half of the copies to be expected: without traffic there is no
+    evidence to wait for, and nobody whom the version could harm.
+    """
+    return min(MIN_REQUESTS, old_requests * shadow_ppm // (2 * PPM))
 
 
 def _order_next(
--- a/jayyoke/ops/recorder.py
+++ b/jayyoke/ops/recorder.py
@@ -23,14 +23,10 @@
             if move_id not in moves:
                 del self._counts[move_id]
                 self._sent.pop(move_id, None)
-        for move_id in moves:
-            self._counts.setdefault(move_id, {})
 
     def add(self, move_id: str, version: str, route: str, counts: Counts) -> None:
         """Add outcomes of one version on one route."""
-        totals = self._counts.get(move_id)
-        if totals is None:
-            return
+        totals = self._counts.setdefault(move_id, {})
         key = (version, route)
         totals[key] = totals.get(key, Counts()).add(counts)
 
--- /dev/null
+++ b/jayyoke/ops/shadow.py
@@ -0,0 +1,76 @@
+"""Copies of chats for engines of a new version; their answers only serve as evidence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+import aiohttp
+from absl import logging
+
+from jayyoke.core.error import AnswerBroken, JayyokeError
+from jayyoke.core.move import Counts
+from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops.forward import Engines
+from jayyoke.ops.sse import Frames
+
+# Copies never delay callers' requests: engines run lower numbers first.
+SHADOW_PRIORITY = 9
+MAX_SHADOWS = 64
+
+Observe = Callable[[str, str, str, Counts], None]
+
+
+class Shadows:
+    """Sends copies in the background, at most MAX_SHADOWS at once."""
+
+    def __init__(self, engines: Engines, observe: Observe):
+        self._engines = engines
+        self._observe = observe
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, upstream: Upstream, request: CallerRequest) -> None:
+        """Send a copy of a request; drop it if too many run."""
+        if len(self._tasks) >= MAX_SHADOWS:
+            return
+        spec = replace(request.spec, priority=SHADOW_PRIORITY)
+        copy = replace(request, request_id=f"{request.request_id}-copy", spec=spec)
+        task = asyncio.create_task(self._run(upstream, copy))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel all copies in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run(self, upstream: Upstream, request: CallerRequest) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        spec = request.spec
+        first_s = 0.0
+        failed = True
+        frames = Frames()
+        try:
+            async with asyncio.timeout(spec.within_s):
+                answer = await self._engines.open(upstream, request, 0, True)
+                try:
+                    while chunk := await answer.content.readany():
+                        frames.feed(chunk)
+                        if frames.tokens and not first_s:
+                            first_s = loop.time() - began_s
+                finally:
+                    answer.close()
+                if not frames.finished:
+                    raise AnswerBroken("truncated")
+            failed = False
+        except (JayyokeError, TimeoutError, aiohttp.ClientError) as error:
+            logging.debug("copy of %s at %s: %r", request.request_id, upstream.name, error)
+        ended_s = loop.time() - began_s
+        gap_s = (ended_s - first_s) / max(1, frames.tokens)
+        slow = first_s > spec.first_token_within_s or gap_s > spec.between_tokens_within_s
+        counts = Counts(1, int(failed), int(slow and not failed))
+        self._observe(request.service.name, upstream.version, spec.name, counts)
--- /dev/null
+++ b/tests/moves_test.py
@@ -0,0 +1,266 @@
+"""Version moves by several instances over a real table and real engines, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from jayyoke.core.clock import SystemClock
+from jayyoke.core.error import StoreUnavailable
+from jayyoke.core.member import Member
+from jayyoke.core.move import Counts, Phase
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops import moves as moves_module
+from jayyoke.ops.moverow import LEASE_S, LeaseWatch, MoveRow, take_lease, write_move
+from jayyoke.ops.moves import MoveActive, Moves
+from jayyoke.platform.table import Table
+from jayyoke.wire.local import LocalHub
+from standin.engine import EngineServer
+from standin.table import TableServer
+
+TIMEOUT_S = 30.0
+GOOD = {"v1": Counts(50, 0, 0), "v2": Counts(20, 0, 0)}
+FAILING = {"v1": Counts(50, 0, 0), "v2": Counts(5, 5, 0)}
+
+
+class SharedHalts:
+    """Keeps halts of all instances in one place, as the peers' spread does."""
+
+    def __init__(self) -> None:
+        self.halted: dict[tuple[str, str], str] = {}
+
+    def halt(self, move: str, version: str, reason: str) -> None:
+        self.halted[(move, version)] = reason
+
+    def is_halted(self, move: str, version: str) -> bool:
+        return (move, version) in self.halted
+
+
+@dataclass(slots=True)
+class Bench:
+    """Holds a service of three engines and three instances in three domains."""
+
+    table_server: TableServer
+    table: Table
+    hub: LocalHub
+    instances: list[Moves]
+    engines: list[EngineServer]
+    upstreams: list[Upstream]
+    halts: SharedHalts
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self) -> None:
+        self.tasks = [asyncio.create_task(instance.run()) for instance in self.instances]
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0.05)
+
+    def observe(self, counts: dict[str, Counts]) -> None:
+        for instance in self.instances:
+            for version, value in counts.items():
+                instance.observe("pool", version, "draft", value)
+
+    def phase(self) -> Phase:
+        return self.instances[0].moves[0].phase
+
+
+@contextlib.asynccontextmanager
+async def run_bench(checks_fencing: bool = True) -> AsyncIterator[Bench]:
+    async with contextlib.AsyncExitStack() as stack:
+        http = await stack.enter_async_context(aiohttp.ClientSession())
+        table_server = TableServer()
+        served = await stack.enter_async_context(TestServer(table_server.build()))
+        table = Table(http, str(served.make_url("")).rstrip("/"))
+        engines, upstreams = [], []
+        for index in range(3):
+            engine = EngineServer(f"e{index}", load_s=0.05, checks_fencing=checks_fencing)
+            server = await stack.enter_async_context(TestServer(engine.build()))
+            address = f"{server.host}:{server.port}"
+            upstreams.append(Upstream(engine.name, "pool", f"d{index}", address, version="v1"))
+            engines.append(engine)
+        hub, halts, instances = LocalHub(), SharedHalts(), []
+        for index in range(3):
+            peers = hub.join(Member(f"i{index}", f"d{index}", index + 1, ""))
+            instances.append(
+                Moves(
+                    peers,
+                    table,
+                    http,
+                    SystemClock(),
+                    halts,
+                    list_engines=lambda service: upstreams,
+                    checks_fencing=lambda service: checks_fencing,
+                )
+            )
+        bench = Bench(table_server, table, hub, instances, engines, upstreams, halts)
+        try:
+            yield bench
+        finally:
+            for task in bench.tasks:
+                task.cancel()
+            await asyncio.gather(*bench.tasks, return_exceptions=True)
+
+
+def run(test, **options) -> None:
+    async def run_test() -> None:
+        async with run_bench(**options) as bench:
+            await test(bench)
+
+    asyncio.run(run_test())
+
+
+class TestMove:
+    def test_good_version_reaches_every_engine(self):
+        """Guards against a good version that is not finished."""
+
+        async def test(bench: Bench) -> None:
+            bench.start()
+            await bench.instances[0].start("pool", "v2", 8.0)
+            await bench.wait_for(lambda: bool(bench.instances[2].moves))
+            bench.observe(GOOD)
+            await bench.wait_for(lambda: bench.phase() is Phase.DONE)
+            assert [engine.version for engine in bench.engines] == ["v2"] * 3
+
+        run(test)
+
+    def test_engines_that_ignore_fencing_end_on_the_new_version_too(self):
+        """Guards against a protection for such engines that never lets an order through."""
+
+        async def test(bench: Bench) -> None:
+            bench.start()
+            await bench.instances[0].start("pool", "v2", 8.0)
+            await bench.wait_for(lambda: bool(bench.instances[2].moves))
+            bench.observe(GOOD)
+            await bench.wait_for(lambda: bench.phase() is Phase.DONE)
+
+        run(test, checks_fencing=False)
+
+    def test_bad_version_is_taken_back_on_pooled_evidence(self):
+        """Guards against instances that each see too little to act."""
+
+        async def test(bench: Bench) -> None:
+            bench.start()
+            await bench.instances[0].start("pool", "v2", 60.0)
+            await bench.wait_for(lambda: "v2" in [engine.version for engine in bench.engines])
+            await bench.wait_for(lambda: bool(bench.instances[2].moves))
+            # One failure at each instance proves nothing by itself.
+            bench.observe({"v1": Counts(50, 0, 0), "v2": Counts(1, 1, 0)})
+            await bench.wait_for(lambda: bench.phase() is Phase.TAKEN_BACK)
+            assert [engine.version for engine in bench.engines] == ["v1"] * 3
+            assert "failed" in bench.instances[0].moves[0].reason
+
+        run(test)
+
+    def test_halt_needs_no_table(self):
+        """Guards against a bad version that goes on while the platform is down."""
+
+        async def test(bench: Bench) -> None:
+            bench.start()
+            await bench.instances[0].start("pool", "v2", 60.0)
+            await bench.wait_for(lambda: all(instance.moves for instance in bench.instances))
+            bench.table_server.faults.down = True
+            bench.observe(FAILING)
+            await bench.wait_for(lambda: bool(bench.halts.halted))
+            new = [Upstream("e0", "pool", "d0", "", version="v2")]
+            for instance in bench.instances:
+                assert instance.select("pool", "any chat", new) == []
+
+        run(test)
+
+
+class TestRace:
+    def test_operators_that_race_start_one_move(self):
+        """Guards against two moves of one service at once."""
+
+        async def test(bench: Bench) -> None:
+            starts = [
+                instance.start("pool", version, 60.0)
+                for instance, version in zip(bench.instances, ("v2", "v2", "v3"), strict=True)
+            ]
+            results = await asyncio.gather(*starts, return_exceptions=True)
+            started = {result.id for result in results if not isinstance(result, Exception)}
+            assert len(started) == 1
+            assert all(
+                isinstance(result, MoveActive)
+                for result in results
+                if isinstance(result, Exception)
+            )
+
+        run(test)
+
+    def test_one_instance_holds_the_lease_and_its_successor_has_a_higher_fence(self):
+        """Guards against two holders with equal fencing tokens."""
+
+        async def test(bench: Bench) -> None:
+            move = await bench.instances[0].start("pool", "v2", 60.0)
+            row = await bench.table.get("move/pool")
+            first = MoveRow(move, row.version)
+            taken = [await take_lease(bench.table, first, name) for name in ("a", "b")]
+            assert taken[1] is None
+            second = await take_lease(bench.table, taken[0], "b")
+            assert second.move.fence > taken[0].move.fence
+
+        run(test)
+
+    def test_paused_holder_cannot_write_after_its_successor(self):
+        """Guards against a holder that wakes up and overwrites the row."""
+
+        async def test(bench: Bench) -> None:
+            move = await bench.instances[0].start("pool", "v2", 60.0)
+            row = await bench.table.get("move/pool")
+            old = await take_lease(bench.table, MoveRow(move, row.version), "a")
+            await take_lease(bench.table, old, "b")
+            try:
+                await write_move(bench.table, old.move, old.version)
+            except moves_module.Conflict:
+                return
+            raise AssertionError("the paused holder's write took effect")
+
+        run(test)
+
+
+class TestLostAnswer:
+    def test_write_whose_answer_is_lost_counts_as_written(self):
+        """Guards against a second move, or a lost lease, after a lost answer."""
+
+        async def test(bench: Bench) -> None:
+            bench.table_server.faults.lose_answers = 1
+            move = await bench.instances[0].start("pool", "v2", 60.0)
+            assert bench.instances[0].moves == (move,)
+
+        run(test)
+
+    def test_table_down_refuses_a_start(self):
+        """Guards against a move that only one instance knows."""
+
+        async def test(bench: Bench) -> None:
+            bench.table_server.faults.down = True
+            try:
+                await bench.instances[0].start("pool", "v2", 60.0)
+            except StoreUnavailable:
+                assert bench.instances[0].moves == ()
+                return
+            raise AssertionError("the move was started without the table")
+
+        run(test)
+
+
+class TestLeaseWatch:
+    def test_lease_lapses_only_after_no_change_for_its_whole_term(self):
+        """Guards against a lease taken from a live holder."""
+        watch = LeaseWatch()
+        row = MoveRow(move=moves_module.Move("m", "s", "a", "b", 0, 1, holder="x"), version=3)
+        watch.note(row, 100.0)
+        watch.note(row, 103.0)
+        assert not watch.has_lapsed(row, 100.0 + LEASE_S - 0.1)
+        assert watch.has_lapsed(row, 100.0 + LEASE_S)
+        newer = MoveRow(row.move, 4)
+        watch.note(newer, 105.0)
+        assert not watch.has_lapsed(newer, 100.0 + LEASE_S)
