Keep configuration as a log of deltas that peers spread

Each change held a full configuration and only the table's readers learnt it. Domains and version halts spread without the platform and are logged when it answers.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -86,15 +86,8 @@
   3: bool out
 }
 
-// Stops a version everywhere; halts are never withdrawn.
-struct Halt {
-  1: string move
-  2: string version
-  3: string reason
-}
-
-// Heartbeat and load digest in one message. halt_list and drains hold what the change log does not hold yet.
-// Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
+// Heartbeat and load digest in one message. halts ("{move} {version}") and drains hold what the change log does not
+// hold yet. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -104,8 +97,7 @@
   6: bool leaving
   7: i64 confirmed_age_ms
   8: list<string> halts
-  9: list<Halt> halt_list
-  10: list<Drain> drains
+  9: list<Drain> drains
 }
 
 // Asks a chat's owner where to place a request.
@@ -215,6 +207,13 @@
   3: list<RouteEvidence> routes
 }
 
+// Stops a version everywhere; halts are never withdrawn.
+struct Halt {
+  1: string move
+  2: string version
+  3: string reason
+}
+
 // Share of new chats that a version under way may receive, in parts per million.
 struct Share {
   1: string move
--- a/jayyoke/core/config.py
+++ b/jayyoke/core/config.py
@@ -70,10 +70,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Holds one version of everything that operators declared."""
+    """Holds one version of everything that operators declared.
+
+    `halts` holds the keys of halted moves and versions, `drains` the ids of interim drains that
+    the log took over, and `team_by_key` the teams by the SHA-256 of their keys.
+    """
 
     version: int = 0
     services: Mapping[str, ServiceSpec] = field(default_factory=lambda: MappingProxyType({}))
     classes: Mapping[str, ClassSpec] = field(default_factory=lambda: MappingProxyType({}))
     teams: Mapping[str, TeamSpec] = field(default_factory=lambda: MappingProxyType({}))
     domains_out: frozenset[str] = frozenset()
+    halts: frozenset[str] = frozenset()
+    drains: frozenset[str] = frozenset()
+    team_by_key: Mapping[str, TeamSpec] = field(default_factory=lambda: MappingProxyType({}))
--- /dev/null
+++ b/jayyoke/ops/change.py
@@ -0,0 +1,176 @@
+"""Changes of the configuration: deltas by section and name, their codec and their effect."""
+
+from __future__ import annotations
+
+import json
+import uuid
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from jayyoke.core.config import Configuration
+from jayyoke.core.error import JayyokeError
+from jayyoke.parser.configuration import build_configuration, format_configuration
+
+MAX_BODY_BYTES = 2 << 20
+MAX_PLAIN_BYTES = 16 << 20
+# Sections that an operator's document declares; the others hold the results of single actions.
+DECLARED = ("services", "classes", "teams")
+# Each holds names only; the value tells who or why and is kept in the log.
+MARKED = ("domains_out", "halts", "drains")
+SECTIONS = DECLARED + MARKED
+
+Entry = tuple[str, str]
+
+
+class InvalidChange(JayyokeError):
+    """Reports a change or snapshot that cannot be decoded or applied."""
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Sets or deletes entries by section and name; value None deletes. The id is random."""
+
+    entries: Mapping[Entry, Any]
+    id: str = field(default_factory=lambda: uuid.uuid4().hex)
+
+
+def encode_delta(delta: Delta) -> bytes:
+    """Return the body of a change row; raise InvalidChange if it is too large."""
+    sections: dict[str, dict[str, Any]] = {}
+    for (section, name), value in sorted(delta.entries.items()):
+        sections.setdefault(section, {})[name] = value
+    body = _pack({"id": delta.id, "sections": sections})
+    if len(body) > MAX_BODY_BYTES:
+        raise InvalidChange(f"change of {len(body)} bytes exceeds {MAX_BODY_BYTES}")
+    return body
+
+
+def decode_delta(body: bytes) -> Delta:
+    """Return the delta of a change row; raise InvalidChange."""
+    plain = _unpack(body)
+    entries = {}
+    try:
+        for section, values in plain["sections"].items():
+            if section not in SECTIONS:
+                # Written by a newer revision; this instance reads it after its upgrade.
+                continue
+            for name, value in values.items():
+                entries[(section, name)] = value
+        return Delta(entries, str(plain["id"]))
+    except (KeyError, AttributeError, TypeError) as error:
+        raise InvalidChange(f"change is malformed: {error!r}") from error
+
+
+def compare(old: Configuration, new: Configuration) -> dict[Entry, Any]:
+    """Return the declared entries that turn one configuration into another."""
+    entries: dict[Entry, Any] = {}
+    for section in DECLARED:
+        before, after = getattr(old, section), getattr(new, section)
+        changed = {name: spec for name, spec in after.items() if before.get(name) != spec}
+        plain = format_configuration(replace(Configuration(), **{section: changed}))[section]
+        for name, value in plain.items():
+            entries[(section, name)] = value
+        for name in before:
+            if name not in after:
+                entries[(section, name)] = None
+    return entries
+
+
+def apply_delta(old: Configuration, delta: Delta, version: int) -> Configuration:
+    """Return the configuration after a delta; raise InvalidChange."""
+    plain: dict[str, dict[str, Any]] = {}
+    marks: dict[str, dict[str, bool]] = {}
+    deleted: dict[str, list[str]] = {}
+    for (section, name), value in delta.entries.items():
+        if section in MARKED:
+            marks.setdefault(section, {})[name] = value is not None
+        elif value is None:
+            deleted.setdefault(section, []).append(name)
+        else:
+            plain.setdefault(section, {})[name] = value
+    try:
+        built = build_configuration(plain, version)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise InvalidChange(f"change {version} cannot be applied: {error!r}") from error
+    values: dict[str, Any] = {"version": version}
+    for section in {*plain, *deleted}:
+        values[section] = _merge(getattr(old, section), getattr(built, section), deleted, section)
+    if "teams" in values:
+        values["team_by_key"] = _reindex(old, built, deleted.get("teams", ()))
+    for section, changes in marks.items():
+        added = {name for name, present in changes.items() if present}
+        values[section] = (getattr(old, section) - changes.keys()) | added
+    return replace(old, **values)
+
+
+def encode_snapshot(configuration: Configuration) -> bytes:
+    """Return the full state as one body."""
+    sections = format_configuration(configuration)
+    for section in MARKED:
+        sections[section] = sorted(getattr(configuration, section))
+    return _pack({"version": configuration.version, "sections": sections})
+
+
+def decode_snapshot(body: bytes) -> Configuration:
+    """Return the configuration of a snapshot; raise InvalidChange."""
+    plain = _unpack(body)
+    try:
+        sections = plain["sections"]
+        entries: dict[Entry, Any] = {}
+        for section in DECLARED:
+            entries.update({(section, name): value for name, value in sections[section].items()})
+        for section in MARKED:
+            entries.update({(section, name): "snapshot" for name in sections[section]})
+        return apply_delta(Configuration(), Delta(entries), int(plain["version"]))
+    except (KeyError, AttributeError, TypeError, ValueError) as error:
+        raise InvalidChange(f"snapshot is malformed: {error!r}") from error
+
+
+def find_dangling(configuration: Configuration) -> list[Entry]:
+    """Return the classes that name a service which does not exist."""
+    found = []
+    for name, spec in configuration.classes.items():
+        if spec.service not in configuration.services:
+            found.append(("classes", name))
+    return found
+
+
+def _merge(
+    old: Mapping[str, Any], built: Mapping[str, Any], deleted: dict[str, list[str]], section: str
+) -> dict[str, Any]:
+    merged = dict(old)
+    merged.update(built)
+    for name in deleted.get(section, ()):
+        merged.pop(name, None)
+    return merged
+
+
+def _reindex(old: Configuration, built: Configuration, deleted: Any) -> dict[str, Any]:
+    index = dict(old.team_by_key)
+    for name in (*built.teams, *deleted):
+        team = old.teams.get(name)
+        if team is not None and index.get(team.key_sha256) == team:
+            del index[team.key_sha256]
+    for team in built.teams.values():
+        index[team.key_sha256] = team
+    return index
+
+
+def _pack(plain: dict[str, Any]) -> bytes:
+    return zlib.compress(json.dumps(plain, sort_keys=True, separators=(",", ":")).encode())
+
+
+def _unpack(body: bytes) -> dict[str, Any]:
+    if len(body) > MAX_BODY_BYTES:
+        raise InvalidChange(f"body of {len(body)} bytes exceeds {MAX_BODY_BYTES}")
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(body, MAX_PLAIN_BYTES)
+        plain = json.loads(text)
+    except (zlib.error, ValueError) as error:
+        raise InvalidChange(f"body cannot be decoded: {type(error).__name__}") from error
+    if decompressor.unconsumed_tail or not isinstance(plain, dict):
+        raise InvalidChange("body is too large or no mapping")
+    return plain
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -9,6 +9,8 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.domain import Domains
+from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
@@ -29,3 +31,5 @@
     health: Health
     placer: Placer
     peers: Peers
+    domains: Domains
+    halts: Halts
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -18,6 +18,8 @@
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.member import Member
 from jayyoke.ops.control import Control
+from jayyoke.ops.domain import Domains
+from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
 from jayyoke.ops.membership import Membership
 from jayyoke.ops.node import Node
@@ -38,12 +40,16 @@
     """Return the parts of an instance, not yet running."""
     table = Table(http, settings.table_url)
     listing = Listing(http, settings.listing_url)
-    control = Control(table)
-    health = Health(listing)
-    placer = Placer(control, health)
     clock = SystemClock()
     peers = build_peers(settings, clock)
-    return Node(settings, clock, http, table, listing, control, health, placer, peers)
+    control = Control(table, peers, peers.digests, clock)
+    health = Health(listing)
+    placer = Placer(control, health)
+    domains = Domains(control, peers, peers.digests, clock)
+    halts = Halts(control, peers, peers.digests, clock)
+    return Node(
+        settings, clock, http, table, listing, control, health, placer, peers, domains, halts
+    )
 
 
 def build_peers(settings: Settings, clock: Clock) -> TcpPeers:
@@ -74,6 +80,8 @@
             asyncio.create_task(node.peers.run()),
             asyncio.create_task(node.peers.membership.follow_listing(node.listing)),
             asyncio.create_task(node.control.run()),
+            asyncio.create_task(node.domains.run()),
+            asyncio.create_task(node.halts.run()),
             asyncio.create_task(node.health.run()),
         ]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -876,98 +876,6 @@
         return not (self == other)
 
 
-class Halt(object):
-    """
-    Attributes:
-     - move
-     - version
-     - reason
-
-    """
-
-    __slots__ = (
-        'move',
-        'version',
-        'reason',
-    )
-
-
-    def __init__(self, move=None, version=None, reason=None,):
-        self.move = move
-        self.version = version
-        self.reason = reason
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Halt')
-        if self.move is not None:
-            oprot.writeFieldBegin('move', TType.STRING, 1)
-            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
-            oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 3)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Digest(object):
     """
     Attributes:
@@ -979,7 +887,6 @@
      - leaving
      - confirmed_age_ms
      - halts
-     - halt_list
      - drains
 
     """
@@ -993,12 +900,11 @@
         'leaving',
         'confirmed_age_ms',
         'halts',
-        'halt_list',
         'drains',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, halt_list=None, drains=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -1007,7 +913,6 @@
         self.leaving = leaving
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
-        self.halt_list = halt_list
         self.drains = drains
 
     def read(self, iprot):
@@ -1084,23 +989,12 @@
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
-                    self.halt_list = []
+                    self.drains = []
                     (_etype27, _size24) = iprot.readListBegin()
                     for _i28 in range(_size24):
-                        _elem29 = Halt()
+                        _elem29 = Drain()
                         _elem29.read(iprot)
-                        self.halt_list.append(_elem29)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.drains = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Drain()
-                        _elem35.read(iprot)
-                        self.drains.append(_elem35)
+                        self.drains.append(_elem29)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1125,22 +1019,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter36 in self.names:
-                iter36.write(oprot)
+            for iter30 in self.names:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter37 in self.loads:
-                iter37.write(oprot)
+            for iter31 in self.loads:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter38 in self.teams:
-                iter38.write(oprot)
+            for iter32 in self.teams:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1154,22 +1048,15 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter39 in self.halts:
-                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.halt_list is not None:
-            oprot.writeFieldBegin('halt_list', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.halt_list))
-            for iter40 in self.halt_list:
-                iter40.write(oprot)
+            for iter33 in self.halts:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.drains is not None:
-            oprot.writeFieldBegin('drains', TType.LIST, 10)
+            oprot.writeFieldBegin('drains', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.drains))
-            for iter41 in self.drains:
-                iter41.write(oprot)
+            for iter34 in self.drains:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1280,10 +1167,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem47)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1328,8 +1215,8 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter48 in self.exclude:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter41 in self.exclude:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1728,10 +1615,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem54)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1752,8 +1639,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter55 in self.request_ids:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter48 in self.request_ids:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1896,11 +1783,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Holding()
-                        _elem61.read(iprot)
-                        self.holdings.append(_elem61)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Holding()
+                        _elem54.read(iprot)
+                        self.holdings.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1921,8 +1808,8 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter62 in self.holdings:
-                iter62.write(oprot)
+            for iter55 in self.holdings:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2146,11 +2033,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Change()
-                        _elem68.read(iprot)
-                        self.changes.append(_elem68)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Change()
+                        _elem61.read(iprot)
+                        self.changes.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2183,8 +2070,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter69 in self.changes:
-                iter69.write(oprot)
+            for iter62 in self.changes:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -2411,11 +2298,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = TablePut()
-                        _elem75.read(iprot)
-                        self.puts.append(_elem75)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = TablePut()
+                        _elem68.read(iprot)
+                        self.puts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2432,8 +2319,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter76 in self.puts:
-                iter76.write(oprot)
+            for iter69 in self.puts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2496,10 +2383,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI32()
-                        self.conflicts.append(_elem82)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI32()
+                        self.conflicts.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2520,8 +2407,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter83 in self.conflicts:
-                oprot.writeI32(iter83)
+            for iter76 in self.conflicts:
+                oprot.writeI32(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2696,11 +2583,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = RouteEvidence()
-                        _elem89.read(iprot)
-                        self.routes.append(_elem89)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = RouteEvidence()
+                        _elem82.read(iprot)
+                        self.routes.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2725,8 +2612,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter90 in self.routes:
-                iter90.write(oprot)
+            for iter83 in self.routes:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2754,6 +2641,98 @@
         return not (self == other)
 
 
+class Halt(object):
+    """
+    Attributes:
+     - move
+     - version
+     - reason
+
+    """
+
+    __slots__ = (
+        'move',
+        'version',
+        'reason',
+    )
+
+
+    def __init__(self, move=None, version=None, reason=None,):
+        self.move = move
+        self.version = version
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Halt')
+        if self.move is not None:
+            oprot.writeFieldBegin('move', TType.STRING, 1)
+            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Share(object):
     """
     Attributes:
@@ -3035,13 +3014,6 @@
     (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'out', None, None, ),  # 3
 )
-all_structs.append(Halt)
-Halt.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
-)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -3053,8 +3025,7 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'confirmed_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
-    (9, TType.LIST, 'halt_list', (TType.STRUCT, [Halt, None], False), None, ),  # 9
-    (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
+    (9, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 9
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
@@ -3170,6 +3141,13 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'routes', (TType.STRUCT, [RouteEvidence, None], False), None, ),  # 3
 )
+all_structs.append(Halt)
+Halt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
 all_structs.append(Share)
 Share.thrift_spec = (
     None,  # 0
