--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -22,8 +22,8 @@
   COMMITTED = 31
   EVIDENCE = 40
   HALT = 41
-  SHARE = 42
   DRAIN = 43
+  MOVE_NOTICE = 44
   STATUS_REQUEST = 50
   STATUS = 51
 }
@@ -97,7 +97,7 @@
   6: bool leaving
   7: i64 confirmed_age_ms
   8: list<string> halts
-  9: list<Drain> drains
+  10: list<Drain> drains
 }
 
 // Asks a chat's owner where to place a request.
@@ -214,12 +214,11 @@
   3: string reason
 }
 
-// Share of new chats that a version under way may receive, in parts per million.
-struct Share {
-  1: string move
-  2: string version
-  3: i64 fence
-  4: i32 share_ppm
+// Row of a move as the domain's reader last read it; version is the row's version.
+struct MoveNotice {
+  1: string key
+  2: i64 version
+  3: binary body
 }
 
 struct StatusRequest {
--- a/jayyoke/core/config.py
+++ b/jayyoke/core/config.py
@@ -84,3 +84,9 @@
     halts: frozenset[str] = frozenset()
     drains: frozenset[str] = frozenset()
     team_by_key: Mapping[str, TeamSpec] = field(default_factory=lambda: MappingProxyType({}))
+
+    def __post_init__(self) -> None:
+        """Build the index of team keys unless it was derived from that of the last version."""
+        if self.teams and not self.team_by_key:
+            index = {team.key_sha256: team for team in self.teams.values()}
+            object.__setattr__(self, "team_by_key", index)
--- a/jayyoke/ops/change.py
+++ b/jayyoke/ops/change.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from jayyoke.core.config import Configuration
-from jayyoke.core.error import JayyokeError
-from jayyoke.parser.configuration import build_configuration, format_configuration
+from jayyoke.core.error import InvalidDocument, JayyokeError
+from jayyoke.parser.configuration import build_entries, format_document
 
 MAX_BODY_BYTES = 2 << 20
 MAX_PLAIN_BYTES = 16 << 20
@@ -39,7 +39,7 @@
 def encode_delta(delta: Delta) -> bytes:
     """Return the body of a change row; raise InvalidChange if it is too large."""
     sections: dict[str, dict[str, Any]] = {}
-    for (section, name), value in sorted(delta.entries.items()):
+    for (section, name), value in delta.entries.items():
         sections.setdefault(section, {})[name] = value
     body = _pack({"id": delta.id, "sections": sections})
     if len(body) > MAX_BODY_BYTES:
@@ -64,17 +64,19 @@
 
 
 def compare(old: Configuration, new: Configuration) -> dict[Entry, Any]:
-    """Return the declared entries that turn one configuration into another."""
+    """Return the declared entries and domain states that turn one configuration into another."""
     entries: dict[Entry, Any] = {}
     for section in DECLARED:
         before, after = getattr(old, section), getattr(new, section)
         changed = {name: spec for name, spec in after.items() if before.get(name) != spec}
-        plain = format_configuration(replace(Configuration(), **{section: changed}))[section]
+        plain = format_document(replace(Configuration(), **{section: changed}))[section]
         for name, value in plain.items():
             entries[(section, name)] = value
         for name in before:
             if name not in after:
                 entries[(section, name)] = None
+    for name in old.domains_out ^ new.domains_out:
+        entries[("domains_out", name)] = "operator" if name in new.domains_out else None
     return entries
 
 
@@ -91,9 +93,9 @@
         else:
             plain.setdefault(section, {})[name] = value
     try:
-        built = build_configuration(plain, version)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise InvalidChange(f"change {version} cannot be applied: {error!r}") from error
+        built = build_entries(plain, old, f"change {version}")
+    except InvalidDocument as error:
+        raise InvalidChange(f"change {version} cannot be applied: {error}") from error
     values: dict[str, Any] = {"version": version}
     for section in {*plain, *deleted}:
         values[section] = _merge(getattr(old, section), getattr(built, section), deleted, section)
@@ -107,7 +109,7 @@
 
 def encode_snapshot(configuration: Configuration) -> bytes:
     """Return the full state as one body."""
-    sections = format_configuration(configuration)
+    sections = format_document(configuration)
     for section in MARKED:
         sections[section] = sorted(getattr(configuration, section))
     return _pack({"version": configuration.version, "sections": sections})
@@ -128,12 +130,19 @@
         raise InvalidChange(f"snapshot is malformed: {error!r}") from error
 
 
-def find_dangling(configuration: Configuration) -> list[Entry]:
-    """Return the classes that name a service which does not exist."""
+def find_dangling(configuration: Configuration, delta: Delta) -> list[Entry]:
+    """Return classes without their service, and teams without a class that a delta deletes."""
     found = []
     for name, spec in configuration.classes.items():
         if spec.service not in configuration.services:
             found.append(("classes", name))
+    gone = {name for (section, name), value in delta.entries.items() if value is None}
+    gone -= configuration.classes.keys()
+    if not any(section == "classes" and name in gone for section, name in delta.entries):
+        return found
+    for name, team in configuration.teams.items():
+        if not gone.isdisjoint(team.classes):
+            found.append(("teams", name))
     return found
 
 
@@ -159,7 +168,7 @@
 
 
 def _pack(plain: dict[str, Any]) -> bytes:
-    return zlib.compress(json.dumps(plain, sort_keys=True, separators=(",", ":")).encode())
+    return zlib.compress(json.dumps(plain, separators=(",", ":")).encode())
 
 
 def _unpack(body: bytes) -> dict[str, Any]:
--- a/jayyoke/ops/control.py
+++ b/jayyoke/ops/control.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from absl import logging
-from reactivex import Observable
+from reactivex import Observable, operators
 from reactivex.subject import Subject
 
 from jayyoke.core.clock import Clock, SystemClock
@@ -91,6 +91,11 @@
         """Return the stream of configurations that come into force here."""
         return self._changes
 
+    @property
+    def versions(self) -> Observable[int]:
+        """Return the stream of versions that come into force here."""
+        return self._changes.pipe(operators.map(lambda configuration: configuration.version))
+
     @property
     def ready(self) -> bool:
         """Tell whether the start has found the newest version that it can find."""
@@ -143,7 +148,6 @@
             if self._is_poll_due():
                 self._polled_s = self._clock.now_s()
                 await self.refresh()
-                self._ready = True
             if self._snapshot_due:
                 await self._write_snapshot()
         except StoreUnavailable as error:
@@ -170,11 +174,12 @@
                     raise StoreUnavailable(f"change {version} cannot be applied")
             if len(rows) < PAGE_ROWS:
                 self._confirm(read_s)
+                self._ready = True
                 self._announce()
                 return
 
     async def accept(self, configuration: Configuration, base: int | None = None) -> int:
-        """Append what a document changes in the declared sections and return the version.
+        """Append what differs from the newest configuration and return the version.
 
         Raise Conflict (also if `base` is given and not the newest version), InvalidChange or
         StoreUnavailable.
@@ -221,9 +226,9 @@
     def _check_result(self, delta: Delta) -> None:
         current = self._configuration
         result = apply_delta(current, delta, current.version + 1)
-        dangling = find_dangling(result)
+        dangling = find_dangling(result, delta)
         if dangling:
-            raise InvalidChange(f"classes name services that do not exist: {dangling}")
+            raise InvalidChange(f"entries name others that do not exist: {dangling}")
         if len(result.team_by_key) != len(result.teams):
             raise InvalidChange("two teams have the same key")
 
--- a/jayyoke/ops/control_test.py
+++ b/jayyoke/ops/control_test.py
@@ -362,12 +362,12 @@
 
     def test_keys_that_move_between_teams_stay_indexed(self):
         """Guards against an index that loses a key when two teams swap theirs."""
-        teams = {"p": TeamSpec("p", "1"), "q": TeamSpec("q", "2")}
-        swapped = {"p": TeamSpec("p", "2"), "q": TeamSpec("q", "1")}
-        first = Configuration(teams=teams)
+        one, two = "1" * 64, "2" * 64
+        first = Configuration(teams={"p": TeamSpec("p", one), "q": TeamSpec("q", two)})
+        swapped = Configuration(teams={"p": TeamSpec("p", two), "q": TeamSpec("q", one)})
         old = apply_delta(Configuration(), Delta(compare(Configuration(), first)), 1)
-        new = apply_delta(old, Delta(compare(old, Configuration(teams=swapped))), 2)
-        assert {key: spec.name for key, spec in new.team_by_key.items()} == {"2": "p", "1": "q"}
+        new = apply_delta(old, Delta(compare(old, swapped)), 2)
+        assert {key: spec.name for key, spec in new.team_by_key.items()} == {two: "p", one: "q"}
 
 
 class TestDomains:
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -10,8 +10,12 @@
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
 from jayyoke.ops.domain import Domains
+from jayyoke.ops.drain import Drain
+from jayyoke.ops.forward import Engines
 from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
+from jayyoke.ops.limits import Limits
+from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -31,5 +35,13 @@
     health: Health
     placer: Placer
     peers: Peers
-    domains: Domains
-    halts: Halts
+    domains: Domains | None = None
+    halts: Halts | None = None
+    engines: Engines = field(init=False)
+    limits: Limits = field(init=False)
+    metrics: Metrics = field(default_factory=Metrics)
+    drain: Drain = field(default_factory=Drain)
+
+    def __post_init__(self) -> None:
+        self.engines = Engines(self.http, self.clock)
+        self.limits = Limits(self.clock)
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import signal
-import sys
 import time
 from pathlib import Path
+from typing import Annotated
 
 import aiohttp
 import typer
@@ -27,13 +27,22 @@
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
+from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
+from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
 from jayyoke.server.peer import TcpPeers
 
-EXIT_INVALID_SETTINGS = 2
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+# Longer than any class's deadline of today (30 s).
 DRAIN_TIMEOUT_S = 60.0
-_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
+# The balancer probes readiness about once a second.
+SETTLE_S = 2.0
 
 
 def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
@@ -73,7 +82,11 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
+    # One caller's cookies must not reach an upstream with another caller's request.
+    jar = aiohttp.DummyCookieJar()
+    async with aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, cookie_jar=jar
+    ) as http:
         node = build_node(settings, http)
         await node.peers.start()
         tasks = [
@@ -88,44 +101,66 @@
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
-        logging.info("instance %s drains", settings.instance)
         node.peers.announce_leaving()
-        await callers.cleanup()
-        await operators.cleanup()
+        await _drain(node, callers)
+        await callers.close()
+        await operators.close()
+        await node.engines.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _listen(app: web.Application, address: str) -> web.AppRunner:
-    host, _, port = address.rpartition(":")
-    runner = web.AppRunner(
-        app, access_log=None, handler_cancellation=True, shutdown_timeout=DRAIN_TIMEOUT_S
-    )
-    await runner.setup()
-    await web.TCPSite(runner, host, int(port)).start()
-    return runner
+async def _drain(node: Node, callers: Listener) -> None:
+    """Finish the requests in progress; the listener stays open until the balancer noticed."""
+    logging.info("instance %s drains", node.settings.instance)
+    node.drain.draining = True
+    await asyncio.sleep(SETTLE_S)
+    callers.stop()
+    if not await node.drain.wait(DRAIN_TIMEOUT_S):
+        logging.warning("%d requests run after the drain timeout", node.drain.running)
+
+
+async def _listen(app: web.Application, address: str) -> Listener:
+    listener = Listener(app)
+    await listener.start(address)
+    return listener
 
 
 def main() -> None:
     """Run the command line of the daemon."""
-    typer.run(_command)
+    app()
 
 
-def _command(settings: Path = typer.Option(..., help="YAML file of this instance.")) -> None:  # noqa: B008
-    """Run one entry instance until SIGTERM."""
-    try:
-        parsed = parse_settings(settings.read_text(encoding="utf-8"), str(settings))
-    except InvalidDocument as error:
-        print(error, file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    except OSError as error:
-        print(f"{settings}: {error.strerror}", file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    logging.set_verbosity(_LEVELS.get(parsed.log_level, logging.INFO))
+app = typer.Typer(rich_markup_mode=None, add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def _command(
+    settings: Annotated[Path, typer.Option(help="YAML file with the settings of this instance.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings, then exit without serving.")
+    ] = False,
+) -> None:
+    """Run one entry instance until SIGTERM, then finish the requests in progress.
+
+    Exit codes: 0 stopped or settings without findings; 2 bad usage or settings.
+    """
+    parsed = _read_settings(settings)
+    if check:
+        print(f"{settings}: no findings")
+        return
+    logging.set_verbosity(_LEVELS[parsed.log_level])
     logging.use_absl_handler()
     asyncio.run(run_daemon(parsed))
 
 
+def _read_settings(path: Path) -> Settings:
+    try:
+        return parse_settings(read_file(path), str(path))
+    except InvalidDocument as error:
+        raise fail(str(error), EXIT_USAGE) from error
+
+
 if __name__ == "__main__":
     main()
