--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -89,15 +89,8 @@
   3: bool out
 }
 
-// Stops a version everywhere; halts are never withdrawn.
-struct Halt {
-  1: string move
-  2: string version
-  3: string reason
-}
-
-// Heartbeat and load digest in one message. halt_list and drains hold what the change log does not hold yet.
-// Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
+// Heartbeat and load digest in one message. halts ("{move} {version}") and drains hold what the change log does not
+// hold yet. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -107,7 +100,6 @@
   6: bool leaving
   7: i64 confirmed_age_ms
   8: list<string> halts
-  9: list<Halt> halt_list
   10: list<Drain> drains
 }
 
@@ -248,6 +240,13 @@
   3: list<RouteEvidence> routes
 }
 
+// Stops a version everywhere; halts are never withdrawn.
+struct Halt {
+  1: string move
+  2: string version
+  3: string reason
+}
+
 // Row of a move as the domain's reader last read it; version is the row's version.
 struct MoveNotice {
   1: string key
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -10,9 +10,11 @@
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
 from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.domain import Domains
 from jayyoke.ops.drain import Drain
 from jayyoke.ops.durable import Durable
 from jayyoke.ops.forward import Engines
+from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
 from jayyoke.ops.limits import Limits
 from jayyoke.ops.metrics import Metrics
@@ -39,6 +41,8 @@
     dispatch: Dispatch
     prober: Prober
     durable: Durable
+    domains: Domains
+    halts: Halts
     engines: Engines = field(init=False)
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
--- a/jayyoke/parser/configuration.py
+++ b/jayyoke/parser/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import ChainMap
+from collections.abc import Mapping
 from typing import Any
 
 from jayyoke.core.config import (
@@ -67,6 +69,12 @@
     return _read(document, document.wrap(plain), version, with_domains=True)
 
 
+def build_entries(plain: Any, known: Configuration, file: str) -> Configuration:
+    """Return only the given entries, which may name `known` ones; raise InvalidDocument."""
+    document = Document(file)
+    return _read(document, document.wrap(plain), 0, with_domains=True, known=known)
+
+
 def format_configuration(configuration: Configuration) -> dict[str, Any]:
     """Return plain data that build_configuration accepts, domain states included."""
     plain = format_document(configuration)
@@ -84,14 +92,20 @@
     return {"services": services, "classes": classes, "teams": teams}
 
 
-def _read(document: Document, root: Place, version: int, with_domains: bool) -> Configuration:
+def _read(
+    document: Document,
+    root: Place,
+    version: int,
+    with_domains: bool,
+    known: Configuration | None = None,
+) -> Configuration:
     section = Section(document, root, "")
     # An operator's document without a part would remove everything in it, mostly by mistake.
     required = "" if with_domains else "a mapping, {} if it shall be empty"
-    services = {}
+    services: ChainMap[str, ServiceSpec] = ChainMap({}, *([known.services] if known else []))
     for name, place in section.section("services", required).entries(MAX_SERVICES):
         services[name] = _read_service(Section(document, place, f"services.{name}"), name)
-    classes = {}
+    classes: ChainMap[str, ClassSpec] = ChainMap({}, *([known.classes] if known else []))
     for name, place in section.section("classes", required).entries(MAX_CLASSES):
         classes[name] = _read_class(Section(document, place, f"classes.{name}"), name, services)
     teams: dict[str, TeamSpec] = {}
@@ -103,7 +117,7 @@
     section.finish(FORBIDDEN)
     if document.findings:
         raise InvalidDocument(document.findings)
-    return Configuration(version, services, classes, teams, out)
+    return Configuration(version, services.maps[0], classes.maps[0], teams, out)
 
 
 def _read_service(section: Section, name: str) -> ServiceSpec:
@@ -134,7 +148,7 @@
     )
 
 
-def _read_class(section: Section, name: str, services: dict[str, ServiceSpec]) -> ClassSpec:
+def _read_class(section: Section, name: str, services: Mapping[str, ServiceSpec]) -> ClassSpec:
     defaults = ClassSpec(name, ClassKind.CHAT, "", 0.0)
     kind_name = section.choice("kind", [item.value for item in ClassKind])
     kind = ClassKind(kind_name) if kind_name else ClassKind.CHAT
@@ -163,7 +177,7 @@
     return spec
 
 
-def _check_class(section: Section, spec: ClassSpec, services: dict[str, ServiceSpec]) -> None:
+def _check_class(section: Section, spec: ClassSpec, services: Mapping[str, ServiceSpec]) -> None:
     if spec.service and spec.service not in services:
         section.reject("service", "a service that exists: " + _list(services))
     elif spec.service and services[spec.service].protocol:
@@ -183,7 +197,7 @@
 
 
 def _read_team(
-    section: Section, name: str, classes: dict[str, ClassSpec], keys: dict[str, str]
+    section: Section, name: str, classes: Mapping[str, ClassSpec], keys: dict[str, str]
 ) -> TeamSpec:
     digest = section.digest("key_sha256")
     if digest and digest in keys:
@@ -247,7 +261,7 @@
     return plain
 
 
-def _list(names: dict[str, Any]) -> str:
+def _list(names: Mapping[str, Any]) -> str:
     shown = sorted(names)[:10]
     more = ", ..." if len(names) > len(shown) else ""
     return ", ".join(shown) + more if shown else "none is declared"
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -13,8 +13,10 @@
 from jayyoke.core.member import Member
 from jayyoke.ops.control import Control
 from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.domain import Domains
 from jayyoke.ops.durable import build_durable
 from jayyoke.ops.events import CacheFollower
+from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.membership import Membership
@@ -38,13 +40,13 @@
     table = Table(http, settings.table_url)
     listing = Listing(http, settings.listing_url)
     peers = _build_peers(settings, clock)
-    control = Control(table)
+    control = Control(table, peers, peers.digests, clock)
+    domains = Domains(control, peers, peers.digests, clock)
+    halts = Halts(control, peers, peers.digests, clock)
     loads = Loads(clock)
     health = Health(listing, clock, loads, lambda name: control.configuration.services.get(name))
     policy = kernel.find("policy", settings.policy)()
-    dispatch = Dispatch(
-        clock, peers, loads, health, policy, lambda: control.configuration.domains_out
-    )
+    dispatch = Dispatch(clock, peers, loads, health, policy, domains.domains_out)
     prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
     durable = build_durable(settings, table, http_single, dispatch.placer, peers, clock)
     node = Node(
@@ -60,6 +62,8 @@
         dispatch=dispatch,
         prober=prober,
         durable=durable,
+        domains=domains,
+        halts=halts,
     )
     _connect_digests(node, peers)
     return node
@@ -71,6 +75,8 @@
         node.peers.run(),
         node.peers.membership.follow_listing(node.listing),
         node.control.run(),
+        node.domains.run(),
+        node.halts.run(),
         node.health.run(),
         node.dispatch.run(),
         node.prober.run(),
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -12,7 +12,7 @@
 
 from jayyoke.core import code
 from jayyoke.core.code import refuse
-from jayyoke.core.config import ClassKind, ClassSpec, Configuration, TeamSpec
+from jayyoke.core.config import ClassKind, ClassSpec, TeamSpec
 from jayyoke.core.error import Refusal, Run
 from jayyoke.core.kernel import find
 from jayyoke.core.request import CallerRequest
@@ -36,8 +36,6 @@
     def __init__(self, node: Node, body_timeout_s: float = BODY_TIMEOUT_S):
         self._node = node
         self._body_timeout_s = body_timeout_s
-        self._indexed: Configuration | None = None
-        self._teams: dict[str, TeamSpec] = {}
         self._running: set[tuple[str, str]] = set()
 
     def build(self) -> web.Application:
@@ -200,13 +198,10 @@
 
     def _authenticate(self, http: web.Request) -> TeamSpec:
         configuration = self._node.control.configuration
-        if configuration is not self._indexed:
-            self._teams = {team.key_sha256: team for team in configuration.teams.values()}
-            self._indexed = configuration
         scheme, _, key = http.headers.get("Authorization", "").partition(" ")
         if scheme.lower() == "bearer" and 0 < len(key) <= MAX_KEY_CHARACTERS:
             digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
-            team = self._teams.get(digest)
+            team = configuration.team_by_key.get(digest)
             if team is not None:
                 return team
         raise refuse(401, code.UNKNOWN_TEAM, "the bearer key is missing or belongs to no team")
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -282,6 +282,7 @@
             "version": self.version,
             "state": state,
             "fence": self.fence,
+            "uptime_s": time.monotonic() - self.started_s,
         }
 
     async def _cancel(self, request: web.Request) -> web.Response:
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -15,6 +15,9 @@
 from jayyoke.core.member import Member
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.control import Control
+from jayyoke.ops.digest import Digests
+from jayyoke.ops.domain import Domains
+from jayyoke.ops.halt import Halts
 from jayyoke.ops.node import Node
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import ListedInstance, Snapshot
@@ -139,8 +142,10 @@
         settings = Settings(
             name, "ch", name, address, address, address, url, url, url, url, b"", KEY_SHA256
         )
-        control = Control(self.table)
         clock = ManualClock()
+        digests = Digests(peers)
+        # Without peers a node reads the table only when a test says so, and can lag.
+        control = Control(self.table)
         return Node(
             settings=settings,
             clock=clock,
@@ -154,4 +159,6 @@
             dispatch=None,
             prober=None,
             durable=None,
+            domains=Domains(control, peers, digests, clock),
+            halts=Halts(control, peers, digests, clock),
         )
