Serve version moves at the operators' interface

Change: the routes use node.moves; without it they answer 501 as before. A repeated start finds its move, also when it has ended, unless again is set.

--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -14,6 +14,7 @@
 from jayyoke.ops.health import Health
 from jayyoke.ops.limits import Limits
 from jayyoke.ops.metrics import Metrics
+from jayyoke.ops.moves import Moves
 from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -37,6 +38,7 @@
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
     drain: Drain = field(default_factory=Drain)
+    moves: Moves | None = None
 
     def __post_init__(self) -> None:
         self.engines = Engines(self.http, self.clock)
--- a/jayyoke/server/change.py
+++ b/jayyoke/server/change.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from jayyoke.core.config import Configuration
-from jayyoke.core.error import Conflict, Effect, InvalidDocument, StoreUnavailable
+from jayyoke.core.error import Conflict, InvalidDocument, StoreUnavailable
 from jayyoke.ops.node import Node
 from jayyoke.parser.configuration import parse_plain
-from jayyoke.server.reply import OperatorProblem, explain_findings
+from jayyoke.server.reply import OperatorProblem, explain_findings, explain_outage
 
 MAX_CONFLICTS = 5
 _PARTS = ("services", "classes", "teams")
@@ -115,7 +115,7 @@
     except StoreUnavailable as error:
         if satisfied(node.control.configuration):
             return node.control.configuration
-        raise _unavailable(error) from error
+        raise explain_outage(error) from error
     return node.control.configuration
 
 
@@ -126,19 +126,13 @@
         version = node.control.configuration.version
         raise _changed("another change was accepted first", version) from error
     except StoreUnavailable as error:
-        raise _unavailable(error) from error
+        raise explain_outage(error) from error
 
 
 def _changed(detail: str, version: int) -> OperatorProblem:
     return OperatorProblem(409, "configuration-changed", detail, {"version": version})
 
 
-def _unavailable(error: StoreUnavailable) -> OperatorProblem:
-    effect = "may have been made" if error.effect is Effect.UNKNOWN else "was not made"
-    detail = f"the table does not answer; the change {effect} and can be repeated safely"
-    return OperatorProblem(503, "table-unavailable", detail, {"effect": error.effect.value})
-
-
 def _check_domain(node: Node, name: str, force: bool) -> None:
     known = sorted(known_domains(node))
     if not force and name not in known:
--- a/jayyoke/server/moves.py
+++ b/jayyoke/server/moves.py
@@ -1,19 +1,102 @@
-"""Version moves at the operators' interface; not built yet, every route answers 501."""
+"""Version moves at the operators' interface."""
 
 from __future__ import annotations
 
+import time
+from typing import Any
+
 from aiohttp import web
 
+from jayyoke.core.error import Conflict, StoreUnavailable
+from jayyoke.core.move import PPM, Move
+from jayyoke.ops.moves import MoveActive, Moves
 from jayyoke.ops.node import Node
-from jayyoke.server.reply import OperatorProblem
+from jayyoke.parser.section import is_name
+from jayyoke.parser.unit import parse_duration
+from jayyoke.server.reply import OperatorProblem, explain_outage, read_json
+
+MIN_DEADLINE_S = 1.0
+MAX_DEADLINE_S = 7 * 86400.0
+
+
+class MoveRoutes:
+    """Serves version moves; without the moves part of an instance, every route answers 501."""
+
+    def __init__(self, node: Node):
+        self._node = node
+
+    def add(self, app: web.Application) -> None:
+        """Add the routes to an application."""
+        app.router.add_get("/v1/moves", self._list)
+        app.router.add_post("/v1/moves", self._start)
+        app.router.add_get("/v1/moves/{id}", self._show)
+
+    async def _list(self, http: web.Request) -> web.Response:
+        moves = [describe_move(move) for move in self._part().moves]
+        return web.json_response({"moves": moves})
+
+    async def _show(self, http: web.Request) -> web.Response:
+        wanted = http.match_info["id"]
+        for move in self._part().moves:
+            if move.id == wanted:
+                return web.json_response(describe_move(move))
+        raise OperatorProblem(404, "unknown-move", f"move {wanted[:200]!r} is not known here")
+
+    async def _start(self, http: web.Request) -> web.Response:
+        part = self._part()
+        service, version, deadline_s, again = self._read(await read_json(http))
+        if not again:
+            for move in part.moves:
+                # A repeat after a lost answer finds the move, also when it has ended by now.
+                if (move.service, move.new_version) == (service, version):
+                    return web.json_response(describe_move(move))
+        try:
+            move = await part.start(service, version, deadline_s)
+        except MoveActive as error:
+            extra = {"move": describe_move(error.move)}
+            raise OperatorProblem(409, "move-active", str(error), extra) from error
+        except Conflict as error:
+            detail = "another move of the service was started first"
+            raise OperatorProblem(409, "move-changed", detail) from error
+        except StoreUnavailable as error:
+            raise explain_outage(error) from error
+        return web.json_response(describe_move(move))
+
+    def _part(self) -> Moves:
+        if self._node.moves is None:
+            raise OperatorProblem(501, "not-built", "this instance carries out no version moves")
+        return self._node.moves
+
+    def _read(self, body: Any) -> tuple[str, str, float, bool]:
+        body = body if isinstance(body, dict) else {}
+        service, version = body.get("service"), body.get("version")
+        spec = None
+        if isinstance(service, str):
+            spec = self._node.control.configuration.services.get(service)
+        if spec is None or spec.protocol != "engine":
+            raise _refuse("service", "the name of a service with protocol engine")
+        if not is_name(version):
+            raise _refuse("version", "the name of a version")
+        deadline_s = parse_duration(body.get("deadline"))
+        if deadline_s is None or not MIN_DEADLINE_S <= deadline_s <= MAX_DEADLINE_S:
+            raise _refuse("deadline", "a duration from 1s to 7d")
+        return service, version, deadline_s, body.get("again") is True
 
 
-def add_move_routes(app: web.Application, node: Node) -> None:
-    """Add the routes of version moves."""
-    app.router.add_get("/v1/moves", _refuse)
-    app.router.add_post("/v1/moves", _refuse)
-    app.router.add_get("/v1/moves/{id}", _refuse)
+def describe_move(move: Move) -> dict[str, Any]:
+    """Return a move as operators see it; times are in seconds, shares in parts of one."""
+    return {
+        "id": move.id,
+        "service": move.service,
+        "old_version": move.old_version,
+        "new_version": move.new_version,
+        "state": move.phase.value,
+        "step": move.step,
+        "share": move.share_ppm / PPM,
+        "deadline_in_s": round(move.deadline_s - time.time(), 1) if move.active else None,
+        "reason": move.reason,
+    }
 
 
-async def _refuse(http: web.Request) -> web.Response:
-    raise OperatorProblem(501, "not-built", "version moves are not built yet")
+def _refuse(key: str, expected: str) -> OperatorProblem:
+    return OperatorProblem(422, "invalid-move", f"{key}: expected {expected}")
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -11,7 +11,7 @@
 from jayyoke.parser.configuration import format_document
 from jayyoke.server.change import Accepted, apply_document, known_domains, set_domain
 from jayyoke.server.metrics import add_metrics_route
-from jayyoke.server.moves import add_move_routes
+from jayyoke.server.moves import MoveRoutes
 from jayyoke.server.reply import (
     MAX_BODY_BYTES,
     OperatorProblem,
@@ -45,7 +45,7 @@
         app.router.add_get("/v1/domains", self._domains)
         app.router.add_post("/v1/domains/{name}/{action:out|back}", self._set_domain)
         app.router.add_get("/v1/watch", self._watch.serve)
-        add_move_routes(app, self._node)
+        MoveRoutes(self._node).add(app)
         app.on_shutdown.append(self._close)
         serve_status(self._node)
         return app
--- a/jayyoke/server/reply.py
+++ b/jayyoke/server/reply.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from jayyoke.core.error import InvalidDocument, JayyokeError
+from jayyoke.core.error import Effect, InvalidDocument, JayyokeError, StoreUnavailable
 
 MAX_BODY_BYTES = 4 << 20
 
@@ -45,6 +45,13 @@
     return OperatorProblem(422, "invalid-configuration", detail, {"findings": findings})
 
 
+def explain_outage(error: StoreUnavailable) -> OperatorProblem:
+    """Return the problem of a change that the table did not confirm."""
+    effect = "may have been made" if error.effect is Effect.UNKNOWN else "was not made"
+    detail = f"the table does not answer; the change {effect} and can be repeated safely"
+    return OperatorProblem(503, "table-unavailable", detail, {"effect": error.effect.value})
+
+
 def format_operator_problem(problem: OperatorProblem) -> web.Response:
     """Return the response of a problem."""
     document = {
--- a/jayyoke/server/watch.py
+++ b/jayyoke/server/watch.py
@@ -10,11 +10,13 @@
 
 from jayyoke.core.member import MemberChange
 from jayyoke.ops.node import Node
+from jayyoke.server.moves import describe_move
 from jayyoke.server.reply import OperatorProblem
 
 MAX_WATCHERS = 32
 MAX_QUEUED_EVENTS = 256
-KEEP_ALIVE_S = 10.0
+# Also the delay of move events, since moves are compared when the watch wakes up.
+KEEP_ALIVE_S = 1.0
 
 
 class Watch:
@@ -41,7 +43,9 @@
         try:
             await response.prepare(http)
             while not self._closing.is_set():
-                await response.write(await self._next(feed))
+                data = await self._next(feed)
+                feed.check_moves()
+                await response.write(data)
                 if feed.overflowed:
                     await response.write(format_event("overflow", {"detail": "read too slowly"}))
                     break
@@ -73,12 +77,24 @@
         self.overflowed = False
         self._node = node
         self._out: frozenset[str] = frozenset()
+        self._moves: dict[str, dict[str, Any]] = {}
         self._subscriptions = [node.control.versions.subscribe(self._see_version)]
         if node.peers is not None:
             for member in node.peers.members():
                 self._put("member", _describe(member, "live"))
             self._subscriptions.append(node.peers.changes.subscribe(self._see_member))
         self._see_version(node.control.configuration.version)
+        self.check_moves()
+
+    def check_moves(self) -> None:
+        """Queue an event for each move whose state, step or share changed."""
+        if self._node.moves is None:
+            return
+        for move in self._node.moves.moves:
+            described = describe_move(move) | {"deadline_in_s": None}
+            if self._moves.get(move.id) != described:
+                self._moves[move.id] = described
+                self._put("move", describe_move(move))
 
     def close(self) -> None:
         """Stop listening."""
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -13,8 +13,10 @@
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.error import Conflict, Effect, StoreUnavailable
 from jayyoke.core.member import Member
+from jayyoke.core.move import Move
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.control import Control
+from jayyoke.ops.moves import MoveActive
 from jayyoke.ops.node import Node
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import ListedInstance, Snapshot
@@ -71,6 +73,23 @@
         return (Upstream("worker-0", service, "zug-c", "127.0.0.1:1"),)
 
 
+class FakeMoves:
+    """Starts moves that nothing carries out."""
+
+    def __init__(self) -> None:
+        self.moves: tuple[Move, ...] = ()
+
+    async def start(self, service: str, version: str, deadline_in_s: float) -> Move:
+        """Add a move; raise MoveActive if there is an active one."""
+        for move in self.moves:
+            if move.active:
+                raise MoveActive(move)
+        fence = len(self.moves) + 1
+        move = Move(f"{service}:{version}:{fence}", service, "v1", version, 0.0, deadline_in_s)
+        self.moves = (*self.moves, move)
+        return move
+
+
 class FakeListing:
     """Lists the instances of the fleet and whatever a test adds."""
 
--- a/tests/operator_test.py
+++ b/tests/operator_test.py
@@ -10,9 +10,10 @@
 import pytest
 import yaml
 
+from jayyoke.core.move import Phase
 from jayyoke.platform.table import Row
 from standin.fleet import load_example
-from tests.operator_fleet import KEY, OperatorFleet
+from tests.operator_fleet import KEY, FakeMoves, OperatorFleet
 
 DOCUMENT = load_example("ballenticket")
 EMPTY = {"services": {}, "classes": {}, "teams": {}}
@@ -181,11 +182,40 @@
 
 
 class TestMoves:
-    def test_not_built(self, fleet):
+    BODY = {"service": "jayyoke-pool", "version": "v2", "deadline": "10m"}
+
+    def test_instance_without_moves(self, fleet):
         """Guards against a move that seems to be accepted although nothing carries it out."""
         for method, path in (("GET", "/v1/moves"), ("POST", "/v1/moves"), ("GET", "/v1/moves/a")):
             assert send(fleet, method, path)[0] == 501
 
+    def test_repeated_start_finds_the_move(self, fleet):
+        """Guards against a second move after a lost answer, also when the first has ended."""
+        apply(fleet)
+        moves = fleet.nodes[0].moves = FakeMoves()
+        first = send(fleet, "POST", "/v1/moves", json=self.BODY)[1]
+        assert first["id"] == send(fleet, "POST", "/v1/moves", json=self.BODY)[1]["id"]
+        other = send(fleet, "POST", "/v1/moves", json=self.BODY | {"version": "v3"})
+        assert (other[0], other[1]["code"]) == (409, "move-active")
+        moves.moves = (replace(moves.moves[0], phase=Phase.TAKEN_BACK),)
+        ended = send(fleet, "POST", "/v1/moves", json=self.BODY)[1]
+        assert (ended["id"], ended["state"]) == (first["id"], "taken-back")
+        again = send(fleet, "POST", "/v1/moves", json=self.BODY | {"again": True})[1]
+        assert send(fleet, "GET", f"/v1/moves/{again['id']}")[1]["state"] == "running"
+        assert send(fleet, "GET", "/v1/moves/none")[0] == 404
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"service": "ticket-desk"}, {"service": []}, {"version": "a b"}, {"deadline": "0s"}],
+    )
+    def test_bad_move(self, fleet, change):
+        """Guards against a move of a plain service or without a usable deadline."""
+        apply(fleet)
+        fleet.nodes[0].moves = FakeMoves()
+        assert send(fleet, "POST", "/v1/moves", json=self.BODY | change)[0] == 422
+        assert send(fleet, "POST", "/v1/moves", json=[])[0] == 422
+        assert fleet.nodes[0].moves.moves == ()
+
 
 class TestWatch:
     def test_events(self, fleet):
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -14,9 +14,8 @@
 from typer.testing import CliRunner, Result
 
 from jayyoke.scripts import daemon, tool
-from jayyoke.scripts.move import name_move
 from standin.fleet import EXAMPLES
-from tests.operator_fleet import KEY, OperatorFleet
+from tests.operator_fleet import KEY, FakeMoves, OperatorFleet
 
 EXAMPLE = str(EXAMPLES / "ballenticket.yaml")
 
@@ -221,12 +220,18 @@
 
 
 class TestMove:
-    def test_repeated_start_names_the_same_move(self):
-        """Guards against a repeated command that starts a second move."""
-        assert name_move("pool", "v2", 1) == name_move("pool", "v2", 1)
-        assert name_move("pool", "v2", 1) != name_move("pool", "v2", 2)
+    START = ("version", "start", "jayyoke-pool", "v2", "--deadline", "10m")
 
-    def test_not_built(self, fleet):
+    def test_instance_without_moves(self, fleet):
         """Guards against a tool that reports a move that no one carries out."""
-        assert run(fleet, "version", "start", "pool", "v2", "--deadline", "10m").exit_code == 1
+        assert run(fleet, *self.START).exit_code == 1
         assert run(fleet, "moves", "x").exit_code == 1
+
+    def test_start_and_show(self, fleet, snapshot):
+        """Guards against a repeated command that starts a second move."""
+        run(fleet, "apply", EXAMPLE)
+        fleet.nodes[0].moves = FakeMoves()
+        first = json.loads(run(fleet, "--json", *self.START).output)
+        assert json.loads(run(fleet, "--json", *self.START).output)["id"] == first["id"]
+        assert run(fleet, "moves").output == snapshot
+        assert run(fleet, "moves", first["id"]).output.startswith(f"id: {first['id']}\n")
