--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import time
 from pathlib import Path
 from typing import Annotated
 
@@ -14,22 +13,14 @@
 from aiohttp import web
 
 from jayyoke.core import kernel
-from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.error import InvalidDocument
-from jayyoke.core.member import Member
-from jayyoke.ops.control import Control
-from jayyoke.ops.health import Health
-from jayyoke.ops.membership import Membership
 from jayyoke.ops.node import Node
-from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings, parse_settings
-from jayyoke.platform.listing import Listing
-from jayyoke.platform.table import Table
+from jayyoke.scripts.assembly import build_node, list_tasks
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
-from jayyoke.server.peer import TcpPeers
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -43,31 +34,6 @@
 SETTLE_S = 2.0
 
 
-def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
-    """Return the parts of an instance, not yet running."""
-    table = Table(http, settings.table_url)
-    listing = Listing(http, settings.listing_url)
-    control = Control(table)
-    health = Health(listing)
-    placer = Placer(control, health)
-    clock = SystemClock()
-    peers = build_peers(settings, clock)
-    return Node(settings, clock, http, table, listing, control, health, placer, peers)
-
-
-def build_peers(settings: Settings, clock: Clock) -> TcpPeers:
-    """Return the connections with other instances, not yet running."""
-    me = Member(
-        settings.instance,
-        settings.domain,
-        time.time_ns(),
-        settings.peer_address,
-        settings.operator_address,
-        settings.region,
-    )
-    return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
-
-
 async def run_daemon(settings: Settings) -> None:
     """Serve until SIGTERM, then finish the requests in progress."""
     kernel.load()
@@ -83,12 +49,7 @@
     ) as http:
         node = build_node(settings, http)
         await node.peers.start()
-        tasks = [
-            asyncio.create_task(node.peers.run()),
-            asyncio.create_task(node.peers.membership.follow_listing(node.listing)),
-            asyncio.create_task(node.control.run()),
-            asyncio.create_task(node.health.run()),
-        ]
+        tasks = [asyncio.create_task(part) for part in list_tasks(node)]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
