Never deny a change whose effect is unknown

Cause: when the answer to a write was lost and the read after it failed too, the effect of the read (none) replaced that of the write (unknown), so that operators were told that the change was not made. The tool did the same across instances. A test found it. Change: Control.accept keeps the effect of the write; the tool reports an unknown effect if any instance may have made the change. Conclusion: the message is now true in both cases.

--- a/jayyoke/ops/control.py
+++ b/jayyoke/ops/control.py
@@ -91,12 +91,20 @@
         value = json.dumps(format_configuration(configuration)).encode()
         try:
             await self._table.commit([Put(change_key(version), value, expect=0)])
-        except StoreUnavailable:
-            row = await self._table.get(change_key(version))
-            if row is None or row.value != value:
-                raise
+        except StoreUnavailable as error:
+            if not await self._holds(change_key(version), value):
+                raise error
         except Conflict:
             await self.refresh()
             raise
         await self.refresh()
         return version
+
+    async def _holds(self, key: str, value: bytes) -> bool:
+        """Tell whether the table is known to hold a value."""
+        try:
+            row = await self._table.get(key)
+        except StoreUnavailable:
+            # The failed read must not replace what is known about the effect of the write.
+            return False
+        return row is not None and row.value == value
--- a/jayyoke/scripts/client.py
+++ b/jayyoke/scripts/client.py
@@ -58,6 +58,7 @@
         """Return the JSON of the answer; raise Refused or NoInstanceAnswered."""
         silent: list[str] = []
         refused: Refused | None = None
+        unknown = False
         for url in self._instances:
             try:
                 return await self._request_one(url, method, path, body, headers or {})
@@ -66,11 +67,17 @@
                 # Another instance may still reach the table.
                 if error.status != 503:
                     raise
+                unknown = unknown or error.problem.get("effect") == "unknown"
             except _SILENT as error:
                 silent.append(f"{url}: {str(error) or type(error).__name__}")
-        if refused is not None:
-            raise refused
-        raise NoInstanceAnswered("no instance answered\n" + "\n".join(silent))
+                unknown = unknown or not isinstance(error, aiohttp.ClientConnectorError)
+        if refused is None:
+            raise NoInstanceAnswered("no instance answered\n" + "\n".join(silent))
+        if unknown and method != "GET":
+            # What the last instance knows of its own request says nothing about the earlier ones.
+            detail = "the change may have been made and can be repeated safely"
+            raise Refused(503, refused.problem | {"effect": "unknown", "detail": detail})
+        raise refused
 
     async def gather(self, path: str) -> list[Any]:
         """Return the answers of all instances that answer; raise Refused or NoInstanceAnswered."""
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
         self.down = False
+        self.unknown = False
         self.before_commit: Callable[[], Awaitable[None]] | None = None
 
     async def get(self, key: str) -> Row | None:
@@ -50,6 +51,9 @@
     async def commit(self, puts: list[Put]) -> None:
         """Write rows that must not exist."""
         self._check()
+        if self.unknown:
+            self.down = True
+            raise StoreUnavailable("no answer", Effect.UNKNOWN)
         hook, self.before_commit = self.before_commit, None
         if hook is not None:
             await hook()
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -176,6 +176,13 @@
         fleet.table.down = True
         assert run(fleet, "apply", EXAMPLE).exit_code == 1
 
+    def test_unknown_effect_is_not_denied(self, fleet):
+        """Guards against "was not made" from one instance after another may have made it."""
+        fleet.table.unknown = True
+        result = run(fleet, "apply", EXAMPLE)
+        assert (result.exit_code, "may have been made" in result.stderr) == (1, True)
+        assert "was not made" not in result.stderr
+
     def test_lost_answer_is_followed_by_the_same_request(self, fleet):
         """Guards against a change made twice, or reported lost, after its answer was lost."""
 
