--- a/tests/operator_test.py
+++ b/tests/operator_test.py
@@ -97,6 +97,11 @@
         }
         assert send(fleet, "GET", "/v1/configuration")[1]["domains_out"] == ["zug-c"]
 
+    def test_instance_that_lags_accepts_a_change(self, fleet):
+        """Guards against a refusal because the asked instance has not read the last change."""
+        apply(fleet)
+        assert apply(fleet, EMPTY, index=1)[1]["version"] == 2
+
     def test_wrong_base_version_is_refused(self, fleet):
         """Guards against an operator who overwrites a change that he has not seen."""
         apply(fleet)
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -13,9 +13,10 @@
 import yaml
 from typer.testing import CliRunner, Result
 
+from jayyoke.ops.control import Control
 from jayyoke.scripts import daemon, tool
 from standin.fleet import EXAMPLES
-from tests.operator_fleet import KEY, FakeMoves, OperatorFleet
+from tests.operator_fleet import KEY, FakeMoves, MemoryTable, OperatorFleet
 
 EXAMPLE = str(EXAMPLES / "ballenticket.yaml")
 
@@ -176,6 +177,13 @@
         fleet.table.down = True
         assert run(fleet, "apply", EXAMPLE).exit_code == 1
 
+    def test_instance_without_the_table_is_passed_over(self, fleet):
+        """Guards against a refusal while another instance still reaches the table."""
+        cut_off = MemoryTable()
+        cut_off.down = True
+        fleet.nodes[0].control = Control(cut_off)
+        assert run(fleet, "apply", EXAMPLE).exit_code == 0
+
     def test_unknown_effect_is_not_denied(self, fleet):
         """Guards against "was not made" from one instance after another may have made it."""
         fleet.table.unknown = True
