--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -32,6 +32,7 @@
 DRAIN_TIMEOUT_S = 60.0
 # The balancer probes readiness about once a second.
 SETTLE_S = 2.0
+DURABLE_DRAIN_TIMEOUT_S = 3.0  # What is left is adopted by another instance.
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -42,12 +43,11 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    # One caller's cookies must not reach an upstream with another caller's request.
-    jar = aiohttp.DummyCookieJar()
-    async with aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, cookie_jar=jar
-    ) as http:
-        node = build_node(settings, http)
+    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
+    # must not be repeated, so they use each connection once.
+    single = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with _open_session(connector) as http, _open_session(single) as http_single:
+        node = build_node(settings, http, http_single)
         await node.peers.start()
         tasks = [asyncio.create_task(part) for part in list_tasks(node)]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
@@ -56,6 +56,7 @@
         await stop.wait()
         node.peers.announce_leaving()
         await _drain(node, callers)
+        await node.durable.drain(DURABLE_DRAIN_TIMEOUT_S)
         await callers.close()
         await operators.close()
         await node.engines.close()
@@ -64,6 +65,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    # One caller's cookies must not reach an upstream with another caller's request.
+    jar = aiohttp.DummyCookieJar()
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, cookie_jar=jar)
+
+
 async def _drain(node: Node, callers: Listener) -> None:
     """Finish the requests in progress; the listener stays open until the balancer noticed."""
     logging.info("instance %s drains", node.settings.instance)
--- a/standin/router.py
+++ b/standin/router.py
@@ -92,7 +92,7 @@
     )
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as http:
-        node = build_node(settings, http)
+        node = build_node(settings, http, http)
         node.placer = placer = StaticPlacer(upstreams)  # type: ignore[assignment]
         configuration = build_test_configuration(within_s)
         node.control = SimpleNamespace(configuration=configuration, confirmed=True)  # type: ignore[assignment]
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -176,4 +176,5 @@
             peers=peers,
             dispatch=None,
             prober=None,
+            durable=None,
         )
