--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -13,10 +13,10 @@
 import yaml
 from typer.testing import CliRunner, Result
 
+from jayyoke.ops.control import Control
 from jayyoke.scripts import daemon, tool
-from jayyoke.scripts.move import name_move
 from standin.fleet import EXAMPLES
-from tests.operator_fleet import KEY, OperatorFleet
+from tests.operator_fleet import KEY, FakeMoves, MemoryTable, OperatorFleet
 
 EXAMPLE = str(EXAMPLES / "ballenticket.yaml")
 
@@ -177,6 +177,20 @@
         fleet.table.down = True
         assert run(fleet, "apply", EXAMPLE).exit_code == 1
 
+    def test_instance_without_the_table_is_passed_over(self, fleet):
+        """Guards against a refusal while another instance still reaches the table."""
+        cut_off = MemoryTable()
+        cut_off.down = True
+        fleet.nodes[0].control = Control(cut_off)
+        assert run(fleet, "apply", EXAMPLE).exit_code == 0
+
+    def test_unknown_effect_is_not_denied(self, fleet):
+        """Guards against "was not made" from one instance after another may have made it."""
+        fleet.table.unknown = True
+        result = run(fleet, "apply", EXAMPLE)
+        assert (result.exit_code, "may have been made" in result.stderr) == (1, True)
+        assert "was not made" not in result.stderr
+
     def test_lost_answer_is_followed_by_the_same_request(self, fleet):
         """Guards against a change made twice, or reported lost, after its answer was lost."""
 
@@ -221,12 +235,18 @@
 
 
 class TestMove:
-    def test_repeated_start_names_the_same_move(self):
-        """Guards against a repeated command that starts a second move."""
-        assert name_move("pool", "v2", 1) == name_move("pool", "v2", 1)
-        assert name_move("pool", "v2", 1) != name_move("pool", "v2", 2)
+    START = ("version", "start", "jayyoke-pool", "v2", "--deadline", "10m")
 
-    def test_not_built(self, fleet):
+    def test_instance_without_moves(self, fleet):
         """Guards against a tool that reports a move that no one carries out."""
-        assert run(fleet, "version", "start", "pool", "v2", "--deadline", "10m").exit_code == 1
+        assert run(fleet, *self.START).exit_code == 1
         assert run(fleet, "moves", "x").exit_code == 1
+
+    def test_start_and_show(self, fleet, snapshot):
+        """Guards against a repeated command that starts a second move."""
+        run(fleet, "apply", EXAMPLE)
+        fleet.nodes[0].moves = FakeMoves()
+        first = json.loads(run(fleet, "--json", *self.START).output)
+        assert json.loads(run(fleet, "--json", *self.START).output)["id"] == first["id"]
+        assert run(fleet, "moves").output == snapshot
+        assert run(fleet, "moves", first["id"]).output.startswith(f"id: {first['id']}\n")
