--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -12,7 +12,7 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-MODELS = ["bench.fuzz_once:OnceMachine"]
+MODELS = ["bench.fuzz_once:OnceMachine", "bench.fuzz_outbox:OutboxMachine"]
 STEPS_PER_EXAMPLE = 40
 
 
--- a/bench/fuzz_once.py
+++ b/bench/fuzz_once.py
@@ -26,6 +26,9 @@
 WITHIN_S = 4.0
 FINISH_S = 300.0
 TEAM = TeamSpec("team", "")
+TABLE_RATES = st.sampled_from((0.0, 0.1, 0.3, 0.6))
+SERVICE_RATES = st.sampled_from((0.0, 0.3, 0.6, 1.0))
+RARELY = st.sampled_from((False, False, False, True))
 
 
 class Gate:
@@ -65,11 +68,18 @@
         await self._call(lambda: self._table.commit(puts))
 
     async def _call(self, work):
-        task = asyncio.ensure_future(_sent(self._gate, work))
-        try:
-            return await asyncio.shield(task)
-        finally:
-            await self._gate()
+        return await _call_through(self._gate, work)
+
+
+async def _call_through(gate: Gate, work):
+    """Let a call go on in the network when the process that made it stops."""
+    task = asyncio.ensure_future(_sent(gate, work))
+    # Retrieves the exception of a call whose process was killed.
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
+    try:
+        return await asyncio.shield(task)
+    finally:
+        await gate()
 
 
 async def _sent(gate: Gate, work):
@@ -92,7 +102,7 @@
         """Run a request, or fail before, while or after it runs."""
         if self.refuses or self.rng.random() < self.fault_rate / 3:
             raise ConnectFailed("refused")
-        transit_s = self.rng.choice((0.0, 0.01, 0.5, 3.0))
+        transit_s = self.rng.choice((0.0, 0.01, 0.5, 3.0, 9.0))
         answer = asyncio.ensure_future(self._run_later(request, transit_s))
         try:
             answer = await asyncio.wait_for(asyncio.shield(answer), timeout_s)
@@ -136,9 +146,10 @@
         self._gate = gate
 
     async def place(self, request: CallerRequest, exclude: tuple[str, ...]) -> Upstream:
-        """Return one of two upstreams; raise Refusal if both are excluded."""
+        """Return one of up to two upstreams; raise Refusal if they are excluded."""
         await self._gate()
-        for name in ("one", "two"):
+        names = ("one", "two") if self._service.rng.random() < 0.5 else ("one",)
+        for name in names:
             if name not in exclude:
                 return Upstream(name, "service", "domain", "")
         raise Refusal(503, "no-upstream", "none left", Run.NOT_RUN)
@@ -152,11 +163,7 @@
         return await self._call(lambda: self._service.lookup(request.idempotency_key))
 
     async def _call(self, work):
-        task = asyncio.ensure_future(_sent(self._gate, work))
-        try:
-            return await asyncio.shield(task)
-        finally:
-            await self._gate()
+        return await _call_through(self._gate, work)
 
 
 class Process:
@@ -178,8 +185,13 @@
 class OnceMachine(RuleBasedStateMachine):
     """Checks runs, refusals and answers after each step."""
 
-    @initialize(seed=st.integers(0, 2**32), settle=st.sampled_from(list(Settle)))
-    def start(self, seed: int, settle: Settle) -> None:
+    @initialize(
+        seed=st.integers(0, 2**32),
+        settle=st.sampled_from(list(Settle)),
+        table=TABLE_RATES,
+        service=SERVICE_RATES,
+    )
+    def start(self, seed: int, settle: Settle, table: float, service: float) -> None:
         """Start the instances around one table and one service."""
         logging.set_verbosity(logging.ERROR)
         self.loop = VirtualLoop()
@@ -187,7 +199,9 @@
         rng = random.Random(seed)
         self.table = MemoryTable(rng)
         self.objects = MemoryObjects()
+        self.table.fault_rate = table
         self.service = CountingService(rng, settle)
+        self.service.fault_rate = service
         self.spec = ClassSpec("stamp", ClassKind.ONCE, "service", WITHIN_S)
         self.service_spec = ServiceSpec("service", "plain", settle)
         self.gates: list[Gate] = []
@@ -200,6 +214,33 @@
         self.gates.append(process.gate)
         return process
 
+    @rule(indexes=st.lists(st.integers(0, INSTANCES - 1), min_size=1, max_size=3))
+    def repeat(self, indexes: list[int]) -> None:
+        """Let a caller send the same key through several instances, one after another."""
+        for index in indexes:
+            self.send(index, 0)
+            self.advance(WITHIN_S + 1.0)
+
+    @rule(
+        steps=st.integers(0, 60),
+        seconds=st.sampled_from((0.0, 7.0, 12.0)),
+        crash=st.booleans(),
+        repeats=st.integers(1, 3),
+    )
+    def interrupt(self, steps: int, seconds: float, crash: bool, repeats: int) -> None:
+        """Stop a holder between two of its steps while others repeat its request."""
+        self.send(0, 0)
+        self.step(steps)
+        if crash:
+            self.crash(0)
+        else:
+            self.pause(0, seconds)
+        self.advance(6.0)
+        for _ in range(repeats):
+            self.send(1, 0)
+            self.advance(WITHIN_S / 2)
+        self.advance(seconds)
+
     @rule(index=st.integers(0, INSTANCES - 1), key=st.integers(0, KEYS - 1))
     def send(self, index: int, key: int) -> None:
         """Let a caller send a request with a key through an instance."""
@@ -244,25 +285,18 @@
         self.processes[index].kill()
         self.processes[index] = self._new_process(index)
 
-    @rule(index=st.integers(0, INSTANCES - 1))
-    def pause(self, index: int) -> None:
-        """Pause an instance, as SIGSTOP does."""
-        self.processes[index].gate.open.clear()
-
-    @rule(index=st.integers(0, INSTANCES - 1))
-    def resume(self, index: int) -> None:
-        """Resume an instance."""
-        self.processes[index].gate.open.set()
+    @rule(index=st.integers(0, INSTANCES - 1), seconds=st.sampled_from((0.5, 7.0, 30.0)))
+    def pause(self, index: int, seconds: float) -> None:
+        """Pause an instance for a while, as SIGSTOP does."""
+        gate = self.processes[index].gate
+        gate.open.clear()
+        self.loop.call_later(seconds, gate.open.set)
 
-    @rule(table=st.sampled_from((0.0, 0.2, 0.6)), service=st.sampled_from((0.0, 0.3, 1.0)))
-    def set_faults(self, table: float, service: float) -> None:
-        """Change how often calls go wrong."""
+    @rule(table=TABLE_RATES, service=SERVICE_RATES, down=RARELY, refuses=RARELY)
+    def set_faults(self, table: float, service: float, down: bool, refuses: bool) -> None:
+        """Change how often calls go wrong, and begin or end outages."""
         self.table.fault_rate = table
         self.service.fault_rate = service
-
-    @rule(down=st.booleans(), refuses=st.booleans())
-    def set_outage(self, down: bool, refuses: bool) -> None:
-        """Begin or end an outage of the table or the service."""
         self.table.down = down
         self.service.refuses = refuses
 
@@ -286,8 +320,8 @@
         """Let everything finish without further faults and check once more."""
         if not hasattr(self, "loop"):
             return
-        self.set_faults(0.0, 0.0)
-        self.set_outage(False, False)
+        self.table.down = self.service.refuses = False
+        self.table.fault_rate = self.service.fault_rate = 0.0
         for process in self.processes:
             process.gate.open.set()
         try:
