--- /dev/null
+++ b/tests/recorded_test.py
@@ -0,0 +1,187 @@
+"""Tests of once-only claims, tags, late replies and stale lookups over a table in memory."""
+
+from __future__ import annotations
+
+import json
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from bench.memory import MemoryObjects, MemoryTable, VirtualLoop
+from jayyoke.core.clock import ManualClock
+from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, Settle, TeamSpec
+from jayyoke.core.error import ConnectFailed, Effect, Refusal, Run, StoreUnavailable
+from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, decode_claim
+from jayyoke.ops.forward import Answer
+from jayyoke.ops.outbox import Entry, build_entry, decode_entry
+from jayyoke.ops.reply import Replies, decode_reply
+from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
+from jayyoke.plugins import lookup
+from jayyoke.plugins.tag import handle_tag
+
+
+def build_request(kind: ClassKind, durable: bool = False, team: str = "team") -> CallerRequest:
+    spec = ClassSpec("c", kind, "s", 5.0, repeat=2, stale_for_s=60.0)
+    service = ServiceSpec("s", "plain", Settle.DEDUPLICATES, stores_durably=durable)
+    return CallerRequest("r", TeamSpec(team, ""), spec, service, 0, 5.0, idempotency_key="k")
+
+
+def run(work) -> None:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+class TestClaims:
+    def test_pause_past_the_lease_needs_a_new_fence(self):
+        """Guards against a paused holder that sends after another took its claim over."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+            claims = Claims(table, MemoryObjects(), table.commit, clock, "a")
+            request = build_request(ClassKind.ONCE)
+            held = await claims.acquire(request, "t1")
+            clock.advance(CLAIM_LEASE_S + 1)
+            held = await claims.validate(held)
+            assert held.claim.fence == 2
+            await claims.take_over(await claims.find(held.key), request)
+            assert await claims.validate(held) is held
+            clock.advance(CLAIM_LEASE_S + 1)
+            with pytest.raises(ClaimLost):
+                await claims.validate(held)
+
+        run(work())
+
+    @pytest.mark.parametrize("decode", [decode_claim, decode_entry, decode_reply])
+    @pytest.mark.parametrize("value", [b"", b"[]", b'{"body": "?"}', b'{"body": ""}', b"\xff"])
+    def test_malformed_rows_raise_store_unavailable(self, decode, value):
+        """Guards against a crash on a row that another program damaged."""
+        with pytest.raises(StoreUnavailable):
+            decode(value)
+
+
+class FailingOutbox:
+    def __init__(self, effect: Effect):
+        self.effect = effect
+
+    async def add(self, entry: Entry) -> None:
+        raise StoreUnavailable("down", self.effect)
+
+
+class Service:
+    def __init__(self, result):
+        self.result = result
+        self.sent = 0
+
+    async def place(self, request, exclude) -> Upstream:
+        if exclude:
+            raise Refusal(503, "no-upstream", "", Run.NOT_RUN)
+        return Upstream("u", "s", "d", "")
+
+    async def send(self, upstream, request, timeout_s) -> Answer:
+        self.sent += 1
+        if isinstance(self.result, Exception):
+            raise self.result
+        return Answer(self.result, "text/plain", b"")
+
+
+class TestTagWithoutTable:
+    @pytest.mark.parametrize(
+        ("durable", "effect", "result", "expected"),
+        [
+            (False, Effect.NONE, 200, Run.NOT_RUN),
+            (False, Effect.UNKNOWN, 200, Run.UNKNOWN),
+            (True, Effect.NONE, 200, None),
+            (True, Effect.NONE, ConnectFailed("refused"), Run.NOT_RUN),
+            (True, Effect.NONE, 500, Run.UNKNOWN),
+        ],
+    )
+    def test_acknowledges_only_what_a_service_stored(self, durable, effect, result, expected):
+        """Guards against lost tags and untrue refusals in an outage of the table."""
+
+        async def work() -> None:
+            service = Service(result)
+            parts = SimpleNamespace(outbox=FailingOutbox(effect), service=service)
+            node = SimpleNamespace(durable=parts, clock=ManualClock())
+            request = build_request(ClassKind.TAG, durable)
+            if expected is None:
+                assert (await handle_tag(node, request, None)).status == 202
+                return
+            with pytest.raises(Refusal) as caught:
+                await handle_tag(node, request, None)
+            assert caught.value.run is expected
+            assert service.sent == (1 if durable else 0)
+
+        run(work())
+
+
+class TestReplies:
+    def test_unknown_foreign_and_expired_replies_are_refused(self):
+        """Guards against replies shown to another team or after their time."""
+
+        async def work() -> None:
+            table = MemoryTable(random.Random(1))
+            now = [0.0]
+            replies = Replies(table, MemoryObjects(), lambda: now[0])
+            entry = build_entry(build_request(ClassKind.LATE))
+            await table.commit([replies.pending("r", "team", entry.token, 10)])
+            assert await replies.fetch("r", "team") is None
+            answer = Answer(200, "text/plain", b"late" * 9000)
+            await table.commit([await replies.answered("r", entry.token, answer)])
+            assert await replies.answered("r", entry.token, answer) is None
+            assert await replies.fetch("r", "team") == answer
+            for request_id, team, at_s, status in (
+                ("x", "team", 0, 404),
+                ("r", "other", 0, 403),
+                ("r", "team", 11, 410),
+            ):
+                now[0] = at_s
+                with pytest.raises(Refusal) as caught:
+                    await replies.fetch(request_id, team)
+                assert caught.value.status == status
+
+        run(work())
+
+
+class TestLookup:
+    def test_stale_answer_replaces_a_refusal(self, monkeypatch):
+        """Guards against a lookup without an answer, and against another team's answer."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            stale = StaleCache(clock)
+            durable = SimpleNamespace(stale=stale)
+            node = SimpleNamespace(clock=clock, durable=durable)
+            request = build_request(ClassKind.LOOKUP)
+            stale.store(request, Answer(200, "text/plain", b"bale"))
+
+            async def refuse(node, request):
+                raise Refusal(504, "no-answer", "", Run.UNKNOWN)
+
+            monkeypatch.setattr(lookup, "_call_repeatedly", refuse)
+            clock.advance(30)
+            answer = await lookup.handle_lookup(node, request, None)
+            assert (answer.headers["Jayyoke-Stale"], answer.headers["Age"]) == ("true", "30")
+            with pytest.raises(Refusal):
+                other = build_request(ClassKind.LOOKUP, team="other")
+                await lookup.handle_lookup(node, other, None)
+            clock.advance(31)
+            with pytest.raises(Refusal):
+                await lookup.handle_lookup(node, request, None)
+
+        run(work())
+
+    def test_cache_is_bounded(self):
+        """Guards against a cache that grows with the number of different lookups."""
+        stale = StaleCache(ManualClock())
+        for index in range(MAX_ENTRIES + 10):
+            request = build_request(ClassKind.LOOKUP, team=str(index))
+            stale.store(request, Answer(200, "text/plain", json.dumps(index).encode()))
+        assert stale.find(build_request(ClassKind.LOOKUP, team="0")) is None
+        assert stale.find(build_request(ClassKind.LOOKUP, team="100")) is not None
