--- a/jayyoke/ops/outbox.py
+++ b/jayyoke/ops/outbox.py
@@ -34,6 +34,8 @@
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 30.0
 ADD_ATTEMPTS = 3
+TAG_TIMEOUT_S = 5.0
+LATE_TIMEOUT_S = 120.0  # A service that takes longer than this would be called again.
 MAX_BODY_BYTES = 256 << 10  # Rows stay small enough for several in one batch.
 PAGE_ROWS = 100
 MAX_DELIVERING = 1000
@@ -59,6 +61,12 @@
     body: bytes
     key: str
 
+    @property
+    def timeout_s(self) -> float:
+        """Return how long one attempt may take."""
+        least_s = LATE_TIMEOUT_S if self.kind == ClassKind.LATE.value else TAG_TIMEOUT_S
+        return max(self.within_s, least_s)
+
     @property
     def request(self) -> CallerRequest:
         """Return the call to send; it carries the same idempotency key each time."""
@@ -202,7 +210,7 @@
         while True:
             try:
                 upstream = await self._service.place(request, tried)
-                answer = await self._service.send(upstream, request, max(entry.within_s, 5.0))
+                answer = await self._service.send(upstream, request, entry.timeout_s)
                 if answer.status < 500:
                     return answer
                 detail = f"{upstream.name} answered {answer.status}"
--- a/jayyoke/platform/objects.py
+++ b/jayyoke/platform/objects.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from jayyoke.core.error import Effect, StoreUnavailable
+from jayyoke.platform.body import read_body
 
 MAX_OBJECT_BYTES = 64 << 20
 
@@ -44,9 +45,7 @@
             async with self._http.request(
                 method, url, data=value, timeout=self._timeout
             ) as response:
-                if (response.content_length or 0) > MAX_OBJECT_BYTES:
-                    raise StoreUnavailable(f"object {key!r} exceeds {MAX_OBJECT_BYTES} bytes")
-                return response.status, await response.read()
+                return response.status, await read_body(response, MAX_OBJECT_BYTES, effect)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailable(f"object store cannot be reached: {error}") from error
         except (TimeoutError, aiohttp.ClientError) as error:
--- a/jayyoke/platform/table.py
+++ b/jayyoke/platform/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import json
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -10,7 +11,9 @@
 import aiohttp
 
 from jayyoke.core.error import Conflict, Effect, StoreUnavailable
+from jayyoke.platform.body import read_body
 
+MAX_ANSWER_BYTES = 64 << 20
 MAX_PUTS_PER_COMMIT = 100
 
 
@@ -87,7 +90,7 @@
                     raise StoreUnavailable(f"table refused {call} with {response.status}")
                 if response.status != 200:
                     raise StoreUnavailable(f"table answered {call} with {response.status}", effect)
-                answer = await response.json(content_type=None)
+                answer = json.loads(await read_body(response, MAX_ANSWER_BYTES, effect))
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailable(f"table cannot be reached: {error}") from error
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
--- a/standin/platform_test.py
+++ b/standin/platform_test.py
@@ -93,3 +93,16 @@
                     await objects.get("a/b")
 
         asyncio.run(run())
+
+    def test_large_answers_are_refused(self, monkeypatch):
+        """Guards against an answer that fills the memory of an instance."""
+
+        async def run() -> None:
+            monkeypatch.setattr("jayyoke.platform.objects.MAX_OBJECT_BYTES", 10)
+            server = ObjectServer()
+            server.objects["big"] = b"x" * 11
+            async with serve(server, Objects) as objects:
+                with pytest.raises(StoreUnavailable, match="exceeds"):
+                    await objects.get("big")
+
+        asyncio.run(run())
