Send each recorded call once

aiohttp repeats PUT, DELETE and GET by itself after a lost connection, even a fresh one, so that a once-only PUT ran twice when the service dropped the connection after its run: tests/durable_test.py saw 2 runs before and sees 1 now. A client middleware turns the lost connection into an error that is not repeated. A branch for inherited claims that no path reached is removed.

--- a/jayyoke/ops/claim.py
+++ b/jayyoke/ops/claim.py
@@ -58,16 +58,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """Holds a claim of this instance; checked_s is when the last write of it began.
-
-    `inherited` tells that another holder of the claim may have sent the request before.
-    """
+    """Holds a claim of this instance; checked_s is when the last write of it began."""
 
     key: str
     claim: Claim
     version: int
     checked_s: float
-    inherited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +207,7 @@
         mine = self._new_claim(request, new_token())
         mine = replace(mine, fence=found.claim.fence + 1)
         before = Held(found.key, found.claim, found.version, self._clock.now_s())
-        return replace(await self._replace(before, mine), inherited=True)
+        return await self._replace(before, mine)
 
     async def answer(self, held: Held | Found, answer: Answer) -> None:
         """Record the answer; raise ClaimLost if the row changed, or StoreUnavailable."""
@@ -273,7 +269,7 @@
         value = encode_claim(claim)
         try:
             await self._commit([Put(held.key, value, held.version)])
-            return Held(held.key, claim, held.version + 1, started_s, held.inherited)
+            return Held(held.key, claim, held.version + 1, started_s)
         except Conflict:
             pass
         except StoreUnavailable as error:
@@ -281,7 +277,7 @@
                 raise
         row: Row | None = await self._table.get(held.key)
         if row is not None and row.value == value:
-            return Held(held.key, claim, row.version, started_s, held.inherited)
+            return Held(held.key, claim, row.version, started_s)
         if row is not None and row.version == held.version:
             raise StoreUnavailable(f"write of {held.key!r} has no effect yet", Effect.UNKNOWN)
         raise ClaimLost(f"claim {held.key!r} changed hands")
--- a/jayyoke/ops/service.py
+++ b/jayyoke/ops/service.py
@@ -15,12 +15,40 @@
 from jayyoke.ops.placement import Placer
 
 
-class PlainService:
-    """Places and sends single calls.
+class ConnectionLost(aiohttp.ClientError):
+    """Reports a connection that ended after the request may have been sent."""
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request a second time.
+
+    aiohttp repeats PUT, DELETE and GET by itself after a lost connection, even a fresh one. The
+    repeat would run a once-only request twice, and a refused connection of the repeat would pass
+    for a request of which no byte was sent.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLost(f"{type(error).__name__}: {error}") from error
 
-    `http` must not reuse connections: aiohttp repeats a PUT or DELETE by itself when a reused
-    connection turns out to be closed, which could run a once-only request twice.
+
+def open_single_session() -> aiohttp.ClientSession:
+    """Return a session that sends each request once, over a connection of its own.
+
+    A reused connection that the service has just closed would make the outcome unknown.
     """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(
+        connector=connector, auto_decompress=False, middlewares=(send_once,)
+    )
+
+
+class PlainService:
+    """Places and sends single calls; `http` is a session of `open_single_session`."""
 
     def __init__(self, http: aiohttp.ClientSession, placer: Placer):
         self._http = http
--- a/jayyoke/ops/settle.py
+++ b/jayyoke/ops/settle.py
@@ -146,9 +146,6 @@
 
     def _give_up(self, held: Held, code: str, detail: str) -> Refusal:
         """Return the refusal of a request of which no byte was sent."""
-        if held.inherited:
-            self._spawn(self._mark(held.key, held.claim.token, ClaimState.UNKNOWN))
-            return Refusal(503, code, detail, Run.UNKNOWN, 1.0)
         self._spawn(self._mark(held.key, held.claim.token, ClaimState.RELEASED))
         return Refusal(503, code, detail, Run.NOT_RUN, 1.0)
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -23,6 +23,7 @@
 from jayyoke.ops.health import Health
 from jayyoke.ops.node import Node
 from jayyoke.ops.placement import Placer
+from jayyoke.ops.service import open_single_session
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -65,12 +66,9 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
-    # must not be repeated, so they use each connection once.
-    single = aiohttp.TCPConnector(limit=0, force_close=True)
     async with (
         aiohttp.ClientSession(connector=connector, auto_decompress=False) as http,
-        aiohttp.ClientSession(connector=single, auto_decompress=False) as http_single,
+        open_single_session() as http_single,
     ):
         node = build_node(settings, http, http_single)
         tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
--- a/standin/fault.py
+++ b/standin/fault.py
@@ -25,6 +25,7 @@
     late_s: float = 0.0
     cross: int = 0
     truncate: int = 0
+    drop: int = 0
     silence: int = 0
     fail_after: int = 0
 
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -98,6 +98,8 @@
             await asyncio.sleep(self.faults.late_s)
         if self.faults.take("silence"):
             await asyncio.sleep(3600)
+        if self.faults.take("drop"):
+            request.transport.close()
         if self.faults.take("fail_after"):
             return web.Response(status=500, headers={"X-Request-Id": request_id})
         if self.faults.take("cross"):
--- a/tests/durable_test.py
+++ b/tests/durable_test.py
@@ -58,6 +58,7 @@
                 await apply_configuration(fleet)
                 await race(fleet)
                 await lose_claim_answer(fleet)
+                await break_answers(fleet)
                 await pause_holder(fleet)
 
         asyncio.run(run())
@@ -88,6 +89,17 @@
     assert (await read_runs(fleet))[f"{TEAM}:stamp:lost"] == 1
 
 
+async def break_answers(fleet: Fleet) -> None:
+    # With PUT, aiohttp would repeat the call by itself after a dropped connection.
+    for fault in ("cross", "truncate", "drop", "fail_after"):
+        await call(fleet, 0, "work/stamp/t", f"before-{fault}", "PUT")
+        await set_faults(fleet, fleet.plains, **{fault: 1})
+        answer = await call(fleet, 0, "work/stamp/t", fault, "PUT")
+        await set_faults(fleet, fleet.plains, **{fault: 0})
+        assert (answer[0], b"bale" in answer[2]) == (200, True), fault
+        assert (await read_runs(fleet))[f"{TEAM}:stamp:{fault}"] == 1
+
+
 async def pause_holder(fleet: Fleet) -> None:
     await set_faults(fleet, [fleet.table], delay_s=0.5)
     first = asyncio.create_task(call(fleet, 0, "work/stamp/t", "paused"))
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -11,14 +12,16 @@
 from bench.memory import MemoryObjects, MemoryTable, VirtualLoop
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, Settle, TeamSpec
-from jayyoke.core.error import ConnectFailed, Effect, Refusal, Run, StoreUnavailable
+from jayyoke.core.error import Conflict, ConnectFailed, Effect, Refusal, Run, StoreUnavailable
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, decode_claim
+from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, ClaimState, decode_claim
 from jayyoke.ops.forward import Answer
 from jayyoke.ops.outbox import Entry, build_entry, decode_entry
 from jayyoke.ops.reply import Replies, decode_reply
+from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
+from jayyoke.platform.table import Put
 from jayyoke.plugins import lookup
 from jayyoke.plugins.tag import handle_tag
 
@@ -58,6 +61,46 @@
 
         run(work())
 
+    def test_delayed_write_of_an_earlier_holder_misses_a_later_claim(self):
+        """Guards against a release that deletes the row, so that its version starts again."""
+
+        async def work() -> None:
+            table = MemoryTable(random.Random(1))
+            claims = Claims(table, MemoryObjects(), table.commit, ManualClock(), "a")
+            request = build_request(ClassKind.ONCE)
+            first = await claims.acquire(request, "t1")
+            delayed = Put(first.key, b"released again", first.version)
+            assert await claims.mark(first.key, "t1", ClaimState.RELEASED)
+            assert (await claims.acquire(request, "t2")).claim.token == "t2"
+            with pytest.raises(Conflict):
+                await table.commit([delayed])
+
+        run(work())
+
+    def test_holder_that_lost_its_claim_sends_nothing(self):
+        """Guards against a runner that sends after a pause without validating its claim."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+            other = Claims(table, MemoryObjects(), table.commit, clock, "b")
+            request = build_request(ClassKind.ONCE)
+
+            async def commit_and_pause(puts) -> None:
+                await table.commit(puts)
+                if len(table.rows) == 1 and clock.now_s() == 0:
+                    clock.advance(CLAIM_LEASE_S + 1)
+                    await other.take_over(await other.find(puts[0].key), request)
+
+            claims = Claims(table, MemoryObjects(), commit_and_pause, clock, "a")
+            service = Service(200)
+            request = replace(request, deadline_s=60.0)
+            with pytest.raises(Refusal, match="claim-lost") as caught:
+                await OnceRunner(claims, service, clock).run(request)
+            assert (caught.value.run, service.sent) == (Run.NOT_RUN, 0)
+
+        run(work())
+
     @pytest.mark.parametrize("decode", [decode_claim, decode_entry, decode_reply])
     @pytest.mark.parametrize("value", [b"", b"[]", b'{"body": "?"}', b'{"body": ""}', b"\xff"])
     def test_malformed_rows_raise_store_unavailable(self, decode, value):
