--- a/bench/fuzz_outbox.py
+++ b/bench/fuzz_outbox.py
@@ -38,6 +38,7 @@
     ClassKind.TAG: ClassSpec("tag", ClassKind.TAG, "service", WITHIN_S),
     ClassKind.LATE: ClassSpec("late", ClassKind.LATE, "service", WITHIN_S, keep_s=1e6),
 }
+KINDS = (ClassKind.TAG, ClassKind.LATE)
 HANDLERS = {ClassKind.TAG: handle_tag, ClassKind.LATE: handle_late}
 
 
@@ -104,6 +105,16 @@
         )
         self.loop.create_task(self._call(self.processes[index], request))
 
+    @rule(count=st.integers(2, 8), steps=st.integers(0, 60), crash=st.booleans())
+    def burst(self, count: int, steps: int, crash: bool) -> None:
+        """Let callers send through one instance, which may be killed between two steps."""
+        for index in range(count):
+            self.send(0, KINDS[index % 2])
+        self.step(steps)
+        if crash:
+            self.crash(0)
+        self.advance(2.5)
+
     async def _call(self, process: OutboxProcess, request: CallerRequest) -> None:
         await process.gate()
         try:
