--- a/jayyoke/ops/outbox.py
+++ b/jayyoke/ops/outbox.py
@@ -173,11 +173,11 @@
         put = Put(self.row_key(entry), encode_entry(entry), 0)
         doubt = Effect.NONE
         for _ in range(ADD_ATTEMPTS):
+            committed = False
             try:
                 await self._renew_if_due()
                 await self._commit([put, *extra])
-                # The row must not appear after a lease that an adopter saw expire.
-                return await self._renew_if_due()
+                committed = True
             except Conflict:
                 if doubt is Effect.NONE:
                     raise
@@ -185,13 +185,14 @@
                 if error.effect is Effect.NONE:
                     raise StoreUnavailable(str(error), doubt) from error
                 doubt = Effect.UNKNOWN
+            if committed:
+                return await self._renew_after_commit()
             try:
                 row = await self._table.get(put.key)
             except StoreUnavailable as error:
                 raise StoreUnavailable(str(error), Effect.UNKNOWN) from error
             if row is not None and row.value == put.value:
-                doubt = Effect.UNKNOWN
-                return await self._renew_if_due()
+                return await self._renew_after_commit()
         raise StoreUnavailable("the outbox row was not confirmed", doubt)
 
     def deliver(self, key: str, entry: Entry, call: asyncio.Task[Answer] | None = None) -> None:
@@ -291,6 +292,16 @@
         if self._renewed_s is None or now_s - self._renewed_s > OWNER_LEASE_S / 2:
             await self._renew()
 
+    async def _renew_after_commit(self) -> None:
+        """Renew so that no adopter saw the lease expire before the row was there.
+
+        A failure leaves the row in the table, whatever the effect of the renewal is.
+        """
+        try:
+            await self._renew_if_due()
+        except StoreUnavailable as error:
+            raise StoreUnavailable(str(error), Effect.UNKNOWN) from error
+
     async def _renew(self) -> None:
         started_s = self._clock.now_s()
         value = json.dumps({"instance": self._peers.me.name, "token": uuid.uuid4().hex})
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -13,17 +13,19 @@
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, Settle, TeamSpec
 from jayyoke.core.error import Conflict, ConnectFailed, Effect, Refusal, Run, StoreUnavailable
+from jayyoke.core.member import Member
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, ClaimState, decode_claim
 from jayyoke.ops.forward import Answer
-from jayyoke.ops.outbox import Entry, build_entry, decode_entry
+from jayyoke.ops.outbox import OWNER_LEASE_S, Entry, Outbox, build_entry, decode_entry
 from jayyoke.ops.reply import Replies, decode_reply
 from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
 from jayyoke.platform.table import Put
 from jayyoke.plugins import lookup
 from jayyoke.plugins.tag import handle_tag
+from jayyoke.wire.local import LocalHub
 
 
 def build_request(kind: ClassKind, durable: bool = False, team: str = "team") -> CallerRequest:
@@ -164,6 +166,31 @@
         run(work())
 
 
+class TestOutbox:
+    def test_failed_renewal_after_the_commit_is_unknown(self):
+        """Guards against a tag refused as not run although its row is in the table."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+
+            async def commit(puts) -> None:
+                await table.commit(puts)
+                if puts[0].key.startswith("outbox/"):
+                    clock.advance(OWNER_LEASE_S)
+                    table.down = True
+
+            peers = LocalHub().join(Member("a", "d", 1, ""))
+            outbox = Outbox(table, commit, Service(200), None, peers, clock)
+            entry = build_entry(build_request(ClassKind.TAG))
+            with pytest.raises(StoreUnavailable) as caught:
+                await outbox.add(entry)
+            assert outbox.row_key(entry) in table.rows
+            assert caught.value.effect is Effect.UNKNOWN
+
+        run(work())
+
+
 class TestReplies:
     def test_unknown_foreign_and_expired_replies_are_refused(self):
         """Guards against replies shown to another team or after their time."""
