--- a/jayyoke/ops/outbox.py
+++ b/jayyoke/ops/outbox.py
@@ -34,6 +34,8 @@
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 30.0
 ADD_ATTEMPTS = 3
+TAG_TIMEOUT_S = 5.0
+LATE_TIMEOUT_S = 120.0  # A service that takes longer than this would be called again.
 MAX_BODY_BYTES = 256 << 10  # Rows stay small enough for several in one batch.
 PAGE_ROWS = 100
 MAX_DELIVERING = 1000
@@ -59,6 +61,12 @@
     body: bytes
     key: str
 
+    @property
+    def timeout_s(self) -> float:
+        """Return how long one attempt may take."""
+        least_s = LATE_TIMEOUT_S if self.kind == ClassKind.LATE.value else TAG_TIMEOUT_S
+        return max(self.within_s, least_s)
+
     @property
     def request(self) -> CallerRequest:
         """Return the call to send; it carries the same idempotency key each time."""
@@ -165,11 +173,11 @@
         put = Put(self.row_key(entry), encode_entry(entry), 0)
         doubt = Effect.NONE
         for _ in range(ADD_ATTEMPTS):
+            committed = False
             try:
                 await self._renew_if_due()
                 await self._commit([put, *extra])
-                # The row must not appear after a lease that an adopter saw expire.
-                return await self._renew_if_due()
+                committed = True
             except Conflict:
                 if doubt is Effect.NONE:
                     raise
@@ -177,13 +185,14 @@
                 if error.effect is Effect.NONE:
                     raise StoreUnavailable(str(error), doubt) from error
                 doubt = Effect.UNKNOWN
+            if committed:
+                return await self._renew_after_commit()
             try:
                 row = await self._table.get(put.key)
             except StoreUnavailable as error:
                 raise StoreUnavailable(str(error), Effect.UNKNOWN) from error
             if row is not None and row.value == put.value:
-                doubt = Effect.UNKNOWN
-                return await self._renew_if_due()
+                return await self._renew_after_commit()
         raise StoreUnavailable("the outbox row was not confirmed", doubt)
 
     def deliver(self, key: str, entry: Entry, call: asyncio.Task[Answer] | None = None) -> None:
@@ -202,7 +211,7 @@
         while True:
             try:
                 upstream = await self._service.place(request, tried)
-                answer = await self._service.send(upstream, request, max(entry.within_s, 5.0))
+                answer = await self._service.send(upstream, request, entry.timeout_s)
                 if answer.status < 500:
                     return answer
                 detail = f"{upstream.name} answered {answer.status}"
@@ -283,6 +292,16 @@
         if self._renewed_s is None or now_s - self._renewed_s > OWNER_LEASE_S / 2:
             await self._renew()
 
+    async def _renew_after_commit(self) -> None:
+        """Renew so that no adopter saw the lease expire before the row was there.
+
+        A failure leaves the row in the table, whatever the effect of the renewal is.
+        """
+        try:
+            await self._renew_if_due()
+        except StoreUnavailable as error:
+            raise StoreUnavailable(str(error), Effect.UNKNOWN) from error
+
     async def _renew(self) -> None:
         started_s = self._clock.now_s()
         value = json.dumps({"instance": self._peers.me.name, "token": uuid.uuid4().hex})
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -15,6 +15,7 @@
 from jayyoke.core import kernel
 from jayyoke.core.error import InvalidDocument
 from jayyoke.ops.node import Node
+from jayyoke.ops.service import open_single_session
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.scripts.assembly import build_node, list_tasks
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
@@ -43,10 +44,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
-    # must not be repeated, so they use each connection once.
-    single = aiohttp.TCPConnector(limit=0, force_close=True)
-    async with _open_session(connector) as http, _open_session(single) as http_single:
+    async with _open_session(connector) as http, open_single_session() as http_single:
         node = build_node(settings, http, http_single)
         await node.peers.start()
         tasks = [asyncio.create_task(part) for part in list_tasks(node)]
--- /dev/null
+++ b/tests/recorded_test.py
@@ -0,0 +1,257 @@
+"""Tests of once-only claims, tags, late replies and stale lookups over a table in memory."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from bench.memory import MemoryObjects, MemoryTable, VirtualLoop
+from jayyoke.core.clock import ManualClock
+from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, Settle, TeamSpec
+from jayyoke.core.error import Conflict, ConnectFailed, Effect, Refusal, Run, StoreUnavailable
+from jayyoke.core.member import Member
+from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, ClaimState, decode_claim
+from jayyoke.ops.forward import Answer
+from jayyoke.ops.outbox import OWNER_LEASE_S, Entry, Outbox, build_entry, decode_entry
+from jayyoke.ops.reply import Replies, decode_reply
+from jayyoke.ops.settle import OnceRunner
+from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
+from jayyoke.platform.table import Put
+from jayyoke.plugins import lookup
+from jayyoke.plugins.tag import handle_tag
+from jayyoke.wire.local import LocalHub
+
+
+def build_request(kind: ClassKind, durable: bool = False, team: str = "team") -> CallerRequest:
+    spec = ClassSpec("c", kind, "s", 5.0, repeat=2, stale_for_s=60.0)
+    service = ServiceSpec("s", "plain", Settle.DEDUPLICATES, stores_durably=durable)
+    return CallerRequest("r", TeamSpec(team, ""), spec, service, 0, 5.0, idempotency_key="k")
+
+
+def run(work) -> None:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+class TestClaims:
+    def test_pause_past_the_lease_needs_a_new_fence(self):
+        """Guards against a paused holder that sends after another took its claim over."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+            claims = Claims(table, MemoryObjects(), table.commit, clock, "a")
+            request = build_request(ClassKind.ONCE)
+            held = await claims.acquire(request, "t1")
+            clock.advance(CLAIM_LEASE_S + 1)
+            held = await claims.validate(held)
+            assert held.claim.fence == 2
+            await claims.take_over(await claims.find(held.key), request)
+            assert await claims.validate(held) is held
+            clock.advance(CLAIM_LEASE_S + 1)
+            with pytest.raises(ClaimLost):
+                await claims.validate(held)
+
+        run(work())
+
+    def test_delayed_write_of_an_earlier_holder_misses_a_later_claim(self):
+        """Guards against a release that deletes the row, so that its version starts again."""
+
+        async def work() -> None:
+            table = MemoryTable(random.Random(1))
+            claims = Claims(table, MemoryObjects(), table.commit, ManualClock(), "a")
+            request = build_request(ClassKind.ONCE)
+            first = await claims.acquire(request, "t1")
+            delayed = Put(first.key, b"released again", first.version)
+            assert await claims.mark(first.key, "t1", ClaimState.RELEASED)
+            assert (await claims.acquire(request, "t2")).claim.token == "t2"
+            with pytest.raises(Conflict):
+                await table.commit([delayed])
+
+        run(work())
+
+    def test_holder_that_lost_its_claim_sends_nothing(self):
+        """Guards against a runner that sends after a pause without validating its claim."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+            other = Claims(table, MemoryObjects(), table.commit, clock, "b")
+            request = build_request(ClassKind.ONCE)
+
+            async def commit_and_pause(puts) -> None:
+                await table.commit(puts)
+                if len(table.rows) == 1 and clock.now_s() == 0:
+                    clock.advance(CLAIM_LEASE_S + 1)
+                    await other.take_over(await other.find(puts[0].key), request)
+
+            claims = Claims(table, MemoryObjects(), commit_and_pause, clock, "a")
+            service = Service(200)
+            request = replace(request, deadline_s=60.0)
+            with pytest.raises(Refusal, match="claim-lost") as caught:
+                await OnceRunner(claims, service, clock).run(request)
+            assert (caught.value.run, service.sent) == (Run.NOT_RUN, 0)
+
+        run(work())
+
+    @pytest.mark.parametrize("decode", [decode_claim, decode_entry, decode_reply])
+    @pytest.mark.parametrize("value", [b"", b"[]", b'{"body": "?"}', b'{"body": ""}', b"\xff"])
+    def test_malformed_rows_raise_store_unavailable(self, decode, value):
+        """Guards against a crash on a row that another program damaged."""
+        with pytest.raises(StoreUnavailable):
+            decode(value)
+
+
+class FailingOutbox:
+    def __init__(self, effect: Effect):
+        self.effect = effect
+
+    async def add(self, entry: Entry) -> None:
+        raise StoreUnavailable("down", self.effect)
+
+
+class Service:
+    def __init__(self, result):
+        self.result = result
+        self.sent = 0
+
+    async def place(self, request, exclude) -> Upstream:
+        if exclude:
+            raise Refusal(503, "no-upstream", "", Run.NOT_RUN)
+        return Upstream("u", "s", "d", "")
+
+    async def send(self, upstream, request, timeout_s) -> Answer:
+        self.sent += 1
+        if isinstance(self.result, Exception):
+            raise self.result
+        return Answer(self.result, "text/plain", b"")
+
+
+class TestTagWithoutTable:
+    @pytest.mark.parametrize(
+        ("durable", "effect", "result", "expected"),
+        [
+            (False, Effect.NONE, 200, Run.NOT_RUN),
+            (False, Effect.UNKNOWN, 200, Run.UNKNOWN),
+            (True, Effect.NONE, 200, None),
+            (True, Effect.NONE, ConnectFailed("refused"), Run.NOT_RUN),
+            (True, Effect.NONE, 500, Run.UNKNOWN),
+        ],
+    )
+    def test_acknowledges_only_what_a_service_stored(self, durable, effect, result, expected):
+        """Guards against lost tags and untrue refusals in an outage of the table."""
+
+        async def work() -> None:
+            service = Service(result)
+            parts = SimpleNamespace(outbox=FailingOutbox(effect), service=service)
+            node = SimpleNamespace(durable=parts, clock=ManualClock())
+            request = build_request(ClassKind.TAG, durable)
+            if expected is None:
+                assert (await handle_tag(node, request, None)).status == 202
+                return
+            with pytest.raises(Refusal) as caught:
+                await handle_tag(node, request, None)
+            assert caught.value.run is expected
+            assert service.sent == (1 if durable else 0)
+
+        run(work())
+
+
+class TestOutbox:
+    def test_failed_renewal_after_the_commit_is_unknown(self):
+        """Guards against a tag refused as not run although its row is in the table."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            table = MemoryTable(random.Random(1))
+
+            async def commit(puts) -> None:
+                await table.commit(puts)
+                if puts[0].key.startswith("outbox/"):
+                    clock.advance(OWNER_LEASE_S)
+                    table.down = True
+
+            peers = LocalHub().join(Member("a", "d", 1, ""))
+            outbox = Outbox(table, commit, Service(200), None, peers, clock)
+            entry = build_entry(build_request(ClassKind.TAG))
+            with pytest.raises(StoreUnavailable) as caught:
+                await outbox.add(entry)
+            assert outbox.row_key(entry) in table.rows
+            assert caught.value.effect is Effect.UNKNOWN
+
+        run(work())
+
+
+class TestReplies:
+    def test_unknown_foreign_and_expired_replies_are_refused(self):
+        """Guards against replies shown to another team or after their time."""
+
+        async def work() -> None:
+            table = MemoryTable(random.Random(1))
+            now = [0.0]
+            replies = Replies(table, MemoryObjects(), lambda: now[0])
+            entry = build_entry(build_request(ClassKind.LATE))
+            await table.commit([replies.pending("r", "team", entry.token, 10)])
+            assert await replies.fetch("r", "team") is None
+            answer = Answer(200, "text/plain", b"late" * 9000)
+            await table.commit([await replies.answered("r", entry.token, answer)])
+            assert await replies.answered("r", entry.token, answer) is None
+            assert await replies.fetch("r", "team") == answer
+            for request_id, team, at_s, status in (
+                ("x", "team", 0, 404),
+                ("r", "other", 0, 403),
+                ("r", "team", 11, 410),
+            ):
+                now[0] = at_s
+                with pytest.raises(Refusal) as caught:
+                    await replies.fetch(request_id, team)
+                assert caught.value.status == status
+
+        run(work())
+
+
+class TestLookup:
+    def test_stale_answer_replaces_a_refusal(self, monkeypatch):
+        """Guards against a lookup without an answer, and against another team's answer."""
+
+        async def work() -> None:
+            clock = ManualClock()
+            stale = StaleCache(clock)
+            durable = SimpleNamespace(stale=stale)
+            node = SimpleNamespace(clock=clock, durable=durable)
+            request = build_request(ClassKind.LOOKUP)
+            stale.store(request, Answer(200, "text/plain", b"bale"))
+
+            async def refuse(node, request):
+                raise Refusal(504, "no-answer", "", Run.UNKNOWN)
+
+            monkeypatch.setattr(lookup, "_call_repeatedly", refuse)
+            clock.advance(30)
+            answer = await lookup.handle_lookup(node, request, None)
+            assert (answer.headers["Jayyoke-Stale"], answer.headers["Age"]) == ("true", "30")
+            with pytest.raises(Refusal):
+                other = build_request(ClassKind.LOOKUP, team="other")
+                await lookup.handle_lookup(node, other, None)
+            clock.advance(31)
+            with pytest.raises(Refusal):
+                await lookup.handle_lookup(node, request, None)
+
+        run(work())
+
+    def test_cache_is_bounded(self):
+        """Guards against a cache that grows with the number of different lookups."""
+        stale = StaleCache(ManualClock())
+        for index in range(MAX_ENTRIES + 10):
+            request = build_request(ClassKind.LOOKUP, team=str(index))
+            stale.store(request, Answer(200, "text/plain", json.dumps(index).encode()))
+        assert stale.find(build_request(ClassKind.LOOKUP, team="0")) is None
+        assert stale.find(build_request(ClassKind.LOOKUP, team="100")) is not None
