Read usual events with plain byte searches and count latencies lazily

Cause: patterns with alternatives took 40 us per burst of 32 events, a histogram record 2.5 us; tokens before an error event in the same read were counted but not delivered (found by answers_test). Change: byte searches for usual events, values kept until read, one write for the end of an answer. Conclusion: more to do on the request rate.

--- a/bench/path.py
+++ b/bench/path.py
@@ -29,8 +29,8 @@
 NAME = "request path"
 TOKENS = 32
 CONCURRENCY = 32
-ROUNDS = 3
-LOAD_S = 2.5
+ROUNDS = 10
+LOAD_S = 0.8
 PAUSED_REQUESTS = 300
 START_TIMEOUT_S = 15.0
 KEY = "bench-key"
@@ -46,19 +46,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Holds the figure of one run."""
+    """Holds the figures of one round."""
 
     requests_per_s: float
+    requests_per_core_s: float
 
 
 def measure(seed: int) -> list[Result]:
     """Return rates and the added time to the first token of daemon and relay."""
-    with tempfile.TemporaryDirectory(prefix="jayyoke-bench-") as name, _run(Path(name)) as urls:
+    with tempfile.TemporaryDirectory(prefix="jayyoke-bench-") as folder, _run(Path(folder)) as urls:
         loads: dict[str, list[Load]] = {"relay": [], "jayyoke": []}
+        pids = {name: int((Path(folder) / f"{name}.pid").read_text()) for name in loads}
         first_ms = asyncio.run(_measure_first_tokens(urls))
         for _ in range(ROUNDS):
             for policy, rounds in loads.items():
-                rounds.append(asyncio.run(_measure_load(urls[policy])))
+                rounds.append(asyncio.run(_measure_load(urls[policy], pids[policy])))
     return _summarise(loads, first_ms, seed)
 
 
@@ -73,18 +75,32 @@
         target = 2.0 if policy == "jayyoke" else None
         case = "added to first token, median"
         rows.append(Result(NAME, case, policy, added_ms, "ms", target, seed))
-    share = rates["jayyoke"] / rates["relay"]
-    case = "request rate over the relay's"
-    rows.append(Result(NAME, case, "jayyoke", share, "share", 0.7, seed, at_most=False))
+    for case, field, target in (
+        ("request rate over the relay's", "requests_per_s", 0.7),
+        ("requests per core-second, same", "requests_per_core_s", None),
+    ):
+        # Rounds of both alternate, so each pair met about the same load of the machine.
+        pairs = zip(loads["jayyoke"], loads["relay"], strict=True)
+        shares = [getattr(ours, field) / getattr(bare, field) for ours, bare in pairs]
+        share = statistics.median(shares)
+        rows.append(Result(NAME, case, "jayyoke", share, "share", target, seed, at_most=False))
     return rows
 
 
-async def _measure_load(url: str) -> Load:
+async def _measure_load(url: str, pid: int) -> Load:
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
         await _ask(http, url)
+        before_s = _read_core_s(pid)
         end_s = time.monotonic() + LOAD_S
         counts = await asyncio.gather(*(_ask_until(http, url, end_s) for _ in range(CONCURRENCY)))
-    return Load(sum(counts) / LOAD_S)
+        used_s = _read_core_s(pid) - before_s
+    return Load(sum(counts) / LOAD_S, sum(counts) / used_s)
+
+
+def _read_core_s(pid: int) -> float:
+    """Return the processor time that a process used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 async def _measure_first_tokens(urls: dict[str, str]) -> dict[str, float]:
@@ -142,6 +158,7 @@
         for name, command in commands.items():
             child = _start(command, folder / f"{name}.log")
             children.append(child)
+            (folder / f"{name}.pid").write_text(str(child.pid))
             # Relay and daemon share a core, one idle while the other is measured.
             core = cores[-1] if name in ("relay", "jayyoke") else cores[-2]
             os.sched_setaffinity(child.pid, {core})
--- a/jayyoke/ops/decisions.py
+++ b/jayyoke/ops/decisions.py
@@ -16,7 +16,7 @@
 
 # A node sees about 17 requests/s; a burst of retries must not turn into a burst of lines.
 LINES_PER_S = 50.0
-BURST_LINES = 200.0
+BURST_LINES = 100.0
 MAX_PASSED_OVER = 16
 
 
--- a/jayyoke/ops/metrics.py
+++ b/jayyoke/ops/metrics.py
@@ -10,6 +10,9 @@
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
+# Recording in a histogram costs 2.5 us, so values are counted at the histogram's own precision of
+# under 1% and recorded when the histograms are read.
+KEPT_BITS = 8
 # Bounds the memory: a histogram takes about 30 KB, and classes come from the configuration.
 MAX_HISTOGRAMS = 128
 
@@ -19,7 +22,8 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self.latencies: dict[tuple[str, str], HdrHistogram] = {}
+        self._latencies: dict[tuple[str, str], HdrHistogram] = {}
+        self._counts: dict[tuple[str, str], dict[int, int]] = {}
         self._children: dict[tuple[int, tuple[str, ...]], Counter] = {}
         registry = self.registry
         self.requests = Counter(
@@ -66,14 +70,27 @@
 
     def observe(self, name: str, class_name: str, seconds: float) -> None:
         """Record a latency of a class under a name such as first_token."""
-        histogram = self.latencies.get((name, class_name))
-        if histogram is None:
-            if len(self.latencies) >= MAX_HISTOGRAMS:
+        counts = self._counts.get((name, class_name))
+        if counts is None:
+            if len(self._counts) >= MAX_HISTOGRAMS:
                 return
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-            self.latencies[(name, class_name)] = histogram
-        value_us = int(seconds * 1e6)
-        histogram.record_value(min(HIGHEST_US, max(LOWEST_US, value_us)))
+            counts = self._counts[(name, class_name)] = {}
+        value_us = min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6)))
+        shift = max(0, value_us.bit_length() - KEPT_BITS)
+        value_us = value_us >> shift << shift
+        counts[value_us] = counts.get(value_us, 0) + 1
+
+    def read_latencies(self) -> dict[tuple[str, str], HdrHistogram]:
+        """Return the histograms with everything observed until now."""
+        for key, counts in self._counts.items():
+            histogram = self._latencies.get(key)
+            if histogram is None:
+                histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+                self._latencies[key] = histogram
+            for value_us, count in counts.items():
+                histogram.record_value(value_us, count)
+            counts.clear()
+        return self._latencies
 
     def observe_first_token(self, spec: ClassSpec, seconds: float) -> None:
         """Record the time to the first token and whether it met the class's target."""
--- a/jayyoke/ops/resume.py
+++ b/jayyoke/ops/resume.py
@@ -48,11 +48,16 @@
 
 
 class Relay:
-    """Relays one answer to `send`, which gets whole events only."""
+    """Relays one answer to `send`, which gets whole events only.
+
+    Events that arrive together with the regular end stay in `tail`, to be written with the end
+    mark.
+    """
 
     def __init__(self, node: Node, request: CallerRequest, send: Send):
         self.frames = Frames()
         self.dispatched = False
+        self.tail = b""
         self._node = node
         self._request = request
         self._send = send
@@ -192,9 +197,12 @@
                 raise AnswerBroken("truncated")
             before = frames.tokens
             whole = frames.feed(chunk)
+            if frames.tokens != before:
+                self._observe()
+            if frames.done and frames.finished and content.at_eof():
+                self.tail = whole
+                return
             if whole:
-                if frames.tokens != before:
-                    self._observe()
                 await self._deliver(whole)
             if frames.failed:
                 raise AnswerBroken("the engine sent an error event")
--- a/jayyoke/ops/sse.py
+++ b/jayyoke/ops/sse.py
@@ -18,8 +18,8 @@
 _USAGE = re.compile(rb'"usage"\s*:\s*\{')
 _ERROR = re.compile(rb'data:\s*\{\s*"error"\s*:\s*[^n\s]')
 _DONE = re.compile(rb"data:\s*\[DONE\]")
-# Any of these needs a look at each event; without them, every event holds one token.
-_SPECIAL = re.compile(rb'"finish_reason"\s*:\s*"|"usage"|\[DONE\]|"error"|(?:^|\n):')
+# Most events look like one of these; searches of bytes are 20 times faster than patterns.
+_PLAIN = ((b'"delta": {"content": "', b'"content": ""'), (b'"delta":{"content":"', b'"content":""'))
 _COMMENT = 0x3A
 
 
@@ -50,12 +50,10 @@
         self._error = False
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the whole frames to deliver; raise AnswerBroken on an error event or a huge one.
+        """Return the whole frames to deliver, up to an error event, which sets `failed`.
 
-        An error event is raised by the call after the one that returned the frames before it.
+        Raise AnswerBroken on an event that exceeds the size limit.
         """
-        if self._error:
-            raise AnswerBroken("the engine sent an error event")
         data = self._tail + chunk if self._tail else chunk
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
@@ -66,10 +64,22 @@
         self._hold(data[cut:])
         if cut != len(data):
             data = data[:cut]
-        if self.started and not self.finished and _SPECIAL.search(data) is None:
-            events = data.count(b"\n\n")
-            if len(_TOKEN.findall(data)) == events:
+        if self.finished or self.done:
+            return self._sift(data)
+        at = data.rfind(b"\n\n", 0, _find_finish(data)) + 2
+        if at <= 1:
+            return self._sift(data)
+        if at == len(data):
+            return self._count(data)
+        return self._count(data[:at]) + self._sift(data[at:])
+
+    def _count(self, data: bytes) -> bytes:
+        """Count events before the finish event; if each has text, none needs a closer look."""
+        events = data.count(b"\n\n")
+        for plain, empty in _PLAIN:
+            if data.count(plain) == events and empty not in data:
                 self.tokens += events
+                self.started = True
                 return data
         return self._sift(data)
 
@@ -78,8 +88,6 @@
         for part in data.split(b"\n\n"):
             if part and self._keep(part):
                 kept.append(part + b"\n\n")
-        if self._error and not kept:
-            raise AnswerBroken("the engine sent an error event")
         return b"".join(kept)
 
     @property
@@ -132,3 +140,14 @@
         if isinstance(event.get("usage"), dict):
             self.usage = event["usage"]
         return bool(event.get("choices"))
+
+
+def _find_finish(data: bytes) -> int:
+    """Return where a finish reason begins, or the length of the data."""
+    at = len(data)
+    # Other events have null here, and the finish event is the last one that has the member.
+    found = data.rfind(b'"finish_reason"')
+    while found != -1 and _FINISH.match(data, found) is not None:
+        at = found
+        found = data.rfind(b'"finish_reason"', 0, at)
+    return at
--- a/jayyoke/plugins/chat.py
+++ b/jayyoke/plugins/chat.py
@@ -33,6 +33,7 @@
     collector = _Collector()
     relay = Relay(node, request, collector.send)
     await _run(relay)
+    await collector.send(relay.tail)
     body = collector.build(request, _build_usage(request, relay))
     return web.json_response(body, headers={"X-Request-Id": request.request_id})
 
@@ -52,10 +53,10 @@
     relay = Relay(node, request, send)
     try:
         await _run(relay)
-        if request.include_usage:
-            await send(_format_usage(request, relay))
-        await send(DONE)
-        await response.write_eof()
+        end = _format_usage(request, relay) + DONE if request.include_usage else DONE
+        if not response.prepared:
+            await response.prepare(http)
+        await response.write_eof(relay.tail + end)
     except Refusal as refusal:
         if not response.prepared:
             raise
--- a/jayyoke/server/metrics.py
+++ b/jayyoke/server/metrics.py
@@ -22,7 +22,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yield one summary of all latencies."""
         summary = Metric("jayyoke_latency_seconds", "Latency by class.", "summary")
-        for (name, class_name), histogram in sorted(self._metrics.latencies.items()):
+        for (name, class_name), histogram in sorted(self._metrics.read_latencies().items()):
             labels = {"name": name, "class_name": class_name}
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
