--- /dev/null
+++ b/tests/drain_test.py
@@ -0,0 +1,45 @@
+"""Graceful shutdown of a real daemon while a stream runs."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from standin.deployment import DEPLOYMENTS
+from standin.fleet import TEAM_KEYS, run_fleet
+
+TOKENS = 400
+
+
+class TestDrain:
+    def test_running_stream_is_finished_before_exit(self):
+        """Guards against a shutdown that cuts a stream, stays ready or exits with an error."""
+
+        async def run() -> None:
+            async with run_fleet(DEPLOYMENTS["ballenticket"]) as fleet:
+                instance = fleet.instances[0]
+                messages = [{"role": "user", "content": "long"}]
+                body = {"model": "draft", "messages": messages, "stream": True}
+                headers = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
+                url = f"{instance.url}/v1/chat/completions"
+                body["max_tokens"] = TOKENS
+                async with fleet.http.post(url, json=body, headers=headers) as answer:
+                    seen = await answer.content.readany()
+                    instance.send(signal.SIGTERM)
+                    assert await wait_until_unready(fleet, instance)
+                    assert instance.child.poll() is None
+                    seen += await answer.content.read()
+                assert seen.count(b'"content"') == TOKENS
+                assert seen.endswith(b"data: [DONE]\n\n")
+                assert await instance.wait() == 0
+
+        asyncio.run(run())
+
+
+async def wait_until_unready(fleet, instance) -> bool:
+    """Return True once readiness is denied; an instance that is gone raises ClientError."""
+    while True:
+        async with fleet.http.get(f"{instance.operator_url}/readyz") as answer:
+            if answer.status == 503:
+                return True
+        await asyncio.sleep(0.02)
