--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -15,7 +15,7 @@
 from bench.result import Result
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.error import Refusal
-from jayyoke.ops.fairness import FairQueue, Ticket
+from jayyoke.ops.fairness import HEADROOM, FairQueue, Ticket
 
 INSTANCES = 6
 CAPACITY_TOKENS = 12_000.0
@@ -164,7 +164,7 @@
 
 def run_fifo(world: World, jobs: list[Job]) -> None:
     """Queue in order of arrival at each instance."""
-    _run_queues(world, jobs, share_loads=False, one_line=True)
+    _run_queues(world, jobs, share_loads=False, one_line=True, headroom=0.0)
 
 
 def run_single(world: World, jobs: list[Job]) -> None:
@@ -177,8 +177,21 @@
     _run_queues(world, jobs, share_loads=True)
 
 
-def _run_queues(world: World, jobs: list[Job], share_loads: bool, one_line: bool = False) -> None:
-    queues = [FairQueue(lambda: CAPACITY_TOKENS, world.clock.now_s) for _ in range(INSTANCES)]
+def run_packed(world: World, jobs: list[Job]) -> None:
+    """Queue fairly with the heavy teams of the peers, without headroom."""
+    _run_queues(world, jobs, share_loads=True, headroom=0.0)
+
+
+def _run_queues(
+    world: World,
+    jobs: list[Job],
+    share_loads: bool,
+    one_line: bool = False,
+    headroom: float = HEADROOM,
+) -> None:
+    queues = []
+    for _ in range(INSTANCES):
+        queues.append(FairQueue(lambda: CAPACITY_TOKENS, world.clock.now_s, headroom=headroom))
     for job in jobs:
         world.at(job.at_s, lambda job=job: arrive(job))
 
@@ -186,12 +199,13 @@
         queue = queues[job.instance]
         line = "all" if one_line else job.team
         ticket = Ticket(line, job.cost, job.at_s + MAX_WAIT_S)
-        ticket.admit = lambda refusal: begin(job, ticket) if refusal is None else None
         try:
             if queue.enter(ticket):
                 begin(job, ticket)
+                return
         except Refusal:
             return
+        ticket.admit = lambda refusal: begin(job, ticket) if refusal is None else None
 
     def begin(job: Job, ticket: Ticket) -> None:
         job.started_s = world.clock.now_s()
@@ -274,6 +288,7 @@
     "no limit": run_unlimited,
     "fifo": run_fifo,
     "per instance": run_single,
+    "no headroom": run_packed,
     "shared": run_shared,
     "preemption": run_preemption,
 }
--- a/jayyoke/ops/fairness.py
+++ b/jayyoke/ops/fairness.py
@@ -22,7 +22,14 @@
 MAX_WAITING = 512
 # Digests are sent every second; a peer that missed three of them counts as gone.
 LOADS_LIVE_S = 3.0
+# Teams over their share leave this part of the capacity to the others, whose requests would else
+# wait for several running ones to end. See docs/limits.md for other values.
+HEADROOM = 0.2
 HEAVY_TEAMS = 8
+# The fair share is computed from all active teams, so not for each request.
+LEVELS_S = 0.05
+# Long enough that a surging team whose queue is empty for a moment does not fill the headroom.
+SURGE_MEMORY_S = 5.0
 MAX_SENDERS = 64
 MAX_ACCEPTED = 32
 RETRY_AFTER_S = 1.0
@@ -49,6 +56,7 @@
     running: float = 0.0
     queued: float = 0.0
     finish: float = 0.0
+    over_until_s: float = -math.inf
 
 
 class FairQueue:
@@ -59,15 +67,20 @@
         capacity: Callable[[], float],
         now_s: Callable[[], float],
         max_waiting: int = MAX_WAITING,
+        headroom: float = HEADROOM,
     ):
         self._capacity = capacity
         self._now_s = now_s
         self._max_waiting = max_waiting
+        self._headroom = headroom
         self._teams: dict[str, _Team] = {}
         self._heap: list[tuple[float, int, Ticket]] = []
         self._idle: set[str] = set()
         self._abroad: dict[str, tuple[float, dict[str, float]]] = {}
         self._virtual = 0.0
+        self._level = math.inf
+        self._low_level = math.inf
+        self._levels_s = -math.inf
         self._number = 0
         self._waiting = 0
         self._running = 0.0
@@ -92,9 +105,10 @@
     def enter(self, ticket: Ticket) -> bool:
         """Admit a ticket and return True, or queue it and return False; raise Refusal if shed."""
         team = self._teams.get(ticket.team)
-        if self._waiting == 0 and self._fits(ticket):
-            if team is None:
-                team = self._teams[ticket.team] = _Team()
+        if team is None:
+            team = self._teams[ticket.team] = _Team()
+            self._idle.add(ticket.team)
+        if self._waiting == 0 and self._fits(ticket, team):
             self._charge(team, ticket)
             self._virtual = max(self._virtual, ticket.start)
             self._begin(team, ticket)
@@ -102,18 +116,14 @@
         self._shed_if_late(ticket)
         if self._waiting >= self._max_waiting:
             self._make_room(ticket)
-        team = self._teams.get(ticket.team)
-        if team is None:
-            team = self._teams[ticket.team] = _Team()
         self._charge(team, ticket)
         team.waiting.append(ticket)
         team.queued += ticket.cost
         self._waiting += 1
-        if len(self._heap) > 2 * self._max_waiting:
-            self._heap = [entry for entry in self._heap if entry[2].state == "waiting"]
-            heapq.heapify(self._heap)
-        heapq.heappush(self._heap, (ticket.start, ticket.number, ticket))
-        return False
+        if team.waiting[0] is ticket:
+            heapq.heappush(self._heap, (ticket.start, ticket.number, ticket))
+            self.pump()
+        return ticket.state == "running"
 
     async def admit(self, ticket: Ticket) -> None:
         """Wait until a ticket is admitted; raise Refusal if it is shed. End it with `leave`."""
@@ -157,22 +167,29 @@
     def pump(self) -> None:
         """Admit waiting tickets while they fit; call it when the capacity grew."""
         now_s = self._now_s()
+        passed = []
         while self._heap:
-            start, _, ticket = self._heap[0]
+            entry = heapq.heappop(self._heap)
+            ticket = entry[2]
             if ticket.state != "waiting":
-                heapq.heappop(self._heap)
                 continue
             if ticket.latest_start_s < now_s:
                 self._drop(ticket, _refuse_late())
                 continue
-            if not self._fits(ticket):
-                return
-            heapq.heappop(self._heap)
-            self._virtual = max(self._virtual, start)
-            team = self._unqueue(ticket)
+            team = self._teams[ticket.team]
+            if not self._fits(ticket, team):
+                passed.append(entry)
+                # Only a team over its share is passed over, so large requests are not starved.
+                if self._is_over_share(ticket, team):
+                    continue
+                break
+            self._virtual = max(self._virtual, ticket.start)
             self._begin(team, ticket)
+            self._unqueue(ticket)
             if ticket.admit is not None:
                 ticket.admit(None)
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
         self._sweep()
 
     def build_team_loads(self) -> list[TeamLoad]:
@@ -217,9 +234,47 @@
         for sender in [s for s, (at, _) in self._abroad.items() if now_s - at > LOADS_LIVE_S]:
             del self._abroad[sender]
 
-    def _fits(self, ticket: Ticket) -> bool:
+    def _fits(self, ticket: Ticket, team: _Team) -> bool:
         # One request always fits an idle instance, however large it is.
-        return self._running == 0 or self._running + ticket.cost <= self._capacity()
+        if self._running == 0:
+            return True
+        limit = self._capacity()
+        if limit != math.inf and self._is_over_share(ticket, team):
+            limit *= 1.0 - self._headroom
+        return self._running + ticket.cost <= limit
+
+    def _is_over_share(self, ticket: Ticket, team: _Team) -> bool:
+        """Tell whether a team that lately asked for more than its share would exceed it."""
+        now_s = self._now_s()
+        if now_s - self._levels_s >= LEVELS_S:
+            self._levels_s = now_s
+            capacity = self._capacity()
+            self._level = self._find_level(capacity)
+            self._low_level = self._find_level(capacity * (1.0 - self._headroom))
+        weight = self.weigh(ticket.team)
+        if team.running + team.queued > self._level * weight:
+            team.over_until_s = now_s + SURGE_MEMORY_S
+        if now_s >= team.over_until_s:
+            return False
+        return team.running + ticket.cost > self._low_level * weight
+
+    def _find_level(self, capacity: float) -> float:
+        """Return the max-min fair share of a team of weight 1, infinite without congestion."""
+        demands = []
+        weights = 0.0
+        for name, team in self._teams.items():
+            weight = self.weigh(name)
+            weights += weight
+            demands.append(((team.running + team.queued) / weight, weight))
+        # A lone team may use everything.
+        if len(demands) <= 1:
+            return math.inf
+        for level, weight in sorted(demands):
+            if level * weights >= capacity:
+                return capacity / weights
+            capacity -= level * weight
+            weights -= weight
+        return math.inf
 
     def _charge(self, team: _Team, ticket: Ticket) -> None:
         self._number += 1
@@ -234,9 +289,13 @@
 
     def _unqueue(self, ticket: Ticket) -> _Team:
         team = self._teams[ticket.team]
+        head = team.waiting[0] is ticket
         team.waiting.remove(ticket)
         team.queued -= ticket.cost
         self._waiting -= 1
+        if head and team.waiting:
+            following = team.waiting[0]
+            heapq.heappush(self._heap, (following.start, following.number, following))
         return team
 
     def _drop(self, ticket: Ticket, refusal: Refusal) -> None:
--- a/jayyoke/plugins/chat.py
+++ b/jayyoke/plugins/chat.py
@@ -39,9 +39,12 @@
 
 
 async def _stream(node: Node, request: CallerRequest, http: web.Request) -> web.StreamResponse:
-    headers = {"X-Request-Id": request.request_id, "Cache-Control": "no-cache"}
+    headers = {
+        "X-Request-Id": request.request_id,
+        "Cache-Control": "no-cache",
+        "Content-Type": "text/event-stream",
+    }
     response = web.StreamResponse(headers=headers)
-    response.content_type = "text/event-stream"
     if node.drain.draining:
         response.force_close()
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -31,6 +32,8 @@
 DRAIN_TIMEOUT_S = 60.0
 # The balancer probes readiness about once a second.
 SETTLE_S = 2.0
+# Some thousand objects belong to each running request, so the default of 700 collects in vain.
+COLLECT_AFTER_ALLOCATIONS = 20_000
 _LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
 
 
@@ -62,6 +65,7 @@
         tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
+        _tune_collector()
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         await _drain(node, callers)
@@ -73,6 +77,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _tune_collector() -> None:
+    """Keep the garbage collector off the objects of the start and let it run less often."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_ALLOCATIONS, 20, 20)
+
+
 async def _drain(node: Node, callers: Listener) -> None:
     """Finish the requests in progress; the listener stays open until the balancer noticed."""
     logging.info("instance %s drains", node.settings.instance)
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -5,7 +5,6 @@
 import asyncio
 import hashlib
 import re
-import uuid
 
 from absl import logging
 from aiohttp import web
@@ -19,7 +18,7 @@
 from jayyoke.ops.deadline import HEADER, parse_deadline
 from jayyoke.ops.node import Node
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat, format_body, parse_completion
-from jayyoke.server.problem import format_problem
+from jayyoke.server.problem import format_problem, make_request_id
 
 MAX_BODY_BYTES = 4 << 20
 BODY_TIMEOUT_S = 10.0
@@ -60,9 +59,9 @@
         allowed = _METHODS.get(http.path)
         if allowed is None:
             refusal = refuse(404, code.UNKNOWN_PATH, "no such path")
-            return self._refuse(refusal, uuid.uuid4().hex)
+            return self._refuse(refusal, make_request_id())
         refusal = refuse(405, code.METHOD_NOT_ALLOWED, f"use {allowed}")
-        response = self._refuse(refusal, uuid.uuid4().hex)
+        response = self._refuse(refusal, make_request_id())
         response.headers["Allow"] = allowed
         return response
 
@@ -73,7 +72,7 @@
             if name is not None:
                 return web.json_response(_format_model(self._find_class(name, team, True)))
         except Refusal as refusal:
-            return self._refuse(refusal, uuid.uuid4().hex)
+            return self._refuse(refusal, make_request_id())
         models = []
         for spec in self._node.control.configuration.classes.values():
             if spec.kind is ClassKind.CHAT and (not team.classes or spec.name in team.classes):
@@ -83,7 +82,7 @@
     async def _serve(self, http: web.Request, chat: bool) -> web.StreamResponse:
         node = self._node
         node.drain.enter()
-        request_id = uuid.uuid4().hex
+        request_id = make_request_id()
         try:
             request_id = _read_request_id(http) or request_id
             request = await self._parse(http, request_id, chat)
--- a/jayyoke/server/listener.py
+++ b/jayyoke/server/listener.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import uuid
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.code import HEADER_INVALID, refuse
-from jayyoke.server.problem import format_problem
+from jayyoke.server.problem import format_problem, make_request_id
 
 MAX_HEADER_BYTES = 8190
 # Also bounds how long a connection may take to send its first request's head.
@@ -32,7 +31,7 @@
         if status != 400:
             return super().handle_error(request, status, exc, message)
         detail = f"the request's head cannot be read or exceeds {MAX_HEADER_BYTES} bytes"
-        response = format_problem(refuse(400, HEADER_INVALID, detail), uuid.uuid4().hex)
+        response = format_problem(refuse(400, HEADER_INVALID, detail), make_request_id())
         response.force_close()
         return response
 
--- a/jayyoke/server/problem.py
+++ b/jayyoke/server/problem.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import secrets
 
 from aiohttp import web
 
@@ -12,6 +13,11 @@
 _ERROR_TYPES = {401: "authentication_error", 403: "permission_error", 429: "rate_limit_error"}
 
 
+def make_request_id() -> str:
+    """Return a random id for a request that came without a usable one."""
+    return secrets.token_hex(16)
+
+
 def format_problem(refusal: Refusal, request_id: str) -> web.Response:
     """Return the response of a refusal; `error` is what chat-completions clients read."""
     kind = "server_error" if refusal.status >= 500 else "invalid_request_error"
