--- a/jayyoke/ops/decisions.py
+++ b/jayyoke/ops/decisions.py
@@ -14,8 +14,8 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.utils.bucket import TokenBucket
 
-# A node sees about 17 requests/s; a burst of retries must not turn into a burst of lines.
-LINES_PER_S = 50.0
+# A node sees about 17 requests/s; a line costs 0.15 ms, so a burst must not turn into lines.
+LINES_PER_S = 25.0
 BURST_LINES = 100.0
 MAX_PASSED_OVER = 16
 
