--- a/jayyoke/core/code.py
+++ b/jayyoke/core/code.py
@@ -26,6 +26,16 @@
 ANSWER_BROKEN = "answer-broken"
 NO_ANSWER = "no-answer"
 INTERNAL = "internal-error"
+IDEMPOTENCY_KEY_MISSING = "idempotency-key-missing"
+IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
+IN_PROGRESS = "in-progress"
+OUTCOME_UNKNOWN = "outcome-unknown"
+REPLY_EXPIRED = "reply-expired"
+REPLY_FOREIGN = "reply-foreign"
+REPLY_UNKNOWN = "reply-unknown"
+REQUEST_ID_REUSED = "request-id-reused"
+STORE_UNAVAILABLE = "store-unavailable"
+TAG_NOT_DURABLE = "tag-not-durable"
 
 
 def refuse(status: int, code: str, detail: str, retry_after_s: float | None = None) -> Refusal:
--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -16,8 +16,8 @@
     """Reports every finding of a settings or configuration document."""
 
     def __init__(self, findings: Sequence[Finding]):
-        super().__init__("\n".join(str(finding) for finding in findings))
-        self.findings = tuple(findings)
+        self.findings = tuple(sorted(findings, key=lambda finding: finding.line))
+        super().__init__("\n".join(str(finding) for finding in self.findings))
 
 
 class PlatformError(JayyokeError):
@@ -52,7 +52,14 @@
 
 
 class PeerUnavailable(PeerError):
-    """Reports that a peer could not be reached or did not answer in time."""
+    """Reports that a peer could not be reached or did not answer in time.
+
+    `sent` is False only if it is certain that the peer did not receive the message.
+    """
+
+    def __init__(self, detail: str, sent: bool = True):
+        super().__init__(detail)
+        self.sent = sent
 
 
 class PeerProtocolError(PeerError):
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -5,8 +5,8 @@
 import asyncio
 import gc
 import signal
-import sys
 from pathlib import Path
+from typing import Annotated
 
 import aiohttp
 import typer
@@ -14,38 +14,28 @@
 from aiohttp import web
 
 from jayyoke.core import kernel
-from jayyoke.core.clock import SystemClock
 from jayyoke.core.error import InvalidDocument
-from jayyoke.ops.control import Control
-from jayyoke.ops.health import Health
 from jayyoke.ops.node import Node
-from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings, parse_settings
-from jayyoke.platform.listing import Listing
-from jayyoke.platform.table import Table
+from jayyoke.scripts.assembly import build_node, list_tasks
+from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
 
-EXIT_INVALID_SETTINGS = 2
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
 # Longer than any class's deadline of today (30 s).
 DRAIN_TIMEOUT_S = 60.0
 # The balancer probes readiness about once a second.
 SETTLE_S = 2.0
 # Some thousand objects belong to each running request, so the default of 700 collects in vain.
 COLLECT_AFTER_ALLOCATIONS = 20_000
-_LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
-
-
-def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
-    """Return the parts of an instance, not yet running."""
-    table = Table(http, settings.table_url)
-    listing = Listing(http, settings.listing_url)
-    control = Control(table)
-    health = Health(listing)
-    placer = Placer(control, health)
-    clock = SystemClock()
-    return Node(settings, clock, http, table, listing, control, health, placer)
+DURABLE_DRAIN_TIMEOUT_S = 3.0  # What is left is adopted by another instance.
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -56,19 +46,21 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    # One caller's cookies must not reach an upstream with another caller's request.
-    jar = aiohttp.DummyCookieJar()
-    async with aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, cookie_jar=jar
-    ) as http:
-        node = build_node(settings, http)
-        tasks = [asyncio.create_task(node.control.run()), asyncio.create_task(node.health.run())]
+    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
+    # must not be repeated, so they use each connection once.
+    single = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with _open_session(connector) as http, _open_session(single) as http_single:
+        node = build_node(settings, http, http_single)
+        await node.peers.start()
+        tasks = [asyncio.create_task(part) for part in list_tasks(node)]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         _tune_collector()
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
+        node.peers.announce_leaving()
         await _drain(node, callers)
+        await node.durable.drain(DURABLE_DRAIN_TIMEOUT_S)
         await callers.close()
         await operators.close()
         await node.engines.close()
@@ -84,6 +76,12 @@
     gc.set_threshold(COLLECT_AFTER_ALLOCATIONS, 20, 20)
 
 
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    # One caller's cookies must not reach an upstream with another caller's request.
+    jar = aiohttp.DummyCookieJar()
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, cookie_jar=jar)
+
+
 async def _drain(node: Node, callers: Listener) -> None:
     """Finish the requests in progress; the listener stays open until the balancer noticed."""
     logging.info("instance %s drains", node.settings.instance)
@@ -102,23 +100,38 @@
 
 def main() -> None:
     """Run the command line of the daemon."""
-    typer.run(_command)
+    app()
 
 
-def _command(settings: Path = typer.Option(..., help="YAML file of this instance.")) -> None:  # noqa: B008
-    """Run one entry instance until SIGTERM."""
-    try:
-        parsed = parse_settings(settings.read_text(encoding="utf-8"), str(settings))
-    except InvalidDocument as error:
-        print(error, file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    except OSError as error:
-        print(f"{settings}: {error.strerror}", file=sys.stderr)
-        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
-    logging.set_verbosity(_LEVELS.get(parsed.log_level, logging.INFO))
+app = typer.Typer(rich_markup_mode=None, add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def _command(
+    settings: Annotated[Path, typer.Option(help="YAML file with the settings of this instance.")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings, then exit without serving.")
+    ] = False,
+) -> None:
+    """Run one entry instance until SIGTERM, then finish the requests in progress.
+
+    Exit codes: 0 stopped or settings without findings; 2 bad usage or settings.
+    """
+    parsed = _read_settings(settings)
+    if check:
+        print(f"{settings}: no findings")
+        return
+    logging.set_verbosity(_LEVELS[parsed.log_level])
     logging.use_absl_handler()
     asyncio.run(run_daemon(parsed))
 
 
+def _read_settings(path: Path) -> Settings:
+    try:
+        return parse_settings(read_file(path), str(path))
+    except InvalidDocument as error:
+        raise fail(str(error), EXIT_USAGE) from error
+
+
 if __name__ == "__main__":
     main()
--- a/standin/router.py
+++ b/standin/router.py
@@ -18,7 +18,7 @@
 from jayyoke.ops.node import Node
 from jayyoke.ops.placement import Placement
 from jayyoke.parser.settings import Settings
-from jayyoke.scripts.daemon import build_node
+from jayyoke.scripts.assembly import build_node
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from standin.scripted import ScriptedEngine
@@ -92,7 +92,7 @@
     )
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as http:
-        node = build_node(settings, http)
+        node = build_node(settings, http, http)
         node.placer = placer = StaticPlacer(upstreams)  # type: ignore[assignment]
         configuration = build_test_configuration(within_s)
         node.control = SimpleNamespace(configuration=configuration, confirmed=True)  # type: ignore[assignment]
--- a/standin/scripted.py
+++ b/standin/scripted.py
@@ -15,7 +15,7 @@
 
 from aiohttp import web
 
-from standin.engine import flatten_prompt, generate_token
+from standin.enginemodel import flatten_prompt, generate_token
 
 COMPLETE = "rest stop"
 
--- a/tests/answers_test.py
+++ b/tests/answers_test.py
@@ -9,13 +9,13 @@
 import openai
 import pytest
 
-from standin.engine import generate_token
+from standin.enginemodel import generate_token
 from standin.router import KEY, Router, run_router
 from standin.scripted import ScriptedEngine
 
 TOKENS = 8
 PROMPT = [{"role": "user", "content": "weigh the bales"}]
-EXPECTED = "".join(generate_token("user:weigh the bales", at) for at in range(TOKENS))
+EXPECTED = "".join(generate_token("user weigh the bales", at) for at in range(TOKENS))
 
 
 def connect(router: Router, key: str = KEY) -> openai.AsyncOpenAI:
