--- /dev/null
+++ b/bench/frontier.py
@@ -0,0 +1,74 @@
+"""Frontier: reuse against skew by threshold and digest interval."""
+
+from __future__ import annotations
+
+from bench.fakes import World, generate_trace
+from bench.result import Result
+from bench.skew import Skew, percentile
+from jayyoke.core import kernel
+from jayyoke.core.config import ServiceSpec
+from jayyoke.ops.bound import ADMISSION_SHARE
+from jayyoke.ops.policy import Policy, Question
+
+NODES = 12
+ENGINES = 64
+IN_FLIGHT = 25
+RUN_S = 12.7
+UNTIL_S = 16.0
+
+
+def build_digest_only() -> Policy:
+    """Return the owner policy without admission: only digests tell who is over the threshold."""
+    kernel.load()
+    order = kernel.find("policy", "owner")().order
+
+    def choose(question: Question) -> list[str]:
+        engines = list(order(question))
+        for engine in engines:
+            if question.utilisation(engine) < 1.0:
+                return [engine]
+        return [min(engines, key=question.utilisation)]
+
+    return Policy(choose, asks_owner=True)
+
+
+def run_point(
+    policy: str | Policy, threshold: float, digest_s: float, seed: int, early: bool
+) -> tuple[Skew, World]:
+    """Run one point of the frontier."""
+    multiple = 1 + (threshold - 1) / ADMISSION_SHARE
+    service = ServiceSpec("pool", "engine", bound_multiple=multiple, full_work_tokens=1 << 30)
+    world = World(policy, NODES, ENGINES, service, seed, digest_s, early=early)
+    skew = Skew(world)
+    for tenth in range(40, int(UNTIL_S * 10)):
+        world.at(tenth / 10 + 0.05, skew.sample)
+    world.fill()
+    count = ENGINES * IN_FLIGHT
+    trace = generate_trace(seed, count / RUN_S, UNTIL_S, RUN_S, count, pause_s=8.0)
+    world.run(UNTIL_S, trace)
+    return skew, world
+
+
+def measure(seed: int) -> list[Result]:
+    """Return skew and tokens found for each point."""
+    rows = []
+    points = [
+        ("steward", 1.15, 1.0, True),
+        ("steward", 1.2, 1.0, True),
+        ("steward", 1.2, 1.0, False),
+        ("steward", 1.25, 1.0, True),
+        ("digest-only", 1.15, 0.5, False),
+        ("digest-only", 1.25, 1.0, False),
+    ]
+    for kind, threshold, digest_s, early in points:
+        policy = "owner" if kind == "steward" else build_digest_only()
+        skew, world = run_point(policy, threshold, digest_s, seed, early)
+        notice = ", early" if early else ""
+        case = f"threshold {threshold}, {digest_s} s{notice}"
+        value = percentile(list(skew.requests.values()), 0.99)
+        found = world.found / world.prompts
+        displaced = world.displaced / max(world.placed, 1)
+        rows.append(Result("frontier skew", case, kind, value, "x mean", None, seed))
+        rows.append(Result("frontier reuse", case, kind, found, "of prompts", None, seed))
+        rows.append(Result("frontier displaced", case, kind, displaced, "of requests", None, seed))
+    return rows
--- a/jayyoke/ops/loads.py
+++ b/jayyoke/ops/loads.py
@@ -70,18 +70,25 @@
         self._means[service] = (now_s, mean)
         return mean
 
-    def utilisation(self, engine: str, service: ServiceSpec, mean: Mean) -> float:
-        """Return the larger share that requests and work take of the bound or the limit."""
-        load = self._loads.get(engine)
-        if load is None:
-            return 0.0
+    def rate(self, service: ServiceSpec, mean: Mean) -> Callable[[str], float]:
+        """Return a function that tells how much of its bound or limit an engine uses; 1 is full."""
         multiple = tighten(service.bound_multiple)
-        share = load.requests / compute_bound(multiple, mean.requests)
-        if mean.work_tokens > 0 and load.work_tokens > mean.work_tokens:
-            share = max(share, load.work_tokens / (multiple * mean.work_tokens))
-        if load.limit_tokens > 0:
-            share = max(share, load.work_tokens / load.limit_tokens)
-        return share
+        bound = compute_bound(multiple, mean.add(0).requests)
+        work_bound = multiple * mean.work_tokens
+        find = self._loads.get
+
+        def rate_engine(engine: str) -> float:
+            load = find(engine)
+            if load is None:
+                return 0.0
+            share = load.requests / bound
+            if load.work_tokens > mean.work_tokens > 0:
+                share = max(share, load.work_tokens / work_bound)
+            if load.work_tokens > load.limit_tokens * share > 0:
+                share = load.work_tokens / load.limit_tokens
+            return share
+
+        return rate_engine
 
     def put(self, engine: str, load: Load) -> None:
         """Record the load of an engine that this instance is the steward of."""
--- /dev/null
+++ b/jayyoke/ops/memory_test.py
@@ -0,0 +1,75 @@
+"""Tests of the chat memory and of cache events."""
+
+from __future__ import annotations
+
+from jayyoke.core.member import Member
+from jayyoke.ops.breaker import Breaker
+from jayyoke.ops.events import CacheFollower
+from jayyoke.ops.memory import EVENT_LAG_S, Memory
+from jayyoke.wire.local import LocalHub
+
+
+class TestMemory:
+    def test_count_and_age_are_bounded(self):
+        """Guards against memory that grows with the number of chats."""
+        memory = Memory(max_entries=3, max_age_s=100)
+        for chat in range(5):
+            memory.learn(chat, "e", 10, 0.0)
+        assert len(memory) == 3
+        assert memory.find(4, 100.0) == ("e", 10)
+        assert memory.find(4, 101.0) is None
+
+    def test_late_eviction_does_not_forget_a_new_placement(self):
+        """Guards against late cache events that overwrite newer knowledge."""
+        memory = Memory()
+        memory.learn(1, "e", 10, 100.0)
+        memory.evict(1, "e", 100.0 + EVENT_LAG_S - 1)
+        memory.evict(1, "other", 1000.0)
+        memory.restore(1, "other", 99, 200.0)
+        assert memory.find(1, 200.0) == ("e", 10)
+        memory.evict(1, "e", 100.0 + EVENT_LAG_S)
+        assert memory.find(1, 200.0) is None
+
+    def test_gap_makes_older_counts_untrusted(self):
+        """Guards against trust in a cache whose evictions were lost in a gap."""
+        memory = Memory()
+        memory.learn(1, "e", 10, 100.0)
+        memory.doubt("e", 150.0)
+        memory.learn(2, "e", 20, 160.0)
+        assert memory.find(1, 170.0) == ("e", 0)
+        assert memory.find(2, 170.0) == ("e", 20)
+
+    def test_restarted_engine_is_forgotten(self):
+        """Guards against chats sent to a cache that a restart emptied."""
+        memory = Memory()
+        memory.learn(1, "e", 10, 0.0)
+        memory.learn(2, "f", 10, 0.0)
+        memory.forget_engine("e")
+        assert memory.find(1, 0.0) is None
+        assert memory.find(2, 0.0) == ("f", 10)
+
+
+class TestCacheFollower:
+    def test_gap_in_event_numbers_is_noticed(self):
+        """Guards against a hole in the events that passes unseen."""
+        follower = CacheFollower(LocalHub().join(Member("me", "a", 1, "")))
+        event = {"kind": "stored", "chat": "c", "tokens": 5}
+        assert not follower.accept("e", {"events": [event | {"n": 1}, event | {"n": 2}]})
+        assert not follower.accept("e", {"events": [event | {"n": 2}, event | {"n": 3}]})
+        assert follower.accept("e", {"events": [event | {"n": 5}]})
+        assert follower.cursor("e") == 5
+
+
+class TestBreaker:
+    def test_flapping_doubles_the_hold(self):
+        """Guards against an upstream that alternates between up and down."""
+        breaker = Breaker()
+        now_s, holds = 0.0, []
+        for _ in range(3):
+            breaker.record_failure(now_s)
+            breaker.record_failure(now_s)
+            assert not breaker.record_success(now_s + breaker.hold_s / 2)
+            now_s += breaker.hold_s
+            assert breaker.record_success(now_s)
+            holds.append(breaker.hold_s)
+        assert holds == [1.0, 2.0, 4.0]
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from jayyoke.core.clock import Clock
 from jayyoke.core.config import ServiceSpec
@@ -57,6 +58,7 @@
         self._out = out
         self._stewardship = Stewardship(peers)
         self._random = rng
+        self._listed: dict[str, tuple[Any, Any, Any, list[str]]] = {}
         self._turn = self._random.randrange(1 << 16)
         self._recent: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._abandoned: OrderedDict[tuple[str, str], None] = OrderedDict()
@@ -67,14 +69,21 @@
 
     def list_engines(self, service: str, exclude: Sequence[str] = ()) -> list[str]:
         """Return the engines that may receive new work: live, reachable and not taken out."""
+        names = self._list_all(service)
+        return [name for name in names if name not in exclude] if exclude else names
+
+    def _list_all(self, service: str) -> list[str]:
         out = self._out()
         reachable = self._peers.reachable_domains()
+        candidates = self._directory.candidates(service)
+        cached = self._listed.get(service)
+        if cached is not None and cached[0] is candidates and cached[1:3] == (out, reachable):
+            return cached[3]
         names = []
-        for upstream in self._directory.candidates(service):
-            if upstream.domain in out or upstream.domain not in reachable:
-                continue
-            if upstream.name not in exclude:
+        for upstream in candidates:
+            if upstream.domain in reachable and upstream.domain not in out:
                 names.append(upstream.name)
+        self._listed[service] = (candidates, out, reachable, names)
         return names
 
     async def decide(self, entry: str, ask: Ask) -> Choice:
@@ -84,10 +93,7 @@
         if service is None or not engines:
             return Choice("", "no-upstream")
         mean = self._loads.mean(service.name, engines)
-
-        def utilisation(engine: str) -> float:
-            return self._loads.utilisation(engine, service, mean)
-
+        utilisation = self._loads.rate(service, mean)
         remembered, cached = self.memory.find(ask.chat, self._clock.now_s()) or ("", 0)
         self._turn += 1
         question = Question(
@@ -96,13 +102,17 @@
         order = self._policy.order(question)
         work = ask.prompt_tokens + ask.output_tokens
         if not self._policy.admission:
-            reserve = Reserve(ask.request_id, order[0], work, entry, 0.0, 0.0, True)
-            self._peers.tell(self._stewardship.find(order[0]), reserve)
-            return Choice(order[0], "policy")
+            engine = next(iter(order))
+            reserve = Reserve(ask.request_id, engine, work, entry, 0.0, 0.0, True)
+            self._peers.tell(self._stewardship.find(engine), reserve)
+            if self._policy.asks_owner:
+                self._remember(ask, entry, engine)
+            return Choice(engine, "policy")
         passed: list[str] = []
         tries = 0
         for engine in order:
-            if utilisation(engine) >= 1.0:
+            # The steward decides on the remembered engine: a stale digest must not cost a cache.
+            if engine != remembered and utilisation(engine) >= 1.0:
                 if len(passed) < MAX_TRIES:
                     passed.append(engine)
                 continue
@@ -145,7 +155,7 @@
         recent = [at_s for at_s in self._local.get(engine, ()) if now_s - at_s < LOCAL_PERIOD_S]
         members = len(self._peers.members())
         mean = self._loads.mean(service.name, self.list_engines(service.name))
-        used = self._loads.utilisation(engine, service, mean)
+        used = self._loads.rate(service, mean)(engine)
         if used + len(recent) * members / max(mean.requests, 1.0) >= 1.0:
             return "steward-unreachable"
         self._local[engine] = [*recent, now_s]
--- a/jayyoke/ops/policy.py
+++ b/jayyoke/ops/policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 
@@ -28,6 +28,6 @@
 class Policy:
     """Orders engines; `asks_owner` and `admission` tell which round trips the policy needs."""
 
-    order: Callable[[Question], Sequence[str]]
+    order: Callable[[Question], Iterable[str]]
     asks_owner: bool = False
     admission: bool = False
--- a/jayyoke/plugins/owner.py
+++ b/jayyoke/plugins/owner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator
 
 from jayyoke.core.kernel import register
 from jayyoke.ops.policy import Policy, Question
@@ -21,12 +21,14 @@
     return Policy(_order, asks_owner=True, admission=True)
 
 
-def _order(question: Question) -> Sequence[str]:
-    ranked = rank(question.key, question.engines)
-    first = sorted(ranked[:WIDTH], key=question.utilisation)
-    order = [*first, *ranked[WIDTH:]]
+def _order(question: Question) -> Iterator[str]:
     remembered = question.remembered
     if remembered in question.engines:
-        order.remove(remembered)
-        order.insert(0, remembered)
-    return order
+        yield remembered
+    ranked = rank(question.key, question.engines)
+    for engine in sorted(ranked[:WIDTH], key=question.utilisation):
+        if engine != remembered:
+            yield engine
+    for engine in ranked[WIDTH:]:
+        if engine != remembered:
+            yield engine
