Shorten digests and limit early notices by group size

Cause: digests sent limit, state and incarnation each second, and notices carried every change. Change: unchanged fields are left out, a notice carries one engine, and notices slow down with the number of members.

--- a/bench/control.py
+++ b/bench/control.py
@@ -39,9 +39,9 @@
     digest_bytes = 0
     digests = 0
 
-    def send_digest(self, index: int) -> None:
-        """Count and discard nothing: build the digest once and deliver it."""
-        names, loads = self.nodes[index].build_loads()
+    def send_digest(self, index: int, only: str | None = None) -> None:
+        """Build a digest, count its bytes and deliver it."""
+        names, loads = self.nodes[index].build_loads(only)
         me = self.hub[f"node-{index:02d}"].me
         digest = Digest(0, 0, names, loads, [], False, 0, [])
         if self.now_s() >= FROM_S:
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -257,9 +257,9 @@
             delay_s = self.random.uniform(0, lag_s)
             self.at(self.now_s() + delay_s, lambda d=directory: d.put(upstream))
 
-    def send_digest(self, index: int) -> None:
+    def send_digest(self, index: int, only: str | None = None) -> None:
         """Send one instance's digest to all others."""
-        names, loads = self.nodes[index].build_loads()
+        names, loads = self.nodes[index].build_loads(only)
         me = self.hub[f"node-{index:02d}"].me
         digest = Digest(0, 0, names, loads, [], False, 0, [])
         if not loads and not names:
@@ -352,10 +352,10 @@
         self.directories.append(directory)
         node.steward.probes.subscribe(lambda name: self._probe(index, name))
         if early:
-            node.notices.subscribe(lambda name: self._send_early(index))
+            node.notices.subscribe(lambda name: self._send_early(index, name))
 
-    def _send_early(self, index: int) -> None:
-        self.at(self.now_s() + 0.001, lambda: self.send_digest(index))
+    def _send_early(self, index: int, name: str) -> None:
+        self.at(self.now_s() + 0.001, lambda: self.send_digest(index, name))
 
     def _probe(self, index: int, name: str) -> None:
         engine = self.engines[name]
--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -48,9 +48,12 @@
         """Return engines near the bound; the heartbeat is to send a digest at once."""
         return self.steward.notices
 
-    def build_loads(self) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest to all peers."""
-        return self._reporter.build_loads()
+    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
+        """Return the names and loads of the next digest to all peers.
+
+        `only` names the engine of a notice; such a digest goes out between two heartbeats.
+        """
+        return self._reporter.build_loads(only)
 
     def accept_loads(self, sender: Member, digest: Digest) -> None:
         """Learn from a received digest."""
--- a/jayyoke/ops/loads.py
+++ b/jayyoke/ops/loads.py
@@ -121,20 +121,30 @@
         now_s = self._clock.now_s()
         for entry in (digest.loads or [])[:MAX_ENGINES]:
             engine = names.get(entry.index)
-            if engine is None or not 0 <= entry.state < len(_STATES):
+            if engine is None or not 0 <= (entry.state or 0) < len(_STATES):
                 continue
             known = self._loads.get(engine)
             changed = known is not None and known.incarnation not in (0, entry.incarnation)
-            if changed and entry.incarnation != 0:
+            if changed and entry.incarnation:
                 restarted.append(engine)
-            state = _STATES[entry.state]
-            work = max(entry.work_tokens, 0)
-            limit = entry.limit_tokens
-            load = Load(max(entry.requests, 0), work, limit, state, entry.incarnation, now_s)
+            load = _merge(known, entry, now_s)
             self.put(engine, load)
         return restarted
 
 
+def _merge(known: Load | None, entry: EngineLoad, now_s: float) -> Load:
+    """Return a reported load; fields that the sender left out are unchanged."""
+    known = Load() if known is None else known
+    return Load(
+        max(entry.requests or 0, 0),
+        max(entry.work_tokens or 0, 0),
+        known.limit_tokens if entry.limit_tokens is None else entry.limit_tokens,
+        known.state if entry.state is None else _STATES[entry.state],
+        known.incarnation if entry.incarnation is None else entry.incarnation,
+        now_s,
+    )
+
+
 class Reporter:
     """Builds the load part of this instance's digests: changes only, all every tenth time."""
 
@@ -148,15 +158,17 @@
         """Send every name and load next time, for instance to a new member."""
         self._count = 0
 
-    def build_loads(self) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest."""
-        full = self._count % FULL_EVERY == 0
-        self._count += 1
+    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
+        """Return the names and loads of the next digest, or changes of `only` one engine."""
+        full = self._count % FULL_EVERY == 0 and only is None
+        self._count += only is None
         if full:
             self._sent.clear()
         names = []
         loads = []
         for engine, load in self._list_loads().items():
+            if only not in (None, engine):
+                continue
             index = self._indexes.get(engine)
             if index is None or full:
                 index = self._indexes.setdefault(engine, len(self._indexes))
@@ -170,6 +182,9 @@
             )
             if self._sent.get(engine) == values:
                 continue
+            before = self._sent.get(engine, (None,) * len(values))
             self._sent[engine] = values
-            loads.append(EngineLoad(index, *values))
+            # Limit, state and incarnation rarely change; left out, they halve the digest.
+            rare = [v if v != b else None for v, b in zip(values[2:], before[2:], strict=True)]
+            loads.append(EngineLoad(index, *values[:2], *rare))
         return names, loads
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -24,7 +24,8 @@
 DEAD_ENTRY_S = 5.0
 CONFIRM_S = 0.25
 NEAR_SHARE = 0.9
-NOTICE_INTERVAL_S = 0.1
+# Notices go to every member; a rate that falls with their number bounds the traffic of a node.
+NOTICE_INTERVAL_PER_MEMBER_S = 0.025
 # Digests repeat every load each 10 s; an older one says nothing of an engine that came back.
 KNOWN_AGE_S = 15.0
 
@@ -286,7 +287,8 @@
     ) -> None:
         bound = compute_bound(tighten(service.bound_multiple), self._mean(service).requests)
         near = account.requests >= NEAR_SHARE * bound or account.work_tokens >= NEAR_SHARE * limit
-        if near and now_s - self._noticed_s >= NOTICE_INTERVAL_S:
+        interval_s = NOTICE_INTERVAL_PER_MEMBER_S * len(self._peers.members())
+        if near and now_s - self._noticed_s >= interval_s:
             self._noticed_s = now_s
             self._notices.on_next(engine)
 
