--- a/jayyoke/ops/loads.py
+++ b/jayyoke/ops/loads.py
@@ -9,7 +9,7 @@
 from jayyoke.core.config import ServiceSpec
 from jayyoke.core.member import Member
 from jayyoke.core.upstream import UpstreamState
-from jayyoke.ops.bound import Mean, compute_bound, tighten
+from jayyoke.ops.bound import WORK_SHARE, Mean, compute_bound, tighten
 from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName, Granted
 
 MEAN_AGE_S = 0.05
@@ -70,18 +70,25 @@
         self._means[service] = (now_s, mean)
         return mean
 
-    def utilisation(self, engine: str, service: ServiceSpec, mean: Mean) -> float:
-        """Return the larger share that requests and work take of the bound or the limit."""
-        load = self._loads.get(engine)
-        if load is None:
-            return 0.0
+    def rate(self, service: ServiceSpec, mean: Mean) -> Callable[[str], float]:
+        """Return a function that tells how much of its bound or limit an engine uses; 1 is full."""
         multiple = tighten(service.bound_multiple)
-        share = load.requests / compute_bound(multiple, mean.requests)
-        if mean.work_tokens > 0 and load.work_tokens > mean.work_tokens:
-            share = max(share, load.work_tokens / (multiple * mean.work_tokens))
-        if load.limit_tokens > 0:
-            share = max(share, load.work_tokens / load.limit_tokens)
-        return share
+        bound = compute_bound(multiple, mean.add(0).requests)
+        work_bound = tighten(service.bound_multiple, WORK_SHARE) * mean.work_tokens
+        find = self._loads.get
+
+        def rate_engine(engine: str) -> float:
+            load = find(engine)
+            if load is None:
+                return 0.0
+            share = load.requests / bound
+            if load.work_tokens > mean.work_tokens > 0:
+                share = max(share, load.work_tokens / work_bound)
+            if load.work_tokens > load.limit_tokens * share > 0:
+                share = load.work_tokens / load.limit_tokens
+            return share
+
+        return rate_engine
 
     def put(self, engine: str, load: Load) -> None:
         """Record the load of an engine that this instance is the steward of."""
@@ -114,20 +121,30 @@
         now_s = self._clock.now_s()
         for entry in (digest.loads or [])[:MAX_ENGINES]:
             engine = names.get(entry.index)
-            if engine is None or not 0 <= entry.state < len(_STATES):
+            if engine is None or not 0 <= (entry.state or 0) < len(_STATES):
                 continue
             known = self._loads.get(engine)
             changed = known is not None and known.incarnation not in (0, entry.incarnation)
-            if changed and entry.incarnation != 0:
+            if changed and entry.incarnation:
                 restarted.append(engine)
-            state = _STATES[entry.state]
-            work = max(entry.work_tokens, 0)
-            limit = entry.limit_tokens
-            load = Load(max(entry.requests, 0), work, limit, state, entry.incarnation, now_s)
+            load = _merge(known, entry, now_s)
             self.put(engine, load)
         return restarted
 
 
+def _merge(known: Load | None, entry: EngineLoad, now_s: float) -> Load:
+    """Return a reported load; fields that the sender left out are unchanged."""
+    known = Load() if known is None else known
+    return Load(
+        max(entry.requests or 0, 0),
+        max(entry.work_tokens or 0, 0),
+        known.limit_tokens if entry.limit_tokens is None else entry.limit_tokens,
+        known.state if entry.state is None else _STATES[entry.state],
+        known.incarnation if entry.incarnation is None else entry.incarnation,
+        now_s,
+    )
+
+
 class Reporter:
     """Builds the load part of this instance's digests: changes only, all every tenth time."""
 
@@ -141,15 +158,17 @@
         """Send every name and load next time, for instance to a new member."""
         self._count = 0
 
-    def build_loads(self) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest."""
-        full = self._count % FULL_EVERY == 0
-        self._count += 1
+    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
+        """Return the names and loads of the next digest, or changes of `only` one engine."""
+        full = self._count % FULL_EVERY == 0 and only is None
+        self._count += only is None
         if full:
             self._sent.clear()
         names = []
         loads = []
         for engine, load in self._list_loads().items():
+            if only not in (None, engine):
+                continue
             index = self._indexes.get(engine)
             if index is None or full:
                 index = self._indexes.setdefault(engine, len(self._indexes))
@@ -163,6 +182,9 @@
             )
             if self._sent.get(engine) == values:
                 continue
+            before = self._sent.get(engine, (None,) * len(values))
             self._sent[engine] = values
-            loads.append(EngineLoad(index, *values))
+            # Limit, state and incarnation rarely change; left out, they halve the digest.
+            rare = [v if v != b else None for v, b in zip(values[2:], before[2:], strict=True)]
+            loads.append(EngineLoad(index, *values[:2], *rare))
         return names, loads
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -14,7 +14,7 @@
 from jayyoke.core.peering import Peers
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.account import Account, Reservation
-from jayyoke.ops.bound import Mean, admits, compute_bound, tighten
+from jayyoke.ops.bound import WORK_SHARE, Mean, admits, compute_bound, tighten
 from jayyoke.ops.loads import Load, Loads
 from jayyoke.ops.rendezvous import choose
 from jayyoke.ops.slowstart import Ramp
@@ -24,7 +24,8 @@
 DEAD_ENTRY_S = 5.0
 CONFIRM_S = 0.25
 NEAR_SHARE = 0.9
-NOTICE_INTERVAL_S = 0.1
+# Notices go to every member; a rate that falls with their number bounds the traffic of a node.
+NOTICE_INTERVAL_PER_MEMBER_S = 0.025
 # Digests repeat every load each 10 s; an older one says nothing of an engine that came back.
 KNOWN_AGE_S = 15.0
 
@@ -265,7 +266,9 @@
             work = max(mean.work_tokens, message.mean_work_tokens)
             mean = Mean(mean.engines, message.mean_requests, work)
         multiple = tighten(service.bound_multiple)
-        if not admits(account.requests, account.work_tokens, added, mean, multiple):
+        work_multiple = tighten(service.bound_multiple, WORK_SHARE)
+        requests, work = account.requests, account.work_tokens
+        if not admits(requests, work, added, mean, multiple, work_multiple):
             return "bound"
         return ""
 
@@ -286,7 +289,8 @@
     ) -> None:
         bound = compute_bound(tighten(service.bound_multiple), self._mean(service).requests)
         near = account.requests >= NEAR_SHARE * bound or account.work_tokens >= NEAR_SHARE * limit
-        if near and now_s - self._noticed_s >= NOTICE_INTERVAL_S:
+        interval_s = NOTICE_INTERVAL_PER_MEMBER_S * len(self._peers.members())
+        if near and now_s - self._noticed_s >= interval_s:
             self._noticed_s = now_s
             self._notices.on_next(engine)
 
--- a/jayyoke/plugins/owner.py
+++ b/jayyoke/plugins/owner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator
 
 from jayyoke.core.kernel import register
 from jayyoke.ops.policy import Policy, Question
@@ -12,7 +12,9 @@
 
 # New and displaced chats choose among this many engines, which keeps load even enough that
 # returning chats rarely find their engine full; docs/placement.md has the figures.
-WIDTH = 4
+WIDTH = 8
+# Chats without a cache leave the rest of the bound to returning chats, where there is a choice.
+NEW_SHARE = 0.9
 
 
 @register("policy", "owner")
@@ -21,12 +23,18 @@
     return Policy(_order, asks_owner=True, admission=True)
 
 
-def _order(question: Question) -> Sequence[str]:
-    ranked = rank(question.key, question.engines)
-    first = sorted(ranked[:WIDTH], key=question.utilisation)
-    order = [*first, *ranked[WIDTH:]]
+def _order(question: Question) -> Iterator[str]:
     remembered = question.remembered
     if remembered in question.engines:
-        order.remove(remembered)
-        order.insert(0, remembered)
-    return order
+        yield remembered
+    ranked = rank(question.key, question.engines)
+    first = sorted(ranked[:WIDTH], key=question.utilisation)
+    full = []
+    for engine in [*first, *ranked[WIDTH:]]:
+        if engine == remembered:
+            continue
+        if question.utilisation(engine) >= NEW_SHARE:
+            full.append(engine)
+            continue
+        yield engine
+    yield from full
