--- a/jayyoke/ops/service.py
+++ b/jayyoke/ops/service.py
@@ -43,7 +43,10 @@
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
     return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, middlewares=(send_once,)
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(send_once,),
     )
 
 
