Report lost engines and new incarnations of answers to placement

Cause: placement learnt of a broken engine by probes only. Change: the relay reports an engine that fails twice or cannot be reached, and each answer's incarnation.

--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -68,6 +68,7 @@
 
     def __init__(self, http: aiohttp.ClientSession, clock: Clock | None = None):
         self.observers: list[Callable[[Outcome], None]] = []
+        self.loss_observers: list[Callable[[Upstream], None]] = []
         self._http = http
         self._clock = clock or SystemClock()
         self._fresh: aiohttp.ClientSession | None = None
@@ -127,6 +128,11 @@
         for observe in self.observers:
             observe(outcome)
 
+    def report_loss(self, upstream: Upstream) -> None:
+        """Tell every observer that an engine does not answer even new connections."""
+        for observe in self.loss_observers:
+            observe(upstream)
+
     async def close(self) -> None:
         """Wait for cancellations on their way and close the connections."""
         await asyncio.gather(*self._cancels, return_exceptions=True)
--- a/jayyoke/ops/resume.py
+++ b/jayyoke/ops/resume.py
@@ -249,6 +249,8 @@
         elsewhere = isinstance(error, ConnectFailed | EngineBusy)
         if elsewhere or breaks >= MAX_BREAKS_PER_ENGINE:
             self._exclude = (*self._exclude, name)
+            if not isinstance(error, EngineBusy):
+                self._node.engines.report_loss(placement.upstream)
             if not elsewhere:
                 self._node.engines.cancel(placement.upstream, self._request.request_id)
         if attempt >= MAX_ATTEMPTS or not self._node.limits.retries.spend():
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -15,11 +15,12 @@
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.durable import build_durable
 from jayyoke.ops.events import CacheFollower
+from jayyoke.ops.forward import Outcome
 from jayyoke.ops.health import Health
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.membership import Membership
 from jayyoke.ops.node import Node
-from jayyoke.ops.probe import Prober
+from jayyoke.ops.probe import Prober, hash_incarnation
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -62,6 +63,7 @@
         durable=durable,
     )
     _connect_digests(node, peers)
+    _connect_answers(node)
     return node
 
 
@@ -90,6 +92,20 @@
     return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
 
 
+def _connect_answers(node: Node) -> None:
+    """Let placement learn of lost engines and new incarnations from answers."""
+
+    def observe(outcome: Outcome) -> None:
+        incarnation = hash_incarnation(outcome.incarnation)
+        if incarnation:
+            node.placer.observe(outcome.upstream.name, incarnation)
+
+    node.engines.observers.append(observe)
+    node.engines.loss_observers.append(
+        lambda upstream: node.placer.observe(upstream.name, failed=True)
+    )
+
+
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
--- a/standin/router.py
+++ b/standin/router.py
@@ -33,6 +33,7 @@
     upstreams: list[Upstream]
     held: int = 0
     placed: list[str] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
 
     async def place(self, request: CallerRequest, exclude: tuple[str, ...] = ()) -> Placement:
         """Return the first upstream; raise Refusal if all are excluded."""
@@ -43,6 +44,11 @@
                 return Placement(upstream, "static", tuple(exclude))
         raise refuse(503, NO_UPSTREAM, "no engine is left", 1.0)
 
+    def observe(self, engine: str, incarnation: int = 0, failed: bool = False) -> None:
+        """Note engines reported as lost."""
+        if failed:
+            self.lost.append(engine)
+
     def release(self, request: CallerRequest, placement: Placement) -> None:
         """Count the end of a placement."""
         self.held -= 1
--- a/tests/answers_test.py
+++ b/tests/answers_test.py
@@ -85,6 +85,7 @@
                 assert await ask(router) == EXPECTED
                 await settle(router)
             assert router.placer.placed == ["one", "two"]
+            assert router.placer.lost == ([] if scripts == ("status:503",) else ["one"])
             assert len(two.ports) == 1
 
         asyncio.run(run())
