--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -15,6 +15,9 @@
   GRANTED = 13
   RELEASE = 14
   HOLDINGS = 15
+  OBSERVED = 16
+  ABANDONED = 17
+  CACHE_EVENTS = 18
   PULL_CHANGES = 20
   CHANGES = 21
   CHANGE_NOTICE = 22
@@ -22,13 +25,13 @@
   COMMITTED = 31
   EVIDENCE = 40
   HALT = 41
-  SHARE = 42
   DRAIN = 43
+  MOVE_NOTICE = 44
   STATUS_REQUEST = 50
   STATUS = 51
 }
 
-// Opens a connection in both directions; nonce keys the frame authentication of this connection.
+// Opens a connection; both sides exchange raw nonces before it, so the nonce fields stay unset.
 struct Hello {
   1: string instance
   2: string domain
@@ -38,6 +41,7 @@
   6: string operator_address
   7: binary nonce
   8: i64 control_version
+  9: string region
 }
 
 struct Welcome {
@@ -48,6 +52,8 @@
   5: string operator_address
   6: binary nonce
   7: i64 control_version
+  8: string peer_address
+  9: string region
 }
 
 // Answers a request that could not be served.
@@ -76,7 +82,22 @@
   2: i32 work_tokens
 }
 
-// Heartbeat and load digest in one message.
+// Takes a domain out while the platform cannot be reached; out = false withdraws the drain of this id.
+struct Drain {
+  1: string id
+  2: string domain
+  3: bool out
+}
+
+// Stops a version everywhere; halts are never withdrawn.
+struct Halt {
+  1: string move
+  2: string version
+  3: string reason
+}
+
+// Heartbeat and load digest in one message. halt_list and drains hold what the change log does not hold yet.
+// Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -86,6 +107,8 @@
   6: bool leaving
   7: i64 confirmed_age_ms
   8: list<string> halts
+  9: list<Halt> halt_list
+  10: list<Drain> drains
 }
 
 // Asks a chat's owner where to place a request.
@@ -106,6 +129,7 @@
   3: i32 passed_over
   4: i64 reservation
   5: i32 retry_after_ms
+  6: list<string> passed
 }
 
 // Asks an engine's steward to admit work.
@@ -115,6 +139,8 @@
   3: i32 work_tokens
   4: string entry
   5: double mean_work_tokens
+  6: double mean_requests
+  7: bool forced
 }
 
 struct Granted {
@@ -122,12 +148,14 @@
   2: string reason
   3: i32 work_tokens
   4: i32 limit_tokens
+  5: i32 requests
 }
 
-// Ends reservations of the sender, several at a time.
+// Ends reservations of an entry, several at a time; an empty entry is the sender.
 struct Release {
   1: string upstream
   2: list<string> request_ids
+  3: string entry
 }
 
 // Registers the sender's live reservations with a new steward.
@@ -141,6 +169,31 @@
   2: list<Holding> holdings
 }
 
+// Tells an engine's steward what the sender saw of it. incarnation 0: none was seen; failed: a connection broke.
+struct Observed {
+  1: string upstream
+  2: i64 incarnation
+  3: bool failed
+}
+
+// Tells a chat's owner that the sender gave up waiting; the owner releases what it reserved.
+struct Abandoned {
+  1: list<string> request_ids
+}
+
+// tokens 0: the chat was evicted.
+struct CacheEvent {
+  1: i64 chat
+  2: i32 tokens
+}
+
+// Tells a chat's owner what an engine reported; gap: events before these were lost.
+struct CacheEvents {
+  1: string upstream
+  2: list<CacheEvent> events
+  3: bool gap
+}
+
 struct PullChanges {
   1: i64 after
   2: i32 limit
@@ -151,11 +204,13 @@
   2: binary body
 }
 
+// snapshot holds the full state if the sender no longer keeps the changes asked for.
 // confirmed_age_ms tells how long ago the platform last confirmed latest as the newest version; -1: never.
 struct Changes {
   1: list<Change> changes
   2: i64 latest
   3: i64 confirmed_age_ms
+  4: optional Change snapshot
 }
 
 struct ChangeNotice {
@@ -193,26 +248,11 @@
   3: list<RouteEvidence> routes
 }
 
-// Stops a version everywhere; halts are never withdrawn.
-struct Halt {
-  1: string move
-  2: string version
-  3: string reason
-}
-
-// Share of new chats that a version under way may receive, in parts per million.
-struct Share {
-  1: string move
-  2: string version
-  3: i64 fence
-  4: i32 share_ppm
-}
-
-// Takes a domain out while the platform cannot be reached.
-struct Drain {
-  1: string id
-  2: string domain
-  3: bool out
+// Row of a move as the domain's reader last read it; version is the row's version.
+struct MoveNotice {
+  1: string key
+  2: i64 version
+  3: binary body
 }
 
 struct StatusRequest {
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.drain import Drain
 from jayyoke.ops.durable import Durable
+from jayyoke.ops.forward import Engines
 from jayyoke.ops.health import Health
+from jayyoke.ops.limits import Limits
+from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
+from jayyoke.ops.probe import Prober
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -28,4 +35,15 @@
     control: Control
     health: Health
     placer: Placer
+    peers: Peers
+    dispatch: Dispatch
+    prober: Prober
     durable: Durable
+    engines: Engines = field(init=False)
+    limits: Limits = field(init=False)
+    metrics: Metrics = field(default_factory=Metrics)
+    drain: Drain = field(default_factory=Drain)
+
+    def __post_init__(self) -> None:
+        self.engines = Engines(self.http, self.clock)
+        self.limits = Limits(self.clock)
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -27,6 +27,9 @@
     GRANTED = 13
     RELEASE = 14
     HOLDINGS = 15
+    OBSERVED = 16
+    ABANDONED = 17
+    CACHE_EVENTS = 18
     PULL_CHANGES = 20
     CHANGES = 21
     CHANGE_NOTICE = 22
@@ -34,8 +37,8 @@
     COMMITTED = 31
     EVIDENCE = 40
     HALT = 41
-    SHARE = 42
     DRAIN = 43
+    MOVE_NOTICE = 44
     STATUS_REQUEST = 50
     STATUS = 51
 
@@ -50,6 +53,9 @@
         13: "GRANTED",
         14: "RELEASE",
         15: "HOLDINGS",
+        16: "OBSERVED",
+        17: "ABANDONED",
+        18: "CACHE_EVENTS",
         20: "PULL_CHANGES",
         21: "CHANGES",
         22: "CHANGE_NOTICE",
@@ -57,8 +63,8 @@
         31: "COMMITTED",
         40: "EVIDENCE",
         41: "HALT",
-        42: "SHARE",
         43: "DRAIN",
+        44: "MOVE_NOTICE",
         50: "STATUS_REQUEST",
         51: "STATUS",
     }
@@ -74,6 +80,9 @@
         "GRANTED": 13,
         "RELEASE": 14,
         "HOLDINGS": 15,
+        "OBSERVED": 16,
+        "ABANDONED": 17,
+        "CACHE_EVENTS": 18,
         "PULL_CHANGES": 20,
         "CHANGES": 21,
         "CHANGE_NOTICE": 22,
@@ -81,8 +90,8 @@
         "COMMITTED": 31,
         "EVIDENCE": 40,
         "HALT": 41,
-        "SHARE": 42,
         "DRAIN": 43,
+        "MOVE_NOTICE": 44,
         "STATUS_REQUEST": 50,
         "STATUS": 51,
     }
@@ -99,6 +108,7 @@
      - operator_address
      - nonce
      - control_version
+     - region
 
     """
 
@@ -111,10 +121,11 @@
         'operator_address',
         'nonce',
         'control_version',
+        'region',
     )
 
 
-    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, peer_address=None, operator_address=None, nonce=None, control_version=None,):
+    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, peer_address=None, operator_address=None, nonce=None, control_version=None, region=None,):
         self.instance = instance
         self.domain = domain
         self.incarnation = incarnation
@@ -123,6 +134,7 @@
         self.operator_address = operator_address
         self.nonce = nonce
         self.control_version = control_version
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -173,6 +185,11 @@
                     self.control_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -215,6 +232,10 @@
             oprot.writeFieldBegin('control_version', TType.I64, 8)
             oprot.writeI64(self.control_version)
             oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 9)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -250,6 +271,8 @@
      - operator_address
      - nonce
      - control_version
+     - peer_address
+     - region
 
     """
 
@@ -261,10 +284,12 @@
         'operator_address',
         'nonce',
         'control_version',
+        'peer_address',
+        'region',
     )
 
 
-    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, operator_address=None, nonce=None, control_version=None,):
+    def __init__(self, instance=None, domain=None, incarnation=None, revision=None, operator_address=None, nonce=None, control_version=None, peer_address=None, region=None,):
         self.instance = instance
         self.domain = domain
         self.incarnation = incarnation
@@ -272,6 +297,8 @@
         self.operator_address = operator_address
         self.nonce = nonce
         self.control_version = control_version
+        self.peer_address = peer_address
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -317,6 +344,16 @@
                     self.control_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -355,6 +392,14 @@
             oprot.writeFieldBegin('control_version', TType.I64, 7)
             oprot.writeI64(self.control_version)
             oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 8)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 9)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -748,6 +793,190 @@
         return not (self == other)
 
 
+class Drain(object):
+    """
+    Attributes:
+     - id
+     - domain
+     - out
+
+    """
+
+    __slots__ = (
+        'id',
+        'domain',
+        'out',
+    )
+
+
+    def __init__(self, id=None, domain=None, out=None,):
+        self.id = id
+        self.domain = domain
+        self.out = out
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.out = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Drain')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.out is not None:
+            oprot.writeFieldBegin('out', TType.BOOL, 3)
+            oprot.writeBool(self.out)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Halt(object):
+    """
+    Attributes:
+     - move
+     - version
+     - reason
+
+    """
+
+    __slots__ = (
+        'move',
+        'version',
+        'reason',
+    )
+
+
+    def __init__(self, move=None, version=None, reason=None,):
+        self.move = move
+        self.version = version
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Halt')
+        if self.move is not None:
+            oprot.writeFieldBegin('move', TType.STRING, 1)
+            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -759,6 +988,8 @@
      - leaving
      - confirmed_age_ms
      - halts
+     - halt_list
+     - drains
 
     """
 
@@ -771,10 +1002,12 @@
         'leaving',
         'confirmed_age_ms',
         'halts',
+        'halt_list',
+        'drains',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, halt_list=None, drains=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -783,6 +1016,8 @@
         self.leaving = leaving
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
+        self.halt_list = halt_list
+        self.drains = drains
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +1091,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.halt_list = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = Halt()
+                        _elem29.read(iprot)
+                        self.halt_list.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.drains = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Drain()
+                        _elem35.read(iprot)
+                        self.drains.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -877,22 +1134,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter24 in self.names:
-                iter24.write(oprot)
+            for iter36 in self.names:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter25 in self.loads:
-                iter25.write(oprot)
+            for iter37 in self.loads:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter26 in self.teams:
-                iter26.write(oprot)
+            for iter38 in self.teams:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -906,8 +1163,22 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter27 in self.halts:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter39 in self.halts:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.halt_list is not None:
+            oprot.writeFieldBegin('halt_list', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.halt_list))
+            for iter40 in self.halt_list:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.drains is not None:
+            oprot.writeFieldBegin('drains', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.drains))
+            for iter41 in self.drains:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1018,10 +1289,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1066,8 +1337,8 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter34 in self.exclude:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter48 in self.exclude:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1103,6 +1374,7 @@
      - passed_over
      - reservation
      - retry_after_ms
+     - passed
 
     """
 
@@ -1112,15 +1384,17 @@
         'passed_over',
         'reservation',
         'retry_after_ms',
+        'passed',
     )
 
 
-    def __init__(self, upstream=None, reason=None, passed_over=None, reservation=None, retry_after_ms=None,):
+    def __init__(self, upstream=None, reason=None, passed_over=None, reservation=None, retry_after_ms=None, passed=None,):
         self.upstream = upstream
         self.reason = reason
         self.passed_over = passed_over
         self.reservation = reservation
         self.retry_after_ms = retry_after_ms
+        self.passed = passed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1156,6 +1430,16 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.passed = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.passed.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1186,6 +1470,13 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 5)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.passed is not None:
+            oprot.writeFieldBegin('passed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.passed))
+            for iter55 in self.passed:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1219,6 +1510,8 @@
      - work_tokens
      - entry
      - mean_work_tokens
+     - mean_requests
+     - forced
 
     """
 
@@ -1228,15 +1521,19 @@
         'work_tokens',
         'entry',
         'mean_work_tokens',
+        'mean_requests',
+        'forced',
     )
 
 
-    def __init__(self, request_id=None, upstream=None, work_tokens=None, entry=None, mean_work_tokens=None,):
+    def __init__(self, request_id=None, upstream=None, work_tokens=None, entry=None, mean_work_tokens=None, mean_requests=None, forced=None,):
         self.request_id = request_id
         self.upstream = upstream
         self.work_tokens = work_tokens
         self.entry = entry
         self.mean_work_tokens = mean_work_tokens
+        self.mean_requests = mean_requests
+        self.forced = forced
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1272,6 +1569,16 @@
                     self.mean_work_tokens = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.mean_requests = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.forced = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1302,6 +1609,14 @@
             oprot.writeFieldBegin('mean_work_tokens', TType.DOUBLE, 5)
             oprot.writeDouble(self.mean_work_tokens)
             oprot.writeFieldEnd()
+        if self.mean_requests is not None:
+            oprot.writeFieldBegin('mean_requests', TType.DOUBLE, 6)
+            oprot.writeDouble(self.mean_requests)
+            oprot.writeFieldEnd()
+        if self.forced is not None:
+            oprot.writeFieldBegin('forced', TType.BOOL, 7)
+            oprot.writeBool(self.forced)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1334,6 +1649,7 @@
      - reason
      - work_tokens
      - limit_tokens
+     - requests
 
     """
 
@@ -1342,14 +1658,16 @@
         'reason',
         'work_tokens',
         'limit_tokens',
+        'requests',
     )
 
 
-    def __init__(self, granted=None, reason=None, work_tokens=None, limit_tokens=None,):
+    def __init__(self, granted=None, reason=None, work_tokens=None, limit_tokens=None, requests=None,):
         self.granted = granted
         self.reason = reason
         self.work_tokens = work_tokens
         self.limit_tokens = limit_tokens
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1380,6 +1698,11 @@
                     self.limit_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1406,6 +1729,10 @@
             oprot.writeFieldBegin('limit_tokens', TType.I32, 4)
             oprot.writeI32(self.limit_tokens)
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 5)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1436,18 +1763,21 @@
     Attributes:
      - upstream
      - request_ids
+     - entry
 
     """
 
     __slots__ = (
         'upstream',
         'request_ids',
+        'entry',
     )
 
 
-    def __init__(self, upstream=None, request_ids=None,):
+    def __init__(self, upstream=None, request_ids=None, entry=None,):
         self.upstream = upstream
         self.request_ids = request_ids
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1466,17 +1796,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem40)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
@@ -1490,10 +1825,14 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter41 in self.request_ids:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter62 in self.request_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 3)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1634,11 +1973,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Holding()
-                        _elem47.read(iprot)
-                        self.holdings.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Holding()
+                        _elem68.read(iprot)
+                        self.holdings.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1659,8 +1998,8 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter48 in self.holdings:
-                iter48.write(oprot)
+            for iter69 in self.holdings:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1688,23 +2027,26 @@
         return not (self == other)
 
 
-class PullChanges(object):
+class Observed(object):
     """
     Attributes:
-     - after
-     - limit
+     - upstream
+     - incarnation
+     - failed
 
     """
 
     __slots__ = (
-        'after',
-        'limit',
+        'upstream',
+        'incarnation',
+        'failed',
     )
 
 
-    def __init__(self, after=None, limit=None,):
-        self.after = after
-        self.limit = limit
+    def __init__(self, upstream=None, incarnation=None, failed=None,):
+        self.upstream = upstream
+        self.incarnation = incarnation
+        self.failed = failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1716,13 +2058,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.after = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.limit = iprot.readI32()
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.failed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1734,14 +2081,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PullChanges')
-        if self.after is not None:
-            oprot.writeFieldBegin('after', TType.I64, 1)
-            oprot.writeI64(self.after)
+        oprot.writeStructBegin('Observed')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
-        if self.limit is not None:
-            oprot.writeFieldBegin('limit', TType.I32, 2)
-            oprot.writeI32(self.limit)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.BOOL, 3)
+            oprot.writeBool(self.failed)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1768,23 +2119,99 @@
         return not (self == other)
 
 
-class Change(object):
+class Abandoned(object):
     """
     Attributes:
-     - version
-     - body
+     - request_ids
 
     """
 
     __slots__ = (
-        'version',
-        'body',
+        'request_ids',
     )
 
 
-    def __init__(self, version=None, body=None,):
-        self.version = version
-        self.body = body
+    def __init__(self, request_ids=None,):
+        self.request_ids = request_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.request_ids = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Abandoned')
+        if self.request_ids is not None:
+            oprot.writeFieldBegin('request_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.request_ids))
+            for iter76 in self.request_ids:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CacheEvent(object):
+    """
+    Attributes:
+     - chat
+     - tokens
+
+    """
+
+    __slots__ = (
+        'chat',
+        'tokens',
+    )
+
+
+    def __init__(self, chat=None, tokens=None,):
+        self.chat = chat
+        self.tokens = tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1797,12 +2224,12 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                    self.chat = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.body = iprot.readBinary()
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1814,14 +2241,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Change')
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 1)
-            oprot.writeI64(self.version)
+        oprot.writeStructBegin('CacheEvent')
+        if self.chat is not None:
+            oprot.writeFieldBegin('chat', TType.I64, 1)
+            oprot.writeI64(self.chat)
             oprot.writeFieldEnd()
-        if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 2)
-            oprot.writeBinary(self.body)
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1848,26 +2275,26 @@
         return not (self == other)
 
 
-class Changes(object):
+class CacheEvents(object):
     """
     Attributes:
-     - changes
-     - latest
-     - confirmed_age_ms
+     - upstream
+     - events
+     - gap
 
     """
 
     __slots__ = (
-        'changes',
-        'latest',
-        'confirmed_age_ms',
+        'upstream',
+        'events',
+        'gap',
     )
 
 
-    def __init__(self, changes=None, latest=None, confirmed_age_ms=None,):
-        self.changes = changes
-        self.latest = latest
-        self.confirmed_age_ms = confirmed_age_ms
+    def __init__(self, upstream=None, events=None, gap=None,):
+        self.upstream = upstream
+        self.events = events
+        self.gap = gap
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1879,24 +2306,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.changes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Change()
-                        _elem54.read(iprot)
-                        self.changes.append(_elem54)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.latest = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.events = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CacheEvent()
+                        _elem82.read(iprot)
+                        self.events.append(_elem82)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.confirmed_age_ms = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.gap = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1908,21 +2335,21 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Changes')
-        if self.changes is not None:
-            oprot.writeFieldBegin('changes', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter55 in self.changes:
-                iter55.write(oprot)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('CacheEvents')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
-        if self.latest is not None:
-            oprot.writeFieldBegin('latest', TType.I64, 2)
-            oprot.writeI64(self.latest)
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.events))
+            for iter83 in self.events:
+                iter83.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.confirmed_age_ms is not None:
-            oprot.writeFieldBegin('confirmed_age_ms', TType.I64, 3)
-            oprot.writeI64(self.confirmed_age_ms)
+        if self.gap is not None:
+            oprot.writeFieldBegin('gap', TType.BOOL, 3)
+            oprot.writeBool(self.gap)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1949,20 +2376,23 @@
         return not (self == other)
 
 
-class ChangeNotice(object):
+class PullChanges(object):
     """
     Attributes:
-     - version
+     - after
+     - limit
 
     """
 
     __slots__ = (
-        'version',
+        'after',
+        'limit',
     )
 
 
-    def __init__(self, version=None,):
-        self.version = version
+    def __init__(self, after=None, limit=None,):
+        self.after = after
+        self.limit = limit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1975,7 +2405,12 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.version = iprot.readI64()
+                    self.after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1987,10 +2422,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ChangeNotice')
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 1)
-            oprot.writeI64(self.version)
+        oprot.writeStructBegin('PullChanges')
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.I64, 1)
+            oprot.writeI64(self.after)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 2)
+            oprot.writeI32(self.limit)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2017,26 +2456,23 @@
         return not (self == other)
 
 
-class TablePut(object):
+class Change(object):
     """
     Attributes:
-     - key
-     - value
-     - expect
+     - version
+     - body
 
     """
 
     __slots__ = (
-        'key',
-        'value',
-        'expect',
+        'version',
+        'body',
     )
 
 
-    def __init__(self, key=None, value=None, expect=None,):
-        self.key = key
-        self.value = value
-        self.expect = expect
+    def __init__(self, version=None, body=None,):
+        self.version = version
+        self.body = body
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2048,18 +2484,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.value = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.expect = iprot.readI64()
+                    self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2071,18 +2502,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('TablePut')
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 1)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
-            oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.STRING, 2)
-            oprot.writeBinary(self.value)
+        oprot.writeStructBegin('Change')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.expect is not None:
-            oprot.writeFieldBegin('expect', TType.I64, 3)
-            oprot.writeI64(self.expect)
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 2)
+            oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2109,20 +2536,29 @@
         return not (self == other)
 
 
-class Commit(object):
+class Changes(object):
     """
     Attributes:
-     - puts
+     - changes
+     - latest
+     - confirmed_age_ms
+     - snapshot
 
     """
 
     __slots__ = (
-        'puts',
+        'changes',
+        'latest',
+        'confirmed_age_ms',
+        'snapshot',
     )
 
 
-    def __init__(self, puts=None,):
-        self.puts = puts
+    def __init__(self, changes=None, latest=None, confirmed_age_ms=None, snapshot=None,):
+        self.changes = changes
+        self.latest = latest
+        self.confirmed_age_ms = confirmed_age_ms
+        self.snapshot = snapshot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2135,15 +2571,31 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.puts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = TablePut()
-                        _elem61.read(iprot)
-                        self.puts.append(_elem61)
+                    self.changes = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Change()
+                        _elem89.read(iprot)
+                        self.changes.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.latest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.confirmed_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.snapshot = Change()
+                    self.snapshot.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2153,14 +2605,26 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Commit')
-        if self.puts is not None:
-            oprot.writeFieldBegin('puts', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter62 in self.puts:
-                iter62.write(oprot)
+        oprot.writeStructBegin('Changes')
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter90 in self.changes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.latest is not None:
+            oprot.writeFieldBegin('latest', TType.I64, 2)
+            oprot.writeI64(self.latest)
+            oprot.writeFieldEnd()
+        if self.confirmed_age_ms is not None:
+            oprot.writeFieldBegin('confirmed_age_ms', TType.I64, 3)
+            oprot.writeI64(self.confirmed_age_ms)
+            oprot.writeFieldEnd()
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.STRUCT, 4)
+            self.snapshot.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2186,23 +2650,20 @@
         return not (self == other)
 
 
-class Committed(object):
+class ChangeNotice(object):
     """
     Attributes:
-     - status
-     - conflicts
+     - version
 
     """
 
     __slots__ = (
-        'status',
-        'conflicts',
+        'version',
     )
 
 
-    def __init__(self, status=None, conflicts=None,):
-        self.status = status
-        self.conflicts = conflicts
+    def __init__(self, version=None,):
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2214,18 +2675,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I16:
-                    self.status = iprot.readI16()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.conflicts = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readI32()
-                        self.conflicts.append(_elem68)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2237,17 +2688,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Committed')
-        if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I16, 1)
-            oprot.writeI16(self.status)
-            oprot.writeFieldEnd()
-        if self.conflicts is not None:
-            oprot.writeFieldBegin('conflicts', TType.LIST, 2)
-            oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter69 in self.conflicts:
-                oprot.writeI32(iter69)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('ChangeNotice')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2274,29 +2718,26 @@
         return not (self == other)
 
 
-class RouteEvidence(object):
+class TablePut(object):
     """
     Attributes:
-     - route
-     - requests
-     - failures
-     - slow
+     - key
+     - value
+     - expect
 
     """
 
     __slots__ = (
-        'route',
-        'requests',
-        'failures',
-        'slow',
+        'key',
+        'value',
+        'expect',
     )
 
 
-    def __init__(self, route=None, requests=None, failures=None, slow=None,):
-        self.route = route
-        self.requests = requests
-        self.failures = failures
-        self.slow = slow
+    def __init__(self, key=None, value=None, expect=None,):
+        self.key = key
+        self.value = value
+        self.expect = expect
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2309,22 +2750,99 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.requests = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.failures = iprot.readI32()
+                if ftype == TType.I64:
+                    self.expect = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.slow = iprot.readI32()
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePut')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.expect is not None:
+            oprot.writeFieldBegin('expect', TType.I64, 3)
+            oprot.writeI64(self.expect)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Commit(object):
+    """
+    Attributes:
+     - puts
+
+    """
+
+    __slots__ = (
+        'puts',
+    )
+
+
+    def __init__(self, puts=None,):
+        self.puts = puts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.puts = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = TablePut()
+                        _elem96.read(iprot)
+                        self.puts.append(_elem96)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2336,22 +2854,13 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RouteEvidence')
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 1)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
-        if self.requests is not None:
-            oprot.writeFieldBegin('requests', TType.I32, 2)
-            oprot.writeI32(self.requests)
-            oprot.writeFieldEnd()
-        if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.I32, 3)
-            oprot.writeI32(self.failures)
-            oprot.writeFieldEnd()
-        if self.slow is not None:
-            oprot.writeFieldBegin('slow', TType.I32, 4)
-            oprot.writeI32(self.slow)
+        oprot.writeStructBegin('Commit')
+        if self.puts is not None:
+            oprot.writeFieldBegin('puts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.puts))
+            for iter97 in self.puts:
+                iter97.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2378,26 +2887,23 @@
         return not (self == other)
 
 
-class Evidence(object):
+class Committed(object):
     """
     Attributes:
-     - move
-     - version
-     - routes
+     - status
+     - conflicts
 
     """
 
     __slots__ = (
-        'move',
-        'version',
-        'routes',
+        'status',
+        'conflicts',
     )
 
 
-    def __init__(self, move=None, version=None, routes=None,):
-        self.move = move
-        self.version = version
-        self.routes = routes
+    def __init__(self, status=None, conflicts=None,):
+        self.status = status
+        self.conflicts = conflicts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2409,23 +2915,17 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I16:
+                    self.status = iprot.readI16()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.LIST:
-                    self.routes = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RouteEvidence()
-                        _elem75.read(iprot)
-                        self.routes.append(_elem75)
+                    self.conflicts = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI32()
+                        self.conflicts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2438,20 +2938,16 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Evidence')
-        if self.move is not None:
-            oprot.writeFieldBegin('move', TType.STRING, 1)
-            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+        oprot.writeStructBegin('Committed')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I16, 1)
+            oprot.writeI16(self.status)
             oprot.writeFieldEnd()
-        if self.routes is not None:
-            oprot.writeFieldBegin('routes', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter76 in self.routes:
-                iter76.write(oprot)
+        if self.conflicts is not None:
+            oprot.writeFieldBegin('conflicts', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.conflicts))
+            for iter104 in self.conflicts:
+                oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2479,26 +2975,29 @@
         return not (self == other)
 
 
-class Halt(object):
+class RouteEvidence(object):
     """
     Attributes:
-     - move
-     - version
-     - reason
+     - route
+     - requests
+     - failures
+     - slow
 
     """
 
     __slots__ = (
-        'move',
-        'version',
-        'reason',
+        'route',
+        'requests',
+        'failures',
+        'slow',
     )
 
 
-    def __init__(self, move=None, version=None, reason=None,):
-        self.move = move
-        self.version = version
-        self.reason = reason
+    def __init__(self, route=None, requests=None, failures=None, slow=None,):
+        self.route = route
+        self.requests = requests
+        self.failures = failures
+        self.slow = slow
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2511,17 +3010,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.move = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slow = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2533,18 +3037,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Halt')
-        if self.move is not None:
-            oprot.writeFieldBegin('move', TType.STRING, 1)
-            oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
+        oprot.writeStructBegin('RouteEvidence')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
             oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 3)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 3)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.I32, 4)
+            oprot.writeI32(self.slow)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2571,29 +3079,26 @@
         return not (self == other)
 
 
-class Share(object):
+class Evidence(object):
     """
     Attributes:
      - move
      - version
-     - fence
-     - share_ppm
+     - routes
 
     """
 
     __slots__ = (
         'move',
         'version',
-        'fence',
-        'share_ppm',
+        'routes',
     )
 
 
-    def __init__(self, move=None, version=None, fence=None, share_ppm=None,):
+    def __init__(self, move=None, version=None, routes=None,):
         self.move = move
         self.version = version
-        self.fence = fence
-        self.share_ppm = share_ppm
+        self.routes = routes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2615,13 +3120,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.fence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.share_ppm = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RouteEvidence()
+                        _elem110.read(iprot)
+                        self.routes.append(_elem110)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2633,7 +3139,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Share')
+        oprot.writeStructBegin('Evidence')
         if self.move is not None:
             oprot.writeFieldBegin('move', TType.STRING, 1)
             oprot.writeString(self.move.encode('utf-8') if sys.version_info[0] == 2 else self.move)
@@ -2642,13 +3148,12 @@
             oprot.writeFieldBegin('version', TType.STRING, 2)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
-        if self.fence is not None:
-            oprot.writeFieldBegin('fence', TType.I64, 3)
-            oprot.writeI64(self.fence)
-            oprot.writeFieldEnd()
-        if self.share_ppm is not None:
-            oprot.writeFieldBegin('share_ppm', TType.I32, 4)
-            oprot.writeI32(self.share_ppm)
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter111 in self.routes:
+                iter111.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2675,26 +3180,26 @@
         return not (self == other)
 
 
-class Drain(object):
+class MoveNotice(object):
     """
     Attributes:
-     - id
-     - domain
-     - out
+     - key
+     - version
+     - body
 
     """
 
     __slots__ = (
-        'id',
-        'domain',
-        'out',
+        'key',
+        'version',
+        'body',
     )
 
 
-    def __init__(self, id=None, domain=None, out=None,):
-        self.id = id
-        self.domain = domain
-        self.out = out
+    def __init__(self, key=None, version=None, body=None,):
+        self.key = key
+        self.version = version
+        self.body = body
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2707,17 +3212,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.out = iprot.readBool()
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2729,18 +3234,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Drain')
-        if self.id is not None:
-            oprot.writeFieldBegin('id', TType.STRING, 1)
-            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+        oprot.writeStructBegin('MoveNotice')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
-        if self.domain is not None:
-            oprot.writeFieldBegin('domain', TType.STRING, 2)
-            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.out is not None:
-            oprot.writeFieldBegin('out', TType.BOOL, 3)
-            oprot.writeBool(self.out)
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2894,6 +3399,7 @@
     (6, TType.STRING, 'operator_address', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'nonce', 'BINARY', None, ),  # 7
     (8, TType.I64, 'control_version', None, None, ),  # 8
+    (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
 )
 all_structs.append(Welcome)
 Welcome.thrift_spec = (
@@ -2905,6 +3411,8 @@
     (5, TType.STRING, 'operator_address', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'nonce', 'BINARY', None, ),  # 6
     (7, TType.I64, 'control_version', None, None, ),  # 7
+    (8, TType.STRING, 'peer_address', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'region', 'UTF8', None, ),  # 9
 )
 all_structs.append(Failure)
 Failure.thrift_spec = (
@@ -2934,6 +3442,20 @@
     (1, TType.STRING, 'team', 'UTF8', None, ),  # 1
     (2, TType.I32, 'work_tokens', None, None, ),  # 2
 )
+all_structs.append(Drain)
+Drain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'out', None, None, ),  # 3
+)
+all_structs.append(Halt)
+Halt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -2945,6 +3467,8 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'confirmed_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'halt_list', (TType.STRUCT, [Halt, None], False), None, ),  # 9
+    (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
@@ -2966,6 +3490,7 @@
     (3, TType.I32, 'passed_over', None, None, ),  # 3
     (4, TType.I64, 'reservation', None, None, ),  # 4
     (5, TType.I32, 'retry_after_ms', None, None, ),  # 5
+    (6, TType.LIST, 'passed', (TType.STRING, 'UTF8', False), None, ),  # 6
 )
 all_structs.append(Reserve)
 Reserve.thrift_spec = (
@@ -2975,6 +3500,8 @@
     (3, TType.I32, 'work_tokens', None, None, ),  # 3
     (4, TType.STRING, 'entry', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'mean_work_tokens', None, None, ),  # 5
+    (6, TType.DOUBLE, 'mean_requests', None, None, ),  # 6
+    (7, TType.BOOL, 'forced', None, None, ),  # 7
 )
 all_structs.append(Granted)
 Granted.thrift_spec = (
@@ -2983,12 +3510,14 @@
     (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
     (3, TType.I32, 'work_tokens', None, None, ),  # 3
     (4, TType.I32, 'limit_tokens', None, None, ),  # 4
+    (5, TType.I32, 'requests', None, None, ),  # 5
 )
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'entry', 'UTF8', None, ),  # 3
 )
 all_structs.append(Holding)
 Holding.thrift_spec = (
@@ -3002,6 +3531,31 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), None, ),  # 2
 )
+all_structs.append(Observed)
+Observed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.BOOL, 'failed', None, None, ),  # 3
+)
+all_structs.append(Abandoned)
+Abandoned.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(CacheEvent)
+CacheEvent.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'chat', None, None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+)
+all_structs.append(CacheEvents)
+CacheEvents.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 2
+    (3, TType.BOOL, 'gap', None, None, ),  # 3
+)
 all_structs.append(PullChanges)
 PullChanges.thrift_spec = (
     None,  # 0
@@ -3020,6 +3574,7 @@
     (1, TType.LIST, 'changes', (TType.STRUCT, [Change, None], False), None, ),  # 1
     (2, TType.I64, 'latest', None, None, ),  # 2
     (3, TType.I64, 'confirmed_age_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'snapshot', [Change, None], None, ),  # 4
 )
 all_structs.append(ChangeNotice)
 ChangeNotice.thrift_spec = (
@@ -3059,27 +3614,12 @@
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'routes', (TType.STRUCT, [RouteEvidence, None], False), None, ),  # 3
 )
-all_structs.append(Halt)
-Halt.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
-)
-all_structs.append(Share)
-Share.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'move', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'fence', None, None, ),  # 3
-    (4, TType.I32, 'share_ppm', None, None, ),  # 4
-)
-all_structs.append(Drain)
-Drain.thrift_spec = (
+all_structs.append(MoveNotice)
+MoveNotice.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
-    (3, TType.BOOL, 'out', None, None, ),  # 3
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
 )
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
--- a/tests/durable_test.py
+++ b/tests/durable_test.py
@@ -44,7 +44,7 @@
 
 async def apply_configuration(fleet: Fleet) -> None:
     configuration = load_example("ballenticket")
-    configuration["classes"]["stamp"]["within_s"] = 30
+    configuration["classes"]["stamp"]["within"] = 30
     await fleet.wait_for_version(0)
     await fleet.wait_for_version(await fleet.apply(configuration))
 
