--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -73,7 +73,7 @@
             return await self._ask_self(message, timeout_s)
         connection = self._find(instance)
         if connection is None:
-            raise PeerUnavailable(f"no connection with {instance}")
+            raise PeerUnavailable(f"no connection with {instance}", sent=False)
         return await connection.ask(message, timeout_s)
 
     def tell(self, instance: str, message: Message) -> None:
