--- a/jayyoke/ops/service.py
+++ b/jayyoke/ops/service.py
@@ -42,6 +42,7 @@
     A reused connection that the service has just closed would make the outcome unknown.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    # One caller's cookies must not reach a service with another caller's request.
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
