Let operators drain a domain without the table

A domain could only be taken out while the table answered. The operators' interface now goes through Domains, which falls back to an interim drain, and lists drained domains as out.

--- a/jayyoke/server/change.py
+++ b/jayyoke/server/change.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from absl import logging
+
 from jayyoke.core.config import Configuration
 from jayyoke.core.error import Conflict, Effect, InvalidDocument, StoreUnavailable
+from jayyoke.ops.domain import Domains
 from jayyoke.ops.node import Node
 from jayyoke.parser.configuration import parse_plain
 from jayyoke.server.reply import OperatorProblem, explain_findings
@@ -53,7 +56,12 @@
 
 
 async def set_domain(node: Node, name: str, out: bool, force: bool) -> Accepted:
-    """Take a domain out or back; a domain already in that state makes no new version."""
+    """Take a domain out or back; a domain already in that state makes no new version.
+
+    Without the table, a domain goes out by an interim drain, and the version stays.
+    """
+    if node.domains is not None:
+        return await _set_by_domains(node, node.domains, name, out, force)
     for _ in range(MAX_CONFLICTS):
         try:
             return await _set_domain(node, name, out, force)
@@ -78,6 +86,29 @@
     return Accepted(version, {"domains": {"out" if out else "back": [name]}})
 
 
+async def _set_by_domains(
+    node: Node, domains: Domains, name: str, out: bool, force: bool
+) -> Accepted:
+    try:
+        await node.control.refresh()
+    except StoreUnavailable as error:
+        logging.info("domain %s is set without the newest version: %s", name, error)
+    unchanged = (name in domains.domains_out()) == out
+    if out or unchanged:
+        _check_domain(node, name, force or (out and unchanged))
+    if unchanged:
+        return Accepted(node.control.configuration.version, {})
+    try:
+        version = await (domains.take_out(name) if out else domains.bring_back(name))
+    except Conflict as error:
+        version = node.control.configuration.version
+        raise _changed("another change of the domain was accepted first", version) from error
+    except StoreUnavailable as error:
+        raise _unavailable(error) from error
+    version = version or node.control.configuration.version
+    return Accepted(version, {"domains": {"out" if out else "back": [name]}})
+
+
 def known_domains(node: Node) -> frozenset[str]:
     """Return the domains of this instance, its peers, the listed workers and those out."""
     configuration = node.control.configuration
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -110,6 +110,8 @@
 
     async def _domains(self, http: web.Request) -> web.Response:
         out = self._node.control.configuration.domains_out
+        if self._node.domains is not None:
+            out = self._node.domains.domains_out()
         names = sorted(known_domains(self._node))
         domains = [{"domain": name, "state": "out" if name in out else "in"} for name in names]
         version = self._node.control.configuration.version
--- a/tests/operator_test.py
+++ b/tests/operator_test.py
@@ -12,6 +12,8 @@
 
 from jayyoke.core.config import Configuration
 from jayyoke.ops.change import Delta, compare, encode_delta
+from jayyoke.ops.digest import Digests
+from jayyoke.ops.domain import Domains
 from jayyoke.parser.configuration import parse_plain
 from jayyoke.platform.table import Row
 from standin.fleet import load_example
@@ -160,6 +162,19 @@
         body = send(fleet, "POST", "/v1/domains/luzern-a/out")[1]
         assert body["version"] == 2
 
+    def test_out_without_the_table_drains_and_back_withdraws(self, fleet):
+        """Guards against a domain that cannot be taken out while the platform is down."""
+        node = fleet.nodes[0]
+        node.domains = Domains(node.control, node.peers, Digests(node.peers), node.clock)
+        fleet.table.down = True
+        status, body = send(fleet, "POST", "/v1/domains/luzern-a/out")
+        assert (status, body["version"], body["changed"]) == (200, 0, True)
+        assert node.domains.domains_out() == {"luzern-a"}
+        listed = send(fleet, "GET", "/v1/domains")[1]["domains"]
+        assert {"domain": "luzern-a", "state": "out"} in listed
+        assert send(fleet, "POST", "/v1/domains/luzern-a/back")[0] == 200
+        assert node.domains.domains_out() == frozenset()
+
 
 class TestStatus:
     def test_names_instances_without_the_version(self, fleet):
