--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -200,6 +200,7 @@
         headers["Idempotency-Key"] = request.idempotency_key
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
     try:
+        # A followed redirect would send a request that must not be repeated a second time.
         async with http.request(
             request.method,
             url,
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -9,14 +9,17 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
 from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
 from jayyoke.ops.drain import Drain
+from jayyoke.ops.durable import Durable
 from jayyoke.ops.forward import Engines
 from jayyoke.ops.halt import Halts
 from jayyoke.ops.health import Health
 from jayyoke.ops.limits import Limits
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placer
+from jayyoke.ops.probe import Prober
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -35,6 +38,9 @@
     health: Health
     placer: Placer
     peers: Peers
+    dispatch: Dispatch
+    prober: Prober
+    durable: Durable
     domains: Domains | None = None
     halts: Halts | None = None
     engines: Engines = field(init=False)
--- /dev/null
+++ b/jayyoke/scripts/assembly.py
@@ -0,0 +1,118 @@
+"""Puts the parts of an instance together."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+
+from jayyoke.core import kernel
+from jayyoke.core.clock import Clock, SystemClock
+from jayyoke.core.member import Member
+from jayyoke.ops.control import Control
+from jayyoke.ops.dispatch import Dispatch
+from jayyoke.ops.domain import Domains
+from jayyoke.ops.durable import build_durable
+from jayyoke.ops.events import CacheFollower
+from jayyoke.ops.halt import Halts
+from jayyoke.ops.health import Health
+from jayyoke.ops.loads import Loads
+from jayyoke.ops.membership import Membership
+from jayyoke.ops.node import Node
+from jayyoke.ops.probe import Prober
+from jayyoke.parser.settings import Settings
+from jayyoke.platform.listing import Listing
+from jayyoke.platform.table import Table
+from jayyoke.server.peer import TcpPeers
+from jayyoke.wire.gen.ttypes import Digest
+
+
+def build_node(
+    settings: Settings, http: aiohttp.ClientSession, http_single: aiohttp.ClientSession
+) -> Node:
+    """Return the parts of an instance, not yet running; plug-ins must be loaded.
+
+    `http_single` uses each connection once.
+    """
+    clock = SystemClock()
+    table = Table(http, settings.table_url)
+    listing = Listing(http, settings.listing_url)
+    peers = _build_peers(settings, clock)
+    control = Control(table, peers, peers.digests, clock)
+    domains = Domains(control, peers, peers.digests, clock)
+    halts = Halts(control, peers, peers.digests, clock)
+    loads = Loads(clock)
+    health = Health(listing, clock, loads, lambda name: control.configuration.services.get(name))
+    policy = kernel.find("policy", settings.policy)()
+    dispatch = Dispatch(clock, peers, loads, health, policy, domains.domains_out)
+    prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
+    durable = build_durable(settings, table, http_single, dispatch.placer, peers, clock)
+    node = Node(
+        settings=settings,
+        clock=clock,
+        http=http,
+        table=table,
+        listing=listing,
+        control=control,
+        health=health,
+        placer=dispatch.placer,
+        peers=peers,
+        dispatch=dispatch,
+        prober=prober,
+        durable=durable,
+        domains=domains,
+        halts=halts,
+    )
+    _connect_digests(node, peers)
+    return node
+
+
+def list_tasks(node: Node) -> list[Coroutine[Any, Any, None]]:
+    """Return what runs for the life of an instance."""
+    return [
+        node.peers.run(),
+        node.peers.membership.follow_listing(node.listing),
+        node.control.run(),
+        node.domains.run(),
+        node.halts.run(),
+        node.health.run(),
+        node.dispatch.run(),
+        node.prober.run(),
+        node.durable.outbox.run(),
+    ]
+
+
+def _build_peers(settings: Settings, clock: Clock) -> TcpPeers:
+    me = Member(
+        settings.instance,
+        settings.domain,
+        time.time_ns(),
+        settings.peer_address,
+        settings.operator_address,
+        settings.region,
+    )
+    return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
+
+
+def _connect_digests(node: Node, peers: TcpPeers) -> None:
+    """Let placement and the limits fill and read heartbeats."""
+
+    def fill_loads(digest: Digest) -> None:
+        names, loads = node.dispatch.build_loads()
+        digest.names = names or None
+        digest.loads = loads or None
+
+    def fill_teams(digest: Digest) -> None:
+        digest.teams = node.limits.build_team_loads() or None
+
+    def accept_teams(sender: Member, digest: Digest) -> None:
+        if digest.teams is not None:
+            node.limits.accept_team_loads(sender.name, digest.teams)
+
+    peers.digests.add_part(fill_loads)
+    peers.digests.add_part(fill_teams)
+    peers.digests.add_handler(node.dispatch.accept_loads)
+    peers.digests.add_handler(accept_teams)
+    node.dispatch.notices.subscribe(lambda engine: peers.digests.send_part(fill_loads))
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import time
 from pathlib import Path
 from typing import Annotated
 
@@ -14,24 +13,14 @@
 from aiohttp import web
 
 from jayyoke.core import kernel
-from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.error import InvalidDocument
-from jayyoke.core.member import Member
-from jayyoke.ops.control import Control
-from jayyoke.ops.domain import Domains
-from jayyoke.ops.halt import Halts
-from jayyoke.ops.health import Health
-from jayyoke.ops.membership import Membership
 from jayyoke.ops.node import Node
-from jayyoke.ops.placement import Placer
 from jayyoke.parser.settings import Settings, parse_settings
-from jayyoke.platform.listing import Listing
-from jayyoke.platform.table import Table
+from jayyoke.scripts.assembly import build_node, list_tasks
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
-from jayyoke.server.peer import TcpPeers
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -43,35 +32,7 @@
 DRAIN_TIMEOUT_S = 60.0
 # The balancer probes readiness about once a second.
 SETTLE_S = 2.0
-
-
-def build_node(settings: Settings, http: aiohttp.ClientSession) -> Node:
-    """Return the parts of an instance, not yet running."""
-    table = Table(http, settings.table_url)
-    listing = Listing(http, settings.listing_url)
-    clock = SystemClock()
-    peers = build_peers(settings, clock)
-    control = Control(table, peers, peers.digests, clock)
-    health = Health(listing)
-    placer = Placer(control, health)
-    domains = Domains(control, peers, peers.digests, clock)
-    halts = Halts(control, peers, peers.digests, clock)
-    return Node(
-        settings, clock, http, table, listing, control, health, placer, peers, domains, halts
-    )
-
-
-def build_peers(settings: Settings, clock: Clock) -> TcpPeers:
-    """Return the connections with other instances, not yet running."""
-    me = Member(
-        settings.instance,
-        settings.domain,
-        time.time_ns(),
-        settings.peer_address,
-        settings.operator_address,
-        settings.region,
-    )
-    return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
+DURABLE_DRAIN_TIMEOUT_S = 3.0  # What is left is adopted by another instance.
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -82,27 +43,20 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = aiohttp.TCPConnector(limit=0)
-    # One caller's cookies must not reach an upstream with another caller's request.
-    jar = aiohttp.DummyCookieJar()
-    async with aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, cookie_jar=jar
-    ) as http:
-        node = build_node(settings, http)
+    # aiohttp repeats some calls by itself when a reused connection is closed; once-only calls
+    # must not be repeated, so they use each connection once.
+    single = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with _open_session(connector) as http, _open_session(single) as http_single:
+        node = build_node(settings, http, http_single)
         await node.peers.start()
-        tasks = [
-            asyncio.create_task(node.peers.run()),
-            asyncio.create_task(node.peers.membership.follow_listing(node.listing)),
-            asyncio.create_task(node.control.run()),
-            asyncio.create_task(node.domains.run()),
-            asyncio.create_task(node.halts.run()),
-            asyncio.create_task(node.health.run()),
-        ]
+        tasks = [asyncio.create_task(part) for part in list_tasks(node)]
         callers = await _listen(CallerServer(node).build(), settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address)
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         node.peers.announce_leaving()
         await _drain(node, callers)
+        await node.durable.drain(DURABLE_DRAIN_TIMEOUT_S)
         await callers.close()
         await operators.close()
         await node.engines.close()
@@ -111,6 +65,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    # One caller's cookies must not reach an upstream with another caller's request.
+    jar = aiohttp.DummyCookieJar()
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, cookie_jar=jar)
+
+
 async def _drain(node: Node, callers: Listener) -> None:
     """Finish the requests in progress; the listener stays open until the balancer noticed."""
     logging.info("instance %s drains", node.settings.instance)
