--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -127,8 +127,16 @@
         if digest.teams is not None:
             node.limits.accept_team_loads(sender.name, digest.teams)
 
+    def send_notice(engine: str) -> None:
+        def fill(digest: Digest) -> None:
+            names, loads = node.dispatch.build_loads(engine)
+            digest.names = names or None
+            digest.loads = loads or None
+
+        peers.digests.send_part(fill)
+
     peers.digests.add_part(fill_loads)
     peers.digests.add_part(fill_teams)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
-    node.dispatch.notices.subscribe(lambda engine: peers.digests.send_part(fill_loads))
+    node.dispatch.notices.subscribe(send_notice)
