--- a/jayyoke/ops/control_test.py
+++ b/jayyoke/ops/control_test.py
@@ -23,6 +23,7 @@
     compare,
     decode_delta,
     encode_delta,
+    encode_snapshot,
 )
 from jayyoke.ops.control import Control
 from jayyoke.ops.digest import Digests
@@ -329,6 +330,20 @@
 
         asyncio.run(run())
 
+    def test_older_snapshot_does_not_revert(self):
+        """Guards against a lagging peer's or row's full state that undoes a newer version."""
+
+        async def run() -> None:
+            fleet = Fleet(1)
+            control = fleet.instances["i0"].control
+            await control.append(team("p", 1))
+            older = encode_snapshot(control.configuration)
+            await control.append(team("p", 2))
+            control._apply_snapshot(older)
+            assert control.configuration.version == 2
+
+        asyncio.run(run())
+
     def test_gap_in_the_log_is_not_skipped(self):
         """Guards against a lost row or a lying peer whose later changes would apply alone."""
 
--- a/jayyoke/server/peer_test.py
+++ b/jayyoke/server/peer_test.py
@@ -234,6 +234,15 @@
         membership.check()
         assert membership.state("other") is live, "a paused instance must read its queue first"
 
+    def test_earlier_incarnation_is_not_heard(self):
+        """Guards against a restarted instance that its old connection keeps alive."""
+        membership = Membership(Member("me", "a", 1, "1:1"), ManualClock())
+        states = []
+        membership.changes.subscribe(lambda change: states.append(change.member.incarnation))
+        assert membership.hear(Member("other", "b", 6, "1:3"))
+        assert not membership.hear(Member("other", "b", 5, "1:2"))
+        assert states == [6] and membership.present()[0].incarnation == 6
+
     def test_large_region_groups_by_domain_with_two_links_elsewhere(self):
         """Guards against links and views that grow with the number of instances."""
         membership = Membership(Member("a-00", "a", 1, "1:1"), ManualClock())
