Wire version moves, copies of chats and capacity into the instance

Cause: moves were tested alone; an engine's version was known nowhere. An instance reported ready while its stewards still granted nothing, so the first chat after a start got 503.

Change: versions are learnt from probes, digests and answers; placement narrows its engines to the chat's version; copies reserve work at the steward; failed, slow and late attempts count as evidence, callers that go away do not; the fair queue gets an equal share of what live engines bear, times 1.5. Readiness waits until every owned engine is probed and granted.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -65,6 +65,7 @@
 struct EngineName {
   1: i32 index
   2: string upstream
+  3: optional string version
 }
 
 // Load of an engine that the sender is the steward of; index refers to an EngineName sent before on this connection.
--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -13,12 +14,14 @@
 from jayyoke.core.peering import Peers
 from jayyoke.ops.loads import Loads, Reporter
 from jayyoke.ops.owner import Owner
-from jayyoke.ops.placement import Placer
+from jayyoke.ops.placement import ENGINE_PROTOCOL, Placer
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.steward import Directory, Steward
 from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName
 
 SWEEP_INTERVAL_S = 0.5
+# A balancer spreads connections, not work; the share of one instance may be this much larger.
+UNEVEN_ARRIVALS = 1.5
 
 
 class Dispatch:
@@ -36,11 +39,13 @@
         seed: int | None = None,
     ):
         self.loads = loads
+        self._peers = peers
+        self._directory = directory
         self.steward = Steward(clock, peers, loads, directory, out)
         rng = random.Random(seed)
         self.owner = Owner(clock, peers, loads, directory, policy, out, rng)
         self.placer = Placer(clock, peers, self.owner, directory, policy, sleep)
-        self._reporter = Reporter(self.steward.list_loads)
+        self._reporter = Reporter(self.steward.list_loads, loads.versions)
         peers.changes.subscribe(self._on_change)
 
     @property
@@ -60,6 +65,21 @@
         for engine in self.loads.accept_loads(sender, digest):
             self.owner.memory.forget_engine(engine)
 
+    def capacity(self, service: str) -> float:
+        """Return the work that this instance may have running on a service, in tokens.
+
+        It is an equal share of what the live engines bear, with room for uneven arrivals; the
+        stewards decide on each request. Plain services have no limit here.
+        """
+        spec = self._directory.service(service)
+        if spec is None or spec.protocol != ENGINE_PROTOCOL:
+            return math.inf
+        total = 0
+        for engine in self.owner.list_engines(service):
+            load = self.loads.find(engine)
+            total += spec.full_work_tokens if load is None else load.limit_tokens
+        return max(total * UNEVEN_ARRIVALS / len(self._peers.members()), 1.0)
+
     async def run(self) -> None:
         """Release, report and sweep until cancelled."""
         releases = asyncio.create_task(self.placer.run())
--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -13,6 +13,7 @@
 from jayyoke.core.error import StoreUnavailable
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.loads import Loads
+from jayyoke.ops.versions import EngineVersions
 from jayyoke.platform.listing import Listing
 
 POLL_INTERVAL_S = 1.0
@@ -63,6 +64,19 @@
         """Return the declaration of a service."""
         return self._find_service(name)
 
+    @property
+    def versions(self) -> EngineVersions:
+        """Return what is known of the engines' versions."""
+        return self._loads.versions
+
+    def list_service(self, service: str) -> list[Upstream]:
+        """Return every listed upstream of a service, whatever its state but leaving."""
+        found = []
+        for listed in self._listed.values():
+            if listed.service == service and listed.state is not UpstreamState.LEAVING:
+                found.append(listed)
+        return found
+
     def names(self) -> tuple[str, ...]:
         """Return the names of all listed upstreams."""
         return tuple(self._listed)
@@ -93,6 +107,7 @@
         listed = sorted(snapshot.upstreams, key=lambda upstream: upstream.name)
         self._listed = {upstream.name: upstream for upstream in listed}
         self._avoided = {n: at for n, at in self._avoided.items() if n in self._listed}
+        self._loads.versions.forget(set(self._listed))
         self._probed = {n: state for n, state in self._probed.items() if n in self._listed}
 
     def _judge(self, listed: Upstream) -> UpstreamState:
--- a/jayyoke/ops/loads.py
+++ b/jayyoke/ops/loads.py
@@ -10,6 +10,7 @@
 from jayyoke.core.member import Member
 from jayyoke.core.upstream import UpstreamState
 from jayyoke.ops.bound import WORK_SHARE, Mean, compute_bound, tighten
+from jayyoke.ops.versions import EngineVersions
 from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName, Granted
 
 MEAN_AGE_S = 0.05
@@ -42,6 +43,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self.heard: set[str] = set()
+        self.versions = EngineVersions()
         self._loads: dict[str, Load] = {}
         self._names: dict[str, dict[int, str]] = {}
         self._incarnations: dict[str, int] = {}
@@ -117,6 +119,7 @@
         self.heard.add(sender.name)
         for name in (digest.names or [])[:MAX_ENGINES]:
             names[name.index] = name.upstream
+            self.versions.learn(name.upstream, name.version or "")
         restarted = []
         now_s = self._clock.now_s()
         for entry in (digest.loads or [])[:MAX_ENGINES]:
@@ -148,8 +151,10 @@
 class Reporter:
     """Builds the load part of this instance's digests: changes only, all every tenth time."""
 
-    def __init__(self, list_loads: Callable[[], dict[str, Load]]):
+    def __init__(self, list_loads: Callable[[], dict[str, Load]], versions: EngineVersions):
         self._list_loads = list_loads
+        self._versions = versions
+        self._sent_versions: dict[str, str] = {}
         self._indexes: dict[str, int] = {}
         self._sent: dict[str, tuple[int, int, int, int, int]] = {}
         self._count = 0
@@ -170,9 +175,11 @@
             if only not in (None, engine):
                 continue
             index = self._indexes.get(engine)
-            if index is None or full:
+            version = self._versions.find(engine)
+            if index is None or full or self._sent_versions.get(engine) != version:
                 index = self._indexes.setdefault(engine, len(self._indexes))
-                names.append(EngineName(index, engine))
+                names.append(EngineName(index, engine, version or None))
+                self._sent_versions[engine] = version
             values = (
                 load.requests,
                 load.work_tokens,
--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -72,6 +72,7 @@
         clock: Clock,
         halts: Halts,
         list_engines: Callable[[str], Sequence[Upstream]],
+        find_version: Callable[[str], str],
         checks_fencing: Callable[[str], bool],
     ):
         self._peers = peers
@@ -80,6 +81,7 @@
         self._clock = clock
         self._halts = halts
         self._list_engines = list_engines
+        self._version_of = find_version
         self._checks_fencing = checks_fencing
         self._rows: dict[str, MoveRow] = {}
         self._recorder = Recorder()
@@ -133,14 +135,15 @@
         self._announce(written)
         return move
 
-    def select(self, service: str, chat: str, candidates: Sequence[Upstream]) -> list[Upstream]:
-        """Return the candidates of the version that a chat gets; none of a halted version."""
+    def select(self, service: str, chat: str, engines: list[str]) -> list[str]:
+        """Return the engines of the version that a chat gets; none of a halted version."""
         row = self._rows.get(MOVE_PREFIX + service)
         if row is None:
-            return list(candidates)
+            return engines
         move = row.move
-        new = [upstream for upstream in candidates if upstream.version == move.new_version]
-        old = [upstream for upstream in candidates if upstream.version != move.new_version]
+        new, old = [], []
+        for engine in engines:
+            (new if self._version_of(engine) == move.new_version else old).append(engine)
         if move.phase in (Phase.TAKING_BACK, Phase.TAKEN_BACK) or self._is_halted(move):
             return old
         if move.phase is Phase.DONE:
@@ -149,27 +152,29 @@
             return new
         return old or new
 
-    def pick_shadow(
-        self, service: str, request_id: str, candidates: Sequence[Upstream]
-    ) -> Upstream | None:
+    def pick_shadow(self, service: str, request_id: str) -> Upstream | None:
         """Return the engine that gets a copy of this request, if one does."""
         row = self._rows.get(MOVE_PREFIX + service)
         if row is None or row.move.phase is not Phase.RUNNING or not row.move.shadow_ppm:
             return None
-        if self._is_halted(row.move) or draw(row.move.id, request_id) >= row.move.shadow_ppm:
-            return None
-        new = [upstream for upstream in candidates if upstream.version == row.move.new_version]
-        if not new:
+        move = row.move
+        if self._is_halted(move) or draw(move.id, request_id) >= move.shadow_ppm:
             return None
-        return new[draw(request_id, row.move.id) % len(new)]
-
-    def observe(self, service: str, version: str, route: str, counts: Counts) -> None:
-        """Add the outcome of a request to the evidence about the service's move."""
-        row = self._rows.get(MOVE_PREFIX + service)
+        new = []
+        for upstream in self._list_engines(service):
+            if self._version_of(upstream.name) == move.new_version:
+                new.append(upstream)
+        return new[draw(request_id, move.id) % len(new)] if new else None
+
+    def observe(self, upstream: Upstream, version: str, route: str, counts: Counts) -> None:
+        """Add outcomes at an engine to the evidence; its answer may not have named a version."""
+        row = self._rows.get(MOVE_PREFIX + upstream.service)
         if row is None or not row.move.active:
             return
-        side = row.move.new_version if version == row.move.new_version else row.move.old_version
-        self._recorder.add(row.move.id, side, route, counts)
+        move = row.move
+        known = version or self._version_of(upstream.name)
+        side = move.new_version if known == move.new_version else move.old_version
+        self._recorder.add(move.id, side, route, counts)
 
     async def run(self) -> None:
         """Follow moves until cancelled."""
@@ -214,7 +219,8 @@
         if row is not None:
             done = row.move.phase is Phase.DONE
             return row.move.new_version if done else row.move.old_version
-        versions = [engine.version for engine in self._list_engines(service) if engine.version]
+        versions = [self._version_of(engine.name) for engine in self._list_engines(service)]
+        versions = [version for version in versions if version]
         return max(set(versions), key=versions.count) if versions else "v1"
 
     def _group_domains(self) -> set[str]:
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -21,6 +21,7 @@
 from jayyoke.ops.moves import Moves
 from jayyoke.ops.placement import Placer
 from jayyoke.ops.probe import Prober
+from jayyoke.ops.shadow import Shadows
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -48,7 +49,19 @@
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
     drain: Drain = field(default_factory=Drain)
+    started: bool = False
     moves: Moves | None = None
+    shadows: Shadows | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here; a started instance stays ready until it drains."""
+        if self.drain.draining:
+            return False
+        if not self.started:
+            probed = self.prober.has_probed_all() and self.dispatch.steward.grants_all()
+            self.started = self.control.ready and probed
+        return self.started
 
     def __post_init__(self) -> None:
         self.engines = Engines(self.http, self.clock)
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -36,6 +36,14 @@
     passed_over: tuple[str, ...] = ()
 
 
+Select = Callable[[str, str, list[str]], list[str]]
+
+
+def keep_all(service: str, chat: str, engines: list[str]) -> list[str]:
+    """Return all engines."""
+    return engines
+
+
 class Owner:
     """Decides for one instance, as the owner of chats and for its own requests."""
 
@@ -50,6 +58,8 @@
         rng: random.Random,
     ):
         self.memory = Memory()
+        # Version moves narrow the engines down to those that run the chat's version.
+        self.select: Select = keep_all
         self._clock = clock
         self._peers = peers
         self._loads = loads
@@ -90,6 +100,7 @@
         """Choose an engine and reserve the request's work at its steward."""
         service = self._directory.service(ask.service_name)
         engines = self.list_engines(ask.service_name, ask.exclude or ())
+        engines = self.select(ask.service_name, str(ask.chat), engines)
         if service is None or not engines:
             return Choice("", "no-upstream")
         mean = self._loads.mean(service.name, engines)
@@ -130,6 +141,18 @@
                 break
         return Choice("", "overloaded", tuple(passed))
 
+    async def admit(self, entry: str, ask: Ask, engine: str) -> bool:
+        """Reserve the request's work on one engine and tell whether it was admitted."""
+        service = self._directory.service(ask.service_name)
+        if service is None:
+            return False
+        mean = self._loads.mean(service.name, self.list_engines(service.name))
+        work = ask.prompt_tokens + ask.output_tokens
+        reserve = Reserve(
+            ask.request_id, engine, work, entry, mean.work_tokens, mean.requests, False
+        )
+        return not await self._reserve(reserve, service)
+
     async def _reserve(self, reserve: Reserve, service: ServiceSpec) -> str:
         """Return why the work was refused, or an empty string if it was admitted."""
         engine = reserve.upstream
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -98,6 +98,14 @@
                 raise self._refuse(request, "overloaded")
             await self._sleep(OVERLOAD_RETRY_S)
 
+    async def place_on(self, request: CallerRequest, upstream: Upstream) -> Placement | None:
+        """Return a placement on one engine, or None if its steward admits no more work."""
+        ask = self._build_ask(request, ())
+        if not await self._owner.admit(self._peers.me.name, ask, upstream.name):
+            return None
+        self._held.setdefault(upstream.name, {})[ask.request_id] = request.work_tokens
+        return Placement(upstream, "copy", (), ask.request_id)
+
     def release(self, request: CallerRequest, placement: Placement) -> None:
         """End the accounting of a placement; the steward hears of it within 100 ms."""
         name = placement.upstream.name
--- a/jayyoke/ops/probe.py
+++ b/jayyoke/ops/probe.py
@@ -24,6 +24,9 @@
 ENGINE_PROTOCOL = "engine"
 
 
+MAX_VERSION_CHARACTERS = 64
+
+
 def hash_incarnation(incarnation: str) -> int:
     """Return the 63-bit number of an engine's incarnation; 0 stands for none."""
     return xxhash.xxh3_64_intdigest(incarnation.encode()) >> 1 if incarnation else 0
@@ -53,6 +56,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
         steward.probes.subscribe(self.request)
 
+    def has_probed_all(self) -> bool:
+        """Tell whether every engine that this instance is to probe was probed."""
+        for engine in self._health.names():
+            upstream = self._health.find(engine)
+            service = None if upstream is None else self._health.service(upstream.service)
+            if service is None or service.protocol != ENGINE_PROTOCOL:
+                continue
+            if self._steward.owns(engine) and engine not in self._breakers:
+                return False
+        return True
+
     def request(self, engine: str) -> None:
         """Probe an engine at the next tick."""
         self._due_s[engine] = 0.0
@@ -84,7 +98,10 @@
             self._steward.chill(engine)
         if breaker.open:
             return
-        leaving = body.get("state") == "leaving" or body.get("leaving") is True
+        self._health.versions.learn(engine, str(body.get("version", ""))[:MAX_VERSION_CHARACTERS])
+        # An engine that loads a version refuses work until it is done.
+        busy = body.get("state") in ("leaving", "loading")
+        leaving = busy or body.get("leaving") is True
         state = UpstreamState.LEAVING if leaving else UpstreamState.LIVE
         self._health.record_probe(engine, state)
 
--- a/jayyoke/ops/resume.py
+++ b/jayyoke/ops/resume.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 from absl import logging
@@ -20,6 +20,7 @@
     UpstreamError,
 )
 from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
 from jayyoke.ops.deadline import remain_s
 from jayyoke.ops.decisions import log_decision
 from jayyoke.ops.forward import (
@@ -37,6 +38,9 @@
 # A second break on the same engine is no accident of one connection.
 MAX_BREAKS_PER_ENGINE = 2
 END_TIMEOUT_S = 0.5
+# The target between tokens is for 95 in 100; a few late ones in a short answer are no sign.
+LATE_SHARE = 0.05
+MIN_LATE_TOKENS = 3
 BACKOFF_BASE_S = 0.05
 BACKOFF_MOST_S = 0.5
 
@@ -67,6 +71,8 @@
         self._late = 0
         self._first_s = 0.0
         self._last_s = 0.0
+        self._upstream: Upstream | None = None
+        self._attempt_head: Mapping[str, str] = {}
 
     async def run(self) -> None:
         """Relay the whole answer; raise Refusal, CallerGone or UpstreamError.
@@ -77,6 +83,8 @@
             async with asyncio.timeout(remain_s(self._request, self._node.clock.now_s())):
                 await self._run_attempts()
         except TimeoutError:
+            if self.dispatched and self._upstream is not None:
+                self._report(self._upstream, False, 0.0)
             detail = "the answer did not end before the deadline"
             raise refuse_unknown(504, NO_ANSWER, detail) from None
         except Refusal as refusal:
@@ -129,34 +137,53 @@
         log_decision(
             self._request, placement.upstream.name, placement.reason, placement.passed_over
         )
+        self._send_copy()
         return placement
 
+    def _send_copy(self) -> None:
+        """Let an engine of a new version answer a copy of the request, if one is to."""
+        node, request = self._node, self._request
+        if node.moves is None or node.shadows is None or self.frames.tokens:
+            return
+        upstream = node.moves.pick_shadow(request.service.name, request.request_id)
+        if upstream is not None:
+            node.shadows.send(upstream, request)
+
     async def _attempt(self, placement: Placement, fresh: bool) -> None:
         upstream = placement.upstream
+        self._upstream = upstream
+        self._attempt_head = {}
         began_s = self._loop.time()
         answer = await self._open(placement, fresh)
         headers = answer.headers
         before = self.frames.tokens
-        answered = False
+        self._attempt_head = headers
         try:
             self.frames.restart()
             await self._pump(answer)
-            answered = True
+            seconds = (self._first_s or self._loop.time()) - began_s if not before else 0.0
+            self._report(upstream, True, seconds)
         finally:
             # A connection is reused only after the answer's regular end.
             if not answer.content.at_eof():
                 answer.close()
-            seconds = (self._first_s or self._loop.time()) - began_s if not before else 0.0
-            outcome = Outcome(
-                upstream,
-                self._request.spec.name,
-                headers.get("X-Engine-Incarnation", ""),
-                headers.get("X-Engine-Version", ""),
-                answered,
-                seconds > self._request.spec.first_token_within_s,
-                seconds,
-            )
-            self._node.engines.report(outcome)
+
+    def _report(self, upstream: Upstream, answered: bool, seconds: float) -> None:
+        """Tell observers how an attempt ended; a caller that went away is no outcome."""
+        head = self._attempt_head
+        spec = self._request.spec
+        slow = seconds > spec.first_token_within_s
+        slow = slow or self._late > max(MIN_LATE_TOKENS, self.frames.tokens * LATE_SHARE)
+        outcome = Outcome(
+            upstream,
+            spec.name,
+            head.get("X-Engine-Incarnation", ""),
+            head.get("X-Engine-Version", ""),
+            answered,
+            slow,
+            seconds,
+        )
+        self._node.engines.report(outcome)
 
     async def _open(self, placement: Placement, fresh: bool) -> aiohttp.ClientResponse:
         engines = self._node.engines
@@ -243,6 +270,8 @@
         fault = type(error).__name__
         if isinstance(error, EngineRejected):
             raise error
+        if not isinstance(error, EngineBusy):
+            self._report(placement.upstream, False, 0.0)
         if isinstance(error, AnswerBroken | AnswerMismatched):
             self._node.engines.suspect(placement.upstream)
         breaks = self._breaks[name] = self._breaks.get(name, 0) + 1
--- a/jayyoke/ops/shadow.py
+++ b/jayyoke/ops/shadow.py
@@ -13,21 +13,23 @@
 from jayyoke.core.move import Counts
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.forward import Engines
+from jayyoke.ops.forward import EngineBusy, EngineRejected, Engines
+from jayyoke.ops.placement import Placer
 from jayyoke.ops.sse import Frames
 
 # Copies never delay callers' requests: engines run lower numbers first.
 SHADOW_PRIORITY = 9
 MAX_SHADOWS = 64
 
-Observe = Callable[[str, str, str, Counts], None]
+Observe = Callable[[Upstream, str, str, Counts], None]
 
 
 class Shadows:
     """Sends copies in the background, at most MAX_SHADOWS at once."""
 
-    def __init__(self, engines: Engines, observe: Observe):
+    def __init__(self, engines: Engines, placer: Placer, observe: Observe):
         self._engines = engines
+        self._placer = placer
         self._observe = observe
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -48,15 +50,27 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run(self, upstream: Upstream, request: CallerRequest) -> None:
+        # Copies count at the steward like other work, so that they never overload a cold engine.
+        placement = await self._placer.place_on(request, upstream)
+        if placement is None:
+            return
+        try:
+            await self._call(upstream, request)
+        finally:
+            self._placer.release(request, placement)
+
+    async def _call(self, upstream: Upstream, request: CallerRequest) -> None:
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         spec = request.spec
         first_s = 0.0
         failed = True
+        version = ""
         frames = Frames()
         try:
             async with asyncio.timeout(spec.within_s):
                 answer = await self._engines.open(upstream, request, 0, True)
+                version = answer.headers.get("X-Engine-Version", "")
                 try:
                     while chunk := await answer.content.readany():
                         frames.feed(chunk)
@@ -67,10 +81,12 @@
                 if not frames.finished:
                     raise AnswerBroken("truncated")
             failed = False
+        except (EngineBusy, EngineRejected):
+            return
         except (JayyokeError, TimeoutError, aiohttp.ClientError) as error:
             logging.debug("copy of %s at %s: %r", request.request_id, upstream.name, error)
         ended_s = loop.time() - began_s
         gap_s = (ended_s - first_s) / max(1, frames.tokens)
         slow = first_s > spec.first_token_within_s or gap_s > spec.between_tokens_within_s
         counts = Counts(1, int(failed), int(slow and not failed))
-        self._observe(request.service.name, upstream.version, spec.name, counts)
+        self._observe(upstream, version, spec.name, counts)
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -115,6 +115,17 @@
         """Tell whether this instance is the steward of an engine."""
         return self._stewardship.find(engine) == self._peers.me.name
 
+    def grants_all(self) -> bool:
+        """Tell whether no engine of this steward waits for the grace period after a take-over."""
+        now_s = self._clock.now_s()
+        for engine, account in self._accounts.items():
+            service = self._find_service(engine)
+            if service is None or not self.owns(engine):
+                continue
+            if self._in_grace(account, service, now_s):
+                return False
+        return True
+
     def list_loads(self) -> dict[str, Load]:
         """Return the loads of this steward's engines, for the digest and the own view."""
         now_s = self._clock.now_s()
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -11,6 +11,7 @@
 from jayyoke.core import kernel
 from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.member import Member
+from jayyoke.core.move import Counts
 from jayyoke.ops.control import Control
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
@@ -21,8 +22,10 @@
 from jayyoke.ops.health import Health
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.membership import Membership
+from jayyoke.ops.moves import Moves
 from jayyoke.ops.node import Node
 from jayyoke.ops.probe import Prober, hash_incarnation
+from jayyoke.ops.shadow import Shadows
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
 from jayyoke.platform.table import Table
@@ -66,6 +69,10 @@
         domains=domains,
         halts=halts,
     )
+    node.moves = _build_moves(node, peers)
+    node.shadows = Shadows(node.engines, node.placer, node.moves.observe)
+    node.limits.capacity = dispatch.capacity
+    dispatch.owner.select = node.moves.select
     _connect_digests(node, peers)
     _connect_answers(node)
     return node
@@ -83,6 +90,7 @@
         node.dispatch.run(),
         node.prober.run(),
         node.durable.outbox.run(),
+        node.moves.run(),
     ]
 
 
@@ -98,10 +106,30 @@
     return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
 
 
+def _build_moves(node: Node, peers: TcpPeers) -> Moves:
+    def checks_fencing(service: str) -> bool:
+        spec = node.control.configuration.services.get(service)
+        return spec is not None and spec.checks_fencing
+
+    return Moves(
+        peers,
+        node.table,
+        node.http,
+        node.clock,
+        node.halts,
+        list_engines=node.health.list_service,
+        find_version=node.health.versions.find,
+        checks_fencing=checks_fencing,
+    )
+
+
 def _connect_answers(node: Node) -> None:
     """Let placement learn of lost engines and new incarnations from answers."""
 
     def observe(outcome: Outcome) -> None:
+        counts = Counts(1, int(not outcome.answered), int(outcome.answered and outcome.slow))
+        node.moves.observe(outcome.upstream, outcome.version, outcome.route, counts)
+        node.health.versions.learn(outcome.upstream.name, outcome.version)
         incarnation = hash_incarnation(outcome.incarnation)
         if incarnation:
             node.placer.observe(outcome.upstream.name, incarnation)
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -79,7 +79,7 @@
         return web.json_response({"instance": self._node.settings.instance})
 
     async def _ready(self, http: web.Request) -> web.Response:
-        ready = self._node.control.ready and not self._node.drain.draining
+        ready = self._node.ready
         version = self._node.control.configuration.version
         body = {"ready": ready, "configuration": version}
         return web.json_response(body, status=200 if ready else 503)
--- a/jayyoke/server/status.py
+++ b/jayyoke/server/status.py
@@ -27,7 +27,7 @@
         "incarnation": incarnation,
         "configuration": node.control.configuration.version,
         "confirmed_age_s": None if age_s is None else round(age_s, 3),
-        "ready": node.control.ready,
+        "ready": node.ready,
         "answers": True,
     }
 
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -510,18 +510,21 @@
     Attributes:
      - index
      - upstream
+     - version
 
     """
 
     __slots__ = (
         'index',
         'upstream',
+        'version',
     )
 
 
-    def __init__(self, index=None, upstream=None,):
+    def __init__(self, index=None, upstream=None, version=None,):
         self.index = index
         self.upstream = upstream
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -542,6 +545,11 @@
                     self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -560,6 +568,10 @@
             oprot.writeFieldBegin('upstream', TType.STRING, 2)
             oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3404,6 +3416,7 @@
     None,  # 0
     (1, TType.I32, 'index', None, None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
 )
 all_structs.append(EngineLoad)
 EngineLoad.thrift_spec = (
--- a/tests/moves_test.py
+++ b/tests/moves_test.py
@@ -24,6 +24,7 @@
 from standin.table import TableServer
 
 TIMEOUT_S = 30.0
+VERSIONS = {"new": "v2"}
 GOOD = {"v1": Counts(50, 0, 0), "v2": Counts(20, 0, 0)}
 FAILING = {"v1": Counts(50, 0, 0), "v2": Counts(5, 5, 0)}
 
@@ -65,7 +66,7 @@
     def observe(self, counts: dict[str, Counts]) -> None:
         for instance in self.instances:
             for version, value in counts.items():
-                instance.observe("pool", version, "draft", value)
+                instance.observe(self.upstreams[0], version, "draft", value)
 
     def phase(self) -> Phase:
         return self.instances[0].moves[0].phase
@@ -96,6 +97,7 @@
                     SystemClock(),
                     halts,
                     list_engines=lambda service: upstreams,
+                    find_version=lambda name: VERSIONS.get(name, "v1"),
                     checks_fencing=lambda service: checks_fencing,
                 )
             )
@@ -168,9 +170,8 @@
             bench.table_server.faults.down = True
             bench.observe(FAILING)
             await bench.wait_for(lambda: bool(bench.halts.halted))
-            new = [Upstream("e0", "pool", "d0", "", version="v2")]
             for instance in bench.instances:
-                assert instance.select("pool", "any chat", new) == []
+                assert instance.select("pool", "any chat", ["new"]) == []
 
         run(test)
 
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from types import SimpleNamespace
 from typing import Any
 
 from aiohttp.test_utils import TestServer
@@ -179,8 +180,8 @@
             health=FakeHealth(),
             placer=None,
             peers=peers,
-            dispatch=None,
-            prober=None,
+            dispatch=SimpleNamespace(steward=SimpleNamespace(grants_all=lambda: True)),
+            prober=SimpleNamespace(has_probed_all=lambda: True),
             durable=None,
             domains=Domains(control, peers, digests, clock),
             halts=Halts(control, peers, digests, clock),
