--- a/jayyoke/scripts/session.py
+++ b/jayyoke/scripts/session.py
@@ -6,7 +6,7 @@
 import json
 import os
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -38,6 +38,14 @@
     as_json: bool = False
 
 
+def split_instances(values: Iterable[str]) -> tuple[str, ...]:
+    """Return the URLs of option values; the environment variable may use commas or spaces."""
+    urls = []
+    for value in values:
+        urls.extend(part.rstrip("/") for part in value.replace(",", " ").split())
+    return tuple(urls)
+
+
 def fail(message: str, code: int) -> typer.Exit:
     """Print a message to standard error and return the exit to raise."""
     print(message, file=sys.stderr)
--- a/jayyoke/scripts/tool.py
+++ b/jayyoke/scripts/tool.py
@@ -25,6 +25,7 @@
     read_status,
     run,
     show,
+    split_instances,
     wait_for,
 )
 from jayyoke.scripts.table import format_changes, format_force, format_status
@@ -52,7 +53,7 @@
         typer.Option(
             envvar="JAYYOKE_INSTANCES",
             help="Operator URL of an instance; repeatable, tried in order. "
-            "The variable holds several, separated by spaces.",
+            "The variable holds several, separated by commas or spaces.",
         ),
     ] = None,
     key_file: Annotated[
@@ -61,7 +62,7 @@
     ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")] = False,
 ) -> None:
-    context.obj = Session(tuple(instance or ()), key_file, as_json)
+    context.obj = Session(split_instances(instance or ()), key_file, as_json)
 
 
 @app.command()
