--- a/jayyoke/scripts/move.py
+++ b/jayyoke/scripts/move.py
@@ -43,6 +43,22 @@
     run(session, work)
 
 
+@app.command()
+def stop(
+    context: typer.Context,
+    move_id: Annotated[str, typer.Argument(metavar="ID", help="Move to stop and take back.")],
+) -> None:
+    """Stop a version everywhere at once and take its move back; works during an outage too."""
+    session: Session = context.obj
+
+    async def work(client: Client) -> int:
+        answer = await client.request("POST", f"/v1/moves/{quote(move_id, safe='')}/stop")
+        show(session, answer, _format(answer))
+        return EXIT_DONE
+
+    run(session, work)
+
+
 def show_moves(
     context: typer.Context,
     move_id: Annotated[str, typer.Argument(metavar="ID", help="One move; all by default.")] = "",
--- a/jayyoke/server/moves.py
+++ b/jayyoke/server/moves.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from jayyoke.core.error import Conflict, StoreUnavailable
-from jayyoke.core.move import PPM, Move
+from jayyoke.core.move import PPM, Move, Phase
 from jayyoke.ops.moves import MoveActive, Moves
 from jayyoke.ops.node import Node
 from jayyoke.parser.section import is_name
@@ -30,16 +30,27 @@
         app.router.add_get("/v1/moves", self._list)
         app.router.add_post("/v1/moves", self._start)
         app.router.add_get("/v1/moves/{id}", self._show)
+        app.router.add_post("/v1/moves/{id}/stop", self._stop)
 
     async def _list(self, http: web.Request) -> web.Response:
         moves = [describe_move(move) for move in self._part().moves]
         return web.json_response({"moves": moves})
 
     async def _show(self, http: web.Request) -> web.Response:
-        wanted = http.match_info["id"]
+        return web.json_response(describe_move(self._find(http.match_info["id"])))
+
+    async def _stop(self, http: web.Request) -> web.Response:
+        move = self._find(http.match_info["id"])
+        if move.phase is Phase.DONE:
+            raise OperatorProblem(409, "move-done", f"move {move.id!r} is done; start a move back")
+        # A halt needs no table; the holder of the move then orders the engines back.
+        self._node.halts.halt(move.id, move.new_version, "stopped by an operator")
+        return web.json_response(describe_move(move))
+
+    def _find(self, wanted: str) -> Move:
         for move in self._part().moves:
             if move.id == wanted:
-                return web.json_response(describe_move(move))
+                return move
         raise OperatorProblem(404, "unknown-move", f"move {wanted[:200]!r} is not known here")
 
     async def _start(self, http: web.Request) -> web.Response:
--- a/tests/operator_test.py
+++ b/tests/operator_test.py
@@ -182,6 +182,20 @@
         assert node.domains.domains_out() == frozenset()
 
 
+class TestMoveStop:
+    def test_stop_halts_the_version_without_the_table(self, fleet):
+        """Guards against an operator who cannot stop a bad version during an outage."""
+        apply(fleet)
+        node = fleet.nodes[0]
+        node.moves = FakeMoves()
+        body = {"service": "jayyoke-pool", "version": "v2", "deadline": 60}
+        move = send(fleet, "POST", "/v1/moves", json=body)[1]
+        fleet.table.down = True
+        assert send(fleet, "POST", f"/v1/moves/{move['id']}/stop")[0] == 200
+        assert node.halts.is_halted(move["id"], "v2")
+        assert send(fleet, "POST", "/v1/moves/none/stop")[0] == 404
+
+
 class TestStatus:
     def test_names_instances_without_the_version(self, fleet):
         """Guards against a version reported in force while an instance still lags."""
