Let upstream protocols register themselves

Cause: the names of protocols stood as strings in five modules. Change: plug-ins engine and plain return what their upstreams offer; configuration, placement, probes and moves ask for that. The kernel imports plug-ins at first use.

--- a/bench/imports.py
+++ b/bench/imports.py
@@ -10,9 +10,9 @@
 ROOTS = ("jayyoke", "standin", "bench")
 _HEAD = """# Import graph
 
-An arrow points from a package to one that it imports; the number counts importing modules. `make lint` checks that the
-graph has no cycle, that imports go downwards only, and that the product never imports stand-ins or benchmarks. Written
-by `python -m bench.imports`; a test compares the page with the code.
+An arrow points from a package to one that it imports. `make lint` checks that the graph has no
+cycle, that imports go downwards only, and that the product never imports stand-ins or benchmarks.
+Written by `python -m bench.imports`; a test compares the page with the code.
 
 """
 
@@ -26,17 +26,17 @@
 def draw() -> str:
     """Return the page: a Mermaid flow chart of the packages."""
     graph = grimp.build_graph(*ROOTS, include_external_packages=False, cache_dir=None)
-    edges: dict[tuple[str, str], set[str]] = {}
+    edges: set[tuple[str, str]] = set()
     for importer in sorted(graph.modules):
         if importer.endswith("_test"):
             continue
         for imported in graph.find_modules_directly_imported_by(importer):
             pair = (name_package(importer), name_package(imported))
             if pair[0] != pair[1]:
-                edges.setdefault(pair, set()).add(importer)
+                edges.add(pair)
     lines = ["```mermaid", "flowchart TD"]
     for source, target in sorted(edges):
-        lines.append(f"    {source} -->|{len(edges[(source, target)])}| {target}")
+        lines.append(f"    {source} --> {target}")
     lines.append("```")
     return _HEAD + "\n".join(lines) + "\n"
 
--- a/jayyoke/core/kernel.py
+++ b/jayyoke/core/kernel.py
@@ -11,6 +11,8 @@
 
 _KINDS = ("policy", "class", "protocol")
 _plugins: dict[tuple[str, str], Callable[..., Any]] = {}
+_loaded: set[str] = set()
+PLUGINS = "jayyoke.plugins"
 
 
 class UnknownPlugin(JayyokeError):
@@ -29,8 +31,11 @@
     return decorate
 
 
-def load(package: str = "jayyoke.plugins") -> None:
+def load(package: str = PLUGINS) -> None:
     """Import every module of the package, so that its plug-ins register themselves."""
+    if package in _loaded:
+        return
+    _loaded.add(package)
     parent = importlib.import_module(package)
     for module in pkgutil.iter_modules(parent.__path__):
         if module.name.endswith("_test"):
@@ -39,7 +44,11 @@
 
 
 def find(kind: str, name: str) -> Callable[..., Any]:
-    """Return a registered plug-in; raise UnknownPlugin if there is none."""
+    """Return a registered plug-in; raise UnknownPlugin if there is none.
+
+    The product's plug-ins are imported at the first call.
+    """
+    load()
     try:
         return _plugins[(kind, name)]
     except KeyError:
@@ -49,4 +58,5 @@
 
 def names(kind: str) -> tuple[str, ...]:
     """Return the registered names of one kind, sorted."""
+    load()
     return tuple(sorted(name for known, name in _plugins if known == kind))
--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -12,9 +12,10 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.member import Member, MemberChange, MemberState
 from jayyoke.core.peering import Peers
+from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.loads import Loads, Reporter
 from jayyoke.ops.owner import Owner
-from jayyoke.ops.placement import ENGINE_PROTOCOL, Placer
+from jayyoke.ops.placement import Placer
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.steward import Directory, Steward
 from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName
@@ -72,7 +73,7 @@
         stewards decide on each request. Plain services have no limit here.
         """
         spec = self._directory.service(service)
-        if spec is None or spec.protocol != ENGINE_PROTOCOL:
+        if spec is None or not find_protocol(spec.protocol).reports_load:
             return math.inf
         total = 0
         for engine in self.owner.list_engines(service):
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -13,6 +13,7 @@
 from jayyoke.core.error import PeerUnavailable, Refusal, Run
 from jayyoke.core.member import MemberChange
 from jayyoke.core.peering import Peers
+from jayyoke.core.protocol import find_protocol
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.memory import hash_chat
@@ -32,7 +33,6 @@
 OVERLOAD_WAIT_SHARE = 0.25  # Of the time left, so that a later answer still meets the deadline.
 OVERLOAD_RETRY_S = 0.025
 RETRY_AFTER_S = 1.0
-ENGINE_PROTOCOL = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
 
     async def place(self, request: CallerRequest, exclude: tuple[str, ...] = ()) -> Placement:
         """Return a placement that `release` ends; raise Refusal if no upstream may be used."""
-        if request.service.protocol != ENGINE_PROTOCOL:
+        if not find_protocol(request.service.protocol).reports_load:
             return self._place_plain(request, exclude)
         now_s = self._clock.now_s()
         wait_s = min(OVERLOAD_WAIT_S, (request.deadline_s - now_s) * OVERLOAD_WAIT_SHARE)
--- a/jayyoke/ops/probe.py
+++ b/jayyoke/ops/probe.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.protocol import find_protocol
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.breaker import Breaker
 from jayyoke.ops.events import CacheFollower
@@ -21,7 +22,6 @@
 PROBE_TIMEOUT_S = 1.0
 TICK_S = 0.25
 MAX_BODY_BYTES = 1 << 20
-ENGINE_PROTOCOL = "engine"
 
 
 MAX_VERSION_CHARACTERS = 64
@@ -61,7 +61,7 @@
         for engine in self._health.names():
             upstream = self._health.find(engine)
             service = None if upstream is None else self._health.service(upstream.service)
-            if service is None or service.protocol != ENGINE_PROTOCOL:
+            if service is None or not find_protocol(service.protocol).reports_load:
                 continue
             if self._steward.owns(engine) and engine not in self._breakers:
                 return False
@@ -115,7 +115,11 @@
         for engine in self._health.names():
             upstream = self._health.find(engine)
             service = None if upstream is None else self._health.service(upstream.service)
-            if upstream is None or service is None or service.protocol != ENGINE_PROTOCOL:
+            if (
+                upstream is None
+                or service is None
+                or not find_protocol(service.protocol).reports_load
+            ):
                 continue
             if not self._steward.owns(engine):
                 self._health.record_probe(engine, None)
--- a/jayyoke/parser/configuration.py
+++ b/jayyoke/parser/configuration.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from jayyoke.core import kernel
 from jayyoke.core.config import (
     ClassKind,
     ClassSpec,
@@ -15,11 +16,11 @@
     TeamSpec,
 )
 from jayyoke.core.error import InvalidDocument
+from jayyoke.core.protocol import find_protocol
 from jayyoke.parser.document import Document, Place
 from jayyoke.parser.section import NAME_FORM, Section, is_name
 from jayyoke.parser.unit import format_duration
 
-PROTOCOLS = ("engine", "plain")
 MAX_SERVICES = 1000
 MAX_CLASSES = 1000
 MAX_TEAMS = 20_000
@@ -122,7 +123,7 @@
 
 def _read_service(section: Section, name: str) -> ServiceSpec:
     defaults = ServiceSpec(name, "")
-    protocol = section.choice("protocol", PROTOCOLS)
+    protocol = section.choice("protocol", kernel.names("protocol"))
     settle = section.choice("settle", [item.value for item in Settle], Settle.NONE.value)
     checks_fencing = section.flag("checks_fencing", False)
     stores_durably = section.flag("stores_durably", False)
@@ -177,15 +178,19 @@
     return spec
 
 
+def _serves(protocol: str, kind: ClassKind) -> bool:
+    return kind in find_protocol(protocol).class_kinds
+
+
 def _check_class(section: Section, spec: ClassSpec, services: Mapping[str, ServiceSpec]) -> None:
     if spec.service and spec.service not in services:
         section.reject("service", "a service that exists: " + _list(services))
-    elif spec.service and services[spec.service].protocol:
-        protocol = "engine" if spec.kind is ClassKind.CHAT else "plain"
-        if services[spec.service].protocol != protocol:
-            section.reject(
-                "service", f"a service of protocol {protocol} for kind {spec.kind.value}"
-            )
+    elif spec.service:
+        protocol = services[spec.service].protocol
+        if protocol and not _serves(protocol, spec.kind):
+            fitting = [name for name in kernel.names("protocol") if _serves(name, spec.kind)]
+            expected = f"a service of protocol {' or '.join(fitting)} for kind {spec.kind.value}"
+            section.reject("service", expected)
     for key, kinds in _SPECIFIC.items():
         if section.has(key) and spec.kind not in kinds:
             names = " and ".join(kind.value for kind in kinds)
--- /dev/null
+++ b/jayyoke/plugins/engine.py
@@ -0,0 +1,18 @@
+"""Upstream protocol `engine`: model engines with the chat-completions interface."""
+
+from __future__ import annotations
+
+from functools import cache
+
+from jayyoke.core.config import ClassKind
+from jayyoke.core.kernel import register
+from jayyoke.core.protocol import UpstreamProtocol
+
+__plugins__ = ("build_engine",)
+
+
+@register("protocol", "engine")
+@cache
+def build_engine() -> UpstreamProtocol:
+    """Return the protocol."""
+    return UpstreamProtocol("engine", True, True, frozenset({ClassKind.CHAT}))
--- a/jayyoke/server/moves.py
+++ b/jayyoke/server/moves.py
@@ -9,6 +9,7 @@
 
 from jayyoke.core.error import Conflict, StoreUnavailable
 from jayyoke.core.move import PPM, Move, Phase
+from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.moves import MoveActive, Moves
 from jayyoke.ops.node import Node
 from jayyoke.parser.section import is_name
@@ -84,8 +85,8 @@
         spec = None
         if isinstance(service, str):
             spec = self._node.control.configuration.services.get(service)
-        if spec is None or spec.protocol != "engine":
-            raise _refuse("service", "the name of a service with protocol engine")
+        if spec is None or not find_protocol(spec.protocol).takes_orders:
+            raise _refuse("service", "the name of a service whose upstreams take orders")
         if not is_name(version):
             raise _refuse("version", "the name of a version")
         deadline_s = parse_duration(body.get("deadline"))
