Expose running requests, members and peer traffic as metrics

Cause: two metrics were declared and always read 0. Change: numbers are read when the metrics are; new ones for the configuration version, members and bytes sent to peers.

--- a/jayyoke/ops/metrics.py
+++ b/jayyoke/ops/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
@@ -53,12 +55,10 @@
             ["class_name", "target"],
             registry=registry,
         )
-        self.running = Gauge("jayyoke_requests_running", "Requests in progress.", registry=registry)
-        self.dropped_lines = Counter(
-            "jayyoke_decision_lines_dropped",
-            "Decision log lines over the rate limit.",
-            registry=registry,
-        )
+
+    def watch(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Expose a number that a function returns when the metrics are read."""
+        Gauge(name, help_text, registry=self.registry).set_function(read)
 
     def count(self, counter: Counter, *labels: str, amount: float = 1.0) -> None:
         """Add to a counter; the child of its labels is looked up once."""
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -13,6 +13,7 @@
 from jayyoke.core.member import Member
 from jayyoke.core.move import Counts
 from jayyoke.ops.control import Control
+from jayyoke.ops.decisions import count_dropped
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
 from jayyoke.ops.durable import build_durable
@@ -75,6 +76,7 @@
     dispatch.owner.select = node.moves.select
     _connect_digests(node, peers)
     _connect_answers(node)
+    _connect_metrics(node, peers)
     return node
 
 
@@ -140,6 +142,19 @@
     )
 
 
+def _connect_metrics(node: Node, peers: TcpPeers) -> None:
+    watch = node.metrics.watch
+    watch("jayyoke_requests_running", "Requests in progress.", lambda: node.drain.running)
+    watch(
+        "jayyoke_configuration_version",
+        "Configuration version in force at this instance.",
+        lambda: node.control.configuration.version,
+    )
+    watch("jayyoke_members", "Live members of the group.", lambda: len(peers.members()))
+    watch("jayyoke_peer_sent_bytes", "Bytes sent to peers.", peers.traffic.sent.total)
+    watch("jayyoke_decision_lines_dropped", "Decision lines over the rate limit.", count_dropped)
+
+
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
