Release engines within milliseconds instead of 100 ms

Cause: a chat that returned at once was placed elsewhere: its engine still held the last request at the steward, and with few requests one is the whole bound. Ruled out: the owner's memory, which named the right engine each time. Change: releases go out 3 ms after the first, not on a 100 ms tick.

--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -27,7 +28,10 @@
 # A lost placement costs a prefill of 100 ms and more, so an owner that answered lately gets longer.
 OWNER_HARD_TIMEOUT_S = 0.025
 OWNER_DISTRUST_S = 1.0
-RELEASE_INTERVAL_S = 0.1
+# At 17 requests/s of a node a longer wait saves few messages; with 100 ms, a chat that returned at
+# once found its own engine full, since one late release is a whole bound at small counts.
+RELEASE_DELAY_S = 0.003
+FLUSH_INTERVAL_S = 1.0
 HOLDINGS_INTERVAL_S = 30.0
 OVERLOAD_WAIT_S = 0.5
 OVERLOAD_WAIT_SHARE = 0.25  # Of the time left, so that a later answer still meets the deadline.
@@ -72,6 +76,7 @@
         self._distrusted: dict[str, float] = {}
         self._incarnations: dict[str, int] = {}
         self._stewards: dict[str, str] = {}
+        self._released = asyncio.Event()
         self._reported_s = clock.now_s()
         peers.changes.subscribe(self._on_change)
 
@@ -107,7 +112,7 @@
         return Placement(upstream, "copy", (), ask.request_id)
 
     def release(self, request: CallerRequest, placement: Placement) -> None:
-        """End the accounting of a placement; the steward hears of it within 100 ms."""
+        """End the accounting of a placement; the steward hears of it within milliseconds."""
         name = placement.upstream.name
         if not placement.reservation:
             self._plain[name] = max(0, self._plain.get(name, 0) - 1)
@@ -118,6 +123,7 @@
         if not held:
             del self._held[name]
         self._ended.setdefault(name, []).append(placement.reservation)
+        self._released.set()
 
     def observe(self, engine: str, incarnation: int = 0, failed: bool = False) -> None:
         """Report a broken connection or the incarnation in an answer to the engine's steward."""
@@ -131,7 +137,7 @@
         self._peers.tell(steward, Observed(engine, incarnation, failed))
 
     def flush(self) -> None:
-        """Send the releases collected since the last call; call every 100 ms."""
+        """Send the releases collected since the last call."""
         ended, self._ended = self._ended, {}
         for engine, request_ids in ended.items():
             self._peers.tell(self._stewardship.find(engine), Release(engine, request_ids, ""))
@@ -143,7 +149,10 @@
     async def run(self) -> None:
         """Send releases and holdings until cancelled."""
         while True:
-            await asyncio.sleep(RELEASE_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._released.wait(), FLUSH_INTERVAL_S)
+                await asyncio.sleep(RELEASE_DELAY_S)
+            self._released.clear()
             self.flush()
 
     def _report(self) -> None:
