Tell peers when an engine near its bound has room again

Cause: stewards reported at once that an engine neared its bound, but only the digest of every second that it had room again. Owners sort engines by the load they know, so a full one stood idle for up to 1 s after its short requests had ended.

Change: the release after such a notice sends one more, within the same rate.

--- a/jayyoke/ops/account.py
+++ b/jayyoke/ops/account.py
@@ -33,6 +33,7 @@
     confirmed_s: float = -1e9
     unconfirmed: bool = False
     predecessor: bool = False
+    noticed: bool = False
     inherited_requests: int = 0
     inherited_tokens: int = 0
     entries: dict[str, dict[str, Reservation]] = field(default_factory=dict)
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -179,6 +179,11 @@
             return
         for request_id in message.request_ids:
             account.remove(entry, request_id)
+        service = self._find_service(message.upstream)
+        if account.noticed and service is not None:
+            now_s = self._clock.now_s()
+            limit = self._limit(account, service, now_s)
+            self._notice(account, message.upstream, service, limit, now_s)
 
     def accept_holdings(self, entry: str, message: Holdings) -> None:
         """Replace an entry's reservations by what it says it holds."""
@@ -301,8 +306,12 @@
         bound = compute_bound(tighten(service.bound_multiple), self._mean(service).requests)
         near = account.requests >= NEAR_SHARE * bound or account.work_tokens >= NEAR_SHARE * limit
         interval_s = NOTICE_INTERVAL_PER_MEMBER_S * len(self._peers.members())
-        if near and now_s - self._noticed_s >= interval_s:
+        # Owners pass over an engine that they think is full, so they must also hear that it has
+        # room again; without that, one stood idle until the next digest, for up to 1 s.
+        changed = near or account.noticed
+        if changed and now_s - self._noticed_s >= interval_s:
             self._noticed_s = now_s
+            account.noticed = near
             self._notices.on_next(engine)
 
     def _mean(self, service: ServiceSpec) -> Mean:
--- a/jayyoke/ops/steward_test.py
+++ b/jayyoke/ops/steward_test.py
@@ -71,6 +71,21 @@
         assert sum(answers) == 1
 
 
+class TestNotices:
+    def test_peers_hear_that_a_full_engine_has_room_again(self):
+        """Guards against owners that pass over an idle engine until the next digest."""
+        case = _Case(("e1", "e2", "e3"))
+        for name in ("e1", "e2", "e3"):
+            case.steward.confirm(name, 1, warm=True)
+        loads = []
+        case.steward.notices.subscribe(lambda engine: loads.append((engine, case.load(engine))))
+        message = Reserve("r", "e1", 10, "x", 0.0, 0.0, False)
+        assert case.steward.reserve(message).granted
+        case.clock.advance(1.0)
+        case.steward.release("x", Release("e1", ["r"], ""))
+        assert loads == [("e1", 10), ("e1", 0)]
+
+
 class TestSlowStart:
     def test_new_incarnation_restarts_the_ramp(self):
         """Guards against full load on an engine that restarted at the same address (P2)."""
