--- a/standin/engine.py
+++ b/standin/engine.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from standin.arrivals import Arrivals
 from standin.batch import Batch
 from standin.enginemodel import (
     Capacity,
@@ -61,8 +62,10 @@
         self.orders: list[dict[str, Any]] = []
         self.served_by_version: dict[str, int] = {}
         self.received = 0
+        self.arrivals = Arrivals()
         self.last_received_s = 0.0
         self.cold_peak = 0.0
+        self.cold_peak_at_s = 0.0
         self.streams: dict[str, asyncio.Task[Any]] = {}
         self._events: list[Event] = []
         self._sequence = 0
@@ -81,11 +84,14 @@
         app.router.add_put("/kv/{chat}", self._import)
         app.router.add_post("/restart", self._restart)
         add_fault_routes(app, self.faults)
+        self.arrivals.add_route(app)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         await self.faults.before()
-        if self.loading or self.leaving:
+        accepted = not (self.loading or self.leaving)
+        self.arrivals.add(request, self.version, accepted)
+        if not accepted:
             # Refused before the body is read; the router may try elsewhere.
             return web.json_response({"error": "not accepting work"}, status=503)
         body = await request.json()
@@ -222,7 +228,8 @@
         age_s = time.monotonic() - self.started_s
         if age_s < self.capacity.warm_up_s:
             ratio = self.batch.work_tokens / self.capacity.bears(age_s)
-            self.cold_peak = max(self.cold_peak, ratio)
+            if ratio > self.cold_peak:
+                self.cold_peak, self.cold_peak_at_s = ratio, time.monotonic()
 
     def _add_event(self, kind: str, chat: str, tokens: int) -> None:
         self._sequence += 1
@@ -242,7 +249,7 @@
                 continue
             events.append(
                 {
-                    "seq": event.sequence,
+                    "n": event.sequence,
                     "kind": event.kind,
                     "chat": event.chat,
                     "tokens": event.tokens,
@@ -262,6 +269,7 @@
     async def _stats(self, request: web.Request) -> web.Response:
         stats = self._report() | self._identity()
         stats["cold_peak"] = self.cold_peak
+        stats["cold_peak_at_s"] = self.cold_peak_at_s
         stats["received"] = self.received
         stats["idle_s"] = time.monotonic() - self.last_received_s
         stats["served_by_version"] = self.served_by_version
--- a/standin/engine_test.py
+++ b/standin/engine_test.py
@@ -9,6 +9,9 @@
 import aiohttp
 from aiohttp.test_utils import TestClient, TestServer
 
+from jayyoke.core.member import Member
+from jayyoke.ops.events import CacheFollower
+from jayyoke.wire.local import LocalHub
 from standin.engine import EngineServer
 from standin.enginemodel import Capacity, generate_token
 
@@ -39,6 +42,22 @@
     return [word for word in words if word], usage
 
 
+class TestEvents:
+    def test_router_reads_the_events(self):
+        """Guards against cache events in a form that routers discard as malformed."""
+
+        async def test(client: TestClient) -> None:
+            await complete(client)
+            body = await (await client.get("/events")).json()
+            follower = CacheFollower(LocalHub().join(Member("me", "a", 1, "")))
+            assert not follower.accept("e", body)
+            assert follower.cursor("e") == 1
+
+        server = EngineServer("e", token_s=0.0)
+        server.faults.event_lag_s = 0.0
+        run_with_engine(server, test)
+
+
 class TestStream:
     def test_resumed_stream_continues_at_the_position(self):
         """Guards against a stand-in that repeats or skips tokens on resumption."""
