--- a/standin/demo.py
+++ b/standin/demo.py
@@ -4,37 +4,89 @@
 
 import argparse
 import asyncio
+import contextlib
+import shutil
+import signal
 import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
 
+from standin.calls import Callers
+from standin.checks import check_all, format_rows
 from standin.deployment import DEPLOYMENTS
-from standin.fleet import TEAM_KEYS, Fleet, run_fleet
+from standin.fleet import load_example, run_fleet
+from standin.observe import watch_versions
+from standin.steps import (
+    WARM_UP_S,
+    Demo,
+    Seen,
+    move_to_bad,
+    move_to_good,
+    replace_parts,
+    run_steady,
+    take_domain_out,
+)
 
+BASE_CALLERS = 20
+SURGING_CALLERS = 20
+STEPS = (run_steady, take_domain_out, move_to_good, move_to_bad, replace_parts)
 
-async def run_demo(name: str) -> bool:
+
+async def run_demo(name: str, seed: int, folder: Path) -> bool:
     """Run the demo of one deployment and tell whether every promise held."""
-    async with run_fleet(DEPLOYMENTS[name]) as fleet:
-        rows = [await check_chats(fleet)]
-    held = True
-    for promise, seen, expected, row_held in rows:
-        held = held and row_held
-        print(f"{promise:40} {seen:30} {expected:20} {'held' if row_held else 'BROKEN'}")
-    return held
-
-
-async def check_chats(fleet: Fleet) -> tuple[str, str, str, bool]:
-    """Send chats through every instance and compare the answers with what engines generate."""
-    chat_class = "draft" if fleet.deployment.name == "ballenticket" else "briefing"
-    whole = 0
-    for index, instance in enumerate(fleet.instances):
-        messages = [{"role": "user", "content": f"chat {index}"}]
-        body = {"model": chat_class, "messages": messages, "max_tokens": 8}
-        headers = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
-        url = f"{instance.url}/v1/chat/completions"
-        async with fleet.http.post(url, json=body, headers=headers) as answer:
-            document = await answer.json()
-            whole += len(document["choices"][0]["message"]["content"].split()) == 8
-    expected = len(fleet.instances)
-    return "whole answers", f"{whole} of {expected}", f"{expected}", whole == expected
+    began_s = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"{time.monotonic() - began_s:5.1f} s  {text}", flush=True)
+
+    deployment = DEPLOYMENTS[name]
+    warm_up = ("--warm-up-s", f"{WARM_UP_S:g}")
+    deployment = replace(deployment, engine_arguments=deployment.engine_arguments + warm_up)
+    configuration = load_example(name)
+    workers = configuration["services"][deployment.engine_service]["workers"]
+    say(f"{name}, seed {seed}; warm-up {WARM_UP_S:g} s here, {workers['warm_up']} in the example")
+    workers["warm_up"] = f"{WARM_UP_S:g}s"
+    async with run_fleet(deployment, configuration=configuration, folder=folder) as fleet:
+        say(f"{len(fleet.instances)} instances are ready, {len(fleet.processes)} processes run")
+        demo = Demo(fleet, configuration, Callers(fleet, seed), Seen(), say)
+        async with run_callers(demo):
+            for step in STEPS:
+                await step(demo)
+        rows = await check_all(demo)
+        say("all steps are over; the processes are ended")
+    print(format_rows(rows))
+    print(f"ended after {time.monotonic() - began_s:.1f} s")
+    return all(row.held for row in rows)
+
+
+@contextlib.asynccontextmanager
+async def run_callers(demo: Demo) -> AsyncIterator[None]:
+    """Keep callers calling; at the end, wait for the calls in progress."""
+    callers = demo.callers
+    followers = [
+        asyncio.create_task(callers.follow_readiness()),
+        asyncio.create_task(watch_versions(demo.fleet, demo.seen.reverts)),
+    ]
+    chats = [asyncio.create_task(callers.return_chats(0)) for _ in range(BASE_CALLERS)]
+    for _ in range(SURGING_CALLERS):
+        chats.append(asyncio.create_task(callers.return_chats(1, surge=True)))
+    try:
+        yield
+        callers.stopping = True
+        await asyncio.gather(*chats)
+    finally:
+        for task in followers + chats:
+            task.cancel()
+        await asyncio.gather(*followers, *chats, return_exceptions=True)
+
+
+async def _run_until_signal(name: str, seed: int, folder: Path) -> bool:
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run_demo(name, seed, folder)
 
 
 def main() -> None:
@@ -43,7 +95,19 @@
     parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="ballenticket")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    sys.exit(0 if asyncio.run(run_demo(options.deployment)) else 1)
+    folder = Path(tempfile.mkdtemp(prefix="jayyoke-demo-"))
+    held = False
+    try:
+        held = asyncio.run(_run_until_signal(options.deployment, options.seed, folder))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print("interrupted; the processes were ended", file=sys.stderr)
+        sys.exit(130)
+    finally:
+        if held:
+            shutil.rmtree(folder)
+        else:
+            print(f"logs: {folder}", file=sys.stderr)
+    sys.exit(0 if held else 1)
 
 
 if __name__ == "__main__":
--- a/standin/deployment.py
+++ b/standin/deployment.py
@@ -18,6 +18,7 @@
     plains: int
     instances_per_domain: int = 2
     plains_deduplicate: bool = False
+    engine_arguments: tuple[str, ...] = ()
 
 
 DEPLOYMENTS = {
@@ -39,5 +40,6 @@
         plain_service="booking-desk",
         plains=3,
         plains_deduplicate=True,
+        engine_arguments=("--ignores-fencing",),
     ),
 }
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -59,7 +59,10 @@
     def start(self) -> None:
         """Start the process; its output goes to its log file."""
         with self.log.open("ab") as output:
-            self.child = subprocess.Popen(self.command, stdout=output, stderr=output)
+            # Its own session keeps Ctrl-C from the child, so that the parent ends it in order.
+            self.child = subprocess.Popen(
+                self.command, stdout=output, stderr=output, start_new_session=True
+            )
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -144,19 +147,42 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(deployment: Deployment, apply_example: bool = True) -> AsyncIterator[Fleet]:
-    """Start a deployment, wait until it serves, and end all its processes on exit."""
-    with tempfile.TemporaryDirectory(prefix="jayyoke-") as name:
-        async with aiohttp.ClientSession() as http:
-            fleet = _build_fleet(deployment, Path(name), http)
+async def run_fleet(
+    deployment: Deployment,
+    apply_example: bool = True,
+    configuration: dict | None = None,
+    folder: Path | None = None,
+) -> AsyncIterator[Fleet]:
+    """Start a deployment, wait until it serves, and end all its processes on exit.
+
+    The example configuration is applied unless another one is given. Logs and settings lie in
+    `folder`, which is kept, or in a temporary one.
+    """
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            name = stack.enter_context(tempfile.TemporaryDirectory(prefix="jayyoke-"))
+            folder = Path(name)
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
+            fleet = _build_fleet(deployment, folder, http)
             try:
                 await _start(fleet)
-                if apply_example:
-                    await fleet.apply(load_example(deployment.name))
+                if apply_example or configuration is not None:
+                    await fleet.apply(configuration or load_example(deployment.name))
                     await fleet.wait_for_version(1)
                 yield fleet
             finally:
-                await _stop(fleet)
+                try:
+                    await _stop(fleet)
+                finally:
+                    # A second Ctrl-C ends the orderly stop.
+                    _kill(fleet)
+
+
+def _kill(fleet: Fleet) -> None:
+    for process in fleet.processes:
+        process.send(signal.SIGKILL)
+        if process.child is not None:
+            process.child.wait()
 
 
 async def _start(fleet: Fleet) -> None:
@@ -205,7 +231,8 @@
     for index in range(deployment.engines):
         name = f"{deployment.engine_service}-{index}"
         domain = deployment.domains[index % len(deployment.domains)]
-        fleet.engines.append(build(name, "engine", "--name", name, domain=domain))
+        arguments = ["--name", name, *deployment.engine_arguments]
+        fleet.engines.append(build(name, "engine", *arguments, domain=domain))
     for index in range(deployment.plains):
         name = f"{deployment.plain_service}-{index}"
         domain = deployment.domains[index % len(deployment.domains)]
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from standin.arrivals import Arrivals
 from standin.fault import Faults, add_fault_routes
 
 
@@ -33,6 +34,7 @@
         self.book_url = book_url
         self.runs: Counter[str] = Counter()
         self.requests: list[str] = []
+        self.arrivals = Arrivals()
         self.outcomes: dict[str, Outcome] = {}
         self.faults = Faults(deduplicates=deduplicates)
 
@@ -44,10 +46,12 @@
         app.router.add_get("/outcomes/{key:.+}", self._outcome)
         app.router.add_post("/book", self._serve_book)
         add_fault_routes(app, self.faults)
+        self.arrivals.add_route(app)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.arrivals.add(request)
         await self.faults.before()
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
--- a/tests/path_test.py
+++ b/tests/path_test.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from standin.demo import check_chats
+from standin.calls import Callers
 from standin.deployment import DEPLOYMENTS
 from standin.fleet import run_fleet
 
@@ -15,7 +15,9 @@
 
         async def run() -> None:
             async with run_fleet(DEPLOYMENTS["ballenticket"]) as fleet:
-                _, seen, _, held = await check_chats(fleet)
-                assert held, seen
+                callers = Callers(fleet, seed=1)
+                for instance in fleet.instances:
+                    call = await callers.send_chat(callers.new_chat(), instance=instance)
+                    assert call.whole, call
 
         asyncio.run(run())
