Let a starting instance take the upstream list of a peer

Cause: an instance that started while the platform's list was down knew no upstream, called itself ready and refused every request. An instance that could not read the list also kept a leaving plain service, which no steward probes.

Change: ListUpstreams and Upstreams pass on the list with its age; an instance whose read failed asks two peers a second and keeps the freshest list. An equal list is answered by its digest, so a round costs tens of bytes. An instance without any list is not ready. Settings source_address and peer_listen_address bind outgoing connections and the peer listener, so that a proxy can tell who connects.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -29,6 +29,8 @@
   MOVE_NOTICE = 44
   STATUS_REQUEST = 50
   STATUS = 51
+  LIST_UPSTREAMS = 52
+  UPSTREAMS = 53
 }
 
 // Opens a connection; both sides exchange raw nonces before it, so the nonce fields stay unset.
@@ -261,3 +263,23 @@
 struct Status {
   1: binary body
 }
+
+// Asks for the sender's last upstream list; known is the digest of the asker's list, 0 for none.
+struct ListUpstreams {
+  1: i64 known
+}
+
+struct ListedUpstream {
+  1: string name
+  2: string service_name
+  3: string domain
+  4: string address
+  5: bool leaving
+}
+
+// age_ms tells how long ago the platform gave the list; -1: never. unchanged: the list is the asker's, and left out.
+struct Upstreams {
+  1: i64 age_ms
+  2: bool unchanged
+  3: list<ListedUpstream> upstreams
+}
--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -14,6 +14,7 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.deadline import HEADER, format_deadline
+from jayyoke.utils.source import build_socket_factory
 
 CONNECT_TIMEOUT_S = 1.0
 # Engines send keep-alive comments every 0.5 s; three missed ones mean that the stream is silent.
@@ -66,10 +67,11 @@
 class Engines:
     """Opens streams of engines; keeps one pool of connections and one that never reuses any."""
 
-    def __init__(self, http: aiohttp.ClientSession, clock: Clock | None = None):
+    def __init__(self, http: aiohttp.ClientSession, clock: Clock | None = None, source: str = ""):
         self.observers: list[Callable[[Outcome], None]] = []
         self.loss_observers: list[Callable[[Upstream], None]] = []
         self._http = http
+        self._source = source
         self._clock = clock or SystemClock()
         self._fresh: aiohttp.ClientSession | None = None
         self._suspects: dict[str, float] = {}
@@ -158,7 +160,8 @@
         if not fresh:
             return self._http
         if self._fresh is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            factory = build_socket_factory(self._source)
+            connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=factory)
             self._fresh = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
             )
--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -10,20 +10,27 @@
 
 from jayyoke.core.clock import Clock
 from jayyoke.core.config import ServiceSpec
-from jayyoke.core.error import StoreUnavailable
+from jayyoke.core.error import PeerUnavailable, StoreUnavailable
+from jayyoke.core.member import Member
+from jayyoke.core.peering import Peers
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.loads import Loads
+from jayyoke.ops.upstreamlist import format_upstreams, hash_upstreams, parse_upstreams
 from jayyoke.ops.versions import EngineVersions
 from jayyoke.platform.listing import Listing
+from jayyoke.wire.gen.ttypes import ListUpstreams, Upstreams
 
 POLL_INTERVAL_S = 1.0
+MIN_PAUSE_S = 0.1
+ASK_TIMEOUT_S = 0.5
+PEERS_ASKED = 2
 AVOID_S = 1.0  # Within this time the steward's digest tells every peer.
 
 
 class Health:
     """Combines the list, the digests and this instance's own probes and failures.
 
-    The last list stays while the list is unavailable.
+    While the list cannot be read, peers pass on theirs, and the freshest list stays.
     """
 
     def __init__(
@@ -32,6 +39,7 @@
         clock: Clock,
         loads: Loads,
         find_service: Callable[[str], ServiceSpec | None],
+        peers: Peers | None = None,
     ):
         self._listing = listing
         self._clock = clock
@@ -40,6 +48,18 @@
         self._listed: dict[str, Upstream] = {}
         self._probed: dict[str, UpstreamState] = {}
         self._avoided: dict[str, float] = {}
+        self._peers = peers
+        self._read_s: float | None = None
+        self._read_failed = False
+        self._source = ""
+        self._turn = 0
+        if peers is not None:
+            peers.serve(ListUpstreams, self._answer_list)
+
+    @property
+    def listed(self) -> bool:
+        """Tell whether this instance has a list, be it the platform's or a peer's."""
+        return self._read_s is not None
 
     def candidates(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that may receive new work, by name."""
@@ -95,16 +115,78 @@
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
-            try:
-                await self.refresh()
-            except StoreUnavailable as error:
-                logging.warning("instance list cannot be read: %s", error)
-            await asyncio.sleep(POLL_INTERVAL_S)
+            started_s = self._clock.now_s()
+            await self.step()
+            # A read that times out must not delay the next question to the peers.
+            spent_s = self._clock.now_s() - started_s
+            await asyncio.sleep(max(MIN_PAUSE_S, POLL_INTERVAL_S - spent_s))
+
+    async def step(self) -> None:
+        """Read the list; ask peers for theirs if the last read failed."""
+        asks = [self.ask_peers()] if self._read_failed else []
+        try:
+            await asyncio.gather(self.refresh(), *asks)
+            self._read_failed = False
+        except StoreUnavailable as error:
+            logging.warning("instance list cannot be read: %s", error)
+            if not self._read_failed:
+                self._read_failed = True
+                await self.ask_peers()
+
+    async def ask_peers(self) -> None:
+        """Take over the list of a peer that read it later than this instance."""
+        if self._peers is None:
+            return
+        me = self._peers.me.name
+        names = [member.name for member in self._peers.members() if member.name != me]
+        if not names:
+            return
+        # Turns reach every peer; the last useful one is asked each time.
+        self._turn += 1
+        chosen = {names[(self._turn * PEERS_ASKED + n) % len(names)] for n in range(PEERS_ASKED)}
+        if self._source in names:
+            chosen.add(self._source)
+        await asyncio.gather(*(self._ask_peer(name) for name in sorted(chosen)))
+
+    async def _ask_peer(self, name: str) -> None:
+        known = hash_upstreams(self._listed.values()) if self.listed else 0
+        asked_s = self._clock.now_s()
+        try:
+            answer = await self._peers.ask(name, ListUpstreams(known), ASK_TIMEOUT_S)
+        except PeerUnavailable as error:
+            logging.debug("list cannot be had from %s: %s", name, error)
+            return
+        if not isinstance(answer, Upstreams) or answer.age_ms is None or answer.age_ms < 0:
+            return
+        read_s = asked_s - answer.age_ms / 1000
+        if self._read_s is not None and read_s <= self._read_s:
+            return
+        if not answer.unchanged:
+            upstreams = parse_upstreams(answer)
+            if upstreams is None:
+                logging.warning("list of %s is out of bounds", name)
+                return
+            self._replace(upstreams)
+        self._read_s = read_s
+        self._source = name
+
+    async def _answer_list(self, sender: Member, request: ListUpstreams) -> Upstreams:
+        if self._read_s is None:
+            return Upstreams(-1)
+        age_ms = int((self._clock.now_s() - self._read_s) * 1000)
+        listed = self._listed.values()
+        if request.known and request.known == hash_upstreams(listed):
+            return Upstreams(age_ms, True)
+        return Upstreams(age_ms, False, format_upstreams(listed))
 
     async def refresh(self) -> None:
         """Read the list once; raise StoreUnavailable."""
+        asked_s = self._clock.now_s()
         snapshot = await self._listing.read()
-        listed = sorted(snapshot.upstreams, key=lambda upstream: upstream.name)
+        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
+        self._read_s = max(asked_s, self._read_s or asked_s)
+
+    def _replace(self, listed: list[Upstream]) -> None:
         self._listed = {upstream.name: upstream for upstream in listed}
         self._avoided = {n: at for n, at in self._avoided.items() if n in self._listed}
         self._loads.versions.forget(set(self._listed))
--- a/jayyoke/ops/health_test.py
+++ b/jayyoke/ops/health_test.py
@@ -8,10 +8,13 @@
 
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.error import StoreUnavailable
+from jayyoke.core.member import Member
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.health import AVOID_S, Health
 from jayyoke.ops.loads import Load, Loads
+from jayyoke.ops.upstreamlist import MAX_UPSTREAMS
 from jayyoke.platform.listing import Snapshot
+from jayyoke.wire.local import LocalHub
 
 
 class _Listing:
@@ -33,6 +36,22 @@
     return clock, listing, loads, health
 
 
+def _build_pair(upstreams=None):
+    """Return a health without a list and its peer, which has one read 3 s ago."""
+    clock, hub = ManualClock(10.0), LocalHub()
+    found = []
+    for name in ("a", "b"):
+        listing = _Listing()
+        listing.down = name == "a"
+        if upstreams is not None:
+            listing.upstreams = upstreams
+        peers = hub.join(Member(name, "d", 1, ""))
+        found.append((listing, Health(listing, clock, Loads(clock), lambda name: None, peers)))
+    asyncio.run(found[1][1].refresh())
+    clock.advance(3.0)
+    return clock, found
+
+
 def _names(health):
     return [upstream.name for upstream in health.candidates("pool")]
 
@@ -61,3 +80,49 @@
         assert _names(health) == ["e2"]
         clock.advance(AVOID_S)
         assert _names(health) == ["e1", "e2"]
+
+
+class TestPeerList:
+    def test_start_without_the_platform_takes_a_peers_list(self):
+        """Guards against an instance that starts during an outage and knows no upstream."""
+        _, ((_, health), _) = _build_pair()
+        assert not health.listed
+        asyncio.run(health.step())
+        assert health.listed
+        assert _names(health) == ["e1", "e2"]
+
+    def test_leaving_reaches_an_instance_that_cannot_read_the_list(self):
+        """Guards against new work on a leaving plain service, which no steward probes (P8)."""
+        clock, ((_, health), (listing, peer)) = _build_pair()
+        asyncio.run(health.step())
+        leaving = Upstream("e1", "pool", "a", "e1", UpstreamState.LEAVING)
+        listing.upstreams = (leaving, listing.upstreams[1])
+        clock.advance(1.0)
+        asyncio.run(peer.refresh())
+        asyncio.run(health.step())
+        assert _names(health) == ["e2"]
+
+    def test_older_list_of_a_peer_is_not_taken(self):
+        """Guards against a lagging peer that brings back what the newer list removed."""
+        _, ((listing, health), (_, peer)) = _build_pair()
+        listing.down = False
+        listing.upstreams = listing.upstreams[:1]
+        asyncio.run(health.step())
+        listing.down = True
+        asyncio.run(health.step())
+        assert _names(health) == ["e1"]
+        assert _names(peer) == ["e1", "e2"]
+
+    @pytest.mark.parametrize(
+        "upstreams",
+        [
+            tuple(Upstream(f"e{n}", "pool", "a", "x") for n in range(MAX_UPSTREAMS + 1)),
+            (Upstream("e1", "pool", "a", "x" * 300),),
+            (Upstream("e1", "pool", "", "x"),),
+        ],
+    )
+    def test_list_out_of_bounds_is_dropped(self, upstreams):
+        """Guards against unbounded memory and empty fields from a faulty peer."""
+        _, ((_, health), _) = _build_pair(upstreams)
+        asyncio.run(health.step())
+        assert not health.listed
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -60,9 +60,9 @@
             return False
         if not self.started:
             probed = self.prober.has_probed_all() and self.dispatch.steward.grants_all()
-            self.started = self.control.ready and probed
+            self.started = self.control.ready and self.health.listed and probed
         return self.started
 
     def __post_init__(self) -> None:
-        self.engines = Engines(self.http, self.clock)
+        self.engines = Engines(self.http, self.clock, self.settings.source)
         self.limits = Limits(self.clock)
--- a/jayyoke/ops/service.py
+++ b/jayyoke/ops/service.py
@@ -13,6 +13,7 @@
 from jayyoke.ops.decisions import log_decision
 from jayyoke.ops.forward import Answer, call_plain
 from jayyoke.ops.placement import Placer
+from jayyoke.utils.source import build_socket_factory
 
 
 class ConnectionLost(aiohttp.ClientError):
@@ -36,12 +37,14 @@
         raise ConnectionLost(f"{type(error).__name__}: {error}") from error
 
 
-def open_single_session() -> aiohttp.ClientSession:
+def open_single_session(source: str = "") -> aiohttp.ClientSession:
     """Return a session that sends each request once, over a connection of its own.
 
     A reused connection that the service has just closed would make the outcome unknown.
+    Connections start from the IP number `source`.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    factory = build_socket_factory(source)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=factory)
     # One caller's cookies must not reach a service with another caller's request.
     return aiohttp.ClientSession(
         connector=connector,
--- a/jayyoke/parser/settings.py
+++ b/jayyoke/parser/settings.py
@@ -36,6 +36,20 @@
     seeds: tuple[str, ...] = ()
     policy: str = "owner"
     log_level: str = "info"
+    # Outgoing connections start here; by default the host part of caller_address.
+    source_address: str = ""
+    # The listener of peers, where it differs from the advertised peer_address.
+    peer_listen_address: str = ""
+
+    @property
+    def source(self) -> str:
+        """Return the IP number from which outgoing connections start."""
+        return self.source_address or _find_host(self.caller_address)
+
+    @property
+    def peer_listener(self) -> str:
+        """Return the address to listen on for peers."""
+        return self.peer_listen_address or self.peer_address
 
 
 def parse_settings(text: str, file: str) -> Settings:
@@ -58,6 +72,8 @@
         seeds=_read_seeds(section),
         policy=section.text("policy", "owner"),
         log_level=section.choice("log_level", LOG_LEVELS, "info"),
+        source_address=_read_source(section),
+        peer_listen_address=_read_listener(section),
     )
     _check_distinct(section, settings)
     section.finish()
@@ -76,14 +92,38 @@
     return ""
 
 
-def _is_address(value: object) -> bool:
-    if not isinstance(value, str):
-        return False
-    host, _, port = value.rpartition(":")
+def _read_source(section: Section) -> str:
+    value = section.text("source_address", "")
+    if not value or _is_number(value):
+        return value
+    section.reject("source_address", "IP number, such as 10.0.0.7")
+    return ""
+
+
+def _read_listener(section: Section) -> str:
+    value = section.text("peer_listen_address", "")
+    if not value or _is_address(value):
+        return value
+    section.reject("peer_listen_address", _ADDRESS_FORM)
+    return ""
+
+
+def _is_number(host: str) -> bool:
     try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        ipaddress.ip_address(host)
     except ValueError:
         return False
+    return True
+
+
+def _find_host(address: str) -> str:
+    return address.rpartition(":")[0].removeprefix("[").removesuffix("]")
+
+
+def _is_address(value: object) -> bool:
+    if not isinstance(value, str) or not _is_number(_find_host(value)):
+        return False
+    port = value.rpartition(":")[2]
     return port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536
 
 
@@ -131,7 +171,7 @@
 
 def _check_distinct(section: Section, settings: Settings) -> None:
     used: dict[str, str] = {}
-    for key in ("caller_address", "operator_address", "peer_address"):
+    for key in ("caller_address", "operator_address", "peer_address", "peer_listen_address"):
         address = getattr(settings, key)
         if address and address in used:
             section.reject(key, f"an address of its own; {used[address]} has the same")
--- a/jayyoke/parser/settings_test.py
+++ b/jayyoke/parser/settings_test.py
@@ -31,6 +31,13 @@
         settings = parse_settings(yaml.safe_dump(GOOD), "file.yaml")
         assert settings.table_url == "http://127.0.0.1:7000"
         assert (settings.seeds, settings.policy) == (("127.0.0.1:8012",), "owner")
+        assert (settings.source, settings.peer_listener) == ("127.0.0.1", "[::1]:8002")
+
+    def test_source_and_listener_differ_from_what_is_advertised(self):
+        """Guards against an instance behind a proxy that binds the proxy's address."""
+        own = {"source_address": "127.20.0.1", "peer_listen_address": "127.20.0.1:9"}
+        settings = parse_settings(yaml.safe_dump(GOOD | own), "file.yaml")
+        assert (settings.source, settings.peer_listener) == ("127.20.0.1", "127.20.0.1:9")
 
     @pytest.mark.parametrize(
         "changes",
@@ -38,6 +45,7 @@
             dict.fromkeys(GOOD),
             {"caller_address": "localhost:80", "peer_address": "127.0.0.1:0", "seeds": ["x", 3]},
             {"operator_address": "127.0.0.1:8000", "table_url": "ftp://x", "log_level": "loud"},
+            {"source_address": "localhost", "peer_listen_address": "127.0.0.1:8000"},
             {"peer_key": 12345, "operator_key_sha256": "secret", "instnace": "a", "policy": []},
         ],
     )
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -48,7 +48,9 @@
     domains = Domains(control, peers, peers.digests, clock)
     halts = Halts(control, peers, peers.digests, clock)
     loads = Loads(clock)
-    health = Health(listing, clock, loads, lambda name: control.configuration.services.get(name))
+    health = Health(
+        listing, clock, loads, lambda name: control.configuration.services.get(name), peers
+    )
     policy = kernel.find("policy", settings.policy)()
     dispatch = Dispatch(clock, peers, loads, health, policy, domains.domains_out)
     prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
@@ -103,7 +105,13 @@
         settings.operator_address,
         settings.region,
     )
-    return TcpPeers(Membership(me, clock, settings.seeds), settings.peer_key, clock)
+    return TcpPeers(
+        Membership(me, clock, settings.seeds),
+        settings.peer_key,
+        clock,
+        settings.peer_listener,
+        settings.source,
+    )
 
 
 def _build_moves(node: Node, peers: TcpPeers) -> Moves:
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -23,6 +23,7 @@
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
+from jayyoke.utils.source import build_socket_factory
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -46,8 +47,12 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    connector = aiohttp.TCPConnector(limit=0)
-    async with _open_session(connector) as http, open_single_session() as http_single:
+    factory = build_socket_factory(settings.source)
+    connector = aiohttp.TCPConnector(limit=0, socket_factory=factory)
+    async with (
+        _open_session(connector) as http,
+        open_single_session(settings.source) as http_single,
+    ):
         node = build_node(settings, http, http_single)
         await node.peers.start()
         tasks = [asyncio.create_task(part) for part in list_tasks(node)]
--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -32,11 +32,20 @@
 class TcpPeers:
     """Implements the Peers interface over TCP; views come from the membership."""
 
-    def __init__(self, membership: Membership, key: bytes, clock: Clock):
+    def __init__(
+        self,
+        membership: Membership,
+        key: bytes,
+        clock: Clock,
+        listen_address: str = "",
+        source: str = "",
+    ):
         self.traffic = Traffic()
         self.address = membership.me.peer_address
         self.membership = membership
         self._key = key
+        self._listen_address = listen_address or membership.me.peer_address
+        self._source = source
         self._clock = clock
         self._handlers: dict[type, Handler] = {}
         self._dialled: dict[str, Connection] = {}
@@ -99,8 +108,8 @@
         self._handlers[message_type] = handler
 
     async def start(self) -> None:
-        """Listen on the peer address; raise OSError."""
-        host, _, port = self.me.peer_address.rpartition(":")
+        """Listen for peers; raise OSError."""
+        host, _, port = self._listen_address.rpartition(":")
         self._server = await asyncio.start_server(self._serve_peer, host, int(port))
 
     async def run(self) -> None:
@@ -191,7 +200,12 @@
         while True:
             try:
                 connection = await dial(
-                    address, self._key, self._build_hello(), self._clock, self.traffic
+                    address,
+                    self._key,
+                    self._build_hello(),
+                    self._clock,
+                    self.traffic,
+                    self._source,
                 )
                 if connection.member.name == self.me.name:
                     connection.close()
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -41,6 +41,8 @@
     MOVE_NOTICE = 44
     STATUS_REQUEST = 50
     STATUS = 51
+    LIST_UPSTREAMS = 52
+    UPSTREAMS = 53
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -67,6 +69,8 @@
         44: "MOVE_NOTICE",
         50: "STATUS_REQUEST",
         51: "STATUS",
+        52: "LIST_UPSTREAMS",
+        53: "UPSTREAMS",
     }
 
     _NAMES_TO_VALUES = {
@@ -94,6 +98,8 @@
         "MOVE_NOTICE": 44,
         "STATUS_REQUEST": 50,
         "STATUS": 51,
+        "LIST_UPSTREAMS": 52,
+        "UPSTREAMS": 53,
     }
 
 
@@ -3379,6 +3385,291 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ListUpstreams(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListUpstreams')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.I64, 1)
+            oprot.writeI64(self.known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListedUpstream(object):
+    """
+    Attributes:
+     - name
+     - service_name
+     - domain
+     - address
+     - leaving
+
+    """
+
+    __slots__ = (
+        'name',
+        'service_name',
+        'domain',
+        'address',
+        'leaving',
+    )
+
+
+    def __init__(self, name=None, service_name=None, domain=None, address=None, leaving=None,):
+        self.name = name
+        self.service_name = service_name
+        self.domain = domain
+        self.address = address
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedUpstream')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 3)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Upstreams(object):
+    """
+    Attributes:
+     - age_ms
+     - unchanged
+     - upstreams
+
+    """
+
+    __slots__ = (
+        'age_ms',
+        'unchanged',
+        'upstreams',
+    )
+
+
+    def __init__(self, age_ms=None, unchanged=None, upstreams=None,):
+        self.age_ms = age_ms
+        self.unchanged = unchanged
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.unchanged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = ListedUpstream()
+                        _elem110.read(iprot)
+                        self.upstreams.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Upstreams')
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 1)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.unchanged is not None:
+            oprot.writeFieldBegin('unchanged', TType.BOOL, 2)
+            oprot.writeBool(self.unchanged)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter111 in self.upstreams:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -3621,5 +3912,26 @@
     None,  # 0
     (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
 )
+all_structs.append(ListUpstreams)
+ListUpstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known', None, None, ),  # 1
+)
+all_structs.append(ListedUpstream)
+ListedUpstream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'domain', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, None, ),  # 5
+)
+all_structs.append(Upstreams)
+Upstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'age_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'unchanged', None, None, ),  # 2
+    (3, TType.LIST, 'upstreams', (TType.STRUCT, [ListedUpstream, None], False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/jayyoke/wire/link.py
+++ b/jayyoke/wire/link.py
@@ -16,6 +16,7 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.core.member import Member
 from jayyoke.core.peering import Message
+from jayyoke.utils.source import open_socket
 from jayyoke.wire.frame import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
@@ -163,12 +164,11 @@
 
 
 async def dial(
-    address: str, key: bytes, hello: Hello, clock: Clock, traffic: Traffic
+    address: str, key: bytes, hello: Hello, clock: Clock, traffic: Traffic, source: str = ""
 ) -> Connection:
     """Return an open connection; raise PeerProtocolError, TimeoutError or OSError."""
-    host, _, port = address.rpartition(":")
     async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await _connect(address, source)
         async with _closing_on_error(writer):
             nonce = _send_nonce(writer)
             session = derive_key(key, nonce, await reader.readexactly(NONCE_BYTES))
@@ -200,6 +200,18 @@
         return connection
 
 
+async def _connect(address: str, source: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    opened = open_socket(socket.AF_INET6 if ":" in host else socket.AF_INET, source)
+    try:
+        await asyncio.get_running_loop().sock_connect(opened, (host, int(port)))
+        return await asyncio.open_connection(sock=opened)
+    except BaseException:
+        opened.close()
+        raise
+
+
 @contextlib.asynccontextmanager
 async def _closing_on_error(writer: asyncio.StreamWriter):
     try:
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -76,6 +76,8 @@
 class FakeHealth:
     """Knows one worker in zug-c."""
 
+    listed = True
+
     def candidates(self, service: str) -> tuple[Upstream, ...]:
         """Return the worker."""
         return (Upstream("worker-0", service, "zug-c", "127.0.0.1:1"),)
