Name the sequence number of stand-in cache events n

The stand-in engine sent "seq" while the product reads "n" (docs/placement.md), so that each events poll ended as a malformed answer and no cache event reached an owner.

--- a/standin/engine.py
+++ b/standin/engine.py
@@ -242,7 +242,7 @@
                 continue
             events.append(
                 {
-                    "seq": event.sequence,
+                    "n": event.sequence,
                     "kind": event.kind,
                     "chat": event.chat,
                     "tokens": event.tokens,
