Count all control traffic and pack unchanged loads into bare numbers

The figure left out empty heartbeats, their answers, two bytes of each frame's head, full digests (its window held none) and the probes' real size.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,73 +1,90 @@
-"""Control traffic of placement per node, in serialised bytes."""
+"""Control traffic of one instance: all bytes of membership, digests, probes and events polls.
 
-from __future__ import annotations
+Instances run the product's placement and membership in virtual time; bytes are those of sealed
+frames. Probe and events poll are real HTTP exchanges with the stand-in engine, request and answer.
+TCP, IP and Ethernet headers are not counted, nor are reads of the platform's list.
+"""
 
-from typing import Any
+from __future__ import annotations
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
-from thrift.transport.TTransport import TMemoryBuffer
+import asyncio
 
-from bench.fakes import World, generate_trace
+from bench import _slope_messages as messages
+from bench.fakes import World, generate_trace, measure_message
 from bench.result import Result
 from jayyoke.core.config import ServiceSpec
-from jayyoke.ops.probe import PROBE_INTERVAL_S
+from jayyoke.ops.probe import EVENTS_EVERY, PROBE_INTERVAL_S
 from jayyoke.wire.gen.ttypes import Digest
 
 NODES = 30
 ENGINES = 260
-UNTIL_S = 12.0
+UNTIL_S = 9.0
 FROM_S = 4.0
 RUN_S = 12.7
 RATE = 510.0
-FRAME_BYTES = 4 + 16 + 2  # Length, MAC, kind and sequence.
-PROBE_BYTES = 450  # Estimate of request and answer with HTTP headers, 225 bytes each way.
+ACKNOWLEDGED_EVERY = 2
 SERVICE = ServiceSpec("pool", "engine", full_work_tokens=1 << 30)
 
 
-def measure_message(message: Any) -> int:
-    """Return the bytes of a message on the wire."""
-    if message is None:
-        return 0
-    buffer = TMemoryBuffer()
-    message.write(TCompactProtocol(buffer))
-    return len(buffer.getvalue()) + FRAME_BYTES
-
-
 class CountingWorld(World):
     """Counts the bytes of digests that all instances send."""
 
     digest_bytes = 0
     digests = 0
 
-    def send_digest(self, index: int, only: str | None = None) -> None:
-        """Build a digest, count its bytes and deliver it."""
-        names, loads = self.nodes[index].build_loads(only)
-        me = self.hub[f"node-{index:02d}"].me
-        digest = Digest(0, 0, names, loads, [], False, 0, [])
+    def build_digest(self, index: int, only: str | None) -> Digest:
+        """Return a digest as the heartbeat sends it, and count its bytes."""
+        digest = super().build_digest(index, only)
+        if only is None:
+            digest.sequence = 100_000
+            digest.control_version = 100_000
+            digest.confirmed_age_ms = 1000
+        elif not digest.loads and not digest.changes:
+            return digest
         if self.now_s() >= FROM_S:
             self.digest_bytes += measure_message(digest) * (len(self.nodes) - 1)
             self.digests += 1
-        for other, node in enumerate(self.nodes):
-            if other != index:
-                node.accept_loads(me, digest)
+        return digest
+
+
+def measure_probe_bytes(rate: float, polled: int) -> dict[str, float]:
+    """Return the bytes a second of probes and events polls, both ways and sent alone.
+
+    `rate` is in probes a second; each events poll finds `polled` new events.
+    """
+    found = asyncio.run(messages.probe_once(polled))
+    load, events = found["load"], found["events"]
+    return {
+        "both": rate * (sum(load) + sum(events) / EVENTS_EVERY),
+        "sent": rate * (load[0] + events[0] / EVENTS_EVERY),
+    }
 
 
 def measure(seed: int) -> list[Result]:
-    """Return the bytes a second per node that placement sends."""
+    """Return the bytes a second of one instance."""
     world = CountingWorld("owner", NODES, ENGINES, SERVICE, seed)
     world.at(FROM_S, lambda: [setattr(p, "size", measure_message) for p in world.hub.values()])
+    for index, node in enumerate(world.nodes):
+        # Spreads the full digests, one in ten, evenly over the window.
+        node._reporter._count = index
     world.fill()
     world.run(UNTIL_S, generate_trace(seed, RATE, UNTIL_S, RUN_S, int(RATE * RUN_S)))
     span = (UNTIL_S - FROM_S) * NODES
     digests = world.digest_bytes / span
-    probes = ENGINES / NODES / PROBE_INTERVAL_S * PROBE_BYTES
+    answers = measure_message(Digest()) * (NODES - 1) / ACKNOWLEDGED_EVERY
+    probes = measure_probe_bytes(ENGINES / NODES / PROBE_INTERVAL_S, 0)
     placing = sum(sum(peers.sent.values()) for peers in world.hub.values()) / span
     case = f"{NODES} instances, {ENGINES} workers"
-    rate = world.digests / span
-    return [
-        Result("digest bytes sent", case, "owner", digests, "B/s", None, seed),
-        Result("digests built", case, "owner", rate, "1/s", None, seed),
-        Result("probe bytes (estimate)", case, "owner", probes, "B/s", None, seed),
-        Result("control traffic", case, "owner", digests + probes, "B/s", 6000.0, seed),
-        Result("per-request placement", case, "owner", placing, "B/s", None, seed),
-    ]
+    both = digests + answers + probes["both"]
+    rows = []
+    for name, value, unit, target in (
+        ("digests built", world.digests / span, "1/s", None),
+        ("digest bytes sent", digests, "B/s", None),
+        ("heartbeat answers sent", answers, "B/s", None),
+        ("probes and events polls", probes["both"], "B/s", None),
+        ("control traffic, sent alone", both - probes["both"] + probes["sent"], "B/s", None),
+        ("control traffic", both, "B/s", 6000.0),
+        ("per-request placement", placing, "B/s", None),
+    ):
+        rows.append(Result(name, case, "owner", value, unit, target, seed))
+    return rows
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -13,6 +13,8 @@
 
 from reactivex.subject import Subject
 
+from bench._trace import FILL_S, Work
+from bench._trace import generate_trace as generate_trace
 from jayyoke.core import kernel
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, TeamSpec
@@ -24,14 +26,19 @@
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.placement import Placement
 from jayyoke.ops.policy import Policy
+from jayyoke.wire.frame import HEADER_BYTES, MIN_FRAME_BYTES, encode
 from jayyoke.wire.gen.ttypes import Digest
 
-FILL_S = 1.5
 FILL_DIGEST_S = 0.06  # Digests follow the steep rise of the mean while the trace fills engines.
 TEAM = TeamSpec("team", "")
 POLICIES = ("random", "round-robin", "least-loaded", "rendezvous", "owner")
 
 
+def measure_message(message: Any) -> int:
+    """Return the bytes of a message on the wire, with its frame."""
+    return 0 if message is None else HEADER_BYTES + MIN_FRAME_BYTES + len(encode(message))
+
+
 @types.coroutine
 def pause(seconds: float) -> Generator[float, None, None]:
     """Suspend a coroutine that `World` drives."""
@@ -159,17 +166,6 @@
         """Do nothing; exclusions are passed with each request."""
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
-    """Describes one request of a trace."""
-
-    at_s: float
-    chat: str
-    prompt: int
-    output: int
-    run_s: float
-
-
 class World:
     """Runs a trace against real placement of many instances."""
 
@@ -258,12 +254,17 @@
             delay_s = self.random.uniform(0, lag_s)
             self.at(self.now_s() + delay_s, lambda d=directory: d.put(upstream))
 
+    def build_digest(self, index: int, only: str | None) -> Digest:
+        """Return one instance's next digest."""
+        digest = Digest()
+        self.nodes[index].fill_loads(digest, only)
+        return digest
+
     def send_digest(self, index: int, only: str | None = None) -> None:
         """Send one instance's digest to all others."""
-        names, loads = self.nodes[index].build_loads(only)
         me = self.hub[f"node-{index:02d}"].me
-        digest = Digest(0, 0, names, loads, [], False, 0, [])
-        if not loads and not names:
+        digest = self.build_digest(index, only)
+        if only is not None and not digest.loads and not digest.changes:
             return
         for other, node in enumerate(self.nodes):
             if other != index:
@@ -385,47 +386,3 @@
             self._next(trace)
 
         self.at(work.at_s, arrive)
-
-
-def generate_trace(
-    seed: int,
-    rate: float,
-    until_s: float,
-    run_s: float,
-    initial: int = 0,
-    returning: float = 0.75,
-    pause_s: float = 30.0,
-    surges: tuple[tuple[float, float, float], ...] = (),
-) -> Iterator[Work]:
-    """Generate returning chats; a surge is (from_s, to_s, factor) of new chats of one team.
-
-    `initial` requests arrive within FILL_S; their run times are exponential, hence what runs then
-    is stationary.
-    """
-    rng = random.Random(seed)
-    total = max(initial, 1)
-    waiting: list[tuple[float, str, int]] = []
-    count = 0
-    at_s = 0.0
-    while at_s < until_s:
-        if initial > 0:
-            initial -= 1
-            at_s += FILL_S / total
-        else:
-            factor = 1.0
-            for start_s, end_s, surge in surges:
-                factor = surge if start_s <= at_s < end_s else factor
-            at_s += rng.expovariate(rate * factor)
-        output = int(rng.expovariate(1 / 300)) + 20
-        if waiting and waiting[0][0] <= at_s and rng.random() < 0.95:
-            _, chat, tokens = heapq.heappop(waiting)
-            prompt = tokens + int(rng.expovariate(1 / 200)) + 10
-        else:
-            chat = f"chat-{count}"
-            count += 1
-            prompt = min(int(rng.lognormvariate(7.0, 0.8)), 8000) + 50
-        work = Work(at_s, chat, prompt, output, rng.expovariate(1 / run_s))
-        yield work
-        if rng.random() < returning and prompt < 12000:
-            back_s = at_s + work.run_s + rng.lognormvariate(0.0, 1.0) * pause_s
-            heapq.heappush(waiting, (back_s, chat, prompt + output))
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -91,7 +91,8 @@
 }
 
 // Heartbeat and load digest in one message. halts ("{move} {version}") and drains hold what the change log does not
-// hold yet. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
+// hold yet. changes holds index, requests and work_tokens, one engine after the other, of engines of which nothing else
+// changed since the last EngineLoad. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -102,6 +103,7 @@
   7: i64 confirmed_age_ms
   8: list<string> halts
   10: list<Drain> drains
+  11: list<i32> changes
 }
 
 // Asks a chat's owner where to place a request.
--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -17,7 +17,7 @@
 from jayyoke.ops.placement import ENGINE_PROTOCOL, Placer
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.steward import Directory, Steward
-from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName
+from jayyoke.wire.gen.ttypes import Digest
 
 SWEEP_INTERVAL_S = 0.5
 # A balancer spreads connections, not work; the share of one instance may be this much larger.
@@ -25,7 +25,7 @@
 
 
 class Dispatch:
-    """Holds placement's parts; the heartbeat calls `build_loads` and `accept_loads`."""
+    """Holds placement's parts; the heartbeat calls `fill_loads` and `accept_loads`."""
 
     def __init__(
         self,
@@ -53,12 +53,12 @@
         """Return engines near the bound; the heartbeat is to send a digest at once."""
         return self.steward.notices
 
-    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest to all peers.
+    def fill_loads(self, digest: Digest, only: str | None = None) -> None:
+        """Set the names and loads of the next digest to all peers.
 
         `only` names the engine of a notice; such a digest goes out between two heartbeats.
         """
-        return self._reporter.build_loads(only)
+        self._reporter.fill(digest, only)
 
     def accept_loads(self, sender: Member, digest: Digest) -> None:
         """Learn from a received digest."""
--- a/jayyoke/ops/loads.py
+++ b/jayyoke/ops/loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from jayyoke.core.clock import Clock
@@ -122,7 +122,7 @@
             self.versions.learn(name.upstream, name.version or "")
         restarted = []
         now_s = self._clock.now_s()
-        for entry in (digest.loads or [])[:MAX_ENGINES]:
+        for entry in (*(digest.loads or [])[:MAX_ENGINES], *_read_changes(digest)):
             engine = names.get(entry.index)
             if engine is None or not 0 <= (entry.state or 0) < len(_STATES):
                 continue
@@ -135,6 +135,13 @@
         return restarted
 
 
+def _read_changes(digest: Digest) -> Iterator[EngineLoad]:
+    """Yield the changes of a digest as loads; an incomplete last one is left out."""
+    numbers = (digest.changes or [])[: 3 * MAX_ENGINES]
+    for at in range(0, len(numbers) - 2, 3):
+        yield EngineLoad(*numbers[at : at + 3])
+
+
 def _merge(known: Load | None, entry: EngineLoad, now_s: float) -> Load:
     """Return a reported load; fields that the sender left out are unchanged."""
     known = Load() if known is None else known
@@ -163,14 +170,15 @@
         """Send every name and load next time, for instance to a new member."""
         self._count = 0
 
-    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest, or changes of `only` one engine."""
+    def fill(self, digest: Digest, only: str | None = None) -> None:
+        """Set names and loads of the next digest, or the changes of `only` one engine."""
         full = self._count % FULL_EVERY == 0 and only is None
         self._count += only is None
         if full:
             self._sent.clear()
         names = []
         loads = []
+        changes: list[int] = []
         for engine, load in self._list_loads().items():
             if only not in (None, engine):
                 continue
@@ -193,5 +201,11 @@
             self._sent[engine] = values
             # Limit, state and incarnation rarely change; left out, they halve the digest.
             rare = [v if v != b else None for v, b in zip(values[2:], before[2:], strict=True)]
-            loads.append(EngineLoad(index, *values[:2], *rare))
-        return names, loads
+            if any(value is not None for value in rare):
+                loads.append(EngineLoad(index, *values[:2], *rare))
+                continue
+            # Three bare numbers take about half the bytes of a struct.
+            changes += (index, *values[:2])
+        digest.names = names or None
+        digest.loads = loads or None
+        digest.changes = changes or None
--- a/jayyoke/ops/placement_test.py
+++ b/jayyoke/ops/placement_test.py
@@ -15,7 +15,7 @@
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.loads import Load, Loads
 from jayyoke.ops.steward_test import SERVICE, _Directory
-from jayyoke.wire.gen.ttypes import Digest
+from jayyoke.wire.gen.ttypes import Digest, Reserve
 from jayyoke.wire.local import LocalHub
 
 
@@ -120,14 +120,22 @@
         fleet = _Fleet(2)
         one, other = fleet.nodes["n0"], fleet.nodes["n1"]
         sender = fleet.hub.peers["n0"].me
-        for _ in range(3):
-            names, loads = one.build_loads()
-            other.accept_loads(sender, Digest(0, 0, names, loads, [], False, 0, []))
+        for turn in range(3):
+            for engine in one.steward.list_loads():
+                one.steward.reserve(Reserve(f"r{turn}", engine, 70 + turn, "e", 0, 0, True))
+            digest = Digest()
+            one.fill_loads(digest)
+            other.accept_loads(sender, digest)
         owned = one.steward.list_loads()
         assert owned
+        assert len(digest.changes) == 3 * len(owned) and digest.loads is None
+        for engine, load in owned.items():
+            known = other.loads.find(engine)
+            assert (known.requests, known.work_tokens) == (load.requests, load.work_tokens)
+            assert (known.limit_tokens, known.state) == (load.limit_tokens, load.state)
         for engine in owned:
             assert other.loads.find(engine).incarnation == 1
             one.steward.confirm(engine, 2)
-        names, loads = one.build_loads()
-        digest = Digest(0, 0, names, loads, [], False, 0, [])
+        digest = Digest()
+        one.fill_loads(digest)
         assert set(other.loads.accept_loads(sender, digest)) == set(owned)
--- a/jayyoke/ops/probe.py
+++ b/jayyoke/ops/probe.py
@@ -18,7 +18,11 @@
 from jayyoke.ops.steward import Steward
 
 PROBE_INTERVAL_S = 2.5
+# Cache events may come 10 s late, so every second probe, 5 s apart, also asks for them.
+EVENTS_EVERY = 2
 PROBE_TIMEOUT_S = 1.0
+# Engines need none of the headers that the client adds by itself, a quarter of a probe's bytes.
+UNSENT_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 TICK_S = 0.25
 MAX_BODY_BYTES = 1 << 20
 ENGINE_PROTOCOL = "engine"
@@ -51,6 +55,7 @@
         self._timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         self._breakers: dict[str, Breaker] = {}
         self._due_s: dict[str, float] = {}
+        self._turns: dict[str, int] = {}
         self._wake = asyncio.Event()
         self._running: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -121,6 +126,7 @@
                 self._health.record_probe(engine, None)
                 self._breakers.pop(engine, None)
                 self._due_s.pop(engine, None)
+                self._turns.pop(engine, None)
                 self._follower.forget(engine)
                 continue
             self._steward.take_over([engine])
@@ -135,6 +141,9 @@
     async def _probe(self, upstream: Upstream) -> None:
         try:
             self.record(upstream.name, await self._read(f"{upstream.url}/load"))
+            turn = self._turns[upstream.name] = self._turns.get(upstream.name, -1) + 1
+            if turn % EVENTS_EVERY:
+                return
             cursor = self._follower.cursor(upstream.name)
             events = await self._read(f"{upstream.url}/events?after={cursor}")
             if events is not None:
@@ -146,7 +155,9 @@
 
     async def _read(self, url: str) -> dict[str, Any] | None:
         try:
-            async with self._http.get(url, timeout=self._timeout) as answer:
+            async with self._http.get(
+                url, timeout=self._timeout, skip_auto_headers=UNSENT_HEADERS
+            ) as answer:
                 if answer.status != 200 or (answer.content_length or 0) > MAX_BODY_BYTES:
                     return None
                 body = await answer.json(content_type=None)
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -143,11 +143,6 @@
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
-    def fill_loads(digest: Digest) -> None:
-        names, loads = node.dispatch.build_loads()
-        digest.names = names or None
-        digest.loads = loads or None
-
     def fill_teams(digest: Digest) -> None:
         digest.teams = node.limits.build_team_loads() or None
 
@@ -156,14 +151,9 @@
             node.limits.accept_team_loads(sender.name, digest.teams)
 
     def send_notice(engine: str) -> None:
-        def fill(digest: Digest) -> None:
-            names, loads = node.dispatch.build_loads(engine)
-            digest.names = names or None
-            digest.loads = loads or None
-
-        peers.digests.send_part(fill)
+        peers.digests.send_part(lambda digest: node.dispatch.fill_loads(digest, engine))
 
-    peers.digests.add_part(fill_loads)
+    peers.digests.add_part(node.dispatch.fill_loads)
     peers.digests.add_part(fill_teams)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -909,6 +909,7 @@
      - confirmed_age_ms
      - halts
      - drains
+     - changes
 
     """
 
@@ -922,10 +923,11 @@
         'confirmed_age_ms',
         'halts',
         'drains',
+        'changes',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None, changes=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -935,6 +937,7 @@
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
         self.drains = drains
+        self.changes = changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1019,6 +1022,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readI32()
+                        self.changes.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1040,22 +1053,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter30 in self.names:
-                iter30.write(oprot)
+            for iter36 in self.names:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter31 in self.loads:
-                iter31.write(oprot)
+            for iter37 in self.loads:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter32 in self.teams:
-                iter32.write(oprot)
+            for iter38 in self.teams:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1069,15 +1082,22 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter33 in self.halts:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.halts:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.drains is not None:
             oprot.writeFieldBegin('drains', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.drains))
-            for iter34 in self.drains:
-                iter34.write(oprot)
+            for iter40 in self.drains:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 11)
+            oprot.writeListBegin(TType.I32, len(self.changes))
+            for iter41 in self.changes:
+                oprot.writeI32(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1188,10 +1208,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1236,8 +1256,8 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter41 in self.exclude:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.exclude:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1332,10 +1352,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.passed = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.passed.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.passed.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1372,8 +1392,8 @@
         if self.passed is not None:
             oprot.writeFieldBegin('passed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.passed))
-            for iter48 in self.passed:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.passed:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1695,10 +1715,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1724,8 +1744,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter55 in self.request_ids:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.request_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry is not None:
@@ -1872,11 +1892,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Holding()
-                        _elem61.read(iprot)
-                        self.holdings.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Holding()
+                        _elem68.read(iprot)
+                        self.holdings.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1897,8 +1917,8 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter62 in self.holdings:
-                iter62.write(oprot)
+            for iter69 in self.holdings:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2045,10 +2065,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2065,8 +2085,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter69 in self.request_ids:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.request_ids:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2212,11 +2232,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = CacheEvent()
-                        _elem75.read(iprot)
-                        self.events.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CacheEvent()
+                        _elem82.read(iprot)
+                        self.events.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2242,8 +2262,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter76 in self.events:
-                iter76.write(oprot)
+            for iter83 in self.events:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gap is not None:
@@ -2471,11 +2491,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Change()
-                        _elem82.read(iprot)
-                        self.changes.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Change()
+                        _elem89.read(iprot)
+                        self.changes.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2508,8 +2528,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter83 in self.changes:
-                iter83.write(oprot)
+            for iter90 in self.changes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -2736,11 +2756,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = TablePut()
-                        _elem89.read(iprot)
-                        self.puts.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = TablePut()
+                        _elem96.read(iprot)
+                        self.puts.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2757,8 +2777,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter90 in self.puts:
-                iter90.write(oprot)
+            for iter97 in self.puts:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2821,10 +2841,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI32()
-                        self.conflicts.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI32()
+                        self.conflicts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2845,8 +2865,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter97 in self.conflicts:
-                oprot.writeI32(iter97)
+            for iter104 in self.conflicts:
+                oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3021,11 +3041,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RouteEvidence()
-                        _elem103.read(iprot)
-                        self.routes.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RouteEvidence()
+                        _elem110.read(iprot)
+                        self.routes.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3050,8 +3070,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter104 in self.routes:
-                iter104.write(oprot)
+            for iter111 in self.routes:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3454,6 +3474,7 @@
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
     None,  # 9
     (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
+    (11, TType.LIST, 'changes', (TType.I32, None, False), None, ),  # 11
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
