--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -18,7 +18,7 @@
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.upstreamlist import format_upstreams, hash_upstreams, parse_upstreams
 from jayyoke.ops.versions import EngineVersions
-from jayyoke.platform.listing import Listing
+from jayyoke.platform.listing import Listing, Snapshot
 from jayyoke.wire.gen.ttypes import ListUpstreams, Upstreams
 
 POLL_INTERVAL_S = 1.0
@@ -55,6 +55,7 @@
         self._read_s: float | None = None
         self._read_failed = False
         self._source = ""
+        self._snapshot: Snapshot | None = None
         self._turn = 0
         if peers is not None:
             peers.serve(ListUpstreams, self._answer_list)
@@ -183,6 +184,7 @@
             if upstreams is None:
                 logging.warning("list of %s is out of bounds", name)
                 return
+            self._snapshot = None
             self._replace(upstreams)
         self._read_s = read_s
         self._source = name
@@ -200,8 +202,11 @@
         """Read the list once; raise StoreUnavailable."""
         asked_s = self._clock.now_s()
         snapshot = await self._listing.read()
-        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
         self._read_s = max(asked_s, self._read_s or asked_s)
+        if snapshot is self._snapshot:
+            return
+        self._snapshot = snapshot
+        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
 
     def _replace(self, listed: list[Upstream]) -> None:
         self._listed = {upstream.name: upstream for upstream in listed}
