Replay known caches to the new owners of chats

Cause: a steward tells each cache event once, to the owner of that moment, so that the memory of a lost owner never comes back.

A replay of a longer cache replaces a shorter one.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -180,11 +180,12 @@
   2: i32 tokens
 }
 
-// Tells a chat's owner what an engine reported; gap: events before these were lost.
+// Tells a chat's owner what an engine reported; gap: events before these were lost; replayed: an earlier owner was told.
 struct CacheEvents {
   1: string upstream
   2: list<CacheEvent> events
   3: bool gap
+  4: bool replayed
 }
 
 struct PullChanges {
--- a/jayyoke/ops/events.py
+++ b/jayyoke/ops/events.py
@@ -8,6 +8,7 @@
 from jayyoke.core.peering import Peers
 from jayyoke.ops.memory import hash_chat
 from jayyoke.ops.rendezvous import choose
+from jayyoke.ops.replay import Replay
 from jayyoke.wire.gen.ttypes import CacheEvent, CacheEvents
 
 MAX_EVENTS = 1000
@@ -17,8 +18,9 @@
 class CacheFollower:
     """Keeps a cursor per engine; a hole in the numbers is a gap that owners are told of."""
 
-    def __init__(self, peers: Peers):
+    def __init__(self, peers: Peers, replay: Replay):
         self._peers = peers
+        self._replay = replay
         self._cursors: dict[str, int] = {}
 
     def cursor(self, engine: str) -> int:
@@ -28,6 +30,11 @@
     def forget(self, engine: str) -> None:
         """Start again with the first event, for a new incarnation or a new steward."""
         self._cursors.pop(engine, None)
+        self._replay.forget(engine)
+
+    def replay(self) -> None:
+        """Tell new owners of chats known before a change of members; call it every 250 ms."""
+        self._replay.step()
 
     def accept(self, engine: str, body: Mapping[str, Any]) -> bool:
         """Forward the events of one answer to the owners; return True if there was a gap.
@@ -37,7 +44,7 @@
         expected = self.cursor(engine) + 1
         gap = False
         groups: dict[str, list[CacheEvent]] = {}
-        members = [member.name for member in self._peers.members()]
+        members = {member.name: member for member in self._peers.members()}
         for event in list(body.get("events") or ())[:MAX_EVENTS]:
             number = int(event["n"])
             if number < expected:
@@ -49,6 +56,7 @@
             tokens = min(max(int(event.get("tokens", 0)), 1), MAX_TOKENS) if stored else 0
             owner = choose(str(chat), members) or self._peers.me.name
             groups.setdefault(owner, []).append(CacheEvent(chat, tokens))
+            self._replay.note(engine, groups[owner][-1], members[owner])
         self._cursors[engine] = expected - 1
         for owner in members:
             if gap or owner in groups:
--- a/jayyoke/ops/memory_test.py
+++ b/jayyoke/ops/memory_test.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from jayyoke.core.clock import ManualClock
 from jayyoke.core.member import Member
 from jayyoke.ops.breaker import Breaker
 from jayyoke.ops.events import CacheFollower
 from jayyoke.ops.memory import EVENT_LAG_S, Memory
+from jayyoke.ops.replay import Replay
 from jayyoke.wire.local import LocalHub
 
 
+def _follow():
+    peers = LocalHub().join(Member("me", "a", 1, ""))
+    return CacheFollower(peers, Replay(peers, ManualClock(0.0)))
+
+
 class TestMemory:
     def test_count_and_age_are_bounded(self):
         """Guards against memory that grows with the number of chats."""
@@ -52,7 +59,7 @@
 class TestCacheFollower:
     def test_gap_in_event_numbers_is_noticed(self):
         """Guards against a hole in the events that passes unseen."""
-        follower = CacheFollower(LocalHub().join(Member("me", "a", 1, "")))
+        follower = _follow()
         event = {"kind": "stored", "chat": "c", "tokens": 5}
         assert not follower.accept("e", {"events": [event | {"n": 1}, event | {"n": 2}]})
         assert not follower.accept("e", {"events": [event | {"n": 2}, event | {"n": 3}]})
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -17,7 +17,16 @@
 from jayyoke.ops.memory import Memory
 from jayyoke.ops.policy import Policy, Question
 from jayyoke.ops.steward import Directory, Stewardship
-from jayyoke.wire.gen.ttypes import Abandoned, Ask, CacheEvents, Granted, Placed, Release, Reserve
+from jayyoke.wire.gen.ttypes import (
+    Abandoned,
+    Ask,
+    CacheEvent,
+    CacheEvents,
+    Granted,
+    Placed,
+    Release,
+    Reserve,
+)
 
 RESERVE_TIMEOUT_S = 0.005
 MAX_TRIES = 4
@@ -223,12 +232,20 @@
         release = Release(engine, [request_id], entry)
         self._peers.tell(self._stewardship.find(engine), release)
 
+    def _restore(self, message: CacheEvents, event: CacheEvent, now_s: float) -> None:
+        known = self.memory.find(event.chat, now_s) if message.replayed else None
+        if known is not None and known[0] != message.upstream and known[1] < event.tokens:
+            # Two engines hold parts of a chat; the longer one is the later turn.
+            self.memory.learn(event.chat, message.upstream, event.tokens, now_s)
+            return
+        self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+
     async def _serve_events(self, sender: Member, message: CacheEvents) -> None:
         now_s = self._clock.now_s()
         if message.gap:
             self.memory.doubt(message.upstream, now_s)
         for event in message.events[:MAX_EVENTS]:
             if event.tokens > 0:
-                self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+                self._restore(message, event, now_s)
             else:
                 self.memory.evict(event.chat, message.upstream, now_s)
--- a/jayyoke/ops/probe.py
+++ b/jayyoke/ops/probe.py
@@ -76,6 +76,7 @@
         """Probe each owned engine about every 2.5 s until cancelled."""
         while True:
             self._start_due()
+            self._follower.replay()
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), TICK_S)
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -25,6 +25,7 @@
 from jayyoke.ops.moves import Moves
 from jayyoke.ops.node import Node
 from jayyoke.ops.probe import Prober, hash_incarnation
+from jayyoke.ops.replay import Replay
 from jayyoke.ops.shadow import Shadows
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -51,7 +52,9 @@
     health = Health(listing, clock, loads, lambda name: control.configuration.services.get(name))
     policy = kernel.find("policy", settings.policy)()
     dispatch = Dispatch(clock, peers, loads, health, policy, domains.domains_out)
-    prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
+    prober = Prober(
+        http, clock, health, dispatch.steward, CacheFollower(peers, Replay(peers, clock))
+    )
     durable = build_durable(settings, table, http_single, dispatch.placer, peers, clock)
     node = Node(
         settings=settings,
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -2180,6 +2180,7 @@
      - upstream
      - events
      - gap
+     - replayed
 
     """
 
@@ -2187,13 +2188,15 @@
         'upstream',
         'events',
         'gap',
+        'replayed',
     )
 
 
-    def __init__(self, upstream=None, events=None, gap=None,):
+    def __init__(self, upstream=None, events=None, gap=None, replayed=None,):
         self.upstream = upstream
         self.events = events
         self.gap = gap
+        self.replayed = replayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2225,6 +2228,11 @@
                     self.gap = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.replayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2250,6 +2258,10 @@
             oprot.writeFieldBegin('gap', TType.BOOL, 3)
             oprot.writeBool(self.gap)
             oprot.writeFieldEnd()
+        if self.replayed is not None:
+            oprot.writeFieldBegin('replayed', TType.BOOL, 4)
+            oprot.writeBool(self.replayed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3540,6 +3552,7 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 2
     (3, TType.BOOL, 'gap', None, None, ),  # 3
+    (4, TType.BOOL, 'replayed', None, None, ),  # 4
 )
 all_structs.append(PullChanges)
 PullChanges.thrift_spec = (
--- a/jayyoke/wire/local.py
+++ b/jayyoke/wire/local.py
@@ -28,8 +28,12 @@
 
     def leave(self, name: str) -> None:
         """Remove a member as if its process had died."""
-        member = self.peers.pop(name).me
-        self._announce(member, MemberState.DEAD)
+        member = self.peers[name].me
+        reached = [peers for other, peers in self.peers.items() if self.connects(name, other)]
+        del self.peers[name]
+        for peers in reached:
+            if peers.me.name != name:
+                peers.subject.on_next(MemberChange(member, MemberState.DEAD))
 
     def cut(self, one: str, other: str) -> None:
         """Partition two members; their views change at once."""
