--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -184,7 +184,8 @@
         if account.noticed and service is not None:
             now_s = self._clock.now_s()
             limit = self._limit(account, service, now_s)
-            self._notice(account, message.upstream, service, limit, now_s)
+            mean = self._mean(service)
+            self._notice(account, message.upstream, service, mean, limit, now_s)
 
     def accept_holdings(self, entry: str, message: Holdings) -> None:
         """Replace an entry's reservations by what it says it holds."""
--- a/standin/engine_test.py
+++ b/standin/engine_test.py
@@ -9,8 +9,10 @@
 import aiohttp
 from aiohttp.test_utils import TestClient, TestServer
 
+from jayyoke.core.clock import ManualClock
 from jayyoke.core.member import Member
 from jayyoke.ops.events import CacheFollower
+from jayyoke.ops.replay import Replay
 from jayyoke.wire.local import LocalHub
 from standin.engine import EngineServer
 from standin.enginemodel import Capacity, generate_token
@@ -49,7 +51,8 @@
         async def test(client: TestClient) -> None:
             await complete(client)
             body = await (await client.get("/events")).json()
-            follower = CacheFollower(LocalHub().join(Member("me", "a", 1, "")))
+            peers = LocalHub().join(Member("me", "a", 1, ""))
+            follower = CacheFollower(peers, Replay(peers, ManualClock()))
             assert not follower.accept("e", body)
             assert follower.cursor("e") == 1
 
