--- a/standin/calls.py
+++ b/standin/calls.py
@@ -108,7 +108,7 @@
     async def follow_readiness(self) -> None:
         """Send no call to an instance that is not ready, as the platform's balancer does."""
         while True:
-            states = await asyncio.gather(*map(self._is_ready, self.fleet.instances))
+            states = await asyncio.gather(*map(self.is_ready, self.fleet.instances))
             self._ready = [
                 instance
                 for instance, ready in zip(self.fleet.instances, states, strict=True)
@@ -116,7 +116,8 @@
             ]
             await asyncio.sleep(READY_POLL_S)
 
-    async def _is_ready(self, instance: Process) -> bool:
+    async def is_ready(self, instance: Process) -> bool:
+        """Tell whether an instance says that it is ready."""
         timeout = aiohttp.ClientTimeout(total=2.0)
         try:
             async with self.fleet.http.get(
