Hold an order to a new version against probes and answers that are older

Change: an announced order counts for 4 s, until probes and digests have told everyone; versions in answers are learnt only for engines of unknown version.

--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -40,6 +40,7 @@
 EVIDENCE_PREFIX = "evidence/"
 EVIDENCE_INTERVAL_S = 2.0
 MAX_ORDERED = 100
+ORDER_KNOWN_S = 4.0  # Probes take up to 2.5 s and digests up to 1 s to tell everyone.
 
 
 class MoveActive(JayyokeError):
@@ -75,7 +76,6 @@
         list_engines: Callable[[str], Sequence[Upstream]],
         find_version: Callable[[str], str],
         checks_fencing: Callable[[str], bool],
-        learn_version: Callable[[str, str], None] = lambda engine, version: None,
     ):
         self._peers = peers
         self._table = table
@@ -84,7 +84,7 @@
         self._halts = halts
         self._list_engines = list_engines
         self._version_of = find_version
-        self._learn_version = learn_version
+        self._ordered: dict[str, float] = {}
         self._checks_fencing = checks_fencing
         self._rows: dict[str, MoveRow] = {}
         self._recorder = Recorder()
@@ -146,7 +146,7 @@
         move = row.move
         new, old = [], []
         for engine in engines:
-            (new if self._version_of(engine) == move.new_version else old).append(engine)
+            (new if self._runs_new(move, engine) else old).append(engine)
         if move.phase in (Phase.TAKING_BACK, Phase.TAKEN_BACK) or self._is_halted(move):
             return old
         if move.phase is Phase.DONE:
@@ -215,6 +215,10 @@
         versions = (row.move.old_version, row.move.new_version)
         return {version: pool.by_route(version) for version in versions}
 
+    def _runs_new(self, move: Move, engine: str) -> bool:
+        ordered = move.active and self._clock.now_s() < self._ordered.get(engine, 0.0)
+        return ordered or self._version_of(engine) == move.new_version
+
     def _is_halted(self, move: Move) -> bool:
         return self._halts.is_halted(move.id, move.new_version)
 
@@ -243,6 +247,8 @@
         for move_id in list(self._pools):
             if move_id not in active:
                 del self._pools[move_id]
+        now_s = self._clock.now_s()
+        self._ordered = {name: at for name, at in self._ordered.items() if now_s < at}
         readers = tuple(filter(None, map(self._find_reader, sorted(self._group_domains()))))
         if readers != self._readers:
             self._readers = readers
@@ -299,7 +305,7 @@
             return
         self._accept_row(row)
         for engine in (message.ordered or ())[:MAX_ORDERED]:
-            self._learn_version(engine, row.move.new_version)
+            self._ordered[engine] = self._clock.now_s() + ORDER_KNOWN_S
 
     def _announce_order(self, row: MoveRow, engine: str) -> None:
         """Count an engine to the new version before it loads.
@@ -307,7 +313,7 @@
         A load that ends between two probes was not seen, and the engine kept getting callers as
         one of the old version: 11 of 274 chats reached a bad version (`make demo`, seed 1).
         """
-        self._learn_version(engine, row.move.new_version)
+        self._ordered[engine] = self._clock.now_s() + ORDER_KNOWN_S
         self._announce(row, engine)
 
     async def _contend(self) -> None:
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -120,7 +120,6 @@
         list_engines=node.health.list_service,
         find_version=node.health.versions.find,
         checks_fencing=checks_fencing,
-        learn_version=node.health.versions.learn,
     )
 
 
@@ -130,7 +129,9 @@
     def observe(outcome: Outcome) -> None:
         counts = Counts(1, int(not outcome.answered), int(outcome.answered and outcome.slow))
         node.moves.observe(outcome.upstream, outcome.version, outcome.route, counts)
-        node.health.versions.learn(outcome.upstream.name, outcome.version)
+        if not node.health.versions.find(outcome.upstream.name):
+            # A stream that began before a version move names the old version when it ends.
+            node.health.versions.learn(outcome.upstream.name, outcome.version)
         incarnation = hash_incarnation(outcome.incarnation)
         if incarnation:
             node.placer.observe(outcome.upstream.name, incarnation)
