--- a/standin/steps.py
+++ b/standin/steps.py
@@ -30,6 +30,9 @@
 from standin.operate import run_tool, wait_for_move
 
 STEADY_S = 5.0
+SURGE = 40
+# Cold engines hold a third of the fleet's work at most; more callers would be refused.
+COLD_SURGE = 20
 OUTAGE_S = 3.0
 OUT_S = 3.5
 WARM_UP_S = 4.0
@@ -48,6 +51,7 @@
     """Holds what the steps saw; times are in seconds."""
 
     skew: Skew | None = None
+    steady: tuple[float, float] = (0.0, 0.0)
     in_force_s: float = 0.0
     reverts: list[str] = field(default_factory=list)
     out_last_s: float = 0.0
@@ -85,13 +89,15 @@
 async def run_steady(demo: Demo) -> None:
     """Let a team surge while broken answers, plain calls and a change of the targets happen."""
     demo.say("a team surges; engines cross, cut and silence some answers; plain calls of each kind")
-    demo.callers.surging = True
+    demo.callers.surging = SURGE
     samples: list[tuple[float, list[int]]] = []
+    began_s = time.monotonic()
     sampler = asyncio.create_task(sample_loads(demo.fleet, samples))
     parts = [break_answers(demo), repeat_keys(demo), send_tags(demo), send_late(demo), change(demo)]
     await asyncio.gather(asyncio.sleep(STEADY_S), *parts)
     sampler.cancel()
-    demo.callers.surging = False
+    demo.seen.steady = (began_s, time.monotonic())
+    demo.callers.surging = 0
     multiple = demo.configuration["services"][demo.fleet.deployment.engine_service].get(
         "load_bound", 1.25
     )
@@ -195,12 +201,12 @@
         await restart(demo, engine)
     demo.say(f"domain {domain} comes back with cold engines; a team surges; an engine turns cold")
     await run_tool(demo.fleet, "domain", "back", domain)
-    demo.callers.surging = True
+    demo.callers.surging = COLD_SURGE
     others = [engine for engine in demo.fleet.engines if engine.domain != domain]
     await asyncio.sleep(WARM_UP_S / 4)
     await restart(demo, others[0])
     await asyncio.sleep(WARM_UP_S * 3 / 4)
-    demo.callers.surging = False
+    demo.callers.surging = 0
     demo.seen.out_period = (began_s, time.monotonic())
 
 
