--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -10,14 +10,16 @@
 from reactivex import Observable
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.config import ServiceSpec
 from jayyoke.core.member import Member, MemberChange, MemberState
 from jayyoke.core.peering import Peers
+from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.loads import Loads, Reporter
 from jayyoke.ops.owner import Owner
-from jayyoke.ops.placement import ENGINE_PROTOCOL, Placer
+from jayyoke.ops.placement import Placer
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.steward import Directory, Steward
-from jayyoke.wire.gen.ttypes import Digest, EngineLoad, EngineName
+from jayyoke.wire.gen.ttypes import Digest
 
 SWEEP_INTERVAL_S = 0.5
 # A balancer spreads connections, not work; the share of one instance may be this much larger.
@@ -25,7 +27,7 @@
 
 
 class Dispatch:
-    """Holds placement's parts; the heartbeat calls `build_loads` and `accept_loads`."""
+    """Holds placement's parts; the heartbeat calls `fill_loads` and `accept_loads`."""
 
     def __init__(
         self,
@@ -44,8 +46,10 @@
         self.steward = Steward(clock, peers, loads, directory, out)
         rng = random.Random(seed)
         self.owner = Owner(clock, peers, loads, directory, policy, out, rng)
+        self.owner.reserve_here = self.steward.reserve
         self.placer = Placer(clock, peers, self.owner, directory, policy, sleep)
         self._reporter = Reporter(self.steward.list_loads, loads.versions)
+        self._totals: dict[str, tuple[list[str], int, ServiceSpec, int]] = {}
         peers.changes.subscribe(self._on_change)
 
     @property
@@ -53,12 +57,12 @@
         """Return engines near the bound; the heartbeat is to send a digest at once."""
         return self.steward.notices
 
-    def build_loads(self, only: str | None = None) -> tuple[list[EngineName], list[EngineLoad]]:
-        """Return the names and loads of the next digest to all peers.
+    def fill_loads(self, digest: Digest, only: str | None = None) -> None:
+        """Set the names and loads of the next digest to all peers.
 
         `only` names the engine of a notice; such a digest goes out between two heartbeats.
         """
-        return self._reporter.build_loads(only)
+        self._reporter.fill(digest, only)
 
     def accept_loads(self, sender: Member, digest: Digest) -> None:
         """Learn from a received digest."""
@@ -72,13 +76,26 @@
         stewards decide on each request. Plain services have no limit here.
         """
         spec = self._directory.service(service)
-        if spec is None or spec.protocol != ENGINE_PROTOCOL:
+        if spec is None or not find_protocol(spec.protocol).reports_load:
             return math.inf
+        engines = self.owner.list_engines(service)
+        # The list is the same object until it changes, so most requests sum nothing.
+        known = self._totals.get(service)
+        if (
+            known is None
+            or known[0] is not engines
+            or known[1:3] != (self.loads.limit_changes, spec)
+        ):
+            known = (engines, self.loads.limit_changes, spec, self._sum_limits(spec, engines))
+            self._totals[service] = known
+        return max(known[3] * UNEVEN_ARRIVALS / len(self._peers.members()), 1.0)
+
+    def _sum_limits(self, spec: ServiceSpec, engines: list[str]) -> int:
         total = 0
-        for engine in self.owner.list_engines(service):
+        for engine in engines:
             load = self.loads.find(engine)
             total += spec.full_work_tokens if load is None else load.limit_tokens
-        return max(total * UNEVEN_ARRIVALS / len(self._peers.members()), 1.0)
+        return total
 
     async def run(self) -> None:
         """Release, report and sweep until cancelled."""
--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -17,7 +18,7 @@
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.upstreamlist import format_upstreams, hash_upstreams, parse_upstreams
 from jayyoke.ops.versions import EngineVersions
-from jayyoke.platform.listing import Listing
+from jayyoke.platform.listing import Listing, Snapshot
 from jayyoke.wire.gen.ttypes import ListUpstreams, Upstreams
 
 POLL_INTERVAL_S = 1.0
@@ -25,6 +26,7 @@
 ASK_TIMEOUT_S = 0.5
 PEERS_ASKED = 2
 AVOID_S = 1.0  # Within this time the steward's digest tells every peer.
+MAX_SERVICES = 64
 
 
 class Health:
@@ -48,10 +50,12 @@
         self._listed: dict[str, Upstream] = {}
         self._probed: dict[str, UpstreamState] = {}
         self._avoided: dict[str, float] = {}
+        self._found: dict[str, tuple[int, float, tuple[Upstream, ...]]] = {}
         self._peers = peers
         self._read_s: float | None = None
         self._read_failed = False
         self._source = ""
+        self._snapshot: Snapshot | None = None
         self._turn = 0
         if peers is not None:
             peers.serve(ListUpstreams, self._answer_list)
@@ -63,14 +67,25 @@
 
     def candidates(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that may receive new work, by name."""
-        found = []
         now_s = self._clock.now_s()
+        known = self._found.get(service)
+        if known is not None and known[0] == self._loads.state_changes and now_s < known[1]:
+            return known[2]
+        found = []
+        until_s = math.inf
         for name, listed in self._listed.items():
-            if listed.service != service or now_s < self._avoided.get(name, now_s):
+            if listed.service != service:
+                continue
+            avoided_s = self._avoided.get(name, now_s)
+            if now_s < avoided_s:
+                until_s = min(until_s, avoided_s)
                 continue
             if self._judge(listed) is UpstreamState.LIVE:
                 found.append(listed)
-        return tuple(found)
+        if len(self._found) >= MAX_SERVICES:
+            self._found.clear()
+        self._found[service] = (self._loads.state_changes, until_s, tuple(found))
+        return self._found[service][2]
 
     def find(self, name: str) -> Upstream | None:
         """Return an upstream by name, whatever its state."""
@@ -103,6 +118,8 @@
 
     def record_probe(self, name: str, state: UpstreamState | None) -> None:
         """Record what this steward's probe found; None once another instance is the steward."""
+        if self._probed.get(name) is not state:
+            self._found.clear()
         if state is None:
             self._probed.pop(name, None)
             return
@@ -111,6 +128,7 @@
     def avoid(self, name: str) -> None:
         """Keep an upstream out of this instance's candidates until its steward has judged it."""
         self._avoided[name] = self._clock.now_s() + AVOID_S
+        self._found.clear()
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
@@ -166,6 +184,7 @@
             if upstreams is None:
                 logging.warning("list of %s is out of bounds", name)
                 return
+            self._snapshot = None
             self._replace(upstreams)
         self._read_s = read_s
         self._source = name
@@ -183,14 +202,18 @@
         """Read the list once; raise StoreUnavailable."""
         asked_s = self._clock.now_s()
         snapshot = await self._listing.read()
-        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
         self._read_s = max(asked_s, self._read_s or asked_s)
+        if snapshot is self._snapshot:
+            return
+        self._snapshot = snapshot
+        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
 
     def _replace(self, listed: list[Upstream]) -> None:
         self._listed = {upstream.name: upstream for upstream in listed}
         self._avoided = {n: at for n, at in self._avoided.items() if n in self._listed}
         self._loads.versions.forget(set(self._listed))
         self._probed = {n: state for n, state in self._probed.items() if n in self._listed}
+        self._found.clear()
 
     def _judge(self, listed: Upstream) -> UpstreamState:
         if listed.state is not UpstreamState.LIVE:
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -18,7 +18,16 @@
 from jayyoke.ops.memory import Memory
 from jayyoke.ops.policy import Policy, Question
 from jayyoke.ops.steward import Directory, Stewardship
-from jayyoke.wire.gen.ttypes import Abandoned, Ask, CacheEvents, Placed, Release, Reserve
+from jayyoke.wire.gen.ttypes import (
+    Abandoned,
+    Ask,
+    CacheEvent,
+    CacheEvents,
+    Granted,
+    Placed,
+    Release,
+    Reserve,
+)
 
 RESERVE_TIMEOUT_S = 0.005
 # With peers 50 ms away, 5 ms alone refused a third of the chats of an idle fleet.
@@ -41,6 +50,7 @@
 
 
 Select = Callable[[str, str, list[str]], list[str]]
+ReserveHere = Callable[[Reserve], Granted]
 
 
 def keep_all(service: str, chat: str, engines: list[str]) -> list[str]:
@@ -64,6 +74,8 @@
         self.memory = Memory()
         # Version moves narrow the engines down to those that run the chat's version.
         self.select: Select = keep_all
+        # The steward of this instance, asked without a message and a timeout if there is one.
+        self.reserve_here: ReserveHere | None = None
         self._clock = clock
         self._peers = peers
         self._loads = loads
@@ -179,8 +191,11 @@
         engine = reserve.upstream
         steward = self._stewardship.find(engine)
         try:
-            granted = await self._peers.ask(steward, reserve, timeout_s)
-        except (PeerUnavailable, TimeoutError):
+            if self.reserve_here is not None and steward == self._peers.me.name:
+                granted = self.reserve_here(reserve)
+            else:
+                granted = await self._peers.ask(steward, reserve, timeout_s)
+        except PeerUnavailable:
             # The reservation may have been made; the local decision replaces it.
             release = Release(engine, [reserve.request_id], reserve.entry)
             self._peers.tell(steward, release)
@@ -254,12 +269,20 @@
         release = Release(engine, [request_id], entry)
         self._peers.tell(self._stewardship.find(engine), release)
 
+    def _restore(self, message: CacheEvents, event: CacheEvent, now_s: float) -> None:
+        known = self.memory.find(event.chat, now_s) if message.replayed else None
+        if known is not None and known[0] != message.upstream and known[1] < event.tokens:
+            # Two engines hold parts of a chat; the longer one is the later turn.
+            self.memory.learn(event.chat, message.upstream, event.tokens, now_s)
+            return
+        self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+
     async def _serve_events(self, sender: Member, message: CacheEvents) -> None:
         now_s = self._clock.now_s()
         if message.gap:
             self.memory.doubt(message.upstream, now_s)
         for event in message.events[:MAX_EVENTS]:
             if event.tokens > 0:
-                self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+                self._restore(message, event, now_s)
             else:
                 self.memory.evict(event.chat, message.upstream, now_s)
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -13,6 +13,7 @@
 from jayyoke.core.member import Member
 from jayyoke.core.move import Counts
 from jayyoke.ops.control import Control
+from jayyoke.ops.decisions import count_dropped
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
 from jayyoke.ops.durable import build_durable
@@ -25,6 +26,7 @@
 from jayyoke.ops.moves import Moves
 from jayyoke.ops.node import Node
 from jayyoke.ops.probe import Prober, hash_incarnation
+from jayyoke.ops.replay import Replay
 from jayyoke.ops.shadow import Shadows
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -53,7 +55,9 @@
     )
     policy = kernel.find("policy", settings.policy)()
     dispatch = Dispatch(clock, peers, loads, health, policy, domains.domains_out)
-    prober = Prober(http, clock, health, dispatch.steward, CacheFollower(peers))
+    prober = Prober(
+        http, clock, health, dispatch.steward, CacheFollower(peers, Replay(peers, clock))
+    )
     durable = build_durable(settings, table, http_single, dispatch.placer, peers, clock)
     node = Node(
         settings=settings,
@@ -77,6 +81,7 @@
     dispatch.owner.select = node.moves.select
     _connect_digests(node, peers)
     _connect_answers(node)
+    _connect_metrics(node, peers)
     return node
 
 
@@ -128,6 +133,7 @@
         list_engines=node.health.list_service,
         find_version=node.health.versions.find,
         checks_fencing=checks_fencing,
+        learn_version=node.health.versions.learn,
     )
 
 
@@ -148,14 +154,22 @@
     )
 
 
+def _connect_metrics(node: Node, peers: TcpPeers) -> None:
+    watch = node.metrics.watch
+    watch("jayyoke_requests_running", "Requests in progress.", lambda: node.drain.running)
+    watch(
+        "jayyoke_configuration_version",
+        "Configuration version in force at this instance.",
+        lambda: node.control.configuration.version,
+    )
+    watch("jayyoke_members", "Live members of the group.", lambda: len(peers.members()))
+    watch("jayyoke_peer_sent_bytes", "Bytes sent to peers.", peers.traffic.sent.total)
+    watch("jayyoke_decision_lines_dropped", "Decision lines over the rate limit.", count_dropped)
+
+
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
-    def fill_loads(digest: Digest) -> None:
-        names, loads = node.dispatch.build_loads()
-        digest.names = names or None
-        digest.loads = loads or None
-
     def fill_teams(digest: Digest) -> None:
         digest.teams = node.limits.build_team_loads() or None
 
@@ -164,14 +178,9 @@
             node.limits.accept_team_loads(sender.name, digest.teams)
 
     def send_notice(engine: str) -> None:
-        def fill(digest: Digest) -> None:
-            names, loads = node.dispatch.build_loads(engine)
-            digest.names = names or None
-            digest.loads = loads or None
-
-        peers.digests.send_part(fill)
+        peers.digests.send_part(lambda digest: node.dispatch.fill_loads(digest, engine))
 
-    peers.digests.add_part(fill_loads)
+    peers.digests.add_part(node.dispatch.fill_loads)
     peers.digests.add_part(fill_teams)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
