--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -12,7 +12,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from hashlib import sha256
 from pathlib import Path
@@ -93,12 +93,13 @@
     engines: list[Process] = field(default_factory=list)
     plains: list[Process] = field(default_factory=list)
     instances: list[Process] = field(default_factory=list)
+    proxies: list[Process] = field(default_factory=list)
 
     @property
     def processes(self) -> list[Process]:
         """Return all processes, instances first."""
         platform = [self.listing, self.weights, self.objects, self.table]
-        return [*self.instances, *self.engines, *self.plains, *platform]
+        return [*self.instances, *self.engines, *self.plains, *platform, *self.proxies]
 
     async def apply(self, configuration: dict) -> int:
         """Apply a configuration through the first instance and return its version."""
@@ -152,11 +153,13 @@
     apply_example: bool = True,
     configuration: dict | None = None,
     folder: Path | None = None,
+    prepare: Callable[[Fleet], None] | None = None,
 ) -> AsyncIterator[Fleet]:
     """Start a deployment, wait until it serves, and end all its processes on exit.
 
     The example configuration is applied unless another one is given. Logs and settings lie in
-    `folder`, which is kept, or in a temporary one.
+    `folder`, which is kept, or in a temporary one. `prepare` may change settings, entries and
+    addresses before any process starts.
     """
     with contextlib.ExitStack() as stack:
         if folder is None:
@@ -164,6 +167,8 @@
             folder = Path(name)
         async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
             fleet = _build_fleet(deployment, folder, http)
+            if prepare is not None:
+                prepare(fleet)
             try:
                 await _start(fleet)
                 if apply_example or configuration is not None:
