Keep loads in heartbeats within the placement group

Every heartbeat and notice went to all linked instances with all loads. With 14 domains an instance has about 52 links to other domains beside 29 in its group (2 dialled and 2 accepted for each of 13), so that about two thirds of the load bytes went to instances that use none of them. Links to other domains now get the heartbeat without loads, names and teams; halts, drains and versions stay.

--- a/jayyoke/ops/digest.py
+++ b/jayyoke/ops/digest.py
@@ -13,6 +13,21 @@
 _SEQUENCE_LIMIT = 1 << 31
 
 
+def shorten(digest: Digest) -> Digest:
+    """Return a digest without loads, for instances outside the placement group.
+
+    With 14 domains they are two thirds of all receivers, and stewards are chosen within a group.
+    """
+    return Digest(
+        control_version=digest.control_version,
+        sequence=digest.sequence,
+        leaving=digest.leaving,
+        confirmed_age_ms=digest.confirmed_age_ms,
+        halts=digest.halts,
+        drains=digest.drains,
+    )
+
+
 class Digests:
     """Builds this instance's digests and hands received ones to every registered part."""
 
@@ -47,10 +62,12 @@
         self._peers.broadcast(self.build())
 
     def send_part(self, fill: Fill) -> None:
-        """Broadcast a digest at once with only the fields that one function sets."""
+        """Send the group a digest at once with only the fields that one function sets."""
         digest = Digest()
         fill(digest)
-        self._peers.broadcast(digest)
+        for member in self._peers.members():
+            if member.name != self._peers.me.name:
+                self._peers.tell(member.name, digest)
 
     async def _receive(self, sender: Member, digest: Digest) -> Digest:
         for handler in self._handlers:
--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -13,7 +13,7 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.core.member import Member, MemberChange
 from jayyoke.core.peering import Handler, Message
-from jayyoke.ops.digest import Digests
+from jayyoke.ops.digest import Digests, shorten
 from jayyoke.ops.membership import HEARTBEAT_INTERVAL_S, Membership
 from jayyoke.wire.gen.constants import REVISION
 from jayyoke.wire.gen.ttypes import Failure, Hello, Welcome
@@ -118,9 +118,12 @@
         self._close_silent()
         self._adjust_links()
         digest = self.digests.build()
+        short = shorten(digest)
+        group = {member.name for member in self.members()}
         acknowledged = digest.sequence % _ACKNOWLEDGED_EVERY == 0
         for connection in self._connections():
-            connection.send(digest, _HEARTBEAT_CORRELATION if acknowledged else 0)
+            beat = digest if connection.member.name in group else short
+            connection.send(beat, _HEARTBEAT_CORRELATION if acknowledged else 0)
 
     def announce_leaving(self) -> None:
         """Tell every peer that this instance drains."""
--- a/jayyoke/server/peer_test.py
+++ b/jayyoke/server/peer_test.py
@@ -214,6 +214,49 @@
         asyncio.run(run())
 
 
+class FakeLink:
+    """Records what is sent to one member."""
+
+    closed = False
+
+    def __init__(self, member: Member):
+        self.member = member
+        self.heard_s = SystemClock().now_s()
+        self.sent: list[Digest] = []
+
+    def send(self, message: Digest, correlation: int = 0) -> None:
+        self.sent.append(message)
+
+
+class TestHeartbeat:
+    def test_loads_stay_within_the_placement_group(self):
+        """Guards against control traffic that grows with the number of domains."""
+
+        async def run() -> None:
+            peers = build_peers("me")
+            for index in range(40):
+                member = Member(f"i{index:02d}", "ab"[index % 2], 1, "")
+                peers.membership.hear(member)
+                peers._dialled[member.name] = FakeLink(member)
+
+            def fill(digest: Digest) -> None:
+                digest.changes = [0, 1, 70]
+                digest.halts = ["move v2"]
+
+            peers.digests.add_part(fill)
+            peers.tick()
+            peers.digests.send_part(fill)
+            for link in peers._dialled.values():
+                inside = link.member.domain == "a"
+                assert [digest.changes is not None for digest in link.sent] == [inside] * (
+                    1 + inside
+                )
+                assert link.sent[0].halts == ["move v2"]
+                assert link.sent[0].sequence == 1
+
+        asyncio.run(run())
+
+
 class TestMembership:
     def test_silence_makes_suspect_then_dead(self):
         """Guards against owners and stewards that stay with a silent instance."""
