Ask the home domain of a chat when a group is one failure domain

Cause: at the planned size a group is one domain, yet choose_home was not wired, each group took itself for the steward of every listed engine, and choose_weighted failed on any key, since xxhash takes no text.

Change: digests carry the live engines of each service in steps of a quarter of a doubling, kept until 0.75 of a step away. The entry asks a linked instance of the home domain, which forwards to the owner once; without an answer or an engine the own domain decides. Engines of another domain have their steward there; releases, holdings and observations reach it over the same links.

jayyoke/ops/gateway_test.py over the in-process hub: one engine for each chat from every domain, one steward for each engine, fallback while cut off, no reservation left by an owner that does not answer, 0 < moved < 0.08 of 2,000 chats for one step.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -90,6 +90,12 @@
   3: bool out
 }
 
+// Live engines of a service in the sender's domain, in steps of a quarter of a doubling; 0: none.
+struct ServiceCapacity {
+  1: string service_name
+  2: i16 step
+}
+
 // Heartbeat and load digest in one message. halts ("{move} {version}") and drains hold what the change log does not
 // hold yet. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
 struct Digest {
@@ -102,9 +108,10 @@
   7: i64 confirmed_age_ms
   8: list<string> halts
   10: list<Drain> drains
+  11: list<ServiceCapacity> capacities
 }
 
-// Asks a chat's owner where to place a request.
+// Asks a chat's owner where to place a request; an empty entry is the sender.
 struct Ask {
   1: string request_id
   2: string service_name
@@ -114,6 +121,7 @@
   6: string team
   7: i16 priority
   8: list<string> exclude
+  9: string entry
 }
 
 struct Placed {
@@ -160,6 +168,7 @@
 struct Holdings {
   1: string upstream
   2: list<Holding> holdings
+  3: string entry
 }
 
 // Tells an engine's steward what the sender saw of it. incarnation 0: none was seen; failed: a connection broke.
@@ -172,6 +181,7 @@
 // Tells a chat's owner that the sender gave up waiting; the owner releases what it reserved.
 struct Abandoned {
   1: list<string> request_ids
+  2: string entry
 }
 
 // tokens 0: the chat was evicted.
--- a/jayyoke/core/peering.py
+++ b/jayyoke/core/peering.py
@@ -34,6 +34,10 @@
         """Return the domains of which at least one instance is live, the own one included."""
         ...
 
+    def linked(self, domain: str) -> tuple[Member, ...]:
+        """Return the instances of a domain that messages reach."""
+        ...
+
     async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
         """Return a peer's answer; raise PeerUnavailable after `timeout_s` seconds at the latest."""
         ...
--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -13,6 +13,8 @@
 from jayyoke.core.config import ServiceSpec
 from jayyoke.core.member import Member, MemberChange, MemberState
 from jayyoke.core.peering import Peers
+from jayyoke.ops.gateway import Gateway
+from jayyoke.ops.home import Homes
 from jayyoke.ops.loads import Loads, Reporter
 from jayyoke.ops.owner import Owner
 from jayyoke.ops.placement import ENGINE_PROTOCOL, Placer
@@ -46,7 +48,11 @@
         rng = random.Random(seed)
         self.owner = Owner(clock, peers, loads, directory, policy, out, rng)
         self.owner.reserve_here = self.steward.reserve
-        self.placer = Placer(clock, peers, self.owner, directory, policy, sleep)
+        self.homes = Homes(clock, peers, self._count_engines, out)
+        gateway = Gateway(clock, peers, self.owner)
+        self.placer = Placer(
+            clock, peers, self.owner, directory, policy, self.homes, gateway, sleep
+        )
         self._reporter = Reporter(self.steward.list_loads, loads.versions)
         self._totals: dict[str, tuple[list[str], int, ServiceSpec, int]] = {}
         peers.changes.subscribe(self._on_change)
@@ -89,6 +95,9 @@
             self._totals[service] = known
         return max(known[3] * UNEVEN_ARRIVALS / len(self._peers.members()), 1.0)
 
+    def _count_engines(self, service: str) -> int:
+        return len(self.owner.list_engines(service))
+
     def _sum_limits(self, spec: ServiceSpec, engines: list[str]) -> int:
         total = 0
         for engine in engines:
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -18,7 +18,6 @@
 from jayyoke.ops.policy import Policy, Question
 from jayyoke.ops.steward import Directory, Stewardship
 from jayyoke.wire.gen.ttypes import (
-    Abandoned,
     Ask,
     CacheEvent,
     CacheEvents,
@@ -49,6 +48,11 @@
 ReserveHere = Callable[[Reserve], Granted]
 
 
+def read_placed(placed: Placed) -> Choice:
+    """Return the choice of another instance."""
+    return Choice(placed.upstream, placed.reason, tuple(placed.passed or ()))
+
+
 def keep_all(service: str, chat: str, engines: list[str]) -> list[str]:
     """Return all engines."""
     return engines
@@ -78,15 +82,15 @@
         self._directory = directory
         self._policy = policy
         self._out = out
-        self._stewardship = Stewardship(peers)
+        self._stewardship = Stewardship(peers, directory)
         self._random = rng
         self._listed: dict[str, tuple[Any, Any, Any, list[str]]] = {}
+        self._view: tuple[Member, ...] = ()
+        self._domains: frozenset[str] = frozenset()
         self._turn = self._random.randrange(1 << 16)
         self._recent: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._abandoned: OrderedDict[tuple[str, str], None] = OrderedDict()
         self._local: dict[str, list[float]] = {}
-        peers.serve(Ask, self._serve_ask)
-        peers.serve(Abandoned, self._serve_abandoned)
         peers.serve(CacheEvents, self._serve_events)
 
     def list_engines(self, service: str, exclude: Sequence[str] = ()) -> list[str]:
@@ -96,7 +100,7 @@
 
     def _list_all(self, service: str) -> list[str]:
         out = self._out()
-        reachable = self._peers.reachable_domains()
+        reachable = self._list_domains()
         candidates = self._directory.candidates(service)
         cached = self._listed.get(service)
         if cached is not None and cached[0] is candidates and cached[1:3] == (out, reachable):
@@ -108,6 +112,14 @@
         self._listed[service] = (candidates, out, reachable, names)
         return names
 
+    def _list_domains(self) -> frozenset[str]:
+        """Return the domains of the placement group, whose engines have their stewards in it."""
+        view = self._peers.members()
+        if view is not self._view:
+            self._view = view
+            self._domains = frozenset(member.domain for member in view)
+        return self._domains
+
     async def decide(self, entry: str, ask: Ask) -> Choice:
         """Choose an engine and reserve the request's work at its steward."""
         service = self._directory.service(ask.service_name)
@@ -210,23 +222,24 @@
         if len(self._recent) > MAX_RECENT:
             self._recent.popitem(last=False)
 
-    async def _serve_ask(self, sender: Member, ask: Ask) -> Placed:
-        choice = await self.decide(sender.name, ask)
+    async def answer(self, entry: str, ask: Ask) -> Placed:
+        """Decide on another instance's request."""
+        choice = await self.decide(entry, ask)
         retry_after_ms = 0 if choice.upstream else RETRY_AFTER_MS
         passed = list(choice.passed_over) or None
         count = len(choice.passed_over)
         return Placed(choice.upstream, choice.reason, count, 0, retry_after_ms, passed)
 
-    async def _serve_abandoned(self, sender: Member, message: Abandoned) -> None:
-        for request_id in message.request_ids:
-            engine = self._recent.pop((sender.name, request_id), None)
-            if engine is not None:
-                self._release(sender.name, request_id, engine)
-                continue
-            # The decision is still under way, or the Ask comes later.
-            self._abandoned[(sender.name, request_id)] = None
-            if len(self._abandoned) > MAX_RECENT:
-                self._abandoned.popitem(last=False)
+    def abandon(self, entry: str, request_id: str) -> None:
+        """Release what an entry that gave up waiting no longer needs."""
+        engine = self._recent.pop((entry, request_id), None)
+        if engine is not None:
+            self._release(entry, request_id, engine)
+            return
+        # The decision is still under way, or the Ask comes later.
+        self._abandoned[(entry, request_id)] = None
+        if len(self._abandoned) > MAX_RECENT:
+            self._abandoned.popitem(last=False)
 
     def _release(self, entry: str, request_id: str, engine: str) -> None:
         release = Release(engine, [request_id], entry)
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -15,8 +15,10 @@
 from jayyoke.core.peering import Peers
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
+from jayyoke.ops.gateway import Gateway
+from jayyoke.ops.home import Homes
 from jayyoke.ops.memory import hash_chat
-from jayyoke.ops.owner import Choice, Owner
+from jayyoke.ops.owner import Choice, Owner, read_placed
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.rendezvous import choose
 from jayyoke.ops.steward import Directory, Stewardship
@@ -55,6 +57,8 @@
         owner: Owner,
         directory: Directory,
         policy: Policy,
+        homes: Homes,
+        gateway: Gateway,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ):
         self._clock = clock
@@ -62,8 +66,10 @@
         self._owner = owner
         self._directory = directory
         self._policy = policy
+        self._homes = homes
+        self._gateway = gateway
         self._sleep = sleep
-        self._stewardship = Stewardship(peers)
+        self._stewardship = Stewardship(peers, directory)
         self._counter = itertools.count(1)
         self._held: dict[str, dict[str, int]] = {}
         self._ended: dict[str, list[str]] = {}
@@ -178,6 +184,13 @@
         me = self._peers.me.name
         if not self._policy.asks_owner:
             return await self._owner.decide(me, ask)
+        home = self._homes.find(ask.service_name, str(ask.chat))
+        if home:
+            choice = await self._gateway.ask(home, ask)
+            if choice is not None and choice.upstream:
+                return choice
+            # The home may still reserve under the old id; its release must not end the new one.
+            ask.request_id = f"{ask.request_id}h"
         members = (member.name for member in self._peers.members())
         owner = choose(str(ask.chat), members) or me
         if owner == me:
@@ -194,7 +207,7 @@
             # The abandoned reservation has the old id; its release must not end the new one.
             ask.request_id = f"{ask.request_id}r"
             return await self._owner.decide(me, ask)
-        return Choice(placed.upstream, placed.reason, tuple(placed.passed or ()))
+        return read_placed(placed)
 
     def _place_plain(self, request: CallerRequest, exclude: tuple[str, ...]) -> Placement:
         names = self._owner.list_engines(request.service.name, exclude)
--- a/jayyoke/ops/rendezvous.py
+++ b/jayyoke/ops/rendezvous.py
@@ -19,7 +19,7 @@
 
 def score(key: str, node: str) -> int:
     """Return the 64-bit weight of a node for a key."""
-    return xxhash.xxh3_64_intdigest(key, _seed(node))
+    return xxhash.xxh3_64_intdigest(key.encode(), _seed(node))
 
 
 def rank(key: str, nodes: Iterable[str]) -> list[str]:
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -53,23 +53,36 @@
 class Stewardship:
     """Maps each engine to the member that is its steward."""
 
-    def __init__(self, peers: Peers):
+    def __init__(self, peers: Peers, directory: Directory):
         self._peers = peers
+        self._directory = directory
         self._view: tuple[Member, ...] = ()
+        self._domains: frozenset[str] = frozenset()
         self._stewards: dict[str, str] = {}
 
     def find(self, engine: str) -> str:
-        """Return the name of an engine's steward among the live members."""
+        """Return the name of an engine's steward, or of a linked instance of another group."""
         view = self._peers.members()
         if view != self._view:
             self._view = view
+            self._domains = frozenset(member.domain for member in view)
             self._stewards.clear()
         steward = self._stewards.get(engine)
         if steward is None:
+            abroad = self._find_abroad(engine)
+            if abroad:
+                return abroad
             steward = choose(engine, (member.name for member in view)) or self._peers.me.name
             self._stewards[engine] = steward
         return steward
 
+    def _find_abroad(self, engine: str) -> str:
+        upstream = self._directory.find(engine)
+        if upstream is None or upstream.domain in self._domains:
+            return ""
+        linked = self._peers.linked(upstream.domain)
+        return choose(engine, (member.name for member in linked)) or ""
+
 
 class Steward:
     """Admits work to the engines that this instance is the steward of."""
@@ -88,7 +101,7 @@
         self._peers = peers
         self._loads = loads
         self._directory = directory
-        self._stewardship = Stewardship(peers)
+        self._stewardship = Stewardship(peers, directory)
         self._accounts: dict[str, Account] = {}
         self._dead: dict[str, float] = {}
         self._incarnations: dict[str, int] = {}
@@ -356,13 +369,30 @@
         return self.reserve(message)
 
     async def _serve_release(self, sender: Member, message: Release) -> None:
-        self.release(message.entry or sender.name, message)
+        message.entry = message.entry or sender.name
+        if not self._pass_on(sender, message):
+            self.release(message.entry, message)
 
     async def _serve_holdings(self, sender: Member, message: Holdings) -> None:
-        self.accept_holdings(sender.name, message)
+        message.entry = message.entry or sender.name
+        if not self._pass_on(sender, message):
+            self.accept_holdings(message.entry, message)
 
     async def _serve_observed(self, sender: Member, message: Observed) -> None:
+        if self._pass_on(sender, message):
+            return
         if message.failed:
             self.suspect(message.upstream)
         if message.incarnation != 0:
             self.confirm(message.upstream, message.incarnation)
+
+    def _pass_on(self, sender: Member, message: Release | Holdings | Observed) -> bool:
+        """Pass a message of another group on to the engine's steward; return True if it was."""
+        steward = self._stewardship.find(message.upstream)
+        members = self._peers.members()
+        if steward == self._peers.me.name or sender in members:
+            return False
+        if steward not in (member.name for member in members):
+            return False
+        self._peers.tell(steward, message)
+        return True
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -24,6 +24,7 @@
 from jayyoke.ops.membership import Membership
 from jayyoke.ops.moves import Moves
 from jayyoke.ops.node import Node
+from jayyoke.ops.placement import ENGINE_PROTOCOL
 from jayyoke.ops.probe import Prober, hash_incarnation
 from jayyoke.ops.replay import Replay
 from jayyoke.ops.shadow import Shadows
@@ -146,6 +147,12 @@
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
+    def list_services() -> list[str]:
+        services = node.control.configuration.services.values()
+        return [spec.name for spec in services if spec.protocol == ENGINE_PROTOCOL]
+
+    node.dispatch.homes.list_services = list_services
+
     def fill_loads(digest: Digest) -> None:
         names, loads = node.dispatch.build_loads()
         digest.names = names or None
@@ -168,6 +175,8 @@
 
     peers.digests.add_part(fill_loads)
     peers.digests.add_part(fill_teams)
+    peers.digests.add_part(node.dispatch.homes.fill)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
+    peers.digests.add_handler(node.dispatch.homes.accept)
     node.dispatch.notices.subscribe(send_notice)
--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -67,6 +67,14 @@
         """Return the domains of which at least one instance is live, the own one included."""
         return self.membership.reachable_domains()
 
+    def linked(self, domain: str) -> tuple[Member, ...]:
+        """Return the live instances of a domain to which a connection is open."""
+        found = []
+        for member in self.membership.present():
+            if member.domain == domain and self._find(member.name) is not None:
+                found.append(member)
+        return tuple(found)
+
     async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
         """Return a peer's answer; raise PeerUnavailable after `timeout_s` seconds at the latest."""
         if instance == self.me.name:
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -897,6 +897,86 @@
         return not (self == other)
 
 
+class ServiceCapacity(object):
+    """
+    Attributes:
+     - service_name
+     - step
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'step',
+    )
+
+
+    def __init__(self, service_name=None, step=None,):
+        self.service_name = service_name
+        self.step = step
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I16:
+                    self.step = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceCapacity')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I16, 2)
+            oprot.writeI16(self.step)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -909,6 +989,7 @@
      - confirmed_age_ms
      - halts
      - drains
+     - capacities
 
     """
 
@@ -922,10 +1003,11 @@
         'confirmed_age_ms',
         'halts',
         'drains',
+        'capacities',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None, capacities=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -935,6 +1017,7 @@
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
         self.drains = drains
+        self.capacities = capacities
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1019,6 +1102,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.capacities = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = ServiceCapacity()
+                        _elem35.read(iprot)
+                        self.capacities.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1040,22 +1134,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter30 in self.names:
-                iter30.write(oprot)
+            for iter36 in self.names:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter31 in self.loads:
-                iter31.write(oprot)
+            for iter37 in self.loads:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter32 in self.teams:
-                iter32.write(oprot)
+            for iter38 in self.teams:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1069,15 +1163,22 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter33 in self.halts:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.halts:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.drains is not None:
             oprot.writeFieldBegin('drains', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.drains))
-            for iter34 in self.drains:
-                iter34.write(oprot)
+            for iter40 in self.drains:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.capacities is not None:
+            oprot.writeFieldBegin('capacities', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.capacities))
+            for iter41 in self.capacities:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1116,6 +1217,7 @@
      - team
      - priority
      - exclude
+     - entry
 
     """
 
@@ -1128,10 +1230,11 @@
         'team',
         'priority',
         'exclude',
+        'entry',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, chat=None, prompt_tokens=None, output_tokens=None, team=None, priority=None, exclude=None,):
+    def __init__(self, request_id=None, service_name=None, chat=None, prompt_tokens=None, output_tokens=None, team=None, priority=None, exclude=None, entry=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.chat = chat
@@ -1140,6 +1243,7 @@
         self.team = team
         self.priority = priority
         self.exclude = exclude
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1188,13 +1292,18 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1236,10 +1345,14 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter41 in self.exclude:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.exclude:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 9)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1332,10 +1445,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.passed = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.passed.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.passed.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1372,8 +1485,8 @@
         if self.passed is not None:
             oprot.writeFieldBegin('passed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.passed))
-            for iter48 in self.passed:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.passed:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1695,10 +1808,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1724,8 +1837,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter55 in self.request_ids:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.request_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry is not None:
@@ -1842,18 +1955,21 @@
     Attributes:
      - upstream
      - holdings
+     - entry
 
     """
 
     __slots__ = (
         'upstream',
         'holdings',
+        'entry',
     )
 
 
-    def __init__(self, upstream=None, holdings=None,):
+    def __init__(self, upstream=None, holdings=None, entry=None,):
         self.upstream = upstream
         self.holdings = holdings
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1872,14 +1988,19 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Holding()
-                        _elem61.read(iprot)
-                        self.holdings.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Holding()
+                        _elem68.read(iprot)
+                        self.holdings.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1897,10 +2018,14 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter62 in self.holdings:
-                iter62.write(oprot)
+            for iter69 in self.holdings:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 3)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2022,16 +2147,19 @@
     """
     Attributes:
      - request_ids
+     - entry
 
     """
 
     __slots__ = (
         'request_ids',
+        'entry',
     )
 
 
-    def __init__(self, request_ids=None,):
+    def __init__(self, request_ids=None, entry=None,):
         self.request_ids = request_ids
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2045,13 +2173,18 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2065,10 +2198,14 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter69 in self.request_ids:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.request_ids:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 2)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2215,11 +2352,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = CacheEvent()
-                        _elem75.read(iprot)
-                        self.events.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CacheEvent()
+                        _elem82.read(iprot)
+                        self.events.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2250,8 +2387,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter76 in self.events:
-                iter76.write(oprot)
+            for iter83 in self.events:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gap is not None:
@@ -2483,11 +2620,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Change()
-                        _elem82.read(iprot)
-                        self.changes.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Change()
+                        _elem89.read(iprot)
+                        self.changes.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2520,8 +2657,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter83 in self.changes:
-                iter83.write(oprot)
+            for iter90 in self.changes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -2748,11 +2885,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = TablePut()
-                        _elem89.read(iprot)
-                        self.puts.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = TablePut()
+                        _elem96.read(iprot)
+                        self.puts.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2769,8 +2906,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter90 in self.puts:
-                iter90.write(oprot)
+            for iter97 in self.puts:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2833,10 +2970,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI32()
-                        self.conflicts.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readI32()
+                        self.conflicts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2857,8 +2994,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter97 in self.conflicts:
-                oprot.writeI32(iter97)
+            for iter104 in self.conflicts:
+                oprot.writeI32(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3033,11 +3170,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RouteEvidence()
-                        _elem103.read(iprot)
-                        self.routes.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RouteEvidence()
+                        _elem110.read(iprot)
+                        self.routes.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3062,8 +3199,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter104 in self.routes:
-                iter104.write(oprot)
+            for iter111 in self.routes:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3453,6 +3590,12 @@
     (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'out', None, None, ),  # 3
 )
+all_structs.append(ServiceCapacity)
+ServiceCapacity.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I16, 'step', None, None, ),  # 2
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -3466,6 +3609,7 @@
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
     None,  # 9
     (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
+    (11, TType.LIST, 'capacities', (TType.STRUCT, [ServiceCapacity, None], False), None, ),  # 11
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
@@ -3478,6 +3622,7 @@
     (6, TType.STRING, 'team', 'UTF8', None, ),  # 6
     (7, TType.I16, 'priority', None, None, ),  # 7
     (8, TType.LIST, 'exclude', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.STRING, 'entry', 'UTF8', None, ),  # 9
 )
 all_structs.append(Placed)
 Placed.thrift_spec = (
@@ -3527,6 +3672,7 @@
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), None, ),  # 2
+    (3, TType.STRING, 'entry', 'UTF8', None, ),  # 3
 )
 all_structs.append(Observed)
 Observed.thrift_spec = (
@@ -3539,6 +3685,7 @@
 Abandoned.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.STRING, 'entry', 'UTF8', None, ),  # 2
 )
 all_structs.append(CacheEvent)
 CacheEvent.thrift_spec = (
--- a/jayyoke/wire/local.py
+++ b/jayyoke/wire/local.py
@@ -13,9 +13,13 @@
 
 
 class LocalHub:
-    """Connects local peers and cuts them off from each other on request."""
+    """Connects local peers and cuts them off from each other on request.
 
-    def __init__(self) -> None:
+    The placement group is everybody, or the members of one domain with `by_domain`.
+    """
+
+    def __init__(self, by_domain: bool = False) -> None:
+        self.by_domain = by_domain
         self.peers: dict[str, LocalPeers] = {}
         self._cut: set[frozenset[str]] = set()
 
@@ -82,14 +86,22 @@
     def members(self) -> tuple[Member, ...]:
         """Return the members that messages reach, by name, self included."""
         found = []
-        for name in sorted(self._hub.peers):
-            if name == self._me.name or self._hub.connects(self._me.name, name):
-                found.append(self._hub.peers[name].me)
+        for member in self._reached():
+            if member.domain == self._me.domain or not self._hub.by_domain:
+                found.append(member)
         return tuple(found)
 
     def reachable_domains(self) -> frozenset[str]:
         """Return the domains of the members that messages reach."""
-        return frozenset(member.domain for member in self.members())
+        return frozenset(member.domain for member in self._reached())
+
+    def linked(self, domain: str) -> tuple[Member, ...]:
+        """Return the members of a domain that messages reach, but this one."""
+        found = []
+        for member in self._reached():
+            if member.domain == domain and member.name != self._me.name:
+                found.append(member)
+        return tuple(found)
 
     async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
         """Return the answer of a member's handler; raise PeerUnavailable."""
@@ -121,6 +133,13 @@
         """Register the handler of one message type."""
         self.handlers[message_type] = handler
 
+    def _reached(self) -> list[Member]:
+        found = []
+        for name in sorted(self._hub.peers):
+            if name == self._me.name or self._hub.connects(self._me.name, name):
+                found.append(self._hub.peers[name].me)
+        return found
+
     def _find_handler(self, instance: str, message: Message) -> Handler | None:
         if instance != self._me.name and not self._hub.connects(self._me.name, instance):
             return None
