--- /dev/null
+++ b/jayyoke/ops/owner_test.py
@@ -0,0 +1,141 @@
+"""Tests of owners and entries when messages are lost, late or crossed."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jayyoke.core.error import PeerUnavailable
+from jayyoke.ops.account import RESERVATION_AGE_S
+from jayyoke.ops.loads import Load
+from jayyoke.ops.placement import HOLDINGS_INTERVAL_S
+from jayyoke.ops.placement_test import _Fleet, _request
+from jayyoke.ops.steward_test import SERVICE
+from jayyoke.wire.gen.ttypes import Ask, Release, Reserve
+
+
+def _ask(request_id="r1"):
+    return Ask(request_id, "pool", 7, 50, 0, "t", 0, [])
+
+
+async def _settle():
+    for _ in range(4):
+        await asyncio.sleep(0)
+
+
+def _mute(fleet, message_type):
+    """Let no instance answer one type of message."""
+
+    async def fail(sender, message):
+        raise TimeoutError
+
+    for peers in fleet.hub.peers.values():
+        peers.handlers[message_type] = fail
+
+
+class TestAbandoned:
+    def test_decision_before_the_message_is_released(self):
+        """Guards against work that stays reserved after the entry decided itself."""
+
+        async def run():
+            fleet = _Fleet()
+            owner = fleet.nodes["n1"].owner
+            assert (await owner.answer("n0", _ask())).upstream
+            assert fleet.work() == 50
+            owner.abandon("n0", "r1")
+            await _settle()
+            assert fleet.work() == 0
+
+        asyncio.run(run())
+
+    def test_message_before_the_decision_releases_it_too(self):
+        """Guards against an Ask that is overtaken by its Abandoned."""
+
+        async def run():
+            fleet = _Fleet()
+            owner = fleet.nodes["n1"].owner
+            owner.abandon("n0", "r1")
+            await owner.answer("n0", _ask())
+            await _settle()
+            assert fleet.work() == 0
+            await owner.answer("n0", _ask("r2"))
+            await _settle()
+            assert fleet.work() == 50
+
+        asyncio.run(run())
+
+
+class TestStewardUnreachable:
+    def _place(self, limit_tokens, count=20):
+        async def run():
+            fleet = _Fleet()
+            for peers in fleet.hub.peers.values():
+                del peers.handlers[Reserve]
+            node = fleet.nodes["n0"]
+            node.owner.reserve_here = None
+            for engine in ("e1", "e2", "e3"):
+                load = Load(2, 100, limit_tokens, seen_s=fleet.clock.now_s())
+                node.loads.put(engine, load)
+            choices = [await node.owner.decide("n0", _ask(str(n))) for n in range(count)]
+            return [choice.upstream for choice in choices]
+
+        return asyncio.run(run())
+
+    def test_warming_engine_gets_nothing(self):
+        """Guards against cold engines that each member fills for itself (P2)."""
+        assert not any(self._place(SERVICE.full_work_tokens - 1))
+
+    def test_warm_engines_get_a_share_of_the_bound(self):
+        """Guards against both no service and a broken bound without stewards (P1)."""
+        placed = [name for name in self._place(SERVICE.full_work_tokens) if name]
+        # With a mean of 2 the bound is 3, so that each engine has room for one more request.
+        assert sorted(placed) == ["e1", "e2", "e3"]
+
+
+class TestLostRelease:
+    def _lose(self, request_ids, kept, wait_s):
+        async def run():
+            fleet = _Fleet(engines=("e1",))
+            placer = fleet.nodes["n0"].placer
+            placements = []
+            for name in request_ids:
+                placements.append(await placer.place(_request(name)))
+            handlers = {}
+            for name, peers in fleet.hub.peers.items():
+                handlers[name] = peers.handlers.pop(Release)
+            for placement in placements[kept:]:
+                placer.release(_request(), placement)
+            placer.flush()
+            for name, peers in fleet.hub.peers.items():
+                peers.handlers[Release] = handlers[name]
+            fleet.clock.advance(wait_s)
+            placer.flush()
+            await _settle()
+            for node in fleet.nodes.values():
+                node.steward.sweep()
+            return fleet.work()
+
+        return asyncio.run(run())
+
+    def test_next_holdings_end_the_reservation(self):
+        """Guards against capacity lost for longer than one report of the entry."""
+        assert self._lose(("c1", "c2"), 1, HOLDINGS_INTERVAL_S) == 50
+
+    def test_age_ends_the_last_reservation_of_an_engine(self):
+        """Guards against a reservation that no holdings name, since the entry has none."""
+        assert self._lose(("c1",), 0, RESERVATION_AGE_S) == 0
+
+
+class TestLocalPeers:
+    def test_late_answer_is_an_unavailable_peer(self):
+        """Guards against tests that see another error than the one the interface promises."""
+
+        async def run():
+            fleet = _Fleet()
+            _mute(fleet, Ask)
+            try:
+                await fleet.hub.peers["n0"].ask("n1", _ask(), 1.0)
+            except PeerUnavailable as error:
+                return error
+            raise AssertionError("no error")
+
+        assert "n1" in str(asyncio.run(run()))
