--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -12,6 +12,7 @@
 from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.member import Member
 from jayyoke.core.move import Counts
+from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.control import Control
 from jayyoke.ops.decisions import count_dropped
 from jayyoke.ops.dispatch import Dispatch
@@ -171,6 +172,12 @@
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
+    def list_services() -> list[str]:
+        services = node.control.configuration.services.values()
+        return [spec.name for spec in services if find_protocol(spec.protocol).reports_load]
+
+    node.dispatch.homes.list_services = list_services
+
     def fill_teams(digest: Digest) -> None:
         digest.teams = node.limits.build_team_loads() or None
 
@@ -183,6 +190,8 @@
 
     peers.digests.add_part(node.dispatch.fill_loads)
     peers.digests.add_part(fill_teams)
+    peers.digests.add_part(node.dispatch.homes.fill)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
+    peers.digests.add_handler(node.dispatch.homes.accept)
     node.dispatch.notices.subscribe(send_notice)
