Fence off late orders of a version that is taken back; add four fuzz models

Cause: TAKING_BACK used the fencing token under which the new version had been ordered. An order that outlived its timeout could reach an engine that never loaded the version, after the move had ended as taken back. Ruled out: the lease (the same holder sent both orders) and the read-back (it reads the old version until the late order arrives).

Change: the write that starts TAKING_BACK raises the fencing token, and the move ends only when each engine that checks tokens has seen it. Services that ignore tokens are treated as before.

Moves and Mover take a wall clock, so that they run in virtual time.

--- /dev/null
+++ b/bench/fakeengines.py
@@ -0,0 +1,129 @@
+"""Fake engines behind the HTTP calls of `jayyoke.ops.orders`, in virtual time, for fuzz models."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import defaultdict
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import aiohttp
+
+from jayyoke.core.upstream import Upstream
+
+LATENCY_S = 0.005
+# Longer than the timeout of an order, so that orders of one holder overtake each other.
+SLOW_TRANSITS_S = (0.005, 0.05, 1.0, 5.0)
+SHORT_TRANSITS_S = (0.005, 0.05, 0.5)
+LOADS_S = (0.5, 2.0, 4.0)
+
+
+class FakeEngine:
+    """Loads versions as ordered; refuses older fencing tokens if it checks them."""
+
+    def __init__(self, name: str, version: str, checks_fencing: bool, rng: random.Random):
+        self.upstream = Upstream(name, "pool", "domain", name)
+        self.version = version
+        self.checks_fencing = checks_fencing
+        self.up = True
+        self.down_s = -1e9
+        self.fence = 0
+        self.loading = 0
+        # Which processes sent an order with a fencing token that took effect.
+        self.senders: dict[int, set[str]] = defaultdict(set)
+        self._lock = asyncio.Lock()
+        self._rng = rng
+
+    @property
+    def live(self) -> bool:
+        """Tell whether the engine accepts work."""
+        return self.up and not self.loading
+
+    def describe(self) -> dict[str, Any]:
+        """Return the body of `GET /load`."""
+        state = "loading" if self.loading else "live"
+        return {"version": self.version, "incarnation": "1", "state": state, "fence": self.fence}
+
+    async def order(self, order: dict[str, Any], sender: str) -> int:
+        """Return the status of an order once the version is loaded."""
+        if self.checks_fencing and order["fence"] < self.fence:
+            return 409
+        self.fence = max(self.fence, order["fence"])
+        self.senders[order["fence"]].add(sender)
+        # Orders take effect in the order of their arrival.
+        self.loading += 1
+        async with self._lock:
+            if order["version"] != self.version:
+                await asyncio.sleep(self._rng.choice(LOADS_S))
+                self.version = order["version"]
+        self.loading -= 1
+        return 200
+
+
+class FakeAnswer:
+    """Holds the status and body of an answer."""
+
+    def __init__(self, status: int, body: Any = None):
+        self.status = status
+        self._body = body
+
+    async def json(self, content_type: str | None = None) -> Any:
+        """Return the body."""
+        return self._body
+
+
+class EngineClient:
+    """Stands for the HTTP session of one process; the gate pauses it or keeps it for good."""
+
+    def __init__(
+        self,
+        engines: dict[str, FakeEngine],
+        gate: Callable[[], Awaitable[None]],
+        sender: str,
+        rng: random.Random,
+    ):
+        self._engines = engines
+        self._gate = gate
+        self._sender = sender
+        self._rng = rng
+        self._tasks: set[asyncio.Task[int]] = set()
+
+    @contextlib.asynccontextmanager
+    async def get(self, url: str, timeout: aiohttp.ClientTimeout) -> AsyncIterator[FakeAnswer]:
+        """Answer `GET /load`."""
+        await self._gate()
+        engine = self._find(url)
+        await asyncio.sleep(LATENCY_S)
+        answer = FakeAnswer(200, engine.describe())
+        await self._gate()
+        yield answer
+
+    @contextlib.asynccontextmanager
+    async def post(
+        self, url: str, json: dict[str, Any], timeout: aiohttp.ClientTimeout
+    ) -> AsyncIterator[FakeAnswer]:
+        """Answer `POST /orders`; an order on its way arrives even if its sender gives up."""
+        engine = self._find(url)
+        if engine.checks_fencing:
+            # A pause between the check and the send is excluded for other engines: they cannot
+            # tell the order of an earlier holder, which docs/fuzzing.md names as a limit.
+            await self._gate()
+        transits_s = SLOW_TRANSITS_S if engine.checks_fencing else SHORT_TRANSITS_S
+        task = asyncio.create_task(self._deliver(engine, json, self._rng.choice(transits_s)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        status = await asyncio.wait_for(asyncio.shield(task), timeout.total)
+        await self._gate()
+        yield FakeAnswer(status)
+
+    async def _deliver(self, engine: FakeEngine, order: dict[str, Any], transit_s: float) -> int:
+        await asyncio.sleep(transit_s)
+        return await engine.order(order, self._sender) if engine.up else 503
+
+    def _find(self, url: str) -> FakeEngine:
+        engine = self._engines[url.split("/")[2]]
+        if not engine.up:
+            raise aiohttp.ClientConnectionError("the engine is down")
+        return engine
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -12,12 +12,22 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-MODELS = ["bench.fuzz_once:OnceMachine", "bench.fuzz_outbox:OutboxMachine"]
+MODELS = [
+    "bench.fuzz_once:OnceMachine",
+    "bench.fuzz_outbox:OutboxMachine",
+    "bench.fuzz_moves:MovesMachine",
+    "bench.fuzz_answers:AnswersMachine",
+    "bench.fuzz_control:ControlMachine",
+    "bench.fuzz_domains:DomainsMachine",
+]
 STEPS_PER_EXAMPLE = 40
 
 
-def run_model(name: str, steps: int, seed_value: int) -> None:
-    """Run a model for about this many steps; raise the failure that it finds."""
+def run_model(name: str, steps: int, seed_value: int, shrink: bool = True) -> None:
+    """Run a model for about this many steps; raise the failure that it finds.
+
+    Without shrinking, a run that finds a failure ends no later than one that finds none.
+    """
     module, _, machine_name = name.partition(":")
     machine = getattr(importlib.import_module(module), machine_name)
     options = settings(
@@ -26,7 +36,7 @@
         deadline=None,
         database=None,
         suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate, Phase.shrink),
+        phases=(Phase.generate, Phase.shrink) if shrink else (Phase.generate,),
     )
     seeded = seed(seed_value)(type(machine.__name__, (machine,), {}))
     run_state_machine_as_test(seeded, settings=options)
--- /dev/null
+++ b/bench/fuzz_control.py
@@ -0,0 +1,75 @@
+"""Fuzz model of the configuration: accepted changes in order, never reverted, everywhere."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, rule
+
+from bench.controlfleet import NAMES, FleetMachine
+from jayyoke.core.error import Conflict, Effect, StoreUnavailable
+from jayyoke.ops.append import change_key
+from jayyoke.ops.change import InvalidChange, decode_delta
+from jayyoke.ops.control_test import team
+
+
+class ControlMachine(FleetMachine):
+    """Compares every instance with the accepted deltas replayed in order into a plain dict."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.accepted: dict[int, dict] = {}
+
+    @rule(name=st.sampled_from(NAMES), entry=st.sampled_from("pqrs"), key=st.integers(1, 9))
+    def append(self, name: str, entry: str, key: int) -> None:
+        """Append a change; what is reported as accepted must be in the log for good."""
+        self.loop.run_until_complete(self._append(name, entry, key))
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(2, 8))
+    def append_many(self, name: str, count: int) -> None:
+        """Append several changes, so that peers that were cut off need a snapshot."""
+        for index in range(count):
+            self.append(name, "pqrs"[index % 4], 10 + index)
+
+    async def _append(self, name: str, entry: str, key: int) -> None:
+        control = self.fleet.instances[name].control
+        before = len(self.rows())
+        try:
+            version = await control.append(team(entry, key), control.configuration.version)
+        except Conflict:
+            return
+        except InvalidChange:
+            held = control.configuration.team_by_key[f"{key:064x}"]
+            assert held.name != entry, "a change without a duplicate key was refused"
+            return
+        except StoreUnavailable as error:
+            assert error.effect is not Effect.NONE or not self.fleet.tables[name].reachable
+            if error.effect is Effect.NONE:
+                assert len(self.rows()) == before, "a change without effect is in the log"
+            return
+        row = self.fleet.table.rows[change_key(version)]
+        assert version not in self.accepted, "two changes were accepted as one version"
+        assert decode_delta(row.value).entries == team(entry, key)
+        self.accepted[version] = team(entry, key)
+
+    @invariant()
+    def never_reverts(self) -> None:
+        """Each instance holds a prefix of the log and goes through versions upwards only."""
+        if not hasattr(self, "fleet"):
+            return
+        states: list[dict] = [{}]
+        for row in self.rows():
+            state = dict(states[-1])
+            for (_, name), value in decode_delta(row.value).entries.items():
+                state[name] = value["key_sha256"]
+            states.append(state)
+        for version, entries in self.accepted.items():
+            body = self.fleet.table.rows[change_key(version)].value
+            assert decode_delta(body).entries == entries, f"accepted change {version} was replaced"
+        for instance in self.fleet.instances.values():
+            assert instance.versions == sorted(set(instance.versions)), instance.versions
+            held = instance.control.configuration
+            plain = {name: spec.key_sha256 for name, spec in held.teams.items()}
+            assert plain == states[held.version], f"version {held.version} differs from the log"
+            assert held.team_by_key == {spec.key_sha256: spec for spec in held.teams.values()}
+            if instance.control.ready and not instance.control.confirmed:
+                assert held.version > 0, "an instance without a configuration is ready"
--- a/jayyoke/ops/control_test.py
+++ b/jayyoke/ops/control_test.py
@@ -7,9 +7,6 @@
 from dataclasses import dataclass, field
 
 import pytest
-from hypothesis import HealthCheck, settings
-from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import Configuration, TeamSpec
@@ -18,10 +15,8 @@
 from jayyoke.ops.append import change_key
 from jayyoke.ops.change import (
     Delta,
-    InvalidChange,
     apply_delta,
     compare,
-    decode_delta,
     encode_delta,
     encode_snapshot,
 )
@@ -153,112 +148,6 @@
     return {("teams", name): {"key_sha256": f"{key:064x}", "classes": []}}
 
 
-class ControlMachine(RuleBasedStateMachine):
-    """Compares every instance with the accepted deltas replayed in order into a plain dict."""
-
-    names = [f"i{index}" for index in range(6)]
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.accepted: dict[int, str] = {}
-        self.restarts = 0
-        LossyPeers.random = random.Random(1)
-        LossyPeers.loss = 0.3
-
-        async def build() -> None:
-            self.fleet = Fleet()
-            await self.fleet.tick(2)
-
-        self.loop.run_until_complete(build())
-
-    def teardown(self) -> None:
-        self.loop.run_until_complete(self._converge())
-        self.loop.close()
-
-    async def _converge(self) -> None:
-        self.fleet.table.down = False
-        LossyPeers.loss = 0.0
-        await self.fleet.tick(9)
-        assert self.fleet.versions() == {len(self._rows())}
-
-    def _rows(self) -> list[Row]:
-        rows = self.fleet.table.rows
-        return [rows[key] for key in sorted(rows) if key.startswith("change/")]
-
-    @rule(name=st.sampled_from(names), entry=st.sampled_from("pqrs"), key=st.integers(1, 9))
-    def append(self, name, entry, key):
-        """Append a change; what is reported as accepted must be in the log for good."""
-
-        async def run() -> None:
-            control = self.fleet.instances[name].control
-            try:
-                version = await control.append(team(entry, key), control.configuration.version)
-            except Conflict:
-                return
-            except InvalidChange:
-                held = control.configuration.team_by_key[f"{key:064x}"]
-                assert held.name != entry, "a change without a duplicate key was refused"
-                return
-            except StoreUnavailable as error:
-                assert error.effect is not Effect.NONE or self.fleet.table.down
-                return
-            row = self.fleet.table.rows[change_key(version)]
-            assert version not in self.accepted, "two changes were accepted as one version"
-            assert decode_delta(row.value).entries == team(entry, key)
-            self.accepted[version] = entry
-
-        self.loop.run_until_complete(run())
-
-    @rule(down=st.booleans(), answers=st.integers(0, 2), writes=st.integers(0, 4))
-    def fault(self, down, answers, writes):
-        table = self.fleet.table
-        table.down, table.lose_answers, table.lose_writes = down, answers, writes
-
-    @rule(seconds=st.integers(1, 3))
-    def tick(self, seconds):
-        self.loop.run_until_complete(self.fleet.tick(seconds))
-
-    @precondition(lambda self: self.restarts < 5)
-    @rule(name=st.sampled_from(names))
-    def restart(self, name):
-        self.restarts += 1
-
-        async def run() -> None:
-            domain = self.fleet.instances[name].peers.me.domain
-            self.fleet.stop(name)
-            self.fleet.start(name, domain)
-
-        self.loop.run_until_complete(run())
-
-    @invariant()
-    def never_reverts(self):
-        """Each instance holds a prefix of the log and goes through versions upwards only."""
-        rows = self._rows()
-        states: list[dict] = [{}]
-        for row in rows:
-            state = dict(states[-1])
-            for (_, name), value in decode_delta(row.value).entries.items():
-                state[name] = value["key_sha256"]
-            states.append(state)
-        for instance in self.fleet.instances.values():
-            assert instance.versions == sorted(set(instance.versions))
-            held = instance.control.configuration
-            plain = {name: spec.key_sha256 for name, spec in held.teams.items()}
-            assert plain == states[held.version]
-            assert held.team_by_key == {spec.key_sha256: spec for spec in held.teams.values()}
-
-
-TestControlMachine = ControlMachine.TestCase
-TestControlMachine.settings = settings(
-    max_examples=25,
-    stateful_step_count=20,
-    derandomize=True,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
-
-
 class TestControl:
     def test_change_reaches_everyone_when_the_platform_is_cut_off_after_the_accept(self):
         """Guards against a change that only the table's readers would learn."""
--- a/jayyoke/ops/moveplan.py
+++ b/jayyoke/ops/moveplan.py
@@ -41,11 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineView:
-    """Says what the holder knows of one engine of the service."""
+    """Says what the holder knows of one engine of the service.
+
+    `fenced` tells that the engine refuses every order sent before the move's phase began, or
+    that it checks no fencing tokens.
+    """
 
     name: str
     version: str
     ready: bool
+    fenced: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +213,9 @@
     actions: list[Action] = []
     remaining = 0
     for engine in engines:
-        if engine.version != move.new_version:
+        # An order of the new version may still be on its way to an engine that never loaded it.
+        # The engine refuses it once it has seen the fencing token of this phase.
+        if engine.version != move.new_version and engine.fenced:
             continue
         remaining += 1
         if engine.ready:
@@ -223,6 +230,7 @@
         replace(
             move,
             phase=Phase.TAKING_BACK,
+            fence=move.fence + 1,
             share_ppm=0,
             shadow_ppm=0,
             step_started_s=now_s,
--- a/jayyoke/ops/moveplan_test.py
+++ b/jayyoke/ops/moveplan_test.py
@@ -89,6 +89,13 @@
         (changed,) = updates(plan_move(move, view("v1", "v1", "v1"), {}, True, 11.0))
         assert changed.phase is Phase.TAKEN_BACK
 
+    def test_late_order_of_the_new_version_is_fenced_off_before_the_end(self):
+        """Guards against an order that loads a halted version after its move was taken back."""
+        (changed,) = updates(plan_move(MOVE, view("v1", "v1"), {}, True, 10.0))
+        assert changed.fence == MOVE.fence + 1
+        engines = [EngineView("e0", "v1", True, fenced=False), EngineView("e1", "v1", True)]
+        assert plan_move(changed, engines, {}, True, 11.0) == [OrderVersion("e0", "v1")]
+
 
 class TestShare:
     def test_share_never_exceeds_what_ready_engines_carry(self):
--- a/jayyoke/ops/mover.py
+++ b/jayyoke/ops/mover.py
@@ -49,6 +49,7 @@
         halt: Callable[[str, str, str], None],
         checks_fencing: Callable[[str], bool],
         publish: Callable[[MoveRow], None],
+        wall_s: Callable[[], float] = time.time,
     ):
         self._row = row
         self._renewed_s = taken_s
@@ -61,6 +62,7 @@
         self._halt = halt
         self._checks_fencing = checks_fencing
         self._publish = publish
+        self._wall_s = wall_s
         self._known: dict[str, _Known] = {}
         self._cursor = 0
         self._load_s = DEFAULT_LOAD_S
@@ -110,7 +112,7 @@
             self._view(engines),
             self._read_evidence(move.id),
             self._is_halted(move.id, move.new_version),
-            time.time(),
+            self._wall_s(),
             self._load_s,
         )
         by_name = {engine.name: engine for engine in engines}
@@ -168,6 +170,8 @@
 
     def _view(self, engines: Sequence[Upstream]) -> list[EngineView]:
         now_s = self._clock.now_s()
+        move = self._row.move
+        checks_fencing = self._checks_fencing(move.service)
         view = []
         for engine in engines:
             known = self._known.get(engine.name)
@@ -175,7 +179,8 @@
                 continue
             ordered = now_s - known.order_sent_s < ORDER_TIMEOUT_S and known.order_sent_s > 0
             ready = known.state.ready and not ordered
-            view.append(EngineView(engine.name, known.state.version, ready))
+            fenced = not checks_fencing or known.state.fence >= move.fence
+            view.append(EngineView(engine.name, known.state.version, ready, fenced))
         return view
 
     def _send_order(self, engine: Upstream, version: str) -> None:
@@ -190,7 +195,9 @@
     async def _order(self, engine: Upstream, version: str) -> None:
         move = self._row.move
         before = await read_engine(self._http, engine)
-        if before is None or before.version == version or not self._may_order():
+        if before is None or not self._may_order():
+            return
+        if before.version == version and before.fence >= move.fence:
             return
         logging.info("move %s: %s loads %s", move.id, engine.name, version)
         try:
--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -74,6 +74,7 @@
         list_engines: Callable[[str], Sequence[Upstream]],
         find_version: Callable[[str], str],
         checks_fencing: Callable[[str], bool],
+        wall_s: Callable[[], float] = time.time,
     ):
         self._peers = peers
         self._table = table
@@ -83,6 +84,7 @@
         self._list_engines = list_engines
         self._version_of = find_version
         self._checks_fencing = checks_fencing
+        self._wall_s = wall_s
         self._rows: dict[str, MoveRow] = {}
         self._recorder = Recorder()
         self._pools: dict[str, EvidencePool] = {}
@@ -118,7 +120,7 @@
             if row.move.new_version == version:
                 return row.move
             raise MoveActive(row.move)
-        now_s = time.time()
+        now_s = self._wall_s()
         fence = row.move.fence + 1 if row else 1
         move = Move(
             id=f"{service}:{version}:{fence}",
@@ -328,6 +330,7 @@
             halt=self._halts.halt,
             checks_fencing=self._checks_fencing,
             publish=self._publish,
+            wall_s=self._wall_s,
         )
 
     async def _exchange_remote_evidence(self) -> None:
