--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -29,6 +29,8 @@
   MOVE_NOTICE = 44
   STATUS_REQUEST = 50
   STATUS = 51
+  LIST_UPSTREAMS = 52
+  UPSTREAMS = 53
 }
 
 // Opens a connection; both sides exchange raw nonces before it, so the nonce fields stay unset.
@@ -90,8 +92,16 @@
   3: bool out
 }
 
+// Live engines of a service in the sender's domain, in steps of a quarter of a doubling; 0: none.
+struct ServiceCapacity {
+  1: string service_name
+  2: i16 step
+}
+
 // Heartbeat and load digest in one message. halts ("{move} {version}") and drains hold what the change log does not
-// hold yet. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was never confirmed.
+// hold yet. changes holds index, requests and work_tokens, one engine after the other, of engines of which nothing else
+// changed since the last EngineLoad. Fields that are unset cost no bytes; confirmed_age_ms is unset while the version was
+// never confirmed.
 struct Digest {
   1: i64 control_version
   2: i32 sequence
@@ -102,9 +112,11 @@
   7: i64 confirmed_age_ms
   8: list<string> halts
   10: list<Drain> drains
+  11: list<i32> changes
+  12: list<ServiceCapacity> capacities
 }
 
-// Asks a chat's owner where to place a request.
+// Asks a chat's owner where to place a request; an empty entry is the sender.
 struct Ask {
   1: string request_id
   2: string service_name
@@ -114,6 +126,7 @@
   6: string team
   7: i16 priority
   8: list<string> exclude
+  9: string entry
 }
 
 struct Placed {
@@ -160,6 +173,7 @@
 struct Holdings {
   1: string upstream
   2: list<Holding> holdings
+  3: string entry
 }
 
 // Tells an engine's steward what the sender saw of it. incarnation 0: none was seen; failed: a connection broke.
@@ -172,6 +186,7 @@
 // Tells a chat's owner that the sender gave up waiting; the owner releases what it reserved.
 struct Abandoned {
   1: list<string> request_ids
+  2: string entry
 }
 
 // tokens 0: the chat was evicted.
@@ -180,11 +195,12 @@
   2: i32 tokens
 }
 
-// Tells a chat's owner what an engine reported; gap: events before these were lost.
+// Tells a chat's owner what an engine reported; gap: events before these were lost; replayed: an earlier owner was told.
 struct CacheEvents {
   1: string upstream
   2: list<CacheEvent> events
   3: bool gap
+  4: bool replayed
 }
 
 struct PullChanges {
@@ -263,3 +279,23 @@
 struct Status {
   1: binary body
 }
+
+// Asks for the sender's last upstream list; known is the digest of the asker's list, 0 for none.
+struct ListUpstreams {
+  1: i64 known
+}
+
+struct ListedUpstream {
+  1: string name
+  2: string service_name
+  3: string domain
+  4: string address
+  5: bool leaving
+}
+
+// age_ms tells how long ago the platform gave the list; -1: never. unchanged: the list is the asker's, and left out.
+struct Upstreams {
+  1: i64 age_ms
+  2: bool unchanged
+  3: list<ListedUpstream> upstreams
+}
--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -10,20 +11,28 @@
 
 from jayyoke.core.clock import Clock
 from jayyoke.core.config import ServiceSpec
-from jayyoke.core.error import StoreUnavailable
+from jayyoke.core.error import PeerUnavailable, StoreUnavailable
+from jayyoke.core.member import Member
+from jayyoke.core.peering import Peers
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.loads import Loads
+from jayyoke.ops.upstreamlist import format_upstreams, hash_upstreams, parse_upstreams
 from jayyoke.ops.versions import EngineVersions
-from jayyoke.platform.listing import Listing
+from jayyoke.platform.listing import Listing, Snapshot
+from jayyoke.wire.gen.ttypes import ListUpstreams, Upstreams
 
 POLL_INTERVAL_S = 1.0
+MIN_PAUSE_S = 0.1
+ASK_TIMEOUT_S = 0.5
+PEERS_ASKED = 2
 AVOID_S = 1.0  # Within this time the steward's digest tells every peer.
+MAX_SERVICES = 64
 
 
 class Health:
     """Combines the list, the digests and this instance's own probes and failures.
 
-    The last list stays while the list is unavailable.
+    While the list cannot be read, peers pass on theirs, and the freshest list stays.
     """
 
     def __init__(
@@ -32,6 +41,7 @@
         clock: Clock,
         loads: Loads,
         find_service: Callable[[str], ServiceSpec | None],
+        peers: Peers | None = None,
     ):
         self._listing = listing
         self._clock = clock
@@ -40,17 +50,42 @@
         self._listed: dict[str, Upstream] = {}
         self._probed: dict[str, UpstreamState] = {}
         self._avoided: dict[str, float] = {}
+        self._found: dict[str, tuple[int, float, tuple[Upstream, ...]]] = {}
+        self._peers = peers
+        self._read_s: float | None = None
+        self._read_failed = False
+        self._source = ""
+        self._snapshot: Snapshot | None = None
+        self._turn = 0
+        if peers is not None:
+            peers.serve(ListUpstreams, self._answer_list)
+
+    @property
+    def listed(self) -> bool:
+        """Tell whether this instance has a list, be it the platform's or a peer's."""
+        return self._read_s is not None
 
     def candidates(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that may receive new work, by name."""
-        found = []
         now_s = self._clock.now_s()
+        known = self._found.get(service)
+        if known is not None and known[0] == self._loads.state_changes and now_s < known[1]:
+            return known[2]
+        found = []
+        until_s = math.inf
         for name, listed in self._listed.items():
-            if listed.service != service or now_s < self._avoided.get(name, now_s):
+            if listed.service != service:
+                continue
+            avoided_s = self._avoided.get(name, now_s)
+            if now_s < avoided_s:
+                until_s = min(until_s, avoided_s)
                 continue
             if self._judge(listed) is UpstreamState.LIVE:
                 found.append(listed)
-        return tuple(found)
+        if len(self._found) >= MAX_SERVICES:
+            self._found.clear()
+        self._found[service] = (self._loads.state_changes, until_s, tuple(found))
+        return self._found[service][2]
 
     def find(self, name: str) -> Upstream | None:
         """Return an upstream by name, whatever its state."""
@@ -83,6 +118,8 @@
 
     def record_probe(self, name: str, state: UpstreamState | None) -> None:
         """Record what this steward's probe found; None once another instance is the steward."""
+        if self._probed.get(name) is not state:
+            self._found.clear()
         if state is None:
             self._probed.pop(name, None)
             return
@@ -91,24 +128,92 @@
     def avoid(self, name: str) -> None:
         """Keep an upstream out of this instance's candidates until its steward has judged it."""
         self._avoided[name] = self._clock.now_s() + AVOID_S
+        self._found.clear()
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
-            try:
-                await self.refresh()
-            except StoreUnavailable as error:
-                logging.warning("instance list cannot be read: %s", error)
-            await asyncio.sleep(POLL_INTERVAL_S)
+            started_s = self._clock.now_s()
+            await self.step()
+            # A read that times out must not delay the next question to the peers.
+            spent_s = self._clock.now_s() - started_s
+            await asyncio.sleep(max(MIN_PAUSE_S, POLL_INTERVAL_S - spent_s))
+
+    async def step(self) -> None:
+        """Read the list; ask peers for theirs if the last read failed."""
+        asks = [self.ask_peers()] if self._read_failed else []
+        try:
+            await asyncio.gather(self.refresh(), *asks)
+            self._read_failed = False
+        except StoreUnavailable as error:
+            logging.warning("instance list cannot be read: %s", error)
+            if not self._read_failed:
+                self._read_failed = True
+                await self.ask_peers()
+
+    async def ask_peers(self) -> None:
+        """Take over the list of a peer that read it later than this instance."""
+        if self._peers is None:
+            return
+        me = self._peers.me.name
+        names = [member.name for member in self._peers.members() if member.name != me]
+        if not names:
+            return
+        # Turns reach every peer; the last useful one is asked each time.
+        self._turn += 1
+        chosen = {names[(self._turn * PEERS_ASKED + n) % len(names)] for n in range(PEERS_ASKED)}
+        if self._source in names:
+            chosen.add(self._source)
+        await asyncio.gather(*(self._ask_peer(name) for name in sorted(chosen)))
+
+    async def _ask_peer(self, name: str) -> None:
+        known = hash_upstreams(self._listed.values()) if self.listed else 0
+        asked_s = self._clock.now_s()
+        try:
+            answer = await self._peers.ask(name, ListUpstreams(known), ASK_TIMEOUT_S)
+        except PeerUnavailable as error:
+            logging.debug("list cannot be had from %s: %s", name, error)
+            return
+        if not isinstance(answer, Upstreams) or answer.age_ms is None or answer.age_ms < 0:
+            return
+        read_s = asked_s - answer.age_ms / 1000
+        if self._read_s is not None and read_s <= self._read_s:
+            return
+        if not answer.unchanged:
+            upstreams = parse_upstreams(answer)
+            if upstreams is None:
+                logging.warning("list of %s is out of bounds", name)
+                return
+            self._snapshot = None
+            self._replace(upstreams)
+        self._read_s = read_s
+        self._source = name
+
+    async def _answer_list(self, sender: Member, request: ListUpstreams) -> Upstreams:
+        if self._read_s is None:
+            return Upstreams(-1)
+        age_ms = int((self._clock.now_s() - self._read_s) * 1000)
+        listed = self._listed.values()
+        if request.known and request.known == hash_upstreams(listed):
+            return Upstreams(age_ms, True)
+        return Upstreams(age_ms, False, format_upstreams(listed))
 
     async def refresh(self) -> None:
         """Read the list once; raise StoreUnavailable."""
+        asked_s = self._clock.now_s()
         snapshot = await self._listing.read()
-        listed = sorted(snapshot.upstreams, key=lambda upstream: upstream.name)
+        self._read_s = max(asked_s, self._read_s or asked_s)
+        if snapshot is self._snapshot:
+            return
+        self._snapshot = snapshot
+        self._replace(sorted(snapshot.upstreams, key=lambda upstream: upstream.name))
+
+    def _replace(self, listed: list[Upstream]) -> None:
         self._listed = {upstream.name: upstream for upstream in listed}
         self._avoided = {n: at for n, at in self._avoided.items() if n in self._listed}
         self._loads.versions.forget(set(self._listed))
         self._probed = {n: state for n, state in self._probed.items() if n in self._listed}
+        self._found.clear()
 
     def _judge(self, listed: Upstream) -> UpstreamState:
         if listed.state is not UpstreamState.LIVE:
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -13,14 +13,26 @@
 from jayyoke.core.error import PeerUnavailable
 from jayyoke.core.member import Member
 from jayyoke.core.peering import Peers
+from jayyoke.ops.bound import compute_bound, tighten
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.memory import Memory
 from jayyoke.ops.policy import Policy, Question
 from jayyoke.ops.steward import Directory, Stewardship
-from jayyoke.wire.gen.ttypes import Abandoned, Ask, CacheEvents, Placed, Release, Reserve
+from jayyoke.wire.gen.ttypes import (
+    Ask,
+    CacheEvent,
+    CacheEvents,
+    Granted,
+    Placed,
+    Release,
+    Reserve,
+)
 
 RESERVE_TIMEOUT_S = 0.005
+# With peers 50 ms away, 5 ms alone refused a third of the chats of an idle fleet.
+PATIENT_RESERVE_TIMEOUT_S = 0.25
 MAX_TRIES = 4
+STEWARD_UNREACHABLE = "steward-unreachable"
 MAX_RECENT = 4096
 LOCAL_PERIOD_S = 5.0
 RETRY_AFTER_MS = 1000
@@ -37,6 +49,12 @@
 
 
 Select = Callable[[str, str, list[str]], list[str]]
+ReserveHere = Callable[[Reserve], Granted]
+
+
+def read_placed(placed: Placed) -> Choice:
+    """Return the choice of another instance."""
+    return Choice(placed.upstream, placed.reason, tuple(placed.passed or ()))
 
 
 def keep_all(service: str, chat: str, engines: list[str]) -> list[str]:
@@ -60,21 +78,23 @@
         self.memory = Memory()
         # Version moves narrow the engines down to those that run the chat's version.
         self.select: Select = keep_all
+        # The steward of this instance, asked without a message and a timeout if there is one.
+        self.reserve_here: ReserveHere | None = None
         self._clock = clock
         self._peers = peers
         self._loads = loads
         self._directory = directory
         self._policy = policy
         self._out = out
-        self._stewardship = Stewardship(peers)
+        self._stewardship = Stewardship(peers, directory)
         self._random = rng
         self._listed: dict[str, tuple[Any, Any, Any, list[str]]] = {}
+        self._view: tuple[Member, ...] = ()
+        self._domains: frozenset[str] = frozenset()
         self._turn = self._random.randrange(1 << 16)
         self._recent: OrderedDict[tuple[str, str], str] = OrderedDict()
         self._abandoned: OrderedDict[tuple[str, str], None] = OrderedDict()
-        self._local: dict[str, list[float]] = {}
-        peers.serve(Ask, self._serve_ask)
-        peers.serve(Abandoned, self._serve_abandoned)
+        self._local: dict[str, list[tuple[float, int]]] = {}
         peers.serve(CacheEvents, self._serve_events)
 
     def list_engines(self, service: str, exclude: Sequence[str] = ()) -> list[str]:
@@ -84,7 +104,7 @@
 
     def _list_all(self, service: str) -> list[str]:
         out = self._out()
-        reachable = self._peers.reachable_domains()
+        reachable = self._list_domains()
         candidates = self._directory.candidates(service)
         cached = self._listed.get(service)
         if cached is not None and cached[0] is candidates and cached[1:3] == (out, reachable):
@@ -96,6 +116,14 @@
         self._listed[service] = (candidates, out, reachable, names)
         return names
 
+    def _list_domains(self) -> frozenset[str]:
+        """Return the domains of the placement group, whose engines have their stewards in it."""
+        view = self._peers.members()
+        if view is not self._view:
+            self._view = view
+            self._domains = frozenset(member.domain for member in view)
+        return self._domains
+
     async def decide(self, entry: str, ask: Ask) -> Choice:
         """Choose an engine and reserve the request's work at its steward."""
         service = self._directory.service(ask.service_name)
@@ -120,6 +148,7 @@
                 self._remember(ask, entry, engine)
             return Choice(engine, "policy")
         passed: list[str] = []
+        unreached: list[Reserve] = []
         tries = 0
         for engine in order:
             # The steward decides on the remembered engine: a stale digest must not cost a cache.
@@ -130,15 +159,24 @@
             reserve = Reserve(
                 ask.request_id, engine, work, entry, mean.work_tokens, mean.requests, False
             )
-            reason = await self._reserve(reserve, service)
+            reason = await self._reserve(reserve, service, engines)
             if not reason:
                 self._remember(ask, entry, engine)
                 found = "remembered" if engine == remembered else "rendezvous"
                 return Choice(engine, found, tuple(passed))
+            if reason == STEWARD_UNREACHABLE:
+                unreached.append(reserve)
             passed.append(engine)
             tries += 1
             if tries >= MAX_TRIES:
                 break
+        for reserve in unreached:
+            reason = await self._reserve(reserve, service, engines, PATIENT_RESERVE_TIMEOUT_S)
+            if not reason:
+                self._remember(ask, entry, reserve.upstream)
+                return Choice(reserve.upstream, "rendezvous", tuple(passed))
+            if reason == STEWARD_UNREACHABLE:
+                break
         return Choice("", "overloaded", tuple(passed))
 
     async def admit(self, entry: str, ask: Ask, engine: str) -> bool:
@@ -146,44 +184,70 @@
         service = self._directory.service(ask.service_name)
         if service is None:
             return False
-        mean = self._loads.mean(service.name, self.list_engines(service.name))
+        engines = self.list_engines(service.name)
+        mean = self._loads.mean(service.name, engines)
         work = ask.prompt_tokens + ask.output_tokens
         reserve = Reserve(
             ask.request_id, engine, work, entry, mean.work_tokens, mean.requests, False
         )
-        return not await self._reserve(reserve, service)
+        return not await self._reserve(reserve, service, engines)
 
-    async def _reserve(self, reserve: Reserve, service: ServiceSpec) -> str:
+    async def _reserve(
+        self,
+        reserve: Reserve,
+        service: ServiceSpec,
+        engines: Sequence[str],
+        timeout_s: float = RESERVE_TIMEOUT_S,
+    ) -> str:
         """Return why the work was refused, or an empty string if it was admitted."""
         engine = reserve.upstream
         steward = self._stewardship.find(engine)
         try:
-            granted = await self._peers.ask(steward, reserve, RESERVE_TIMEOUT_S)
-        except (PeerUnavailable, TimeoutError):
+            if self.reserve_here is not None and steward == self._peers.me.name:
+                granted = self.reserve_here(reserve)
+            else:
+                granted = await self._peers.ask(steward, reserve, timeout_s)
+        except PeerUnavailable:
             # The reservation may have been made; the local decision replaces it.
             release = Release(engine, [reserve.request_id], reserve.entry)
             self._peers.tell(steward, release)
-            return self._reserve_locally(reserve, service)
+            return self._reserve_locally(reserve, service, engines)
         if granted.reason not in ("not-steward", "unknown-upstream"):
             self._loads.learn_granted(engine, granted)
         return "" if granted.granted else granted.reason
 
-    def _reserve_locally(self, reserve: Reserve, service: ServiceSpec) -> str:
-        """Admit as if every member did the same; nothing on an engine in slow start."""
+    def _reserve_locally(
+        self, reserve: Reserve, service: ServiceSpec, engines: Sequence[str]
+    ) -> str:
+        """Admit evenly and as if every member did the same; nothing on an engine in slow start.
+
+        `engines` are those that the request may use: while others fail, they carry all work.
+        """
         engine = reserve.upstream
         load = self._loads.find(engine)
         if load is None or load.limit_tokens < service.full_work_tokens:
-            return "steward-unreachable"
+            return STEWARD_UNREACHABLE
         now_s = self._clock.now_s()
-        recent = [at_s for at_s in self._local.get(engine, ()) if now_s - at_s < LOCAL_PERIOD_S]
-        members = len(self._peers.members())
-        mean = self._loads.mean(service.name, self.list_engines(service.name))
-        used = self._loads.rate(service, mean)(engine)
-        if used + len(recent) * members / max(mean.requests, 1.0) >= 1.0:
-            return "steward-unreachable"
-        self._local[engine] = [*recent, now_s]
+        recent = self._list_local(engine, now_s)
+        mean = self._loads.mean(service.name, engines)
+        if self._loads.rate(service, mean)(engine) >= 1.0:
+            return STEWARD_UNREACHABLE
+        counts = sum(len(self._list_local(name, now_s)) for name in engines)
+        own_mean = (counts + 1) / max(len(engines), 1)
+        if len(recent) + 1 > compute_bound(tighten(service.bound_multiple), own_mean):
+            return STEWARD_UNREACHABLE
+        work = reserve.work_tokens + sum(tokens for _, tokens in recent)
+        room = load.limit_tokens - load.work_tokens
+        if recent and work * len(self._peers.members()) > room:
+            return STEWARD_UNREACHABLE
+        self._local[engine] = [*recent, (now_s, reserve.work_tokens)]
         return ""
 
+    def _list_local(self, engine: str, now_s: float) -> list[tuple[float, int]]:
+        """Return when and how much this instance admitted by itself lately."""
+        found = self._local.get(engine, ())
+        return [item for item in found if now_s - item[0] < LOCAL_PERIOD_S]
+
     def _remember(self, ask: Ask, entry: str, engine: str) -> None:
         tokens = ask.prompt_tokens + ask.output_tokens
         self.memory.learn(ask.chat, engine, tokens, self._clock.now_s())
@@ -195,34 +259,43 @@
         if len(self._recent) > MAX_RECENT:
             self._recent.popitem(last=False)
 
-    async def _serve_ask(self, sender: Member, ask: Ask) -> Placed:
-        choice = await self.decide(sender.name, ask)
+    async def answer(self, entry: str, ask: Ask) -> Placed:
+        """Decide on another instance's request."""
+        choice = await self.decide(entry, ask)
         retry_after_ms = 0 if choice.upstream else RETRY_AFTER_MS
         passed = list(choice.passed_over) or None
         count = len(choice.passed_over)
         return Placed(choice.upstream, choice.reason, count, 0, retry_after_ms, passed)
 
-    async def _serve_abandoned(self, sender: Member, message: Abandoned) -> None:
-        for request_id in message.request_ids:
-            engine = self._recent.pop((sender.name, request_id), None)
-            if engine is not None:
-                self._release(sender.name, request_id, engine)
-                continue
-            # The decision is still under way, or the Ask comes later.
-            self._abandoned[(sender.name, request_id)] = None
-            if len(self._abandoned) > MAX_RECENT:
-                self._abandoned.popitem(last=False)
+    def abandon(self, entry: str, request_id: str) -> None:
+        """Release what an entry that gave up waiting no longer needs."""
+        engine = self._recent.pop((entry, request_id), None)
+        if engine is not None:
+            self._release(entry, request_id, engine)
+            return
+        # The decision is still under way, or the Ask comes later.
+        self._abandoned[(entry, request_id)] = None
+        if len(self._abandoned) > MAX_RECENT:
+            self._abandoned.popitem(last=False)
 
     def _release(self, entry: str, request_id: str, engine: str) -> None:
         release = Release(engine, [request_id], entry)
         self._peers.tell(self._stewardship.find(engine), release)
 
+    def _restore(self, message: CacheEvents, event: CacheEvent, now_s: float) -> None:
+        known = self.memory.find(event.chat, now_s) if message.replayed else None
+        if known is not None and known[0] != message.upstream and known[1] < event.tokens:
+            # Two engines hold parts of a chat; the longer one is the later turn.
+            self.memory.learn(event.chat, message.upstream, event.tokens, now_s)
+            return
+        self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+
     async def _serve_events(self, sender: Member, message: CacheEvents) -> None:
         now_s = self._clock.now_s()
         if message.gap:
             self.memory.doubt(message.upstream, now_s)
         for event in message.events[:MAX_EVENTS]:
             if event.tokens > 0:
-                self.memory.restore(event.chat, message.upstream, event.tokens, now_s)
+                self._restore(message, event, now_s)
             else:
                 self.memory.evict(event.chat, message.upstream, now_s)
--- a/jayyoke/ops/steward.py
+++ b/jayyoke/ops/steward.py
@@ -53,23 +53,36 @@
 class Stewardship:
     """Maps each engine to the member that is its steward."""
 
-    def __init__(self, peers: Peers):
+    def __init__(self, peers: Peers, directory: Directory):
         self._peers = peers
+        self._directory = directory
         self._view: tuple[Member, ...] = ()
+        self._domains: frozenset[str] = frozenset()
         self._stewards: dict[str, str] = {}
 
     def find(self, engine: str) -> str:
-        """Return the name of an engine's steward among the live members."""
+        """Return the name of an engine's steward, or of a linked instance of another group."""
         view = self._peers.members()
         if view != self._view:
             self._view = view
+            self._domains = frozenset(member.domain for member in view)
             self._stewards.clear()
         steward = self._stewards.get(engine)
         if steward is None:
+            abroad = self._find_abroad(engine)
+            if abroad:
+                return abroad
             steward = choose(engine, (member.name for member in view)) or self._peers.me.name
             self._stewards[engine] = steward
         return steward
 
+    def _find_abroad(self, engine: str) -> str:
+        upstream = self._directory.find(engine)
+        if upstream is None or upstream.domain in self._domains:
+            return ""
+        linked = self._peers.linked(upstream.domain)
+        return choose(engine, (member.name for member in linked)) or ""
+
 
 class Steward:
     """Admits work to the engines that this instance is the steward of."""
@@ -88,7 +101,7 @@
         self._peers = peers
         self._loads = loads
         self._directory = directory
-        self._stewardship = Stewardship(peers)
+        self._stewardship = Stewardship(peers, directory)
         self._accounts: dict[str, Account] = {}
         self._dead: dict[str, float] = {}
         self._incarnations: dict[str, int] = {}
@@ -154,13 +167,14 @@
         account = self._open(engine)
         now_s = self._clock.now_s()
         reason = ""
+        mean = self._mean(service)
         if not account.holds(message.entry, message.request_id):
-            reason = "" if message.forced else self._refuse(account, service, message, now_s)
+            reason = "" if message.forced else self._refuse(account, service, message, mean, now_s)
             if not reason:
                 reservation = Reservation(max(message.work_tokens, 0), now_s)
                 account.add(message.entry, message.request_id, reservation)
         limit = self._limit(account, service, now_s)
-        self._notice(account, engine, service, limit, now_s)
+        self._notice(account, engine, service, mean, limit, now_s)
         load = Load(
             account.requests,
             account.work_tokens,
@@ -183,7 +197,8 @@
         if account.noticed and service is not None:
             now_s = self._clock.now_s()
             limit = self._limit(account, service, now_s)
-            self._notice(account, message.upstream, service, limit, now_s)
+            mean = self._mean(service)
+            self._notice(account, message.upstream, service, mean, limit, now_s)
 
     def accept_holdings(self, entry: str, message: Holdings) -> None:
         """Replace an entry's reservations by what it says it holds."""
@@ -257,7 +272,7 @@
                 self._open(engine)
 
     def _refuse(
-        self, account: Account, service: ServiceSpec, message: Reserve, now_s: float
+        self, account: Account, service: ServiceSpec, message: Reserve, mean: Mean, now_s: float
     ) -> str:
         added = message.work_tokens
         if account.full or added < 0:
@@ -277,7 +292,6 @@
         idle_and_warm = account.requests == 0 and limit >= service.full_work_tokens
         if account.work_tokens + added > limit and not idle_and_warm:
             return "slow-start" if limit < service.full_work_tokens else "limit"
-        mean = self._mean(service)
         if message.mean_requests > mean.requests:
             work = max(mean.work_tokens, message.mean_work_tokens)
             mean = Mean(mean.engines, message.mean_requests, work)
@@ -301,9 +315,15 @@
         return min(limit, service.cold_work_tokens) if account.unconfirmed else limit
 
     def _notice(
-        self, account: Account, engine: str, service: ServiceSpec, limit: int, now_s: float
+        self,
+        account: Account,
+        engine: str,
+        service: ServiceSpec,
+        mean: Mean,
+        limit: int,
+        now_s: float,
     ) -> None:
-        bound = compute_bound(tighten(service.bound_multiple), self._mean(service).requests)
+        bound = compute_bound(tighten(service.bound_multiple), mean.requests)
         near = account.requests >= NEAR_SHARE * bound or account.work_tokens >= NEAR_SHARE * limit
         interval_s = NOTICE_INTERVAL_PER_MEMBER_S * len(self._peers.members())
         # Owners pass over an engine that they think is full, so they must also hear that it has
@@ -359,13 +379,30 @@
         return self.reserve(message)
 
     async def _serve_release(self, sender: Member, message: Release) -> None:
-        self.release(message.entry or sender.name, message)
+        message.entry = message.entry or sender.name
+        if not self._pass_on(sender, message):
+            self.release(message.entry, message)
 
     async def _serve_holdings(self, sender: Member, message: Holdings) -> None:
-        self.accept_holdings(sender.name, message)
+        message.entry = message.entry or sender.name
+        if not self._pass_on(sender, message):
+            self.accept_holdings(message.entry, message)
 
     async def _serve_observed(self, sender: Member, message: Observed) -> None:
+        if self._pass_on(sender, message):
+            return
         if message.failed:
             self.suspect(message.upstream)
         if message.incarnation != 0:
             self.confirm(message.upstream, message.incarnation)
+
+    def _pass_on(self, sender: Member, message: Release | Holdings | Observed) -> bool:
+        """Pass a message of another group on to the engine's steward; return True if it was."""
+        steward = self._stewardship.find(message.upstream)
+        members = self._peers.members()
+        if steward == self._peers.me.name or sender in members:
+            return False
+        if steward not in (member.name for member in members):
+            return False
+        self._peers.tell(steward, message)
+        return True
--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -13,7 +13,7 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.core.member import Member, MemberChange
 from jayyoke.core.peering import Handler, Message
-from jayyoke.ops.digest import Digests
+from jayyoke.ops.digest import Digests, shorten
 from jayyoke.ops.membership import HEARTBEAT_INTERVAL_S, Membership
 from jayyoke.wire.gen.constants import REVISION
 from jayyoke.wire.gen.ttypes import Failure, Hello, Welcome
@@ -32,11 +32,20 @@
 class TcpPeers:
     """Implements the Peers interface over TCP; views come from the membership."""
 
-    def __init__(self, membership: Membership, key: bytes, clock: Clock):
+    def __init__(
+        self,
+        membership: Membership,
+        key: bytes,
+        clock: Clock,
+        listen_address: str = "",
+        source: str = "",
+    ):
         self.traffic = Traffic()
         self.address = membership.me.peer_address
         self.membership = membership
         self._key = key
+        self._listen_address = listen_address or membership.me.peer_address
+        self._source = source
         self._clock = clock
         self._handlers: dict[type, Handler] = {}
         self._dialled: dict[str, Connection] = {}
@@ -67,6 +76,14 @@
         """Return the domains of which at least one instance is live, the own one included."""
         return self.membership.reachable_domains()
 
+    def linked(self, domain: str) -> tuple[Member, ...]:
+        """Return the live instances of a domain to which a connection is open."""
+        found = []
+        for member in self.membership.present():
+            if member.domain == domain and self._find(member.name) is not None:
+                found.append(member)
+        return tuple(found)
+
     async def ask(self, instance: str, message: Message, timeout_s: float) -> Message:
         """Return a peer's answer; raise PeerUnavailable after `timeout_s` seconds at the latest."""
         if instance == self.me.name:
@@ -99,8 +116,8 @@
         self._handlers[message_type] = handler
 
     async def start(self) -> None:
-        """Listen on the peer address; raise OSError."""
-        host, _, port = self.me.peer_address.rpartition(":")
+        """Listen for peers; raise OSError."""
+        host, _, port = self._listen_address.rpartition(":")
         self._server = await asyncio.start_server(self._serve_peer, host, int(port))
 
     async def run(self) -> None:
@@ -118,9 +135,12 @@
         self._close_silent()
         self._adjust_links()
         digest = self.digests.build()
+        short = shorten(digest)
+        group = {member.name for member in self.members()}
         acknowledged = digest.sequence % _ACKNOWLEDGED_EVERY == 0
         for connection in self._connections():
-            connection.send(digest, _HEARTBEAT_CORRELATION if acknowledged else 0)
+            beat = digest if connection.member.name in group else short
+            connection.send(beat, _HEARTBEAT_CORRELATION if acknowledged else 0)
 
     def announce_leaving(self) -> None:
         """Tell every peer that this instance drains."""
@@ -191,7 +211,12 @@
         while True:
             try:
                 connection = await dial(
-                    address, self._key, self._build_hello(), self._clock, self.traffic
+                    address,
+                    self._key,
+                    self._build_hello(),
+                    self._clock,
+                    self.traffic,
+                    self._source,
                 )
                 if connection.member.name == self.me.name:
                     connection.close()
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -41,6 +41,8 @@
     MOVE_NOTICE = 44
     STATUS_REQUEST = 50
     STATUS = 51
+    LIST_UPSTREAMS = 52
+    UPSTREAMS = 53
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -67,6 +69,8 @@
         44: "MOVE_NOTICE",
         50: "STATUS_REQUEST",
         51: "STATUS",
+        52: "LIST_UPSTREAMS",
+        53: "UPSTREAMS",
     }
 
     _NAMES_TO_VALUES = {
@@ -94,6 +98,8 @@
         "MOVE_NOTICE": 44,
         "STATUS_REQUEST": 50,
         "STATUS": 51,
+        "LIST_UPSTREAMS": 52,
+        "UPSTREAMS": 53,
     }
 
 
@@ -897,6 +903,86 @@
         return not (self == other)
 
 
+class ServiceCapacity(object):
+    """
+    Attributes:
+     - service_name
+     - step
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'step',
+    )
+
+
+    def __init__(self, service_name=None, step=None,):
+        self.service_name = service_name
+        self.step = step
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I16:
+                    self.step = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceCapacity')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I16, 2)
+            oprot.writeI16(self.step)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -909,6 +995,8 @@
      - confirmed_age_ms
      - halts
      - drains
+     - changes
+     - capacities
 
     """
 
@@ -922,10 +1010,12 @@
         'confirmed_age_ms',
         'halts',
         'drains',
+        'changes',
+        'capacities',
     )
 
 
-    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None,):
+    def __init__(self, control_version=None, sequence=None, names=None, loads=None, teams=None, leaving=None, confirmed_age_ms=None, halts=None, drains=None, changes=None, capacities=None,):
         self.control_version = control_version
         self.sequence = sequence
         self.names = names
@@ -935,6 +1025,8 @@
         self.confirmed_age_ms = confirmed_age_ms
         self.halts = halts
         self.drains = drains
+        self.changes = changes
+        self.capacities = capacities
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1019,6 +1111,27 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readI32()
+                        self.changes.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.capacities = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = ServiceCapacity()
+                        _elem41.read(iprot)
+                        self.capacities.append(_elem41)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1040,22 +1153,22 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.names))
-            for iter30 in self.names:
-                iter30.write(oprot)
+            for iter42 in self.names:
+                iter42.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter31 in self.loads:
-                iter31.write(oprot)
+            for iter43 in self.loads:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.teams is not None:
             oprot.writeFieldBegin('teams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.teams))
-            for iter32 in self.teams:
-                iter32.write(oprot)
+            for iter44 in self.teams:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1069,15 +1182,29 @@
         if self.halts is not None:
             oprot.writeFieldBegin('halts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.halts))
-            for iter33 in self.halts:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter45 in self.halts:
+                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.drains is not None:
             oprot.writeFieldBegin('drains', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.drains))
-            for iter34 in self.drains:
-                iter34.write(oprot)
+            for iter46 in self.drains:
+                iter46.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 11)
+            oprot.writeListBegin(TType.I32, len(self.changes))
+            for iter47 in self.changes:
+                oprot.writeI32(iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.capacities is not None:
+            oprot.writeFieldBegin('capacities', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.capacities))
+            for iter48 in self.capacities:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1116,6 +1243,7 @@
      - team
      - priority
      - exclude
+     - entry
 
     """
 
@@ -1128,10 +1256,11 @@
         'team',
         'priority',
         'exclude',
+        'entry',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, chat=None, prompt_tokens=None, output_tokens=None, team=None, priority=None, exclude=None,):
+    def __init__(self, request_id=None, service_name=None, chat=None, prompt_tokens=None, output_tokens=None, team=None, priority=None, exclude=None, entry=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.chat = chat
@@ -1140,6 +1269,7 @@
         self.team = team
         self.priority = priority
         self.exclude = exclude
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1188,13 +1318,18 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.exclude = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.exclude.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.exclude.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1236,10 +1371,14 @@
         if self.exclude is not None:
             oprot.writeFieldBegin('exclude', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.exclude))
-            for iter41 in self.exclude:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter55 in self.exclude:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 9)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1332,10 +1471,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.passed = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.passed.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.passed.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1372,8 +1511,8 @@
         if self.passed is not None:
             oprot.writeFieldBegin('passed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.passed))
-            for iter48 in self.passed:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter62 in self.passed:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1695,10 +1834,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1724,8 +1863,8 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter55 in self.request_ids:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter69 in self.request_ids:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry is not None:
@@ -1842,18 +1981,21 @@
     Attributes:
      - upstream
      - holdings
+     - entry
 
     """
 
     __slots__ = (
         'upstream',
         'holdings',
+        'entry',
     )
 
 
-    def __init__(self, upstream=None, holdings=None,):
+    def __init__(self, upstream=None, holdings=None, entry=None,):
         self.upstream = upstream
         self.holdings = holdings
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1872,14 +2014,19 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Holding()
-                        _elem61.read(iprot)
-                        self.holdings.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Holding()
+                        _elem75.read(iprot)
+                        self.holdings.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1897,10 +2044,14 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter62 in self.holdings:
-                iter62.write(oprot)
+            for iter76 in self.holdings:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 3)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2022,16 +2173,19 @@
     """
     Attributes:
      - request_ids
+     - entry
 
     """
 
     __slots__ = (
         'request_ids',
+        'entry',
     )
 
 
-    def __init__(self, request_ids=None,):
+    def __init__(self, request_ids=None, entry=None,):
         self.request_ids = request_ids
+        self.entry = entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2045,13 +2199,18 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.request_ids = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.request_ids.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.request_ids.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2065,10 +2224,14 @@
         if self.request_ids is not None:
             oprot.writeFieldBegin('request_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.request_ids))
-            for iter69 in self.request_ids:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter83 in self.request_ids:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 2)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2180,6 +2343,7 @@
      - upstream
      - events
      - gap
+     - replayed
 
     """
 
@@ -2187,13 +2351,15 @@
         'upstream',
         'events',
         'gap',
+        'replayed',
     )
 
 
-    def __init__(self, upstream=None, events=None, gap=None,):
+    def __init__(self, upstream=None, events=None, gap=None, replayed=None,):
         self.upstream = upstream
         self.events = events
         self.gap = gap
+        self.replayed = replayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2212,11 +2378,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = CacheEvent()
-                        _elem75.read(iprot)
-                        self.events.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CacheEvent()
+                        _elem89.read(iprot)
+                        self.events.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2225,6 +2391,11 @@
                     self.gap = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.replayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2242,14 +2413,18 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter76 in self.events:
-                iter76.write(oprot)
+            for iter90 in self.events:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gap is not None:
             oprot.writeFieldBegin('gap', TType.BOOL, 3)
             oprot.writeBool(self.gap)
             oprot.writeFieldEnd()
+        if self.replayed is not None:
+            oprot.writeFieldBegin('replayed', TType.BOOL, 4)
+            oprot.writeBool(self.replayed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2471,11 +2646,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Change()
-                        _elem82.read(iprot)
-                        self.changes.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Change()
+                        _elem96.read(iprot)
+                        self.changes.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2508,8 +2683,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter83 in self.changes:
-                iter83.write(oprot)
+            for iter97 in self.changes:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latest is not None:
@@ -2736,11 +2911,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.puts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = TablePut()
-                        _elem89.read(iprot)
-                        self.puts.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = TablePut()
+                        _elem103.read(iprot)
+                        self.puts.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2757,8 +2932,8 @@
         if self.puts is not None:
             oprot.writeFieldBegin('puts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.puts))
-            for iter90 in self.puts:
-                iter90.write(oprot)
+            for iter104 in self.puts:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2821,10 +2996,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.conflicts = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readI32()
-                        self.conflicts.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI32()
+                        self.conflicts.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2845,8 +3020,8 @@
         if self.conflicts is not None:
             oprot.writeFieldBegin('conflicts', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.conflicts))
-            for iter97 in self.conflicts:
-                oprot.writeI32(iter97)
+            for iter111 in self.conflicts:
+                oprot.writeI32(iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3021,11 +3196,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = RouteEvidence()
-                        _elem103.read(iprot)
-                        self.routes.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = RouteEvidence()
+                        _elem117.read(iprot)
+                        self.routes.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3050,8 +3225,8 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter104 in self.routes:
-                iter104.write(oprot)
+            for iter118 in self.routes:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3222,10 +3397,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ordered = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ordered.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ordered.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3254,8 +3429,8 @@
         if self.ordered is not None:
             oprot.writeFieldBegin('ordered', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.ordered))
-            for iter111 in self.ordered:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter125 in self.ordered:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3399,6 +3574,291 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ListUpstreams(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+    __slots__ = (
+        'known',
+    )
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListUpstreams')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.I64, 1)
+            oprot.writeI64(self.known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListedUpstream(object):
+    """
+    Attributes:
+     - name
+     - service_name
+     - domain
+     - address
+     - leaving
+
+    """
+
+    __slots__ = (
+        'name',
+        'service_name',
+        'domain',
+        'address',
+        'leaving',
+    )
+
+
+    def __init__(self, name=None, service_name=None, domain=None, address=None, leaving=None,):
+        self.name = name
+        self.service_name = service_name
+        self.domain = domain
+        self.address = address
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedUpstream')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 3)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Upstreams(object):
+    """
+    Attributes:
+     - age_ms
+     - unchanged
+     - upstreams
+
+    """
+
+    __slots__ = (
+        'age_ms',
+        'unchanged',
+        'upstreams',
+    )
+
+
+    def __init__(self, age_ms=None, unchanged=None, upstreams=None,):
+        self.age_ms = age_ms
+        self.unchanged = unchanged
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.unchanged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = ListedUpstream()
+                        _elem131.read(iprot)
+                        self.upstreams.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Upstreams')
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 1)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.unchanged is not None:
+            oprot.writeFieldBegin('unchanged', TType.BOOL, 2)
+            oprot.writeBool(self.unchanged)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter132 in self.upstreams:
+                iter132.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -3461,6 +3921,12 @@
     (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'out', None, None, ),  # 3
 )
+all_structs.append(ServiceCapacity)
+ServiceCapacity.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I16, 'step', None, None, ),  # 2
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -3474,6 +3940,8 @@
     (8, TType.LIST, 'halts', (TType.STRING, 'UTF8', False), None, ),  # 8
     None,  # 9
     (10, TType.LIST, 'drains', (TType.STRUCT, [Drain, None], False), None, ),  # 10
+    (11, TType.LIST, 'changes', (TType.I32, None, False), None, ),  # 11
+    (12, TType.LIST, 'capacities', (TType.STRUCT, [ServiceCapacity, None], False), None, ),  # 12
 )
 all_structs.append(Ask)
 Ask.thrift_spec = (
@@ -3486,6 +3954,7 @@
     (6, TType.STRING, 'team', 'UTF8', None, ),  # 6
     (7, TType.I16, 'priority', None, None, ),  # 7
     (8, TType.LIST, 'exclude', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.STRING, 'entry', 'UTF8', None, ),  # 9
 )
 all_structs.append(Placed)
 Placed.thrift_spec = (
@@ -3535,6 +4004,7 @@
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), None, ),  # 2
+    (3, TType.STRING, 'entry', 'UTF8', None, ),  # 3
 )
 all_structs.append(Observed)
 Observed.thrift_spec = (
@@ -3547,6 +4017,7 @@
 Abandoned.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'request_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.STRING, 'entry', 'UTF8', None, ),  # 2
 )
 all_structs.append(CacheEvent)
 CacheEvent.thrift_spec = (
@@ -3560,6 +4031,7 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 2
     (3, TType.BOOL, 'gap', None, None, ),  # 3
+    (4, TType.BOOL, 'replayed', None, None, ),  # 4
 )
 all_structs.append(PullChanges)
 PullChanges.thrift_spec = (
@@ -3642,5 +4114,26 @@
     None,  # 0
     (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
 )
+all_structs.append(ListUpstreams)
+ListUpstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known', None, None, ),  # 1
+)
+all_structs.append(ListedUpstream)
+ListedUpstream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'domain', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, None, ),  # 5
+)
+all_structs.append(Upstreams)
+Upstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'age_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'unchanged', None, None, ),  # 2
+    (3, TType.LIST, 'upstreams', (TType.STRUCT, [ListedUpstream, None], False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
