--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -31,6 +31,8 @@
 
 FILL_DIGEST_S = 0.06  # Digests follow the steep rise of the mean while the trace fills engines.
 TEAM = TeamSpec("team", "")
+# Neither these policies nor the steward, without admission, read what digests say.
+IGNORE_LOADS = ("random", "round-robin", "rendezvous")
 POLICIES = ("random", "round-robin", "least-loaded", "rendezvous", "owner")
 
 
@@ -196,6 +198,7 @@
         self.on_start: Callable[[Engine, Work], None] = lambda engine, work: None
         self.chat = ""
         self.work_tokens = 0
+        self._ignores_loads = policy in IGNORE_LOADS
         self._cache_limit = cache_limit
         self._warm = warm
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -262,9 +265,11 @@
 
     def send_digest(self, index: int, only: str | None = None) -> None:
         """Send one instance's digest to all others."""
+        if self._ignores_loads:
+            return
         me = self.hub[f"node-{index:02d}"].me
         digest = self.build_digest(index, only)
-        if only is not None and not digest.loads and not digest.changes:
+        if not digest.names and not digest.loads and not digest.changes:
             return
         for other, node in enumerate(self.nodes):
             if other != index:
