--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -102,6 +102,18 @@
         names = self._list_all(service)
         return [name for name in names if name not in exclude] if exclude else names
 
+    def list_reachable(self, service: str, exclude: Sequence[str] = ()) -> list[str]:
+        """Return the upstreams of every domain that an instance can be reached of."""
+        out = self._out()
+        reachable = self._peers.reachable_domains()
+        names = []
+        for upstream in self._directory.candidates(service):
+            if upstream.domain not in reachable or upstream.domain in out:
+                continue
+            if upstream.name not in exclude:
+                names.append(upstream.name)
+        return names
+
     def _list_all(self, service: str) -> list[str]:
         out = self._out()
         reachable = self._list_domains()
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -219,7 +219,10 @@
         return read_placed(placed)
 
     def _place_plain(self, request: CallerRequest, exclude: tuple[str, ...]) -> Placement:
-        names = self._owner.list_engines(request.service.name, exclude)
+        service = request.service.name
+        names = self._owner.list_engines(service, exclude)
+        # Plain services have no stewards, so another group's workers serve if the own has none.
+        names = names or self._owner.list_reachable(service, exclude)
         if not names:
             raise self._refuse(request, "no-upstream")
         self._plain_turn += 1
