--- a/standin/demo.py
+++ b/standin/demo.py
@@ -21,6 +21,7 @@
 from standin.observe import watch_versions
 from standin.steps import (
     SURGE,
+    TOKEN_S,
     WARM_UP_S,
     Demo,
     Seen,
@@ -43,8 +44,8 @@
         print(f"{time.monotonic() - began_s:5.1f} s  {text}", flush=True)
 
     deployment = DEPLOYMENTS[name]
-    warm_up = ("--warm-up-s", f"{WARM_UP_S:g}")
-    deployment = replace(deployment, engine_arguments=deployment.engine_arguments + warm_up)
+    arguments = ("--warm-up-s", f"{WARM_UP_S:g}", "--token-s", f"{TOKEN_S:g}")
+    deployment = replace(deployment, engine_arguments=deployment.engine_arguments + arguments)
     configuration = load_example(name)
     workers = configuration["services"][deployment.engine_service]["workers"]
     say(f"{name}, seed {seed}; warm-up {WARM_UP_S:g} s here, {workers['warm_up']} in the example")
