--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -12,6 +12,7 @@
 from jayyoke.core.clock import Clock, SystemClock
 from jayyoke.core.member import Member
 from jayyoke.core.move import Counts
+from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.control import Control
 from jayyoke.ops.decisions import count_dropped
 from jayyoke.ops.dispatch import Dispatch
@@ -133,7 +134,6 @@
         list_engines=node.health.list_service,
         find_version=node.health.versions.find,
         checks_fencing=checks_fencing,
-        learn_version=node.health.versions.learn,
     )
 
 
@@ -143,7 +143,9 @@
     def observe(outcome: Outcome) -> None:
         counts = Counts(1, int(not outcome.answered), int(outcome.answered and outcome.slow))
         node.moves.observe(outcome.upstream, outcome.version, outcome.route, counts)
-        node.health.versions.learn(outcome.upstream.name, outcome.version)
+        if not node.health.versions.find(outcome.upstream.name):
+            # A stream that began before a version move names the old version when it ends.
+            node.health.versions.learn(outcome.upstream.name, outcome.version)
         incarnation = hash_incarnation(outcome.incarnation)
         if incarnation:
             node.placer.observe(outcome.upstream.name, incarnation)
@@ -170,6 +172,12 @@
 def _connect_digests(node: Node, peers: TcpPeers) -> None:
     """Let placement and the limits fill and read heartbeats."""
 
+    def list_services() -> list[str]:
+        services = node.control.configuration.services.values()
+        return [spec.name for spec in services if find_protocol(spec.protocol).reports_load]
+
+    node.dispatch.homes.list_services = list_services
+
     def fill_teams(digest: Digest) -> None:
         digest.teams = node.limits.build_team_loads() or None
 
@@ -182,6 +190,8 @@
 
     peers.digests.add_part(node.dispatch.fill_loads)
     peers.digests.add_part(fill_teams)
+    peers.digests.add_part(node.dispatch.homes.fill)
     peers.digests.add_handler(node.dispatch.accept_loads)
     peers.digests.add_handler(accept_teams)
+    peers.digests.add_handler(node.dispatch.homes.accept)
     node.dispatch.notices.subscribe(send_notice)
