--- a/jayyoke/ops/mover.py
+++ b/jayyoke/ops/mover.py
@@ -124,7 +124,8 @@
                     await self._write(changed)
                 case OrderVersion(engine, version):
                     self._send_order(by_name[engine], version)
-        await self._renew_if_due()
+        if self._row.move.active:
+            await self._renew_if_due()
 
     async def _renew_if_due(self) -> None:
         if self._clock.now_s() - self._renewed_s >= RENEW_INTERVAL_S:
--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -49,6 +49,13 @@
         self.move = move
 
 
+class VersionInForce(JayyokeError):
+    """Reports that a service already runs the version that a move would bring."""
+
+    def __init__(self, service: str, version: str):
+        super().__init__(f"service {service!r} already runs version {version!r}")
+
+
 class Halts(Protocol):
     """Keeps the versions that must receive no traffic."""
 
@@ -105,7 +112,8 @@
     async def start(self, service: str, version: str, deadline_in_s: float) -> Move:
         """Start a move and return it; the same move started twice is one move.
 
-        Raises MoveActive, Conflict or StoreUnavailable. `deadline_in_s` is in seconds from now.
+        Raises MoveActive, VersionInForce, Conflict or StoreUnavailable. `deadline_in_s` is in
+        seconds from now.
         """
         try:
             return await self._start(service, version, deadline_in_s)
@@ -120,12 +128,17 @@
             if row.move.new_version == version:
                 return row.move
             raise MoveActive(row.move)
+        old_version = self._find_version(service, row)
+        if version == old_version:
+            # A halt of such a move would leave the service without engines, and the move without
+            # an end: no engine could return to another version.
+            raise VersionInForce(service, version)
         now_s = self._wall_s()
         fence = row.move.fence + 1 if row else 1
         move = Move(
             id=f"{service}:{version}:{fence}",
             service=service,
-            old_version=self._find_version(service, row),
+            old_version=old_version,
             new_version=version,
             started_s=now_s,
             deadline_s=now_s + deadline_in_s,
--- a/jayyoke/plugins/lookup.py
+++ b/jayyoke/plugins/lookup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 
 from jayyoke.core.error import AnswerBroken, Refusal, Run, UpstreamError
@@ -9,6 +11,7 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.decisions import log_decision
 from jayyoke.ops.forward import Answer, call_plain
+from jayyoke.ops.hedge import call_hedged
 from jayyoke.ops.node import Node
 
 __plugins__ = ("handle_lookup",)
@@ -35,39 +38,67 @@
 
 async def _call_repeatedly(node: Node, request: CallerRequest) -> Answer:
     """Return the first good answer within the deadline; raise Refusal."""
-    tried: tuple[str, ...] = ()
+    placed: list[str] = []
     attempts = request.spec.repeat + 1
-    for attempt in range(attempts):
+    while len(placed) < attempts:
+        before = len(placed)
         left_s = request.deadline_s - node.clock.now_s()
         if left_s <= 0:
             break
+        # A silent upstream must leave time for the attempts that follow.
+        timeout_s = left_s / (attempts - before)
         try:
-            # A silent upstream must leave time for the attempts that follow.
-            answer = await _call_once(node, request, tried, left_s / (attempts - attempt))
-        except _Failed as failed:
-            tried = (*tried, failed.upstream)
+            if not placed:
+                return await _call_first(node, request, placed, timeout_s)
+            return await _call_once(node, request, placed, timeout_s)
+        except _Failed:
             continue
         except Refusal:
-            if not tried:
+            if not placed:
                 raise
             break
-        return answer
-    raise Refusal(504, "no-answer", f"{len(tried)} upstreams did not answer", Run.UNKNOWN, 1.0)
+    raise Refusal(504, "no-answer", f"{len(placed)} upstreams did not answer", Run.UNKNOWN, 1.0)
+
+
+class _Failed(UpstreamError):
+    """Reports an attempt without a good answer."""
+
+
+async def _call_first(
+    node: Node, request: CallerRequest, placed: list[str], timeout_s: float
+) -> Answer:
+    """Return the answer of the first attempt, or of a hedge once that attempt is late."""
+    hedges = node.limits.hedges
+    began_s = node.clock.now_s()
 
+    async def first() -> Answer:
+        try:
+            answer = await _call_once(node, request, placed, timeout_s)
+        except asyncio.CancelledError:
+            # Without the attempts that a hedge beat, the delay would shrink with every hedge.
+            hedges.observe(request.spec, node.clock.now_s() - began_s)
+            raise
+        hedges.observe(request.spec, node.clock.now_s() - began_s)
+        return answer
 
-class _Failed(Exception):
-    """Names the upstream that gave no good answer."""
+    async def second() -> Answer:
+        left_s = request.deadline_s - node.clock.now_s()
+        try:
+            return await _call_once(node, request, placed, left_s)
+        except Refusal as refusal:
+            # The first attempt may still answer.
+            raise _Failed(str(refusal)) from refusal
 
-    def __init__(self, upstream: str):
-        super().__init__(upstream)
-        self.upstream = upstream
+    return await call_hedged(first, second, hedges.find_s(request.spec), node.limits.retries)
 
 
 async def _call_once(
-    node: Node, request: CallerRequest, tried: tuple[str, ...], timeout_s: float
+    node: Node, request: CallerRequest, placed: list[str], timeout_s: float
 ) -> Answer:
-    placement = await node.placer.place(request, exclude=tried)
+    """Call an upstream other than those in `placed`, which gains its name; raise _Failed."""
+    placement = await node.placer.place(request, exclude=tuple(placed))
     name = placement.upstream.name
+    placed.append(name)
     log_decision(request, name, placement.reason, placement.passed_over)
     try:
         answer = await call_plain(node.http, placement.upstream, request, timeout_s)
@@ -75,6 +106,6 @@
             raise AnswerBroken(f"{name} answered {answer.status}")
         return answer
     except UpstreamError as error:
-        raise _Failed(name) from error
+        raise _Failed(f"{name}: {error}") from error
     finally:
         node.placer.release(request, placement)
--- a/jayyoke/server/moves.py
+++ b/jayyoke/server/moves.py
@@ -9,7 +9,7 @@
 
 from jayyoke.core.error import Conflict, StoreUnavailable
 from jayyoke.core.move import PPM, Move
-from jayyoke.ops.moves import MoveActive, Moves
+from jayyoke.ops.moves import MoveActive, Moves, VersionInForce
 from jayyoke.ops.node import Node
 from jayyoke.parser.section import is_name
 from jayyoke.parser.unit import parse_duration
@@ -55,6 +55,8 @@
         except MoveActive as error:
             extra = {"move": describe_move(error.move)}
             raise OperatorProblem(409, "move-active", str(error), extra) from error
+        except VersionInForce as error:
+            raise OperatorProblem(409, "version-in-force", str(error)) from error
         except Conflict as error:
             detail = "another move of the service was started first"
             raise OperatorProblem(409, "move-changed", detail) from error
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 from dataclasses import replace
@@ -18,7 +19,9 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.claim import CLAIM_LEASE_S, ClaimLost, Claims, ClaimState, decode_claim
 from jayyoke.ops.forward import Answer
+from jayyoke.ops.limits import Limits
 from jayyoke.ops.outbox import OWNER_LEASE_S, Entry, Outbox, build_entry, decode_entry
+from jayyoke.ops.placement import Placement
 from jayyoke.ops.reply import Replies, decode_reply
 from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
@@ -190,6 +193,33 @@
 
         run(work())
 
+    def test_rows_of_an_adopter_that_dies_are_adopted_again(self):
+        """Guards against an adoption that removes the owner's row before the calls ran."""
+
+        async def work() -> None:
+            clock, hub = ManualClock(), LocalHub()
+            table = MemoryTable(random.Random(1))
+
+            def build(name: str, result) -> Outbox:
+                peers = hub.join(Member(name, "d", 1, ""))
+                return Outbox(table, table.commit, Service(result), None, peers, clock)
+
+            await build("a", 200).add(build_entry(build_request(ClassKind.TAG)))
+            hub.leave("a")
+            for name, result in (("b", ConnectFailed("refused")), ("c", 200)):
+                adopter = build(name, result)
+                for _ in range(3):
+                    await adopter.sweep()
+                    clock.advance(OWNER_LEASE_S)
+                await adopter.drain(0.1)
+                assert adopter._service.sent, f"{name} adopted nothing"
+                for task in adopter._delivering.values():
+                    task.cancel()
+                hub.leave(name)
+            assert not [key for key in table.rows if key.startswith("outbox/")]
+
+        run(work())
+
 
 class TestReplies:
     def test_unknown_foreign_and_expired_replies_are_refused(self):
@@ -247,6 +277,42 @@
 
         run(work())
 
+    @pytest.mark.parametrize(("others", "expected"), [(True, (b"u2", 0.2)), (False, (b"u1", 1.0))])
+    def test_late_first_attempt_is_hedged_on_another_upstream(self, monkeypatch, others, expected):
+        """Guards against a slow upstream that delays lookups, and a hedge that fails them."""
+
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            held: list[str] = []
+
+            async def place(request, exclude):
+                left = [name for name in ("u1", "u2")[: 1 + others] if name not in exclude]
+                if not left:
+                    raise Refusal(503, "no-upstream", "", Run.NOT_RUN)
+                held.append(left[0])
+                return Placement(Upstream(left[0], "s", "d", ""), "static", ())
+
+            async def call(http, upstream, request, timeout_s):
+                await asyncio.sleep(1.0 if upstream.name == "u1" else 0.1)
+                return Answer(200, "text/plain", upstream.name.encode())
+
+            monkeypatch.setattr(lookup, "call_plain", call)
+            placer = SimpleNamespace(
+                place=place, release=lambda request, placed: held.remove(placed.upstream.name)
+            )
+            limits = Limits(loop)
+            request = replace(build_request(ClassKind.LOOKUP), deadline_s=loop.now_s() + 5.0)
+            for _ in range(100):
+                limits.hedges.observe(request.spec, 0.1)
+            node = SimpleNamespace(clock=loop, placer=placer, limits=limits, http=None)
+            began_s = loop.now_s()
+            answer = await lookup._call_repeatedly(node, request)
+            seconds = round(loop.now_s() - began_s, 1)
+            assert ((answer.body, seconds), held) == (expected, [])
+            assert limits.retries.spent == 1
+
+        run(work())
+
     def test_cache_is_bounded(self):
         """Guards against a cache that grows with the number of different lookups."""
         stale = StaleCache(ManualClock())
