Take back a version whose halt was learnt after the end of its move

A halt unknown where the end was written left no engine to select. A reader that sees a row done and halted writes it back as taking-back.

--- a/bench/fuzz_moves_test.py
+++ b/bench/fuzz_moves_test.py
@@ -19,6 +19,20 @@
         machine.teardown()
         assert [move.id for move in machine.asked] == ["pool:v2:1"]
 
+    def test_halt_learnt_after_the_end_takes_the_version_back(self):
+        """Guards against a service whose every engine runs a halted version for good."""
+        machine = MovesMachine()
+        machine.start(1, True, 0.0)
+        machine.move_in_peace(0, "v2")
+        ended = decode_move(machine.table.rows[MOVE_PREFIX + SERVICE][0])
+        assert ended.phase is Phase.DONE
+        machine.halted.add(ended.id)
+        machine.processes["0"].halts.halt(ended.id, "v2", "late")
+        machine.advance(60.0)
+        move = decode_move(machine.table.rows[MOVE_PREFIX + SERVICE][0])
+        assert (move.id, move.phase) == (ended.id, Phase.TAKEN_BACK)
+        machine.teardown()
+
     def test_ended_move_is_not_written_again(self):
         """Guards against a renewal after the write of the end took long."""
         machine = MovesMachine()
--- a/jayyoke/ops/moverow.py
+++ b/jayyoke/ops/moverow.py
@@ -103,3 +103,24 @@
         return await write_move(table, taken, row.version)
     except Conflict:
         return None
+
+
+async def reopen_move(table: Table, row: MoveRow) -> MoveRow | None:
+    """Return the row to be taken back by the next holder, or None if another wrote it first.
+
+    A halt may be unknown where the end of the move was written.
+    """
+    move = row.move
+    reopened = replace(
+        move,
+        phase=Phase.TAKING_BACK,
+        fence=move.fence + 1,
+        holder="",
+        renewal=move.renewal + 1,
+        share_ppm=0,
+        reason="an instance halted the version",
+    )
+    try:
+        return await write_move(table, reopened, row.version)
+    except Conflict:
+        return None
--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -28,6 +28,7 @@
     decode_move,
     decode_row,
     encode_move,
+    reopen_move,
     take_lease,
     write_move,
 )
@@ -314,6 +315,11 @@
             if task.done():
                 del self._movers[key]
         for row in list(self._rows.values()):
+            if row.move.phase is Phase.DONE and self._is_halted(row.move):
+                reopened = await reopen_move(self._table, row)
+                if reopened is not None:
+                    self._publish(reopened)
+                continue
             if not row.move.active or row.key in self._movers:
                 continue
             if not self._watch.has_lapsed(row, self._clock.now_s()):
