Serve chats in the first seconds of a partition instead of refusing them

Cause: right after a cut, loads of unreachable stewards are stale for up to 2 s. Ruled out: the local admission on warm engines, since the refusal came with and without it.

Change: a chat waits up to 2.5 s, within a quarter of its time, with growing pauses; on engines in slow start the members together admit what the engine bears when cold.

--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -231,14 +231,16 @@
     def _reserve_locally(
         self, reserve: Reserve, service: ServiceSpec, engines: Sequence[str]
     ) -> str:
-        """Admit evenly and as if every member did the same; nothing on an engine in slow start.
+        """Admit evenly and as if every member did the same.
 
+        On an engine in slow start the members together stay within what it bears when cold.
         `engines` are those that the request may use: while others fail, they carry all work.
         """
         engine = reserve.upstream
         load = self._loads.find(engine)
-        if load is None or load.limit_tokens < service.full_work_tokens:
+        if load is None:
             return STEWARD_UNREACHABLE
+        warm = load.limit_tokens >= service.full_work_tokens
         now_s = self._clock.now_s()
         recent = self._list_local(engine, now_s)
         mean = self._loads.mean(service.name, engines)
@@ -249,8 +251,9 @@
         if len(recent) + 1 > compute_bound(tighten(service.bound_multiple), own_mean):
             return STEWARD_UNREACHABLE
         work = reserve.work_tokens + sum(tokens for _, tokens in recent)
-        room = load.limit_tokens - load.work_tokens
-        if recent and work * len(self._peers.members()) > room:
+        bears = load.limit_tokens if warm else min(load.limit_tokens, service.cold_work_tokens)
+        room = bears - load.work_tokens
+        if (recent or not warm) and work * len(self._peers.members()) > room:
             return STEWARD_UNREACHABLE
         self._local[engine] = [*recent, (now_s, reserve.work_tokens)]
         return ""
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -35,9 +35,11 @@
 RELEASE_DELAY_S = 0.003
 FLUSH_INTERVAL_S = 1.0
 HOLDINGS_INTERVAL_S = 30.0
-OVERLOAD_WAIT_S = 0.5
+# A partition leaves stale loads for up to 2 s; with 0.5 s a chat was refused while engines idled.
+OVERLOAD_WAIT_S = 2.5
 OVERLOAD_WAIT_SHARE = 0.25  # Of the time left, so that a later answer still meets the deadline.
 OVERLOAD_RETRY_S = 0.025
+OVERLOAD_RETRY_MOST_S = 0.2
 RETRY_AFTER_S = 1.0
 
 
@@ -92,6 +94,7 @@
             return self._place_plain(request, exclude)
         now_s = self._clock.now_s()
         wait_s = min(OVERLOAD_WAIT_S, (request.deadline_s - now_s) * OVERLOAD_WAIT_SHARE)
+        pause_s = OVERLOAD_RETRY_S
         while True:
             ask = self._build_ask(request, exclude)
             choice = await self._choose(ask)
@@ -105,9 +108,10 @@
                 self._ended.setdefault(choice.upstream, []).append(ask.request_id)
             if choice.reason == "no-upstream":
                 raise self._refuse(request, "no-upstream")
-            if self._clock.now_s() + OVERLOAD_RETRY_S > now_s + wait_s:
+            if self._clock.now_s() + pause_s > now_s + wait_s:
                 raise self._refuse(request, "overloaded")
-            await self._sleep(OVERLOAD_RETRY_S)
+            await self._sleep(pause_s)
+            pause_s = min(OVERLOAD_RETRY_MOST_S, pause_s * 1.5)
 
     async def place_on(self, request: CallerRequest, upstream: Upstream) -> Placement | None:
         """Return a placement on one engine, or None if its steward admits no more work."""
