--- a/jayyoke/ops/moves.py
+++ b/jayyoke/ops/moves.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import aiohttp
@@ -378,21 +377,3 @@
 def draw(move_id: str, key: str) -> int:
     """Return a number below one million for a key; the same on every instance."""
     return xxhash.xxh3_64_intdigest(f"{move_id}|{key}".encode()) % PPM
-
-
-def _encode_totals(totals: Mapping[tuple[str, str], Counts]) -> bytes:
-    plain = []
-    for (version, route), counts in totals.items():
-        plain.append([version, route, counts.requests, counts.failures, counts.slow])
-    return json.dumps(plain).encode()
-
-
-def _decode_totals(value: bytes) -> dict[tuple[str, str], Counts]:
-    try:
-        totals = {}
-        for version, route, requests, failures, slow in json.loads(value):
-            totals[(str(version), str(route))] = Counts(int(requests), int(failures), int(slow))
-        return totals
-    except (ValueError, TypeError):
-        logging.error("evidence row cannot be decoded")
-        return {}
