Cancel copies of chats when an instance ends

Cause: the tasks of copies were neither awaited nor cancelled at the shutdown, so that their reservations and connections ended with the process only. Change: the daemon closes them before the engines' connections.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -66,6 +66,8 @@
         await node.durable.drain(DURABLE_DRAIN_TIMEOUT_S)
         await callers.close()
         await operators.close()
+        if node.shadows is not None:
+            await node.shadows.close()
         await node.engines.close()
         for task in tasks:
             task.cancel()
