Keep sessions at their engines, and finish requests that a drain overtakes

The logs show sessions leaving their homes because a load without a report was taken for that of all instances, and because new engines drew their part of the homes at once. Change 1: loads come from reports only; a new engine's weight among the homes grows over 300 s. Change 2: a connection counts parsed and answered requests.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -14,13 +14,19 @@
 from dataclasses import dataclass
 
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.rendezvous import rank
+from jayyoke.ops.rendezvous import rank_weighted
 from jayyoke.platform.message import PromptPart
 
 # An engine beyond this multiple of the mean gets no more while another is below it. The users
-# bound it at 2; estimates are up to a second old.
-LOAD_FACTOR = 1.5
-LOAD_SLACK = 2.0
+# bound it at 2 and 3 more; estimates are some seconds old.
+LOAD_FACTOR = 1.6
+LOAD_SLACK = 3.0
+# A new engine draws homes slowly: each one that moves costs reading its prompt once more, which
+# takes 75 ms and more of an engine's time. Requests beyond the others' limit reach it at once.
+FIRST_HOME_WEIGHT = 0.02
+HOME_RAMP_S = 300.0
+# Engines that started together, as after a loss of power, share the homes from the start.
+SAME_AGE_S = 15.0
 # How many upstreams of a large plain service are compared for one request.
 COMPARED = 4
 
@@ -30,7 +36,7 @@
     """Describes an upstream that a request may go to.
 
     `load` is the estimate over all instances, `own` the requests of this instance. `places` is how
-    many requests it runs at once, or 0 if that is not known.
+    many requests it runs at once, or 0 if that is not known. `age_s` is the time since its start.
     """
 
     upstream: Upstream
@@ -39,6 +45,7 @@
     places: int
     latency_s: float
     suspended: bool = False
+    age_s: float = HOME_RAMP_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,14 +82,23 @@
 
 def _order_by_home(candidates: Sequence[Candidate], key: str) -> tuple[Candidate, ...]:
     by_name = {found.upstream.incarnation: found for found in candidates}
+    oldest_s = max(found.age_s for found in candidates)
     mean = sum(found.load for found in candidates) / len(candidates)
     limit = LOAD_FACTOR * mean + LOAD_SLACK
-    ranked = [by_name[name] for name in rank(key, by_name)]
+    weights = {name: _weigh_home(found.age_s, oldest_s) for name, found in by_name.items()}
+    ranked = [by_name[name] for name in rank_weighted(key, weights)]
     within = [found for found in ranked if found.load < limit]
     beyond = sorted((f for f in ranked if f.load >= limit), key=lambda found: found.load)
     return tuple(within + beyond)
 
 
+def _weigh_home(age_s: float, oldest_s: float) -> float:
+    """Return a weight that grows with an engine's age by the time of day, which all agree on."""
+    if oldest_s - age_s < SAME_AGE_S:
+        return 1.0
+    return min(1.0, max(FIRST_HOME_WEIGHT, age_s / HOME_RAMP_S))
+
+
 def _estimate_wait(candidate: Candidate, engine: bool) -> float:
     """Return a measure of the wait: work ahead at the upstream's speed."""
     work = candidate.load if engine else float(candidate.own)
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -206,7 +207,6 @@
         if not split.version:
             held = find_held_versions(live, view.first_seen_s, now_s)
         allowed = select_versions(live, split, draw, held)
-        instances = self.instances
         found = []
         for upstream in allowed:
             if upstream.domain in view.evacuated or upstream.incarnation in tried:
@@ -219,11 +219,12 @@
             found.append(
                 Candidate(
                     upstream=upstream,
-                    load=track.estimate_load(now_s, instances),
+                    load=track.estimate_load(now_s),
                     own=track.in_flight,
                     places=upstream.slots or DEFAULT_PLACES,
                     latency_s=track.latency.value or UNKNOWN_LATENCY_S,
                     suspended=track.is_suspended(now_s),
+                    age_s=time.time() - upstream.started_ms / 1000,
                 )
             )
         return found
@@ -257,6 +258,7 @@
                 service=service,
                 upstream=upstream.name,
                 reason=choice.reason,
+                home_key=key,
                 load=round(found.load, 1),
                 candidates=len(candidates),
             )
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -7,8 +7,8 @@
 from jayyoke.platform.message import LoadReport
 from jayyoke.utils.ewma import Ewma
 
-# A reported load says little about the next second: streams last about one.
-REPORT_VALID_S = 1.0
+# Loads change by a few requests a second, so an older report still beats none.
+REPORT_VALID_S = 3.0
 # Weight of one outcome in the failure rate: about the last eight count.
 OUTCOME_WEIGHT = 0.125
 LATENCY_WEIGHT = 0.2
@@ -40,13 +40,14 @@
     cold_until_s: float = 0.0
     replaced: bool = False
 
-    def estimate_load(self, now_s: float, instances: int) -> float:
-        """Return how many requests the upstream has now, over all instances.
+    def estimate_load(self, now_s: float) -> float:
+        """Return how many requests the upstream has now, as far as this instance can tell.
 
-        Without a recent report, the own requests stand for those of every instance.
+        Without a recent report only the own requests are certain. Taking them for those of every
+        instance would move sessions away from engines that have next to nothing to do.
         """
         if self.report is None or now_s - self.reported_s > REPORT_VALID_S:
-            return float(self.in_flight * max(1, instances))
+            return float(self.in_flight)
         reported = self.report.running + self.report.waiting
         return float(max(self.in_flight, reported + self.in_flight - self.in_flight_at_report))
 
--- a/jayyoke/ops/rendezvous.py
+++ b/jayyoke/ops/rendezvous.py
@@ -48,3 +48,15 @@
         candidate = (weight / -math.log(min(uniform, 1 - 1e-16)), node)
         best = candidate if best is None else max(best, candidate)
     return None if best is None else best[1]
+
+
+def rank_weighted(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return the nodes that weigh something; each comes first in proportion to its weight."""
+    scored = []
+    for node, weight in weights.items():
+        if weight <= 0:
+            continue
+        uniform = (score(key, node) + 0.5) / _HASH_RANGE
+        scored.append((weight / -math.log(min(uniform, 1 - 1e-16)), node))
+    scored.sort(reverse=True)
+    return [node for _, node in scored]
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -155,16 +155,16 @@
     began_s = read_boot_time_s()
     bounds = instance.settings.bounds
     instance.listener.draining = True
-    log_event("draining", active=instance.listener.active)
+    log_event("draining", busy=instance.listener.busy)
     await asyncio.sleep(min(SETTLE_S, bounds.stop_grace_s / 2))
     instance.listener.stop()
     end_s = began_s + bounds.stop_grace_s - KILL_SLACK_S
     while read_boot_time_s() < end_s:
         instance.listener.close_idle()
-        if instance.listener.active == 0:
+        if instance.listener.busy == 0:
             break
         await asyncio.sleep(LOOK_S)
-    log_event("drained", active=instance.listener.active)
+    log_event("drained", busy=instance.listener.busy)
 
 
 async def _listen(app: web.Application, address: str) -> Listener:
--- a/jayyoke/server/entry.py
+++ b/jayyoke/server/entry.py
@@ -32,7 +32,7 @@
 class _Connection(RequestHandler):
     """Bounds how long a caller may take to send a request's head."""
 
-    __slots__ = ("_head_timeout_s", "_head_timer")
+    __slots__ = ("_answered", "_head_timeout_s", "_head_timer")
 
     def __init__(self, server: web.Server, limits: CallerLimits):
         super().__init__(
@@ -46,8 +46,19 @@
         )
         self._head_timeout_s = limits.header_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
+        self._answered = 0
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request has begun to arrive and is not answered."""
+        return self._request_count > self._answered or self._head_timer is not None
+
+    def note_answered(self) -> None:
+        """Count a request whose answer has been written."""
+        self._answered += 1
 
     def data_received(self, data: bytes) -> None:
+        """Parse what arrived and watch the time of an unfinished head."""
         handled = self._request_count
         super().data_received(data)
         if self._request_count > handled or self._current_request is not None:
@@ -89,7 +100,6 @@
         self._web = web.Server(self._handle, handler_cancellation=True)
         self._server: asyncio.Server | None = None
         self.draining = False
-        self.active = 0
 
     @property
     def port(self) -> int:
@@ -110,10 +120,16 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def busy(self) -> int:
+        """Return how many connections have a request that is not answered."""
+        return sum(connection.busy for connection in self._web.connections)
+
     def close_idle(self) -> None:
         """Close connections that carry no request."""
         for connection in list(self._web.connections):
-            if connection._current_request is None and not connection._messages:
+            # The base class forgets a parsed request until its task begins to run.
+            if not connection.busy:
                 connection.force_close()
 
     async def close(self) -> None:
@@ -128,7 +144,6 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._now_s()
         head = decode_request(request.message.raw_headers)
-        self.active += 1
         caller = _HttpCaller(request, self)
         try:
             return await self._serve(request, head, caller, arrived_s)
@@ -140,7 +155,8 @@
             caller.cut()
             return caller.response or web.Response(status=502)
         finally:
-            self.active -= 1
+            assert isinstance(request.protocol, _Connection)
+            request.protocol.note_answered()
 
     async def _serve(
         self, request: web.BaseRequest, head: RequestHead, caller: _HttpCaller, arrived_s: float
