Fetch cached prompts between engines instead of reading them again

Change: an instance remembers where it placed the parts of prompts; the chosen engine fetches them from there, or from the session's home by hash. Small prompts leave a loaded home first. Ruled out: sharing the memory between instances, as the home by hash serves all but the first placement after a change.

--- a/jayyoke/core/route.py
+++ b/jayyoke/core/route.py
@@ -66,6 +66,8 @@
     cold_rate: float = 0.0
     slots: int = 0
     cache_tokens: int = 0
+    # Memory of a token in bytes; 0 if engines cannot fetch cached prompts from each other.
+    token_bytes: float = 0.0
 
     @property
     def engine(self) -> bool:
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -17,10 +17,14 @@
 from jayyoke.ops.rendezvous import rank_weighted
 from jayyoke.platform.message import PromptPart
 
-# An engine beyond this multiple of the mean gets no more while another is below it. The users
-# bound it at 2 and 3 more; estimates are some seconds old.
-LOAD_FACTOR = 1.6
+# An engine beyond this multiple of the mean, and the slack, gets no more while another is below
+# it. The users bound it at 2 and 3 more; estimates are some seconds old.
+LOAD_FACTOR = 1.8
 LOAD_SLACK = 3.0
+# Requests with few shared tokens leave a loaded home first, since they lose least by it.
+SMALL_LOAD_FACTOR = 1.3
+SMALL_LOAD_SLACK = 2.0
+SMALL_PROMPT_TOKENS = 3000
 # A new engine draws homes slowly: each one that moves costs reading its prompt once more, which
 # takes 75 ms and more of an engine's time. Requests beyond the others' limit reach it at once.
 FIRST_HOME_WEIGHT = 0.02
@@ -46,6 +50,7 @@
     latency_s: float
     suspended: bool = False
     age_s: float = HOME_RAMP_S
+    load_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +68,17 @@
     return parts[-2].id
 
 
+def count_shared_tokens(parts: Sequence[PromptPart]) -> int:
+    """Return the tokens of a prompt that other requests have too."""
+    return sum(part.tokens for part in parts[:-1])
+
+
 def choose_upstreams(
-    candidates: Sequence[Candidate], home_key: str, engine: bool, source: random.Random
+    candidates: Sequence[Candidate],
+    home_key: str,
+    shared_tokens: int,
+    engine: bool,
+    source: random.Random,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried."""
     usable = [found for found in candidates if not found.suspended]
@@ -74,24 +88,38 @@
         usable = list(candidates)
         reason += ",all-suspended"
     if home_key and engine:
-        return Choice(_order_by_home(usable, home_key), reason)
+        return Choice(_order_by_home(usable, home_key, shared_tokens), reason)
     sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
     work = sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random()))
     return Choice(tuple(work), reason)
 
 
-def _order_by_home(candidates: Sequence[Candidate], key: str) -> tuple[Candidate, ...]:
-    by_name = {found.upstream.incarnation: found for found in candidates}
-    oldest_s = max(found.age_s for found in candidates)
-    mean = sum(found.load for found in candidates) / len(candidates)
-    limit = LOAD_FACTOR * mean + LOAD_SLACK
-    weights = {name: _weigh_home(found.age_s, oldest_s) for name, found in by_name.items()}
-    ranked = [by_name[name] for name in rank_weighted(key, weights)]
+def _order_by_home(
+    candidates: Sequence[Candidate], key: str, shared_tokens: int
+) -> tuple[Candidate, ...]:
+    limit = _find_load_limit(candidates, shared_tokens)
+    ranked = rank_homes(key, candidates)
     within = [found for found in ranked if found.load < limit]
     beyond = sorted((f for f in ranked if f.load >= limit), key=lambda found: found.load)
     return tuple(within + beyond)
 
 
+def _find_load_limit(candidates: Sequence[Candidate], shared_tokens: int) -> float:
+    known = [found.load for found in candidates if found.load_known]
+    mean = sum(known) / len(known) if known else 0.0
+    if shared_tokens < SMALL_PROMPT_TOKENS:
+        return SMALL_LOAD_FACTOR * mean + SMALL_LOAD_SLACK
+    return LOAD_FACTOR * mean + LOAD_SLACK
+
+
+def rank_homes(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the engines in the order in which they are the home of a session."""
+    by_name = {found.upstream.incarnation: found for found in candidates}
+    oldest_s = max((found.age_s for found in candidates), default=0.0)
+    weights = {name: _weigh_home(found.age_s, oldest_s) for name, found in by_name.items()}
+    return [by_name[name] for name in rank_weighted(key, weights)]
+
+
 def _weigh_home(age_s: float, oldest_s: float) -> float:
     """Return a weight that grows with an engine's age by the time of day, which all agree on."""
     if oldest_s - age_s < SAME_AGE_S:
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -16,7 +16,7 @@
 from jayyoke.edge.connection import Answer, UpstreamConnection
 from jayyoke.edge.log import log_event
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.place import Placement, Refused
+from jayyoke.edge.place import Place, Placement, Refused
 from jayyoke.edge.pool import ConnectionPool
 from jayyoke.edge.stream import EventRelay
 from jayyoke.ops.metrics import Metrics
@@ -89,12 +89,12 @@
                     await self._refuse(call, caller, progress, place.retry_after_s)
                     return
                 break
-            upstream = place
+            upstream = place.upstream
             if progress.arrivals and not allowance.spend(self._now_s(), self._placement.instances):
                 self._placement.leave(service, upstream)
                 progress.last = f"{progress.last},no-retry-budget"
                 break
-            outcome = await self._send(call, caller, service, upstream, progress)
+            outcome = await self._send(call, caller, service, place, progress)
             if self._is_final(call, upstream, outcome, progress):
                 return
             if not self._may_repeat(call, outcome, progress):
@@ -161,9 +161,10 @@
         await _send_whole(caller, 503, "", headers, progress.last.encode())
 
     async def _send(
-        self, call: Call, caller: Caller, service: str, upstream: Upstream, progress: Progress
+        self, call: Call, caller: Caller, service: str, place: Place, progress: Progress
     ) -> Outcome:
         """Send a call to one upstream and relay its answer."""
+        upstream = place.upstream
         progress.tried.add(upstream.incarnation)
         progress.sends += 1
         began_s = self._now_s()
@@ -172,7 +173,7 @@
         connection: UpstreamConnection | None = None
         try:
             connection = await self._pool.acquire(upstream, not call.route.repeatable, began_s)
-            outcome = await self._exchange(call, caller, connection, upstream, progress, first_s)
+            outcome = await self._exchange(call, caller, connection, place, progress, first_s)
         except ConnectFailed as error:
             outcome = NotRun(f"unreachable: {error}", arrived=False)
         finally:
@@ -190,7 +191,7 @@
         call: Call,
         caller: Caller,
         connection: UpstreamConnection,
-        upstream: Upstream,
+        place: Place,
         progress: Progress,
         first_s: list[float],
     ) -> Outcome:
@@ -203,16 +204,17 @@
             call.raw_headers,
             call.body,
             deadline_s=left_s,
-            upstream=upstream.name,
+            upstream=place.upstream.name,
             team=call.team,
             last_event=progress.relay.last_id,
+            fetch_from=place.fetch_from,
         )
         connection.send(call.method, data)
         patience_s = self._find_patience_s(call, progress, left_s)
         try:
             async with asyncio.timeout(patience_s):
                 answer = await connection.receive(call.head.request_id)
-            self._placement.note_answer(upstream, answer.head)
+            self._placement.note_answer(place.upstream, answer.head)
             if answer.status == 421:
                 return NotRun("misdirected", arrived=True, misdirected=True)
             if answer.head.not_run:
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -12,12 +12,20 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.call import Call
 from jayyoke.edge.canary import find_held_versions, is_slow, select_versions
-from jayyoke.edge.choose import Candidate, choose_upstreams, find_home_key, has_place
+from jayyoke.edge.choose import (
+    Candidate,
+    choose_upstreams,
+    count_shared_tokens,
+    find_home_key,
+    has_place,
+    rank_homes,
+)
 from jayyoke.edge.cold import ColdLimiter
 from jayyoke.edge.line import WaitingLine
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveKeeper
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
+from jayyoke.edge.promptmemory import PromptMemory
 from jayyoke.edge.track import Tracks
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.message import AnswerHead
@@ -34,6 +42,17 @@
 DEFAULT_PLACES = 64
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Names the upstream of a call.
+
+    `fetch_from` is the address of another engine that has the prompt in its cache, or empty.
+    """
+
+    upstream: Upstream
+    fetch_from: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """Says why there is no place now; the call has not run."""
@@ -63,6 +82,7 @@
         self._list_instances = list_instances
         self._lines: dict[str, WaitingLine] = {}
         self._instance = instance
+        self._prompts = PromptMemory()
         self.tracks = Tracks()
 
     @property
@@ -82,7 +102,7 @@
 
     async def find(
         self, call: Call, service: str, tried: set[str], started: bool
-    ) -> Upstream | Refused:
+    ) -> Place | Refused:
         """Take a place at an upstream; the caller of this function must leave it again."""
         line = self._lines.setdefault(service, WaitingLine())
         limit_s = self._find_wait_limit_s(call)
@@ -213,35 +233,38 @@
                 continue
             if call.route.regions and self._find_region(upstream) not in call.route.regions:
                 continue
-            track = self.tracks.get(upstream.incarnation)
-            if track.replaced:
-                continue
-            found.append(
-                Candidate(
-                    upstream=upstream,
-                    load=track.estimate_load(now_s),
-                    own=track.in_flight,
-                    places=upstream.slots or DEFAULT_PLACES,
-                    latency_s=track.latency.value or UNKNOWN_LATENCY_S,
-                    suspended=track.is_suspended(now_s),
-                    age_s=time.time() - upstream.started_ms / 1000,
-                )
-            )
+            candidate = self._describe(upstream, now_s)
+            if not self.tracks.get(upstream.incarnation).replaced:
+                found.append(candidate)
         return found
 
+    def _describe(self, upstream: Upstream, now_s: float) -> Candidate:
+        track = self.tracks.get(upstream.incarnation)
+        return Candidate(
+            upstream=upstream,
+            load=track.estimate_load(now_s),
+            own=track.in_flight,
+            places=upstream.slots or DEFAULT_PLACES,
+            latency_s=track.latency.value or UNKNOWN_LATENCY_S,
+            suspended=track.is_suspended(now_s),
+            age_s=time.time() - upstream.started_ms / 1000,
+            load_known=track.knows_load(now_s),
+        )
+
     def _find_region(self, upstream: Upstream) -> str:
         return self._view.regions.get(upstream.domain, "")
 
     def _take(
         self, call: Call, service: str, candidates: list[Candidate], now_s: float
-    ) -> Upstream | None:
+    ) -> Place | None:
         if not candidates:
             return None
         config = self._view.config
         profile = config.services.get(service) if config is not None else None
         profile = profile or ServiceProfile(service)
         key = find_home_key(call.head.parts) if call.route.cached_prompts else ""
-        choice = choose_upstreams(candidates, key, profile.engine, self._source)
+        shared = count_shared_tokens(call.head.parts)
+        choice = choose_upstreams(candidates, key, shared, profile.engine, self._source)
         for found in choice.order:
             if not has_place(found):
                 continue
@@ -251,6 +274,10 @@
             ):
                 continue
             self.tracks.get(upstream.incarnation).in_flight += 1
+            fetch_from = self._find_holder(call, key, upstream, profile, now_s)
+            if key:
+                shared_parts = [part.id for part in call.head.parts[:-1]]
+                self._prompts.note(shared_parts, upstream.incarnation, now_s)
             log_event(
                 "placed",
                 request_id=call.head.request_id,
@@ -261,10 +288,47 @@
                 home_key=key,
                 load=round(found.load, 1),
                 candidates=len(candidates),
+                fetch_from=fetch_from,
             )
-            return upstream
+            return Place(upstream, fetch_from)
         return None
 
+    def _find_holder(
+        self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
+    ) -> str:
+        """Return the address of an engine that has more of the prompt than the chosen one.
+
+        Fetching a prompt costs a tenth of reading it. A leaving engine still has what it read.
+        """
+        if not key or profile.token_bytes <= 0:
+            return ""
+        known = {
+            found.incarnation: found
+            for found in self._view.upstreams.values()
+            if found.service == chosen.service and self._may_fetch(found, now_s)
+        }
+        holders = self._prompts.find(key, now_s)
+        if not holders:
+            ranked = rank_homes(key, [self._describe(found, now_s) for found in known.values()])
+            holders = [found.upstream.incarnation for found in ranked[:1]]
+        if chosen.incarnation in holders and self._prompts.find(key, now_s):
+            return ""
+        for part in [key, *(part.id for part in reversed(call.head.parts[:-2]))]:
+            if part != key:
+                holders = self._prompts.find(part, now_s)
+            if chosen.incarnation in holders:
+                continue
+            for name in holders:
+                if name in known:
+                    return known[name].address
+        return ""
+
+    def _may_fetch(self, upstream: Upstream, now_s: float) -> bool:
+        track = self.tracks.get(upstream.incarnation)
+        if track.replaced or track.is_suspended(now_s):
+            return False
+        return upstream.domain not in self._view.evacuated
+
     def _is_cold(self, upstream: Upstream, profile: ServiceProfile, now_s: float) -> bool:
         if profile.cold_rate <= 0 or profile.cold_s <= 0:
             return False
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -40,13 +40,17 @@
     cold_until_s: float = 0.0
     replaced: bool = False
 
+    def knows_load(self, now_s: float) -> bool:
+        """Tell whether a report is recent enough to go by."""
+        return self.report is not None and now_s - self.reported_s <= REPORT_VALID_S
+
     def estimate_load(self, now_s: float) -> float:
         """Return how many requests the upstream has now, as far as this instance can tell.
 
         Without a recent report only the own requests are certain. Taking them for those of every
         instance would move sessions away from engines that have next to nothing to do.
         """
-        if self.report is None or now_s - self.reported_s > REPORT_VALID_S:
+        if self.report is None or not self.knows_load(now_s):
             return float(self.in_flight)
         reported = self.report.running + self.report.waiting
         return float(max(self.in_flight, reported + self.in_flight - self.in_flight_at_report))
--- a/jayyoke/platform/decode.py
+++ b/jayyoke/platform/decode.py
@@ -161,6 +161,7 @@
         cold_rate=fields.number("warmupPerS", 0.0),
         slots=int(engine.number("slots", 0)),
         cache_tokens=int(engine.number("kvCapacity", 0)),
+        token_bytes=engine.number("kvTokenBytes", 0.0),
     )
 
 
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -104,10 +104,12 @@
     upstream: str,
     team: str | None,
     last_event: int | None,
+    fetch_from: str = "",
 ) -> bytes:
     """Return the bytes of a request for one upstream; the target goes as it came.
 
-    A team of None means that the configuration knows no teams, and credentials pass through.
+    `fetch_from` is the address of an engine that has the prompt in its cache. A team of None means
+    that the configuration knows no teams, and credentials pass through.
     """
     lines = [b"%s %s HTTP/1.1" % (method.encode("latin-1"), target)]
     dropped = _name_dropped(headers)
@@ -120,6 +122,8 @@
     lines.append(b"%s: %s" % (names.SEND_EXPECTED, upstream.encode("latin-1", "replace")))
     if team:
         lines.append(b"%s: %s" % (names.SEND_TEAM, team.encode("utf-8")))
+    if fetch_from:
+        lines.append(b"%s: %s" % (names.SEND_FETCH, fetch_from.encode("latin-1")))
     if last_event is not None:
         lines.append(b"%s: %d" % (names.SEND_LAST_EVENT, last_event))
     if body is not None:
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -24,6 +24,7 @@
 SEND_DEADLINE = b"Deadline-Ms"
 SEND_EXPECTED = b"Expect-Worker"
 SEND_TEAM = b"Tenant"
+SEND_FETCH = b"Kv-Fetch"
 SEND_LAST_EVENT = b"Last-Event-Id"
 
 # Headers of one connection (RFC 9110, section 7.6.1), which are not forwarded.
