--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -19,11 +19,11 @@
 
 # An engine beyond this multiple of the mean, and the slack, gets no more while another is below
 # it. The users bound it at 2 and 3 more; estimates are some seconds old.
-LOAD_FACTOR = 1.8
-LOAD_SLACK = 3.0
+LOAD_FACTOR = 1.7
+LOAD_SLACK = 2.5
 # Requests with few shared tokens leave a loaded home first, since they lose least by it.
-SMALL_LOAD_FACTOR = 1.3
-SMALL_LOAD_SLACK = 2.0
+SMALL_LOAD_FACTOR = 1.15
+SMALL_LOAD_SLACK = 1.0
 SMALL_PROMPT_TOKENS = 3000
 # A new engine draws homes slowly: each one that moves costs reading its prompt once more, which
 # takes 75 ms and more of an engine's time. Requests beyond the others' limit reach it at once.
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -286,6 +286,7 @@
                 upstream=upstream.name,
                 reason=choice.reason,
                 home_key=key,
+                shared_tokens=shared,
                 load=round(found.load, 1),
                 candidates=len(candidates),
                 fetch_from=fetch_from,
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -216,6 +216,7 @@
                 log_event(
                     "upstream",
                     upstream=key,
+                    address=upstream.address,
                     state=upstream.state.value,
                     service=upstream.service,
                     domain=upstream.domain,
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -132,7 +132,7 @@
             task.add_done_callback(_end_on_failure)
         await instance.listener.start(settings.caller_address)
         ready = await _listen(_build_ready(instance), settings.ready_address)
-        peers = await _listen(_build_peers(instance), settings.peer_address)
+        peers = await _listen(build_peers(instance), settings.peer_address)
         host = settings.peer_address.rpartition(":")[0]
         metrics = await _listen(_build_metrics(instance), f"{host}:{metrics_port}")
         log_event("started", instance=settings.instance, domain=settings.domain)
@@ -183,7 +183,8 @@
     return app
 
 
-def _build_peers(instance: Instance) -> web.Application:
+def build_peers(instance: Instance) -> web.Application:
+    """Return the application that other instances ask for the store's rows."""
     app = web.Application(client_max_size=MAX_QUESTION_BYTES)
 
     async def relay(request: web.Request) -> web.Response:
--- a/jayyoke/server/entry.py
+++ b/jayyoke/server/entry.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from aiohttp import StreamReader, web
-from aiohttp.http_parser import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.machine import Bounds
@@ -143,7 +142,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._now_s()
-        head = decode_request(request.message.raw_headers)
+        head = decode_request(request.raw_headers)
         caller = _HttpCaller(request, self)
         try:
             return await self._serve(request, head, caller, arrived_s)
@@ -161,7 +160,7 @@
     async def _serve(
         self, request: web.BaseRequest, head: RequestHead, caller: _HttpCaller, arrived_s: float
     ) -> web.StreamResponse:
-        path = request.message.path.partition("?")[0]
+        path = request.raw_path.partition("?")[0]
         decision = admit(self._view, self._bounds, request.headers.get("Host", ""), path, head)
         config = self._view.config
         limits = config.limits if config is not None else CallerLimits()
@@ -186,15 +185,14 @@
         admitted: Admitted,
         arrived_s: float,
     ) -> Call:
-        message: RawRequestMessage = request.message
         limit_s = admitted.route.timeout_s
         if head.deadline_s is not None:
             limit_s = min(limit_s, head.deadline_s)
         return Call(
             head=head,
-            method=message.method,
-            target=message.path.encode("utf-8", "surrogateescape"),
-            raw_headers=message.raw_headers,
+            method=request.method,
+            target=request.raw_path.encode("utf-8", "surrogateescape"),
+            raw_headers=request.raw_headers,
             body=body,
             route=admitted.route,
             team=admitted.team,
--- /dev/null
+++ b/standin/rowstore.py
@@ -0,0 +1,222 @@
+"""Stand-in of the platform's store on the users' machines: rows, conditions, feeds and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import enum
+import json
+from dataclasses import dataclass
+
+from aiohttp import web
+
+MAX_HISTORY = 10_000
+
+
+class Fault(enum.Enum):
+    """How the store treats the callers that it turns away."""
+
+    BUSY = 503
+    MANY = 429
+    RESET = 1
+    SILENT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Holds one written or dropped row; a value of None means dropped."""
+
+    table: str
+    key: str
+    value: str | None
+    revision: int
+
+
+class RowStoreStandin:
+    """Keeps tables in memory and serves them on loopback."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], Change] = {}
+        self._history: list[Change] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self._stopped = asyncio.Event()
+        self.revision = 0
+        self.address = ""
+        self.calls = 0
+        self.fault: Fault | None = None
+        # Callers whose User-Agent holds one of these words meet the fault; empty means all.
+        self.faulty_callers: set[str] = set()
+        self.lose_answers = False
+        self.delay_writes_s = 0.0
+        self.deaf = False
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        app = web.Application()
+        app.router.add_get("/-/rows-get", self._get)
+        app.router.add_get("/-/rows-feed", self._feed)
+        app.router.add_post("/-/rows-tx", self._transact)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self._stopped.set()
+        self._wake()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, table: str, key: str, body: object) -> int:
+        """Write a row as operators and upstreams do; return its revision."""
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.revision += 1
+        self._apply(Change(table, key, base64.b64encode(raw).decode(), self.revision))
+        return self.revision
+
+    def drop(self, table: str, key: str) -> int:
+        """Drop a row; return the revision."""
+        self.revision += 1
+        self._apply(Change(table, key, None, self.revision))
+        return self.revision
+
+    def read(self, table: str) -> dict[str, bytes]:
+        """Return the values of a table by key."""
+        return {
+            key: base64.b64decode(change.value or "")
+            for (found, key), change in self._rows.items()
+            if found == table
+        }
+
+    def forget_history(self) -> None:
+        """Drop the history, so that feeds answer 410."""
+        self._oldest = self.revision
+        self._history = []
+        self._wake()
+
+    def _apply(self, change: Change) -> None:
+        place = (change.table, change.key)
+        if change.value is None:
+            self._rows.pop(place, None)
+        else:
+            self._rows[place] = change
+        self._history.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _refuse(self, request: web.Request) -> web.Response | None:
+        self.calls += 1
+        caller = request.headers.get("User-Agent", "")
+        if self.faulty_callers and not any(word in caller for word in self.faulty_callers):
+            return None
+        match self.fault:
+            case None:
+                return None
+            case Fault.BUSY | Fault.MANY:
+                return web.Response(status=self.fault.value)
+            case Fault.RESET:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response(status=503)
+            case Fault.SILENT:
+                await self._stopped.wait()
+                return web.Response(status=503)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        refused = await self._refuse(request)
+        if refused is not None:
+            return refused
+        table = request.query["table"]
+        start = request.query.get("from", "")
+        limit = int(request.query.get("limit", "500"))
+        found = sorted(
+            (c for (name, key), c in self._rows.items() if name == table and key >= start),
+            key=lambda change: change.key,
+        )
+        body = {
+            "rows": [_format(change) for change in found[:limit]],
+            "hasMore": len(found) > limit,
+        }
+        return web.json_response(body | self._now())
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        refused = await self._refuse(request)
+        if refused is not None:
+            return refused
+        table = request.query["table"]
+        since = int(request.query["sinceRev"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(request.query["waitMs"]) / 1000
+        while True:
+            if since < self._oldest:
+                return web.Response(status=410)
+            changed = self._changed
+            found = [c for c in self._history if c.table == table and c.revision > since]
+            left = end - loop.time()
+            if (found and not self.deaf) or left <= 0 or self._stopped.is_set():
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+        # A deaf feed answers as if nothing had changed, as of the asked revision.
+        now = self._now()
+        if self.deaf:
+            return web.json_response({"rows": []} | now | {"schemaVer": since})
+        return web.json_response({"rows": [_format(change) for change in found]} | now)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        refused = await self._refuse(request)
+        if refused is not None:
+            return refused
+        body = await request.json()
+        if self.delay_writes_s:
+            # The answer is lost and the write is done later if its condition still holds.
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_writes_s, self._commit, body)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=503)
+        if not self._commit(body):
+            return web.json_response({"rows": []} | self._now(), status=412)
+        if self.lose_answers:
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response(self._now())
+
+    def _commit(self, body: dict) -> bool:
+        for expected in body.get("expectRev", ()):
+            known = self._rows.get((expected["table"], expected["key"]))
+            if (known.revision if known else 0) != expected["schemaVer"]:
+                return False
+        self.revision += 1
+        for row in body.get("writes", ()):
+            self._apply(Change(row["table"], row["key"], row["value"], self.revision))
+        for row in body.get("remove", ()):
+            self._apply(Change(row["table"], row["key"], None, self.revision))
+        return True
+
+    def _now(self) -> dict[str, int]:
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        return {"schemaVer": self.revision, "nowMs": now_ms}
+
+
+def _format(change: Change) -> dict[str, object]:
+    row: dict[str, object] = {
+        "table": change.table,
+        "part": "",
+        "key": change.key,
+        "schemaVer": change.revision,
+    }
+    if change.value is None:
+        return row | {"tombstone": True}
+    return row | {"value": change.value}
--- /dev/null
+++ b/tests/entryrig.py
@@ -0,0 +1,177 @@
+"""A running entry instance on loopback with the store's and upstreams' stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from jayyoke.core.machine import Bounds, MachineSettings, StoreProfile
+from jayyoke.scripts.entry import Instance, build_peers
+from jayyoke.server.listener import Listener
+from standin.entryupstream import EntryUpstream, Script
+from standin.rowstore import RowStoreStandin
+
+HOST = "calls.example"
+KEY = "key-of-the-yard"
+
+
+def build_config(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return a configuration with one route of each kind, all on the service `desk`."""
+    routes = [
+        _route("safe", "safe", attempts=2),
+        _route("unsafe", "unsafe", attempts=1),
+        _route("stream", "stream", attempts=1, affinity=True),
+        _route("resume", "stream", attempts=2, affinity=True, resumable=True),
+    ]
+    config: dict[str, object] = {
+        "version": version,
+        "routes": routes,
+        "backends": [{"name": "desk", "healthPath": "/healthz", "maxConns": 96}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 500,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "yard", "apiKeys": [KEY], "prio": 1}],
+    }
+    return config | changes
+
+
+def _route(name: str, kind: str, **fields: object) -> dict[str, object]:
+    route: dict[str, object] = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 3000,
+        "sloMs": 400,
+        "prio": 1,
+        "backend": "desk",
+        "public": False,
+        "itlTargetMs": 300,
+    }
+    return route | fields
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Entry:
+    """Holds one instance and a client that calls it."""
+
+    def __init__(self, instance: Instance, url: str, http: aiohttp.ClientSession):
+        self.instance = instance
+        self.url = url
+        self._http = http
+
+    async def call(
+        self, path: str, request_id: str = "r1", method: str = "POST", **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request with the yard's key; return status, body and headers."""
+        sent = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "2500",
+            "Authorization": f"Bearer {KEY}",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        data = None if method == "GET" else b"the body"
+        async with self._http.request(method, self.url + path, headers=sent, data=data) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+
+class Rig:
+    """Holds a store, upstreams and instances; everything ends with the context."""
+
+    def __init__(self, store: RowStoreStandin, http: aiohttp.ClientSession):
+        self.store = store
+        self._http = http
+        self.upstreams: list[EntryUpstream] = []
+        self._ends: list = []
+
+    async def add_upstream(
+        self, name: str, script: Script, service: str = "desk", **changes: object
+    ) -> EntryUpstream:
+        """Start an upstream and write its entry."""
+        upstream = EntryUpstream(name, script)
+        await upstream.start()
+        self.upstreams.append(upstream)
+        self.store.put("servers", name, upstream.describe(service, **changes))
+        return upstream
+
+    async def add_entry(self, name: str = "entry-1", seeds: tuple[str, ...] = ()) -> Entry:
+        """Start an instance and wait until it knows a configuration, if the store has one."""
+        port, peer_port = _find_port(), _find_port()
+        settings = MachineSettings(
+            instance=name,
+            domain="zone-a",
+            region="region",
+            caller_address=f"127.0.0.1:{port}",
+            ready_address="",
+            peer_address=f"127.0.0.1:{peer_port}",
+            store=StoreProfile(self.store.address),
+            regions={"zone-a": "region", "zone-b": "region"},
+            seeds=seeds,
+            bounds=Bounds(),
+        )
+        http = aiohttp.ClientSession(headers={"User-Agent": name})
+        instance = Instance(settings, http)
+        tasks = instance.list_tasks()
+        await instance.listener.start(settings.caller_address)
+        peers = Listener(build_peers(instance))
+        await peers.start(settings.peer_address)
+
+        async def end() -> None:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await instance.listener.close()
+            await peers.close()
+            instance.pool.close()
+            await http.close()
+
+        self._ends.append(end)
+        return Entry(instance, f"http://127.0.0.1:{port}", self._http)
+
+    async def close(self) -> None:
+        """End instances, then upstreams."""
+        for end in self._ends:
+            await end()
+        for upstream in self.upstreams:
+            await upstream.close()
+
+
+async def wait_until(condition, timeout_s: float = 10.0) -> None:
+    """Return when the condition holds; fail the test otherwise."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def open_rig(config: dict[str, object] | None = None):
+    """Yield a rig whose store holds a configuration."""
+    store = RowStoreStandin()
+    await store.start()
+    if config is not None:
+        store.put("op", "config", config)
+    http = aiohttp.ClientSession(auto_decompress=False)
+    rig = Rig(store, http)
+    try:
+        yield rig
+    finally:
+        await rig.close()
+        await http.close()
+        await store.close()
+
+
+async def wait_ready(entry: Entry, upstreams: int) -> None:
+    """Wait until an instance knows the configuration and so many upstreams."""
+    view = entry.instance.view
+    await wait_until(lambda: view.config is not None and len(view.upstreams) == upstreams)
