Test the decisions of the entry instances without a network

Cause: placement, cold limits, the retry budget, the line, moves, views and the adapter were covered by whole-instance tests only.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -1,10 +1,10 @@
 """Chooses the upstream of a request.
 
 Load it answers: prompts of about 11,000 tokens of which nine tenths are shared by a session. An
-engine that has read the shared parts needs about 10 ms for such a prompt, another one 85 ms. So
-each session has a home among the engines by rendezvous hashing, which all instances agree on, and
-leaves it only while the home carries more than its part. Plain services take the upstream with
-the least work.
+engine that has read the shared parts needs about 10 ms for such a prompt, another one 85 ms. So each
+session has a home among the engines by rendezvous hashing, which all instances agree on, and leaves
+it only while the home carries more than its part. Plain services take the upstream with the least
+work.
 """
 
 from __future__ import annotations
@@ -120,20 +120,20 @@
     return [by_name[name] for name in rank_weighted(key, weights)]
 
 
-def find_former_home(key: str, candidates: Sequence[Candidate], chosen: str) -> str:
-    """Return the address of the engine that was a session's home before a new one came.
+def find_former_home(key: str, candidates: Sequence[Candidate], chosen: str) -> Upstream | None:
+    """Return the engine that was a session's home before a new one came.
 
-    With rendezvous hashing this is the next one in the order. Nothing is returned if the chosen
+    With rendezvous hashing this is the next one in the order. None is returned if the chosen
     engine is none of the new ones.
     """
     oldest_s = max((found.age_s for found in candidates), default=0.0)
     for found in candidates:
         if found.upstream.incarnation == chosen and oldest_s - found.age_s < SAME_AGE_S:
-            return ""
+            return None
     for found in rank_homes(key, candidates):
         if found.upstream.incarnation != chosen:
-            return found.upstream.incarnation
-    return ""
+            return found.upstream
+    return None
 
 
 def _weigh_home(age_s: float, oldest_s: float) -> float:
--- /dev/null
+++ b/jayyoke/edge/choose_test.py
@@ -0,0 +1,154 @@
+"""Tests of placement under the load of long prompts that sessions share."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from jayyoke.core.upstream import Upstream
+from jayyoke.edge.choose import (
+    Candidate,
+    choose_upstreams,
+    count_shared_tokens,
+    find_former_home,
+    find_home_key,
+    has_place,
+    rank_homes,
+)
+from jayyoke.platform.message import PromptPart
+
+LONG = 10_000
+SHORT = 300
+OLD_S = 1000.0
+
+
+def build(name: str, load: float = 0.0, **fields: object) -> Candidate:
+    upstream = Upstream(name, "pool", "a", "127.0.0.1:1", incarnation=name)
+    values = {
+        "upstream": upstream,
+        "load": load,
+        "own": int(load),
+        "places": 64,
+        "latency_s": 0.06,
+        "age_s": OLD_S,
+    }
+    return Candidate(**(values | fields))
+
+
+def choose(candidates, key="session", tokens=LONG, engine=True) -> str:
+    choice = choose_upstreams(candidates, key, tokens, engine, random.Random(1))
+    return choice.order[0].upstream.name
+
+
+class TestHomeKey:
+    def test_is_the_last_shared_part(self):
+        parts = [PromptPart("all", 500), PromptPart("session", 9000), PromptPart("own", 900)]
+        assert find_home_key(parts) == "session"
+        assert count_shared_tokens(parts) == 9500
+
+    @pytest.mark.parametrize("parts", [[], [PromptPart("own", 5)]])
+    def test_prompt_without_shared_parts_has_none(self, parts):
+        assert find_home_key(parts) == ""
+
+
+class TestHomes:
+    def test_instances_agree_whatever_the_order(self):
+        """Guards against a session whose prompt each instance has read elsewhere."""
+        candidates = [build(f"e{number}") for number in range(6)]
+        shuffled = list(reversed(candidates))
+        for number in range(50):
+            assert choose(candidates, f"s{number}") == choose(shuffled, f"s{number}")
+
+    def test_only_sessions_of_a_lost_engine_move(self):
+        """Guards against reading every prompt again when one engine leaves."""
+        candidates = [build(f"e{number}") for number in range(6)]
+        before = {f"s{n}": choose(candidates, f"s{n}") for n in range(200)}
+        left = [found for found in candidates if found.upstream.name != "e3"]
+        for key, home in before.items():
+            if home != "e3":
+                assert choose(left, key) == home
+
+    def test_new_engine_draws_few_homes_at_first_and_all_later(self):
+        """Guards against a new engine that gets its part at once, or never."""
+        old = [build(f"e{number}") for number in range(5)]
+        parts = []
+        for age_s in (0.0, 1000.0):
+            new = build("new", age_s=age_s)
+            homes = Counter(choose([*old, new], f"s{n}") for n in range(600))
+            parts.append(homes["new"])
+        assert 0 < parts[0] < 0.6 * parts[1]
+        assert 60 <= parts[1] <= 140
+
+    def test_former_home_of_a_moved_session_is_the_next(self):
+        """Guards against fetching a prompt from an engine that never had it."""
+        old = [build(f"e{number}") for number in range(5)]
+        new = build("new", age_s=5.0)
+        for number in range(100):
+            key = f"s{number}"
+            if choose([*old, new], key) != "new":
+                continue
+            former = find_former_home(key, [*old, new], "new")
+            assert former is not None
+            assert former.name == choose(old, key)
+
+    def test_old_engine_has_no_former_home(self):
+        old = [build(f"e{number}") for number in range(5)]
+        assert find_former_home("s", old, "e1") is None
+
+
+class TestLoad:
+    def test_long_prompt_stays_at_a_home_of_usual_load(self):
+        """Guards against reading 10,000 tokens again to save a little wait."""
+        names = [f"e{number}" for number in range(5)]
+        home = rank_homes("session", [build(name) for name in names])[0].upstream.name
+        candidates = [build(name, 10.0 if name == home else 6.0) for name in names]
+        assert choose(candidates) == home
+
+    def test_short_prompt_leaves_first(self):
+        """Guards against long prompts that lose their home to short ones."""
+        names = [f"e{number}" for number in range(5)]
+        home = rank_homes("session", [build(name) for name in names])[0].upstream.name
+        candidates = [build(name, 10.0 if name == home else 6.0) for name in names]
+        assert choose(candidates, tokens=SHORT) != home
+
+    @pytest.mark.parametrize("tokens", [LONG, SHORT])
+    def test_no_engine_exceeds_the_bound_when_one_session_is_hot(self, tokens):
+        """Guards against an engine over twice the mean and 3 while others have room.
+
+        Plays 200 requests of which two thirds belong to one session, none of which ends.
+        """
+        loads = Counter({f"e{number}": 0 for number in range(6)})
+        source = random.Random(7)
+        for number in range(200):
+            key = "hot" if source.random() < 0.66 else f"s{number}"
+            candidates = [build(name, float(load)) for name, load in loads.items()]
+            mean = sum(loads.values()) / len(loads)
+            chosen = choose(candidates, key, tokens)
+            assert loads[chosen] <= 2 * mean + 3
+            loads[chosen] += 1
+
+    def test_suspended_engine_is_passed_over(self):
+        names = [f"e{number}" for number in range(5)]
+        home = rank_homes("session", [build(name) for name in names])[0].upstream.name
+        candidates = [build(name, suspended=name == home) for name in names]
+        assert choose(candidates) != home
+
+    def test_all_suspended_is_better_than_a_refusal(self):
+        assert choose([build("e1", suspended=True)]) == "e1"
+
+    def test_place_needs_a_free_slot(self):
+        assert has_place(build("e1", 63.0))
+        assert not has_place(build("e1", 64.0))
+
+
+class TestPlainService:
+    def test_least_work_goes_first(self):
+        candidates = [build("a", own=3), build("b", own=1), build("c", own=2)]
+        assert choose(candidates, "", 0, engine=False) == "b"
+
+    def test_slow_upstream_gets_less(self):
+        """Guards against a slow upstream that gets as much as the others."""
+        candidates = [build("slow", own=1, latency_s=0.4), build("fast", own=2, latency_s=0.05)]
+        assert choose(candidates, "", 0, engine=False) == "fast"
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -327,7 +327,7 @@
         if home is not None and home.upstream != chosen:
             return [home.upstream.incarnation]
         former = find_former_home(key, described, chosen.incarnation)
-        return [former] if former else []
+        return [former.incarnation] if former is not None else []
 
     def _may_fetch(self, upstream: Upstream, now_s: float) -> bool:
         track = self.tracks.get(upstream.incarnation)
--- /dev/null
+++ b/tests/entry_moves_test.py
@@ -0,0 +1,103 @@
+"""Tests of version moves on the store of the users' platform, over several instances."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from standin.entryupstream import SeenRequest, answer_whole, format_answer
+from tests.entryrig import Entry, Rig, build_config, open_rig, wait_ready, wait_until
+
+SERVICE = "desk"
+# Longer than the steps need, so that a slow machine changes no verdict.
+DURATION_S = 6.0
+CALL_PAUSE_S = 0.01
+
+
+async def fail_always(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(format_answer(request, b"broken", "500 Internal Server Error"))
+
+
+def read_state(rig: Rig) -> str:
+    row = rig.store.read("status").get(f"rollout/{SERVICE}")
+    return json.loads(row)["state"] if row else ""
+
+
+async def call_until(entries: list[Entry], done) -> int:
+    """Send unsafe requests through all instances until the condition holds; return their count."""
+    count = 0
+    async with asyncio.timeout(30):
+        while not done():
+            entry = entries[count % len(entries)]
+            await entry.call("/unsafe/x", request_id=f"r{count}")
+            count += 1
+            await asyncio.sleep(CALL_PAUSE_S)
+    return count
+
+
+def run_move(new_script, expected_state: str, check) -> None:
+    async def main() -> None:
+        async with open_rig(build_config()) as rig:
+            await rig.add_upstream("old-1", answer_whole, version="v1")
+            await rig.add_upstream("old-2", answer_whole, version="v1")
+            entries = [await rig.add_entry("entry-1"), await rig.add_entry("entry-2")]
+            for entry in entries:
+                await wait_ready(entry, 2)
+            order = {"backend": SERVICE, "to": "v2", "durationS": DURATION_S}
+            rig.store.put("op", f"rollout/{SERVICE}", order)
+            new = await rig.add_upstream("new-1", new_script, version="v2")
+            for entry in entries:
+                await wait_until(lambda entry=entry: entry.instance.view.orders)
+            sent = await call_until(entries, lambda: read_state(rig) == expected_state)
+            check(rig, new, sent)
+            if expected_state == "reverted":
+                return
+            before = len(rig.upstreams[0].seen) + len(rig.upstreams[1].seen)
+            for entry in entries:
+                await wait_until(
+                    lambda entry=entry: entry.instance.moves.find_split(SERVICE).share >= 1.0
+                )
+            for number in range(10):
+                await entries[0].call("/unsafe/x", request_id=f"after{number}")
+            after = len(rig.upstreams[0].seen) + len(rig.upstreams[1].seen)
+            assert after == before
+
+    asyncio.run(main())
+
+
+class TestMoves:
+    def test_good_version_takes_over(self):
+        """Guards against a good version that is not done by its deadline."""
+
+        def check(rig: Rig, new, sent: int) -> None:
+            assert new.seen
+
+        run_move(answer_whole, "done", check)
+
+    def test_bad_version_is_reverted_within_its_share(self):
+        """Guards against a bad version that gets more than the canary share and slack."""
+
+        def check(rig: Rig, new, sent: int) -> None:
+            assert len(new.seen) <= 0.1 * sent + 50
+
+        run_move(fail_always, "reverted", check)
+
+    def test_version_without_an_order_is_held_back(self):
+        """Guards against requests for a version that no order allows yet."""
+
+        async def main() -> None:
+            async with open_rig(build_config()) as rig:
+                await rig.add_upstream("old-1", answer_whole, version="v1")
+                entry = await rig.add_entry()
+                await wait_ready(entry, 1)
+                view = entry.instance.view
+                # As if the old upstream had been known for a while.
+                for name in view.first_seen_s:
+                    view.first_seen_s[name] -= 60.0
+                new = await rig.add_upstream("new-1", answer_whole, version="v2")
+                await wait_ready(entry, 2)
+                for number in range(6):
+                    await entry.call("/unsafe/x", request_id=f"r{number}")
+                assert not new.seen
+
+        asyncio.run(main())
