--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -1,10 +1,10 @@
 """Chooses the upstream of a request.
 
 Load it answers: prompts of about 11,000 tokens of which nine tenths are shared by a session. An
-engine that has read the shared parts needs about 10 ms for such a prompt, another one 85 ms. So each
-session has a home among the engines by rendezvous hashing, which all instances agree on, and leaves
-it only while the home carries more than its part. Plain services take the upstream with the least
-work.
+engine that has read the shared parts needs about 10 ms for such a prompt, another one 85 ms. So
+each session has a home among the engines by rendezvous hashing, which all instances agree on, and
+leaves it only while the home carries more than its part. Plain services take the upstream with the
+least work.
 """
 
 from __future__ import annotations
