Reload settings, take baselines of placement, and test the process by signals

Cause: settings were read once; the product's baseline policies could not be played on the users' machines; the view told of changes through a list of callbacks, where the house style has reactivex. Ruled out: applying new bounds while running, since budgets divided by them would jump; the log names what needs a restart.

--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -10,6 +10,7 @@
 from jayyoke.core.machine import Bounds
 from jayyoke.core.route import ServiceProfile
 from jayyoke.core.upstream import Upstream
+from jayyoke.edge.baseline import Order
 from jayyoke.edge.call import Call
 from jayyoke.edge.canary import find_held_versions, is_slow, select_versions
 from jayyoke.edge.choose import (
@@ -74,6 +75,7 @@
         now_s: Callable[[], float],
         source: random.Random,
         list_instances: Callable[[], Iterable[str]],
+        baseline: Order | None = None,
     ):
         self._view = view
         self._moves = moves
@@ -81,6 +83,7 @@
         self._source = source
         self._cold = ColdLimiter(bounds, instance)
         self._list_instances = list_instances
+        self._baseline = baseline
         self._lines: dict[str, WaitingLine] = {}
         self._instance = instance
         self._prompts = PromptMemory()
@@ -265,7 +268,10 @@
         profile = profile or ServiceProfile(service)
         key = find_home_key(call.head.parts) if call.route.cached_prompts else ""
         shared = count_shared_tokens(call.head.parts)
-        choice = choose_upstreams(candidates, key, shared, profile.engine, self._source)
+        if self._baseline is not None and profile.engine:
+            choice = self._baseline(candidates, key, self._source)
+        else:
+            choice = choose_upstreams(candidates, key, shared, profile.engine, self._source)
         for found in choice.order:
             if not has_place(found):
                 continue
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -8,6 +8,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from reactivex import Observable
+from reactivex.subject import Subject
+
 from jayyoke.core.finding import Finding
 from jayyoke.core.route import MoveOrder, MoveStatus, Route, RoutingConfig, TeamAccess
 from jayyoke.core.upstream import Upstream, UpstreamState
@@ -111,7 +114,12 @@
         self.returned_s: dict[str, float] = {}
         self.orders: dict[str, MoveOrder] = {}
         self.statuses: dict[str, MoveStatus] = {}
-        self.on_change: list[Callable[[], None]] = []
+        self._changes: Subject[str] = Subject()
+
+    @property
+    def changes(self) -> Observable[str]:
+        """Return the stream of names of tables that have changed."""
+        return self._changes
 
     @property
     def config_age_s(self) -> float:
@@ -146,8 +154,7 @@
                 self._derive_upstreams(copy, changed, source)
             case names.STATUS_TABLE:
                 self._derive_statuses(copy, source)
-        for notify in self.on_change:
-            notify()
+        self._changes.on_next(table)
 
     def _derive_operator(self, copy: TableCopy, changed: set[str], source: str) -> None:
         if names.CONFIG_KEY in changed and names.CONFIG_KEY in copy.rows:
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import sys
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Annotated
 
@@ -16,8 +17,10 @@
 from aiohttp import web
 
 from jayyoke.core.error import InvalidDocument, PeerProtocolError
+from jayyoke.core.kernel import UnknownPlugin
 from jayyoke.core.machine import MachineSettings
 from jayyoke.edge import log
+from jayyoke.edge.baseline import OWN_POLICY, find_order
 from jayyoke.edge.follow import PeerFollower, TableFollower
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
@@ -38,6 +41,9 @@
 from jayyoke.utils.boottime import read_boot_time_s
 
 EXIT_USAGE = 2
+# A settings file that changes without a signal is noticed within this time.
+SETTINGS_PERIOD_S = 2.0
+_LIVE_SETTINGS = ("seeds", "first_start")
 # As in deploy/system.toml; outside the range that the platform gives for peers.
 METRICS_PORT = 9109
 # The balancer asks once a second and takes an instance out after two misses.
@@ -50,10 +56,20 @@
 COLLECT_AFTER_ALLOCATIONS = 20_000
 
 
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Holds what the command line says."""
+
+    metrics_port: int = METRICS_PORT
+    policy: str = OWN_POLICY
+
+
 class Instance:
     """Holds the parts of one running instance."""
 
-    def __init__(self, settings: MachineSettings, http: aiohttp.ClientSession):
+    def __init__(
+        self, settings: MachineSettings, http: aiohttp.ClientSession, policy: str = OWN_POLICY
+    ):
         now_s = read_boot_time_s
         source = random.Random()
         self.settings = settings
@@ -72,6 +88,7 @@
             now_s,
             source,
             self.roster.list_alive,
+            find_order(policy),
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -80,7 +97,7 @@
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.peers = PeerFollower(self.view, RelayClient(http), self.list_peers, source)
-        self.view.on_change.append(self.forget_gone)
+        self.view.changes.subscribe(lambda _: self.forget_gone())
         self.metrics.watch("jayyoke_log_lines_dropped", "Log lines dropped.", log.count_dropped)
         self.metrics.watch(
             "jayyoke_config_age_seconds", "Age of the configuration.", self.read_config_age_s
@@ -103,6 +120,18 @@
         known = {*self.roster.list_peers(), *self.settings.seeds}
         return sorted(known - {self.settings.peer_address})
 
+    def apply_settings(self, settings: MachineSettings) -> list[str]:
+        """Take new settings; return the names of those that need a restart."""
+        old = self.settings
+        self.settings = settings
+        changed = []
+        for field in fields(MachineSettings):
+            if field.name in _LIVE_SETTINGS:
+                continue
+            if getattr(old, field.name) != getattr(settings, field.name):
+                changed.append(field.name)
+        return changed
+
     def forget_gone(self) -> None:
         """Drop the state of upstreams that are gone."""
         self.placement.retain()
@@ -117,24 +146,26 @@
         return [asyncio.create_task(part) for part in parts]
 
 
-async def run_instance(settings: MachineSettings, metrics_port: int) -> None:
+async def run_instance(path: Path, settings: MachineSettings, options: Options) -> None:
     """Serve until SIGTERM, then finish the requests in progress."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
-        instance = Instance(settings, http)
+        instance = Instance(settings, http, options.policy)
+        reload = asyncio.Event()
+        loop.add_signal_handler(signal.SIGHUP, reload.set)
         tasks = instance.list_tasks()
+        tasks.append(asyncio.create_task(_watch_settings(instance, path, reload)))
         for task in tasks:
             task.add_done_callback(_end_on_failure)
         await instance.listener.start(settings.caller_address)
         ready = await _listen(_build_ready(instance), settings.ready_address)
         peers = await _listen(build_peers(instance), settings.peer_address)
         host = settings.peer_address.rpartition(":")[0]
-        metrics = await _listen(_build_metrics(instance), f"{host}:{metrics_port}")
+        metrics = await _listen(_build_metrics(instance), f"{host}:{options.metrics_port}")
         log_event("started", instance=settings.instance, domain=settings.domain)
         await stop.wait()
         await _drain(instance)
@@ -204,8 +235,36 @@
     return app
 
 
-def _note_reload() -> None:
-    log_event("reload", note="settings take effect at the next start")
+async def _watch_settings(instance: Instance, path: Path, reload: asyncio.Event) -> None:
+    """Read the settings again on SIGHUP, and when the file changes without a signal."""
+    known = _read_text(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_PERIOD_S):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        signalled = reload.is_set()
+        reload.clear()
+        try:
+            text = _read_text(path)
+            if text == known and not signalled:
+                continue
+            settings = parse_boot_settings(text, str(path))
+        except (OSError, InvalidDocument) as error:
+            log_event("reload-failed", error=str(error))
+            continue
+        known = text
+        log_event(
+            "reload",
+            signalled=signalled,
+            seeds=list(settings.seeds),
+            needs_restart=instance.apply_settings(settings),
+        )
+
+
+def _read_text(path: Path) -> str:
+    return path.read_text(encoding="utf-8")
 
 
 def _end_on_failure(task: asyncio.Task[None]) -> None:
@@ -219,17 +278,22 @@
 
 def main(
     metrics_port: Annotated[int, typer.Option(help="TCP port of /metrics.")] = METRICS_PORT,
+    policy: Annotated[
+        str, typer.Option(help="Order of engines; others than 'home' are baselines.")
+    ] = OWN_POLICY,
 ) -> None:
     """Run an entry instance with the settings file that the environment names."""
     log.start_log()
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
-        settings = parse_boot_settings(path.read_text(encoding="utf-8"), str(path))
-    except (OSError, InvalidDocument) as error:
+        settings = parse_boot_settings(_read_text(path), str(path))
+        options = Options(metrics_port, policy)
+        find_order(policy)
+    except (OSError, InvalidDocument, UnknownPlugin) as error:
         log_event("settings-unusable", error=str(error))
         sys.exit(EXIT_USAGE)
     gc.set_threshold(COLLECT_AFTER_ALLOCATIONS)
-    asyncio.run(run_instance(settings, metrics_port))
+    asyncio.run(run_instance(path, settings, options))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/entry_process_test.py
@@ -0,0 +1,137 @@
+"""Tests of the process of an entry instance: start, reload, drain and stop by signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from standin.entryupstream import SeenRequest, answer_whole
+from tests.entryrig import HOST, KEY, build_config, open_rig
+
+ROOT = Path(__file__).parent.parent
+
+
+def find_ports(count: int) -> list[int]:
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+def write_settings(path: Path, store: str, ports: list[int], seeds: list[str]) -> None:
+    path.write_text(
+        f"""
+nodeName = "entry-1"
+az = "zone-a"
+region = "region"
+seeds = {json.dumps(seeds)}
+[listen]
+http = "127.0.0.1:{ports[0]}"
+readiness = "127.0.0.1:{ports[1]}"
+admin = "127.0.0.1:{ports[2]}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 6
+""",
+        encoding="utf-8",
+    )
+
+
+async def read_events(process: asyncio.subprocess.Process, name: str) -> dict:
+    """Return the next event of a name from the process's log."""
+    assert process.stdout is not None
+    async with asyncio.timeout(20):
+        while True:
+            line = await process.stdout.readline()
+            assert line, f"the process ended before {name}"
+            event = json.loads(line)
+            if event["event"] == name:
+                return event
+
+
+class TestProcess:
+    def test_starts_reloads_drains_and_stops(self, tmp_path):
+        """Guards against a shutdown that cuts a request, and against settings read only once."""
+
+        async def slow(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.5)
+            await answer_whole(request, writer)
+
+        async def main() -> None:
+            async with open_rig(build_config()) as rig, aiohttp.ClientSession() as http:
+                await rig.add_upstream("u1", slow)
+                ports = find_ports(4)
+                path = tmp_path / "boot.toml"
+                write_settings(path, rig.store.address, ports, [])
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "jayyoke.scripts.entry",
+                    "--metrics-port",
+                    str(ports[3]),
+                    cwd=ROOT,
+                    env=os.environ | {"JAYYOKE_SETTINGS": str(path)},
+                    stdout=asyncio.subprocess.PIPE,
+                )
+                try:
+                    await read_events(process, "upstream")
+                    async with http.get(f"http://127.0.0.1:{ports[1]}/-/readyz") as ready:
+                        assert ready.status == 200
+                    write_settings(path, rig.store.address, ports, ["127.0.0.1:9"])
+                    event = await read_events(process, "reload")
+                    assert (event["signalled"], event["seeds"]) == (False, ["127.0.0.1:9"])
+                    process.send_signal(signal.SIGHUP)
+                    event = await read_events(process, "reload")
+                    assert (event["signalled"], event["needs_restart"]) == (True, [])
+                    headers = {
+                        "Host": HOST,
+                        "Request-Id": "r1",
+                        "Authorization": f"Bearer {KEY}",
+                    }
+                    url = f"http://127.0.0.1:{ports[0]}/unsafe/x"
+                    call = asyncio.create_task(http.post(url, headers=headers, data=b"x"))
+                    await read_events(process, "placed")
+                    process.send_signal(signal.SIGTERM)
+                    await read_events(process, "draining")
+                    async with http.get(f"http://127.0.0.1:{ports[1]}/-/readyz") as ready:
+                        assert ready.status == 503
+                    async with http.get(f"http://127.0.0.1:{ports[3]}/metrics") as metrics:
+                        assert "jayyoke_config_age_seconds" in await metrics.text()
+                    async with await call as answer:
+                        assert answer.status == 200
+                        assert await answer.read() == b"done r1"
+                    await read_events(process, "stopped")
+                    assert await process.wait() == 0
+                finally:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.wait()
+
+        asyncio.run(main())
+
+    def test_unusable_settings_end_it_with_a_reason(self, tmp_path):
+        async def main() -> None:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "jayyoke.scripts.entry",
+                cwd=ROOT,
+                env=os.environ | {"JAYYOKE_SETTINGS": str(tmp_path / "none.toml")},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            event = await read_events(process, "settings-unusable")
+            assert "none.toml" in event["error"]
+            assert await process.wait() == 2
+
+        asyncio.run(main())
