--- a/jayyoke/edge/access.py
+++ b/jayyoke/edge/access.py
@@ -44,7 +44,7 @@
     if config is None:
         return Rejected(503, "no-configuration", UNREADY_RETRY_S)
     fresh = view.config_age_s < max(FRESH_S, bounds.converge_s)
-    route = view.routes.find(host.rpartition(":")[0] or host, path)
+    route = view.routes.find(_strip_port(host).lower(), path)
     if route is None:
         if fresh:
             return Rejected(404, "no-route")
@@ -60,3 +60,8 @@
     if fresh:
         return Rejected(401, "unknown-key")
     return Rejected(503, "key-not-known", UNREADY_RETRY_S)
+
+
+def _strip_port(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -184,6 +184,8 @@
             self._placement.record(call, service, upstream, outcome, latency_s, progress.sends == 1)
         if connection is not None and isinstance(outcome, Delivered | Failed):
             self._pool.release(upstream, connection, self._now_s())
+        if isinstance(outcome, MayHaveRun):
+            self._pool.drop(upstream)
         return outcome
 
     async def _exchange(
@@ -219,6 +221,8 @@
                 return NotRun("misdirected", arrived=True, misdirected=True)
             if answer.head.not_run:
                 return NotRun(f"not-executed-{answer.status}", arrived=True)
+            if 200 <= answer.status < 300 and not answer.head.genuine:
+                return MayHaveRun("the answer is not the upstream's own", silent=False)
             if call.route.kind is RouteKind.STREAM and 200 <= answer.status < 300:
                 return await self._relay_stream(call, caller, answer, progress, first_s)
             return await self._relay_whole(call, caller, answer, progress, first_s)
--- a/jayyoke/edge/pool.py
+++ b/jayyoke/edge/pool.py
@@ -58,6 +58,11 @@
             for connection in self._idle.pop(gone):
                 connection.abort()
 
+    def drop(self, upstream: Upstream) -> None:
+        """Close the idle connections of an upstream, which a lost one puts in doubt."""
+        for connection in self._idle.pop(upstream.incarnation, ()):
+            connection.abort()
+
     def close(self) -> None:
         """Close every idle connection."""
         self.retain(())
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -44,6 +44,8 @@
         self._clock = clock
         self._name = name
         self._address = address
+        self._parsed: list[Member] = []
+        self._parsed_revision = -1
 
     @property
     def period_s(self) -> float:
@@ -52,6 +54,13 @@
 
     def list_members(self) -> list[Member]:
         """Return every readable row."""
+        revision = self._view.tables[MEMBER_TABLE].revision
+        if revision != self._parsed_revision:
+            self._parsed = self._parse_members()
+            self._parsed_revision = revision
+        return self._parsed
+
+    def _parse_members(self) -> list[Member]:
         found = []
         for row in self._view.tables[MEMBER_TABLE].rows.values():
             member = _parse_member(row.key, row.value)
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -60,6 +60,15 @@
     cold_left_s: float | None
     keep_alive_s: float | None
     close: bool
+    encoded: bool
+
+    @property
+    def genuine(self) -> bool:
+        """Tell whether a success is the upstream's own whole answer to a named request.
+
+        Requests ask for no encoding, so an encoded body is not what the upstream signed.
+        """
+        return self.signed and bool(self.request_id) and not self.encoded
 
 
 def decode_request(headers: RawHeaders) -> RequestHead:
@@ -91,6 +100,7 @@
         cold_left_s=None if cold_ms is None else cold_ms / 1000,
         keep_alive_s=_decode_keep_alive(found.get(names.KEEP_ALIVE)),
         close=b"close" in found.get(names.CONNECTION, b"").lower(),
+        encoded=names.CONTENT_ENCODING in found,
     )
 
 
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -19,6 +19,7 @@
 KEEP_ALIVE = b"keep-alive"
 CONTENT_LENGTH = b"content-length"
 CONNECTION = b"connection"
+CONTENT_ENCODING = b"content-encoding"
 
 # Names as they are sent.
 SEND_DEADLINE = b"Deadline-Ms"
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -534,3 +534,75 @@
             writer.close()
 
         run(test)
+
+
+class TestAnswersThatAreNotWhole:
+    @pytest.mark.parametrize(
+        "head",
+        [
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody",
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
+            "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+            "HTTP/1.1 200 OK\r\nWorker-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+            "\x00\x01 no answer at all\r\n\r\n",
+        ],
+        ids=["unsigned", "encoded", "without-id", "no-http"],
+    )
+    def test_success_that_is_not_the_upstreams_is_not_passed_on(self, head):
+        """Guards against bytes of a faulty upstream that a caller takes for its answer."""
+
+        async def spoil(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(head.replace("{id}", request.id).encode("latin-1"))
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", spoil)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            assert (await entry.call("/unsafe/x"))[0] == 502
+
+        run(test)
+
+
+class TestSilentConnections:
+    def test_one_broken_connection_ends_the_idle_ones(self):
+        """Guards against losing one request for each kept connection that has gone dead."""
+
+        async def test(rig: Rig) -> None:
+            seen = 0
+
+            async def script(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+                nonlocal seen
+                seen += 1
+                if request.id == "broken":
+                    reset(writer)
+                    return
+                await asyncio.sleep(0.05)
+                answer = format_answer(request, b"ok", Keep_Alive="timeout=30")
+                writer.write(answer)
+
+            upstream = await rig.add_upstream("u1", script)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            calls = [entry.call("/safe/x", request_id=f"r{number}") for number in range(4)]
+            await asyncio.gather(*calls)
+            opened = upstream.connections
+            assert opened > 1
+            await entry.call("/unsafe/x", request_id="broken")
+            await entry.call("/unsafe/x", request_id="after")
+            assert upstream.connections == opened + 1
+
+        run(test)
+
+
+class TestHost:
+    def test_case_and_port_do_not_matter(self):
+        """Guards against a 404 for a host that is spelt in another case."""
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_whole)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            for host in ("CALLS.example", "calls.example:8080"):
+                assert (await entry.call("/safe/x", Host=host))[0] == 200
+
+        run(test)
