--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -35,8 +35,8 @@
 # How long a call may wait in line: part of its objective, then part of what is left.
 WAIT_OBJECTIVE_PART = 0.5
 WAIT_LEFT_PART = 0.3
-# Without any upstream a call waits this long for news of one, within its objective's eighth.
-NO_UPSTREAM_RETRY_S = 0.8
+# Upstreams and domains come back after seconds; the caller's time left bounds this further.
+NO_UPSTREAM_RETRY_S = 2.0
 FULL_RETRY_S = 0.5
 # Latency assumed of upstreams that have not answered yet.
 UNKNOWN_LATENCY_S = 0.05
@@ -116,10 +116,10 @@
         while True:
             now_s = self._now_s()
             candidates = self._list_candidates(call, service, tried, draw, now_s)
-            if not candidates and not self._view.by_service.get(service):
-                return Refused("no-upstream", NO_UPSTREAM_RETRY_S)
-            if not candidates and tried:
-                return Refused("no-other-upstream", NO_UPSTREAM_RETRY_S)
+            if not candidates:
+                # Waiting here brings none: upstreams come back with news that take seconds.
+                reason = "no-other-upstream" if tried else "no-upstream"
+                return Refused(reason, NO_UPSTREAM_RETRY_S)
             if waited or not line.outranked(call.rank, call.deadline_s):
                 taken = self._take(call, service, candidates, now_s)
                 if taken is not None:
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -449,6 +449,27 @@
 
         run(test)
 
+    def test_service_without_an_allowed_upstream_is_refused_at_once(self):
+        """Guards against callers that wait for a place which nothing but news can bring.
+
+        Seen in the incident inc-e578 of tapir-ridge: the only upstream stood in a domain that was
+        taken out, and 900 requests waited half of their objective before they were refused.
+        """
+
+        async def test(rig: Rig) -> None:
+            out = await rig.add_upstream("u1", answer_whole, az="zone-b")
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            rig.store.put("op", "evacuate/zone-b", {})
+            await wait_until(lambda: "zone-b" in entry.instance.view.evacuated)
+            status, body, headers = await entry.call("/unsafe/x")
+            assert (status, body) == (503, b"no-upstream")
+            # The longest that the caller waits gives the domain the most time to return.
+            assert float(headers["Retry-After"]) > 0.9 * 2.4 / 3
+            assert not out.seen
+
+        run(test)
+
     @pytest.mark.parametrize(
         "body", [b"\xff\x00", {"state": "ready"}, [], {"state": "odd", "backend": "desk"}]
     )
