Keep the counts of moves within the store's rate, and remove those of killed instances

Cause: worked out for docs/CAPACITY.md: 410 instances would write 512 rows a second during a move, over the store's 400; rows of killed instances stayed for good. Change: the period grows with the instances; a reader removes rows of earlier orders of the service.

--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -27,6 +27,8 @@
 
 # Counts, verdict and status each take up to one period; the users bound them together at 5 s.
 PERIOD_S = 0.8
+# Keeps the writes of all instances together at half of the store's rate of today (400/s).
+PERIOD_S_PER_INSTANCE = 0.005
 EVIDENCE_TABLE = "evidence"
 LATENCY_WEIGHT = 0.05
 _FINAL = (MoveState.DONE, MoveState.REVERTED)
@@ -35,8 +37,16 @@
 class MoveKeeper:
     """Holds what this instance knows of moves under way."""
 
-    def __init__(self, view: FleetView, store: RowStore, clock: StoreClock, instance: str):
+    def __init__(
+        self,
+        view: FleetView,
+        store: RowStore,
+        clock: StoreClock,
+        instance: str,
+        count_instances: Callable[[], int],
+    ):
         self._view = view
+        self._count_instances = count_instances
         self._store = store
         self._clock = clock
         # Two incarnations of an instance must not count as one source, since totals only grow.
@@ -47,6 +57,11 @@
         self._usual: dict[tuple[str, str], Ewma] = {}
         self._written: dict[str, bytes] = {}
 
+    @property
+    def period_s(self) -> float:
+        """Return the time between two exchanges of counts."""
+        return max(PERIOD_S, PERIOD_S_PER_INSTANCE * self._count_instances())
+
     def find_split(self, service: str) -> Split:
         """Return which versions a request of the service may go to."""
         order = self._view.orders.get(service)
@@ -84,7 +99,7 @@
         """Keep the moves until cancelled."""
         await self._read_first_status(sleep)
         while True:
-            await sleep(PERIOD_S * random.uniform(0.8, 1.2))
+            await sleep(self.period_s * random.uniform(0.8, 1.2))
             for order in list(self._view.orders.values()):
                 if not self._is_open(order):
                     await self._clean_up(order)
@@ -170,8 +185,13 @@
             self._written[prefix] = body
         page = await self._store.read(EVIDENCE_TABLE)
         for row in page.rows:
-            if row.key.startswith(prefix) and not row.key.endswith(self._source):
-                pool.replace(row.key, _parse_counts(row))
+            if row.key.startswith(prefix):
+                if not row.key.endswith(self._source):
+                    pool.replace(row.key, _parse_counts(row))
+                continue
+            if row.key.startswith(f"{order.service}/"):
+                # An instance that was killed during an earlier move has left it.
+                await self._store.write(EVIDENCE_TABLE, [Put(row.key, None, row.version)])
 
     async def _write(
         self,
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -84,7 +84,13 @@
             settings.domain,
             settings.peer_address,
         )
-        self.moves = MoveKeeper(self.view, self.store, self.clock, settings.instance)
+        self.moves = MoveKeeper(
+            self.view,
+            self.store,
+            self.clock,
+            settings.instance,
+            lambda: len(self.roster.list_alive()),
+        )
         self.placement = Placement(
             self.view,
             self.moves,
