Leave large configurations to the store, and pace them to the link

Change: followers leave large rows out and the others read them from the store; after a large answer the next question waits so long that news take a quarter of the link at most. Routes are found by prefix in a table instead of in turn. Ruled out: compression, which leaves two thirds of the link to a storm of eight peers.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -322,6 +322,8 @@
   4: optional list<RelayedRow> rows
   5: optional bool whole
   6: optional list<RelayedRow> removed
+  // Rows too large for the sender's link are left out; the asker reads the table from the store.
+  7: optional bool deferred
 }
 
 struct FetchedTables {
--- a/jayyoke/core/machine.py
+++ b/jayyoke/core/machine.py
@@ -52,4 +52,5 @@
     bounds: Bounds = Bounds()
     memory_mb: int = 300
     max_descriptors: int = 4096
+    link_bytes_per_s: float = 125e6
     heartbeat_s: float = 1.2
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -9,15 +9,16 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
 from jayyoke.edge.log import log_event
-from jayyoke.edge.relay import RelayClient, RelayedTable
+from jayyoke.edge.relay import LARGE_ROW_BYTES, RelayClient, RelayedTable
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import TABLES, FleetView
 from jayyoke.platform.rowstore import HistoryLost, RowStore
+from jayyoke.platform.table import Row
 
 # An empty answer after this time shows that the feed still lives; a silent one is given up soon.
 FEED_WAIT_S = 1.0
@@ -29,12 +30,32 @@
 RELAYED_STALE_S = 2.4
 # An instance that follows nobody asks again at this pace while it waits for its turn.
 IDLE_S = 0.25
+# The part of the link that news may take, and the longest pause: a third of the time within which
+# a configuration has to be in force (2 to 3 s).
+LINK_PART = 0.25
+MAX_PAUSE_S = 0.8
 # Many instances turn to the store when followers fail; the pause spreads their calls.
 MAX_DIRECT_RETRY_S = 3.0
 ASK_PERIOD_S = 0.4
 ASKED_PEERS = 2
 
 
+def count_bytes(rows: Iterable[Row]) -> int:
+    """Return the size of rows on their way, which base64 makes a third larger."""
+    return sum(len(row.value) for row in rows) * 4 // 3
+
+
+def find_pause_s(size_bytes: int, link_bytes_per_s: float) -> float:
+    """Return how long to wait after an answer, so that news leave the link to requests.
+
+    Load it answers: a series of configurations of 300 KB, three a second, would fill a link of
+    10 Mbit/s. Whoever waits gets the newest one only.
+    """
+    if size_bytes < LARGE_ROW_BYTES:
+        return 0.0
+    return min(MAX_PAUSE_S, size_bytes / (link_bytes_per_s * LINK_PART))
+
+
 class TableFollower:
     """Keeps one table of the view as new as the store's, where this instance has to."""
 
@@ -45,12 +66,14 @@
         clock: StoreClock,
         table: str,
         is_follower: Callable[[], bool],
+        link_bytes_per_s: float,
     ):
         self._is_follower = is_follower
         self._view = view
         self._store = store
         self._clock = clock
         self._table = table
+        self._link_bytes_per_s = link_bytes_per_s
         self._connected = False
 
     async def run(self) -> None:
@@ -63,7 +86,7 @@
                 await asyncio.sleep(IDLE_S)
                 continue
             try:
-                await self._step(whole)
+                size = await self._step(whole)
             except HistoryLost as error:
                 log_event("feed-history-lost", table=self._table, reason=str(error))
                 whole = True
@@ -77,6 +100,7 @@
             self._note_regained()
             retry_s = FIRST_RETRY_S
             whole = False
+            await asyncio.sleep(find_pause_s(size, self._link_bytes_per_s))
 
     def _has_to_follow(self) -> bool:
         if self._is_follower():
@@ -84,7 +108,8 @@
         age_s = self._view.now_s() - self._view.tables[self._table].confirmed_s
         return age_s > RELAYED_STALE_S
 
-    async def _step(self, whole: bool) -> None:
+    async def _step(self, whole: bool) -> int:
+        """Take the store's news; return their size in bytes."""
         copy = self._view.tables[self._table]
         began_s = self._view.now_s()
         if whole:
@@ -103,6 +128,7 @@
             confirmed_s=confirmed_s,
             source="store",
         )
+        return count_bytes(page.rows)
 
     def _note_lost(self, error: StoreUnavailable) -> None:
         if self._connected:
@@ -123,12 +149,16 @@
     def __init__(
         self,
         view: FleetView,
+        store: RowStore,
         client: RelayClient,
         roster: Roster,
         list_peers: Callable[[], list[str]],
         source: random.Random,
+        link_bytes_per_s: float,
     ):
         self._view = view
+        self._store = store
+        self._link_bytes_per_s = link_bytes_per_s
         self._client = client
         self._roster = roster
         self._list_peers = list_peers
@@ -173,9 +203,32 @@
         # The peer's age is that of its answer; without a wait the answer may be a round trip old.
         answered_s = self._view.now_s() if wait_s else began_s
         for table in tables:
+            if table.deferred:
+                await self._read_directly(peer, table.name)
+                continue
             self._take(peer, table, answered_s)
         return True
 
+    async def _read_directly(self, peer: str, name: str) -> None:
+        """Read a table with large rows from the store, or from the peer if the store is away."""
+        began_s = self._view.now_s()
+        try:
+            page = await self._store.read(name)
+        except StoreUnavailable as error:
+            log_event("deferred-table-store-away", table=name, reason=str(error))
+            await self._ask(peer, 0.0)
+            return
+        self._view.take(
+            name,
+            page.rows,
+            (),
+            page.revision,
+            whole=True,
+            confirmed_s=began_s,
+            source="store",
+        )
+        await asyncio.sleep(find_pause_s(count_bytes(page.rows), self._link_bytes_per_s))
+
     def _take(self, peer: str, table: RelayedTable, answered_s: float) -> None:
         if table.name not in self._view.tables or table.revision < 0:
             return
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -23,6 +23,9 @@
 CALL_TIMEOUT_S = 0.6
 MAX_ANSWER_BYTES = 8 << 20
 MAX_QUESTION_BYTES = 4096
+# A configuration of 1,400 routes has 300 KB; a follower that passed it to eight others over a link
+# of 10 Mbit/s would hold up requests for 2 s. The store's link is 400 times as wide.
+LARGE_ROW_BYTES = 16 << 10
 # Longer than any peer asks for.
 MAX_WAIT_S = 5.0
 
@@ -31,7 +34,8 @@
 class RelayedTable:
     """Holds a peer's news of a table; rows are None if nothing changed since the asker's.
 
-    `whole` tells that rows are the table and not only what changed.
+    `whole` tells that rows are the table and not only what changed, `deferred` that large rows
+    are to be read from the store.
     """
 
     name: str
@@ -40,6 +44,7 @@
     rows: tuple[Row, ...] | None
     removed: tuple[Row, ...] = ()
     whole: bool = True
+    deferred: bool = False
 
 
 class RelayClient:
@@ -86,6 +91,7 @@
                     rows=None if table.rows is None else _decode_rows(table.rows),
                     removed=_decode_rows(table.removed or ()),
                     whole=bool(table.whole),
+                    deferred=bool(table.deferred),
                 )
             )
     except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
@@ -124,7 +130,8 @@
             except TimeoutError:
                 # Nothing changed; the answer confirms what the peer knows.
                 pass
-        return serialize(ttypes.FetchedTables(tables=self._build_tables(known)))
+        tables = self._build_tables(known, defer_large=wait_s > 0)
+        return serialize(ttypes.FetchedTables(tables=tables))
 
     def _wake(self) -> None:
         self._news.set()
@@ -136,7 +143,9 @@
                 return True
         return False
 
-    def _build_tables(self, known: Mapping[str, int]) -> list[ttypes.RelayedTable]:
+    def _build_tables(
+        self, known: Mapping[str, int], defer_large: bool
+    ) -> list[ttypes.RelayedTable]:
         tables = []
         now_s = self._view.now_s()
         for name, copy in self._view.tables.items():
@@ -153,6 +162,9 @@
             changes = copy.list_changes(revision)
             table.whole = changes is None
             rows, removed = changes or (list(copy.rows.values()), [])
+            if defer_large and any(len(row.value) > LARGE_ROW_BYTES for row in rows):
+                table.deferred = True
+                continue
             table.rows = _encode_rows(rows)
             table.removed = _encode_rows(removed)
         return tables
--- a/jayyoke/edge/relay_test.py
+++ b/jayyoke/edge/relay_test.py
@@ -72,6 +72,26 @@
         }
         assert tables["servers"].whole
 
+    def test_large_rows_are_left_to_the_store(self):
+        """Guards against a follower whose link is filled by one configuration for eight peers."""
+
+        async def test() -> None:
+            view = build_view()
+            large = Row("config", b"x" * 300_000, 6)
+            view.take("op", (large,), (), 6, whole=True, confirmed_s=9.9, source="store")
+            server = RelayServer(view)
+            waiting = FetchTables(known={"servers": 4}, wait_ms=1000)
+            body = await server.answer(serialize(waiting))
+            assert len(body) < 1000
+            tables = {table.name: table for table in decode_tables("peer", body)}
+            assert tables["op"].deferred
+            # A peer that cannot reach the store asks without a wait and gets everything.
+            body = await server.answer(serialize(FetchTables(known={})))
+            tables = {table.name: table for table in decode_tables("peer", body)}
+            assert tables["op"].rows == (large,)
+
+        asyncio.run(test())
+
     def test_waiting_peer_is_told_at_once(self):
         """Guards against news that wait for the end of a long poll."""
 
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -99,22 +99,30 @@
 
 
 class RouteTable:
-    """Finds the route of a host and path: the longest prefix wins."""
+    """Finds the route of a host and path: the longest prefix wins.
+
+    Prefixes begin and end with a slash, so a look-up takes one step for each slash of the path
+    and not one for each of the thousands of routes.
+    """
 
     __slots__ = ("_by_host",)
 
     def __init__(self, routes: Iterable[Route]):
-        self._by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
-            self._by_host.setdefault(route.host, []).append(route)
-        for known in self._by_host.values():
-            known.sort(key=lambda route: len(route.prefix), reverse=True)
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        by_prefix = self._by_host.get(host)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (cut := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: cut + 1])
+            if route is not None:
                 return route
+            end = cut
         return None
 
 
--- a/jayyoke/edge/view_test.py
+++ b/jayyoke/edge/view_test.py
@@ -24,6 +24,9 @@
         assert table.find("h", "/a/b/c").prefix == "/a/b/"
         assert table.find("h", "/a/bc").prefix == "/a/"
         assert table.find("h", "/x") is None
+        assert table.find("h", "/a/") is not None
+        assert table.find("other", "/x/y").prefix == "/"
+        assert table.find("none", "/a/") is None
 
 
 class TestTableCopy:
--- a/jayyoke/platform/boot.py
+++ b/jayyoke/platform/boot.py
@@ -54,6 +54,7 @@
         first_start=document.get("bootstrap") is True,
         bounds=_parse_bounds(_table(document, "bounds")),
         memory_mb=int(_number(limits, "ramMb", 300)),
+        link_bytes_per_s=_number(limits, "bandwidthMbps", 1000.0) * 1e6 / 8,
         max_descriptors=int(_number(limits, "maxFds", 4096)),
         heartbeat_s=_number(document, "heartbeatMs", 1200.0) / 1000,
     )
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -109,7 +109,13 @@
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(self.view)
         self.peers = PeerFollower(
-            self.view, RelayClient(http), self.roster, self.list_peers, source
+            self.view,
+            self.store,
+            RelayClient(http),
+            self.roster,
+            self.list_peers,
+            source,
+            settings.link_bytes_per_s,
         )
         self.view.changes.subscribe(lambda _: self.forget_gone())
         self.metrics.watch("jayyoke_log_lines_dropped", "Log lines dropped.", log.count_dropped)
@@ -162,7 +168,12 @@
         ]
         for table in (names.OPERATOR_TABLE, names.UPSTREAM_TABLE):
             follower = TableFollower(
-                self.view, self.store, self.clock, table, self.roster.is_follower
+                self.view,
+                self.store,
+                self.clock,
+                table,
+                self.roster.is_follower,
+                self.settings.link_bytes_per_s,
             )
             parts.append(follower.run())
         return [asyncio.create_task(part) for part in parts]
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4052,6 +4052,7 @@
      - rows
      - whole
      - removed
+     - deferred
 
     """
 
@@ -4062,16 +4063,18 @@
         'rows',
         'whole',
         'removed',
+        'deferred',
     )
 
 
-    def __init__(self, name=None, revision=None, confirmed_age_ms=None, rows=None, whole=None, removed=None,):
+    def __init__(self, name=None, revision=None, confirmed_age_ms=None, rows=None, whole=None, removed=None, deferred=None,):
         self.name = name
         self.revision = revision
         self.confirmed_age_ms = confirmed_age_ms
         self.rows = rows
         self.whole = whole
         self.removed = removed
+        self.deferred = deferred
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4124,6 +4127,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.deferred = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4164,6 +4172,10 @@
                 iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.deferred is not None:
+            oprot.writeFieldBegin('deferred', TType.BOOL, 7)
+            oprot.writeBool(self.deferred)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4562,6 +4574,7 @@
     (4, TType.LIST, 'rows', (TType.STRUCT, [RelayedRow, None], False), None, ),  # 4
     (5, TType.BOOL, 'whole', None, None, ),  # 5
     (6, TType.LIST, 'removed', (TType.STRUCT, [RelayedRow, None], False), None, ),  # 6
+    (7, TType.BOOL, 'deferred', None, None, ),  # 7
 )
 all_structs.append(FetchedTables)
 FetchedTables.thrift_spec = (
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -672,3 +672,26 @@
             await wait_until(lambda: other.instance.view.config.version == 2)
 
         run(test)
+
+    def test_large_configuration_is_read_from_the_store(self):
+        """Guards against a change that an instance never gets because followers leave it out."""
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            routes = [
+                {
+                    "name": f"r{number}",
+                    "host": f"h{number}.example",
+                    "prefix": "/x/",
+                    "type": "safe",
+                    "backend": "desk",
+                }
+                for number in range(1400)
+            ]
+            rig.store.put("op", "config", build_config(2, routes=routes))
+            for entry in entries:
+                await wait_until(lambda entry=entry: entry.instance.view.config.version == 2)
+
+        run(test)
