Follow the store directly until followers serve again

Change: own reads do not count as being served; feeds wait 0.8 s, questions to followers 0.4 s, and 1.5 s without followers' news start the own feeds. Ruled out: the store, which answered all the while.

--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -21,21 +22,24 @@
 from jayyoke.platform.table import Row
 
 # An empty answer after this time shows that the feed still lives; a silent one is given up soon.
-FEED_WAIT_S = 1.0
+FEED_WAIT_S = 0.8
+# How long a follower keeps the question of another instance.
+RELAY_WAIT_S = 0.4
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 # A feed is confirmed every second; beyond this age peers are asked.
 STALE_S = 1.3
-# News by a follower are up to a second older.
-RELAYED_STALE_S = 2.4
-# An instance that follows nobody asks again at this pace while it waits for its turn.
-IDLE_S = 0.25
+# Both waits together, and some time on the way. A change must be in force within 2 s, so an
+# instance whose followers fail follows the store itself from here on.
+RELAYED_STALE_S = 1.5
+# How often an instance looks whether its followers still serve it.
+IDLE_S = 0.1
 # The part of the link that news may take, and the longest pause: a third of the time within which
 # a configuration has to be in force (2 to 3 s).
 LINK_PART = 0.25
 MAX_PAUSE_S = 0.8
 # Many instances turn to the store when followers fail; the pause spreads their calls.
-MAX_DIRECT_RETRY_S = 3.0
+MAX_DIRECT_RETRY_S = 1.5
 ASK_PERIOD_S = 0.4
 ASKED_PEERS = 2
 
@@ -65,10 +69,10 @@
         store: RowStore,
         clock: StoreClock,
         table: str,
-        is_follower: Callable[[], bool],
+        peers: PeerFollower,
         link_bytes_per_s: float,
     ):
-        self._is_follower = is_follower
+        self._peers = peers
         self._view = view
         self._store = store
         self._clock = clock
@@ -81,7 +85,7 @@
         retry_s = FIRST_RETRY_S
         whole = True
         while True:
-            if not self._has_to_follow():
+            if self._peers.served:
                 self._connected = False
                 await asyncio.sleep(IDLE_S)
                 continue
@@ -94,7 +98,7 @@
             except StoreUnavailable as error:
                 self._note_lost(error)
                 await asyncio.sleep(retry_s * random.uniform(0.7, 1.3))
-                limit_s = MAX_RETRY_S if self._is_follower() else MAX_DIRECT_RETRY_S
+                limit_s = MAX_RETRY_S if self._peers.is_follower else MAX_DIRECT_RETRY_S
                 retry_s = min(limit_s, 2 * retry_s)
                 continue
             self._note_regained()
@@ -102,12 +106,6 @@
             whole = False
             await asyncio.sleep(find_pause_s(size, self._link_bytes_per_s))
 
-    def _has_to_follow(self) -> bool:
-        if self._is_follower():
-            return True
-        age_s = self._view.now_s() - self._view.tables[self._table].confirmed_s
-        return age_s > RELAYED_STALE_S
-
     async def _step(self, whole: bool) -> int:
         """Take the store's news; return their size in bytes."""
         copy = self._view.tables[self._table]
@@ -163,6 +161,22 @@
         self._roster = roster
         self._list_peers = list_peers
         self._source = source
+        self._relayed_s = float("-inf")
+
+    @property
+    def is_follower(self) -> bool:
+        """Tell whether this instance follows the store for its domain."""
+        return self._roster.is_follower()
+
+    @property
+    def served(self) -> bool:
+        """Tell whether followers give this instance the news, so that it needs no feeds.
+
+        Reads of its own do not count: it goes on following until followers serve it again.
+        """
+        if self._roster.is_follower():
+            return False
+        return self._view.now_s() - self._relayed_s < RELAYED_STALE_S
 
     @property
     def stale(self) -> bool:
@@ -178,7 +192,7 @@
                 await asyncio.sleep(IDLE_S)
                 continue
             follower = self._source.choice(self._roster.find_followers())
-            if not await self._ask(follower.address, FEED_WAIT_S):
+            if not await self._ask(follower.address, RELAY_WAIT_S):
                 await asyncio.sleep(IDLE_S)
 
     async def run(self) -> None:
@@ -202,6 +216,9 @@
             return False
         # The peer's age is that of its answer; without a wait the answer may be a round trip old.
         answered_s = self._view.now_s() if wait_s else began_s
+        if wait_s:
+            ages_s = [table.age_s for table in tables if table.name in TABLES[:2]]
+            self._relayed_s = max(self._relayed_s, answered_s - max(ages_s, default=math.inf))
         for table in tables:
             if table.deferred:
                 await self._read_directly(peer, table.name)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -172,7 +172,7 @@
                 self.store,
                 self.clock,
                 table,
-                self.roster.is_follower,
+                self.peers,
                 self.settings.link_bytes_per_s,
             )
             parts.append(follower.run())
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -660,14 +660,36 @@
             for entry in entries:
                 await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
             other = next(e for e in entries if not e.instance.roster.is_follower())
+            peers = other.instance.peers
+            await wait_until(lambda: peers.served)
             for entry in entries:
                 if entry is not other:
-                    # Its peers' listener ends, and the store answers it no more.
-                    await entry.instance.listener.close()
+                    await entry.peers.close()
+            rig.store.put("op", "config", build_config(2))
+            await wait_until(lambda: other.instance.view.config.version == 2)
+            await wait_until(lambda: not peers.served)
+            # Seen on grown ballenticket trouble-1: an instance that read once and then waited until
+            # it was old again served a configuration that was over 3 s old.
+            rig.store.put("op", "config", build_config(3))
+            await wait_until(lambda: other.instance.view.config.version == 3)
+            assert not peers.served
+
+        run(test)
+
+    def test_follower_that_lost_the_store_does_not_count(self):
+        """Guards against an old view that a follower passes on as if it were the newest."""
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            other = next(e for e in entries if not e.instance.roster.is_follower())
+            await wait_until(lambda: other.instance.peers.served)
             rig.store.faulty_callers = {
                 e.instance.settings.instance for e in entries if e is not other
             }
             rig.store.fault = Fault.SILENT
+            await wait_until(lambda: not other.instance.peers.served)
             rig.store.put("op", "config", build_config(2))
             await wait_until(lambda: other.instance.view.config.version == 2)
 
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -66,8 +66,9 @@
 class Entry:
     """Holds one instance and a client that calls it."""
 
-    def __init__(self, instance: Instance, url: str, http: aiohttp.ClientSession):
+    def __init__(self, instance: Instance, url: str, http: aiohttp.ClientSession, peers: Listener):
         self.instance = instance
+        self.peers = peers
         self.url = url
         self._http = http
 
@@ -137,7 +138,7 @@
             await http.close()
 
         self._ends.append(end)
-        return Entry(instance, f"http://127.0.0.1:{port}", self._http)
+        return Entry(instance, f"http://127.0.0.1:{port}", self._http, peers)
 
     async def close(self) -> None:
         """End instances, then upstreams."""
