--- /dev/null
+++ b/tests/entry_news_test.py
@@ -0,0 +1,257 @@
+"""Tests of how an entry instance learns of configurations, upstreams and other instances."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standin.entryupstream import answer_whole
+from standin.rowstore import Fault
+from tests.entryrig import Rig, build_config, open_rig, run_rig, wait_ready, wait_until
+
+
+class TestConfiguration:
+    def test_removed_key_is_refused(self):
+        """Guards against a key that outlives its configuration."""
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_whole)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            assert (await entry.call("/safe/x"))[0] == 200
+            rig.store.put("op", "config", build_config(4, tenants=[]))
+            await wait_until(lambda: entry.instance.view.config.version == 4)
+            assert (await entry.call("/safe/x"))[0] == 401
+
+        run_rig(test)
+
+    def test_older_version_never_replaces_a_newer_one(self):
+        """Guards against a configuration that goes back within a process's life."""
+
+        async def test(rig: Rig) -> None:
+            rig.store.put("op", "config", build_config(7))
+            entry = await rig.add_entry()
+            await wait_until(lambda: entry.instance.view.config is not None)
+            rig.store.put("op", "config", build_config(5, tenants=[]))
+            revision = rig.store.revision
+            await wait_until(lambda: entry.instance.view.tables["op"].revision >= revision)
+            assert entry.instance.view.config.version == 7
+
+        run_rig(test)
+
+    @pytest.mark.parametrize("fault", list(Fault))
+    def test_news_come_from_peers_while_the_store_turns_an_instance_away(self, fault):
+        """Guards against an instance that misses changes which the others see."""
+
+        async def test(rig: Rig) -> None:
+            entry = await rig.add_entry("entry-1")
+            other = await rig.add_entry("entry-2")
+            await wait_until(lambda: entry.instance.view.config and other.instance.view.config)
+            await wait_until(lambda: entry.instance.list_peers())
+            rig.store.faulty_callers = {"entry-1"}
+            rig.store.fault = fault
+            rig.store.put("op", "config", build_config(2, tenants=[]))
+            await wait_until(lambda: entry.instance.view.config.version == 2)
+
+        run_rig(test)
+
+    def test_starts_from_a_seed_while_the_store_is_away(self):
+        """Guards against an instance that cannot start during an outage of the store."""
+
+        async def test(rig: Rig) -> None:
+            other = await rig.add_entry("entry-2")
+            await wait_until(lambda: other.instance.view.config is not None)
+            rig.store.fault = Fault.RESET
+            seed = other.instance.settings.peer_address
+            entry = await rig.add_entry("entry-1", seeds=(seed,))
+            await wait_until(lambda: entry.instance.view.config is not None)
+
+        run_rig(test)
+
+    def test_history_that_is_gone_is_read_again(self):
+        """Guards against a feed that misses what changed while it heard nothing."""
+
+        async def test(rig: Rig) -> None:
+            entry = await rig.add_entry()
+            await wait_until(lambda: entry.instance.view.config is not None)
+            rig.store.deaf = True
+            rig.store.put("op", "config", build_config(2))
+            rig.store.deaf = False
+            rig.store.forget_history()
+            await wait_until(lambda: entry.instance.view.config.version == 2)
+
+        run_rig(test)
+
+    def test_without_configuration_nothing_is_denied(self):
+        """Guards against a 404 from an instance that knows no configuration yet."""
+
+        async def main() -> None:
+            async with open_rig() as rig:
+                entry = await rig.add_entry()
+                status, _, headers = await entry.call("/safe/x")
+                assert status == 503
+                assert "Retry-After" in headers
+
+        asyncio.run(main())
+
+
+class TestUpstreams:
+    def test_leaving_upstream_gets_nothing_more(self):
+        """Guards against requests for an upstream that has said that it leaves."""
+
+        async def test(rig: Rig) -> None:
+            leaving = await rig.add_upstream("u1", answer_whole)
+            await rig.add_upstream("u2", answer_whole)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            rig.store.put("servers", "u1", leaving.describe("desk", state="draining"))
+            await wait_until(lambda: len(entry.instance.view.by_service["desk"]) == 1)
+            for number in range(6):
+                await entry.call("/safe/x", request_id=f"r{number}")
+            assert not leaving.seen
+
+        run_rig(test)
+
+    def test_evacuated_domain_gets_nothing(self):
+        """Guards against requests for a failure domain that is taken out."""
+
+        async def test(rig: Rig) -> None:
+            out = await rig.add_upstream("u1", answer_whole, az="zone-b")
+            await rig.add_upstream("u2", answer_whole)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            rig.store.put("op", "evacuate/zone-b", {})
+            await wait_until(lambda: "zone-b" in entry.instance.view.evacuated)
+            for number in range(6):
+                await entry.call("/safe/x", request_id=f"r{number}")
+            assert not out.seen
+
+        run_rig(test)
+
+    def test_service_without_an_allowed_upstream_is_refused_at_once(self):
+        """Guards against callers that wait for a place which nothing but news can bring.
+
+        Seen in the incident inc-e578 of tapir-ridge: the only upstream stood in a domain that was
+        taken out, and 900 requests waited half of their objective before they were refused.
+        """
+
+        async def test(rig: Rig) -> None:
+            out = await rig.add_upstream("u1", answer_whole, az="zone-b")
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            rig.store.put("op", "evacuate/zone-b", {})
+            await wait_until(lambda: "zone-b" in entry.instance.view.evacuated)
+            status, body, headers = await entry.call("/unsafe/x")
+            assert (status, body) == (503, b"no-upstream")
+            # The longest that the caller waits gives the domain the most time to return.
+            assert float(headers["Retry-After"]) > 0.9 * 2.4 / 3
+            assert not out.seen
+
+        run_rig(test)
+
+    @pytest.mark.parametrize(
+        "body", [b"\xff\x00", {"state": "ready"}, [], {"state": "odd", "backend": "desk"}]
+    )
+    def test_unusable_entry_names_no_upstream(self, body):
+        """Guards against a foreign writer's row that stops the others."""
+
+        async def test(rig: Rig) -> None:
+            rig.store.put("servers", "bad", body)
+            await rig.add_upstream("u1", answer_whole)
+            entry = await rig.add_entry()
+            await wait_until(lambda: "u1" in entry.instance.view.upstreams)
+            assert "bad" not in entry.instance.view.upstreams
+            assert (await entry.call("/safe/x"))[0] == 200
+
+        run_rig(test)
+
+
+class TestFollowers:
+    def test_others_get_news_through_followers(self):
+        """Guards against one feed of the store for each instance.
+
+        Three instances share a domain; two follow the store and the third gets the news by them.
+        """
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: entry.instance.view.config is not None)
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            others = [e for e in entries if not e.instance.roster.is_follower()]
+            assert len(others) == 1
+            # The store turns the third instance away, which it must not even notice.
+            name = others[0].instance.settings.instance
+            rig.store.faulty_callers = {name}
+            rig.store.fault = Fault.BUSY
+            rig.store.put("op", "config", build_config(2))
+            await wait_until(lambda: others[0].instance.view.config.version == 2)
+
+        run_rig(test)
+
+    def test_others_turn_to_the_store_when_followers_are_gone(self):
+        """Guards against an instance that misses changes with its followers."""
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            other = next(e for e in entries if not e.instance.roster.is_follower())
+            peers = other.instance.peers
+            await wait_until(lambda: peers.served)
+            for entry in entries:
+                if entry is not other:
+                    await entry.peers.close()
+            rig.store.put("op", "config", build_config(2))
+            await wait_until(lambda: other.instance.view.config.version == 2)
+            await wait_until(lambda: not peers.served)
+            # Seen on grown ballenticket trouble-1: an instance that read once and then waited until
+            # it was old again served a configuration that was over 3 s old.
+            rig.store.put("op", "config", build_config(3))
+            await wait_until(lambda: other.instance.view.config.version == 3)
+            assert not peers.served
+
+        run_rig(test)
+
+    def test_follower_that_lost_the_store_does_not_count(self):
+        """Guards against an old view that a follower passes on as if it were the newest."""
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            other = next(e for e in entries if not e.instance.roster.is_follower())
+            await wait_until(lambda: other.instance.peers.served)
+            rig.store.faulty_callers = {
+                e.instance.settings.instance for e in entries if e is not other
+            }
+            rig.store.fault = Fault.SILENT
+            await wait_until(lambda: not other.instance.peers.served)
+            rig.store.put("op", "config", build_config(2))
+            await wait_until(lambda: other.instance.view.config.version == 2)
+
+        run_rig(test)
+
+    def test_large_configuration_is_read_from_the_store(self):
+        """Guards against a change that an instance never gets because followers leave it out."""
+
+        async def test(rig: Rig) -> None:
+            entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+            for entry in entries:
+                await wait_until(lambda entry=entry: len(entry.instance.roster.list_alive()) == 3)
+            routes = [
+                {
+                    "name": f"r{number}",
+                    "host": f"h{number}.example",
+                    "prefix": "/x/",
+                    "type": "safe",
+                    "backend": "desk",
+                }
+                for number in range(1400)
+            ]
+            rig.store.put("op", "config", build_config(2, routes=routes))
+            for entry in entries:
+                await wait_until(lambda entry=entry: entry.instance.view.config.version == 2)
+
+        run_rig(test)
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -176,3 +177,15 @@
     """Wait until an instance knows the configuration and so many upstreams."""
     view = entry.instance.view
     await wait_until(lambda: view.config is not None and len(view.upstreams) == upstreams)
+
+
+def run_rig(
+    test: Callable[[Rig], Awaitable[None]], config: dict[str, object] | None = None
+) -> None:
+    """Run a test against a new rig."""
+
+    async def main() -> None:
+        async with open_rig(config or build_config()) as rig:
+            await test(rig)
+
+    asyncio.run(main())
