Rank the instances of a cold upstream once, not at each request

Cause: `ColdLimiter.take` ranked all instances by rendezvous hashing for each request to a cold upstream: 0.1 ms of processor time with 410 instances.

Ruled out: the bucket and the sum over the test's times; the stack shows `rank`.

Change: the part is kept for each upstream with the rate and the set of instances that it was worked out for.

No check has changed.

--- a/jayyoke/edge/cold.py
+++ b/jayyoke/edge/cold.py
@@ -47,12 +47,14 @@
         self._bounds = bounds
         self._instance = instance
         self._buckets: dict[str, tuple[ColdPart, TokenBucket]] = {}
+        # Ranking all instances at each request costs 0.1 ms with 410 of them.
+        self._parts: dict[str, tuple[float, frozenset[str], ColdPart | None]] = {}
 
     def take(
         self, incarnation: str, cold_rate: float, instances: Iterable[str], now_s: float
     ) -> bool:
         """Take one request for a cold upstream; return False if it must go elsewhere or wait."""
-        part = divide_cold_rate(cold_rate, self._bounds, incarnation, self._instance, instances)
+        part = self._find_part(incarnation, cold_rate, frozenset(instances))
         if part is None:
             return False
         known = self._buckets.get(incarnation)
@@ -65,5 +67,16 @@
 
     def retain(self, incarnations: set[str]) -> None:
         """Forget upstreams that are gone."""
-        for gone in set(self._buckets) - incarnations:
-            del self._buckets[gone]
+        for gone in set(self._parts) - incarnations:
+            del self._parts[gone]
+            self._buckets.pop(gone, None)
+
+    def _find_part(
+        self, incarnation: str, cold_rate: float, instances: frozenset[str]
+    ) -> ColdPart | None:
+        known = self._parts.get(incarnation)
+        if known is not None and known[:2] == (cold_rate, instances):
+            return known[2]
+        part = divide_cold_rate(cold_rate, self._bounds, incarnation, self._instance, instances)
+        self._parts[incarnation] = (cold_rate, instances, part)
+        return part
