Await large configurations on narrow links

Cause: `RowStore` gave up a read 1 s after it began and a feed 0.6 s after its wait, also while the answer was arriving.

Ruled out: the store (its answers arrive; the link is the limit) and decoding (37 ms).

Writes keep their limit of 1 s. The store's stand-in plays a narrow link and an answer that stops half way.

--- a/jayyoke/platform/rowstore.py
+++ b/jayyoke/platform/rowstore.py
@@ -16,10 +16,13 @@
 from jayyoke.platform.table import Put, Row
 
 MAX_ANSWER_BYTES = 16 << 20
-# A call normally takes 4 ms; the users' slowest store answers 80 times later.
+# A call normally takes 4 ms; the users' slowest store answers 80 times later. The answer to a read
+# may take longer as long as it goes on arriving.
 CALL_TIMEOUT_S = 1.0
 # How much later than asked a feed may answer before its connection counts as lost.
 FEED_SLACK_S = 0.6
+# A configuration of 700 KB takes 1.1 s on the narrowest link (5 Mbit/s), longer beside requests.
+TRANSFER_TIMEOUT_S = 5.0
 PAGE_ROWS = 500
 
 
@@ -57,7 +60,7 @@
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
-            answer = await self._call("GET", names.ROWS_GET, query, CALL_TIMEOUT_S)
+            answer = await self._read(names.ROWS_GET, query, CALL_TIMEOUT_S)
             page, _ = _parse_rows(answer)
             rows.extend(page)
             if answer.get("hasMore") is not True or not page:
@@ -68,7 +71,7 @@
     async def follow(self, table: str, revision: int, wait_s: float) -> RowPage:
         """Return what changed after a revision; raise HistoryLost or StoreUnavailable."""
         query = {"table": table, "sinceRev": str(revision), "waitMs": str(int(wait_s * 1000))}
-        answer = await self._call("GET", names.ROWS_FEED, query, wait_s + FEED_SLACK_S)
+        answer = await self._read(names.ROWS_FEED, query, wait_s + FEED_SLACK_S)
         rows, removed = _parse_rows(answer)
         newest = max(_whole(answer, "schemaVer"), revision)
         return RowPage(rows, newest, _whole(answer, "nowMs"), removed)
@@ -87,19 +90,26 @@
                 continue
             writes.append(name | {"value": base64.b64encode(put.value).decode()})
         body = {"expectRev": expected, "writes": writes, "remove": removals}
-        answer = await self._call("POST", names.ROWS_TX, {}, CALL_TIMEOUT_S, body, Effect.UNKNOWN)
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        answer = await self._call("POST", names.ROWS_TX, {}, timeout, body, Effect.UNKNOWN)
         return RowPage((), _whole(answer, "schemaVer"), _whole(answer, "nowMs"))
 
+    async def _read(self, path: str, query: dict[str, str], silence_s: float) -> dict[str, Any]:
+        """Return an answer that may take long but not stay silent."""
+        timeout = aiohttp.ClientTimeout(
+            total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
+        )
+        return await self._call("GET", path, query, timeout)
+
     async def _call(
         self,
         method: str,
         path: str,
         query: dict[str, str],
-        timeout_s: float,
+        timeout: aiohttp.ClientTimeout,
         body: dict[str, Any] | None = None,
         effect: Effect = Effect.NONE,
     ) -> dict[str, Any]:
-        timeout = aiohttp.ClientTimeout(total=timeout_s, connect=CALL_TIMEOUT_S)
         try:
             async with self._http.request(
                 method, self._url + path, params=query, json=body, timeout=timeout
--- /dev/null
+++ b/tests/rowstore_test.py
@@ -0,0 +1,84 @@
+"""Tests of the store's client against the stand-in of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+
+from jayyoke.core.error import StoreUnavailable
+from jayyoke.platform import rowstore
+from jayyoke.platform.rowstore import RowStore
+from standin.rowstore import Fault, RowStoreStandin
+
+# A configuration of the grown deployments, and the narrowest of their links.
+LARGE_ROW = b"x" * (512 << 10)
+NARROW_LINK_BYTES_PER_S = 5_000_000 / 8
+
+
+def run_store(test: Callable[[RowStoreStandin, RowStore], Awaitable[None]]) -> None:
+    """Run a test with a store and its client."""
+
+    async def run() -> None:
+        standin = RowStoreStandin()
+        await standin.start()
+        try:
+            async with aiohttp.ClientSession() as http:
+                await test(standin, RowStore(http, standin.address))
+        finally:
+            await standin.close()
+
+    asyncio.run(run())
+
+
+class TestNarrowLink:
+    def test_read_that_takes_longer_than_a_call_is_awaited(self):
+        """Guards against reads that are given up while they arrive, and start again."""
+
+        async def test(standin: RowStoreStandin, store: RowStore) -> None:
+            standin.put("op", "config", LARGE_ROW)
+            standin.link_bytes_per_s = NARROW_LINK_BYTES_PER_S
+            page = await store.read("op")
+            assert page.rows[0].value == LARGE_ROW
+
+        run_store(test)
+
+    def test_feed_whose_news_take_longer_than_its_wait_is_awaited(self):
+        """Guards against news that a narrow link never delivers."""
+
+        async def test(standin: RowStoreStandin, store: RowStore) -> None:
+            standin.put("op", "config", LARGE_ROW)
+            standin.link_bytes_per_s = NARROW_LINK_BYTES_PER_S
+            page = await store.follow("op", 0, 0.2)
+            assert page.rows[0].value == LARGE_ROW
+
+        run_store(test)
+
+
+class TestSilentStore:
+    @pytest.mark.parametrize("call", ["read", "feed"])
+    def test_silence_ends_a_call(self, call):
+        """Guards against waiting for a connection that has gone silent."""
+
+        async def test(standin: RowStoreStandin, store: RowStore) -> None:
+            standin.fault = Fault.SILENT
+            async with asyncio.timeout(rowstore.TRANSFER_TIMEOUT_S):
+                with pytest.raises(StoreUnavailable):
+                    await (store.read("op") if call == "read" else store.follow("op", 0, 0.2))
+
+        run_store(test)
+
+    def test_silence_within_an_answer_ends_a_call(self):
+        """Guards against an answer that stops half way for good."""
+
+        async def test(standin: RowStoreStandin, store: RowStore) -> None:
+            standin.put("op", "config", LARGE_ROW)
+            standin.link_bytes_per_s = NARROW_LINK_BYTES_PER_S
+            standin.silent_after_bytes = len(LARGE_ROW) // 2
+            async with asyncio.timeout(rowstore.TRANSFER_TIMEOUT_S):
+                with pytest.raises(StoreUnavailable):
+                    await store.read("op")
+
+        run_store(test)
