Cancel tasks again that lose a cancellation, so that a stop ends

The follower then went on, and `gather` waited for it. The daemons end in the same way, so a stop could last until the platform kills the process.

Change: `end_tasks` (utils/task.py) cancels until every task has ended; entry, jayyoked, peers, shadows, demo and the test rig use it.

--- a/jayyoke/ops/shadow.py
+++ b/jayyoke/ops/shadow.py
@@ -16,6 +16,7 @@
 from jayyoke.ops.forward import EngineBusy, EngineRejected, Engines
 from jayyoke.ops.placement import Placer
 from jayyoke.ops.sse import Frames
+from jayyoke.utils.task import end_tasks
 
 # Copies never delay callers' requests: engines run lower numbers first.
 SHADOW_PRIORITY = 9
@@ -45,9 +46,7 @@
 
     async def close(self) -> None:
         """Cancel all copies in progress."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     async def _run(self, upstream: Upstream, request: CallerRequest) -> None:
         # Copies count at the steward like other work, so that they never overload a cold engine.
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -24,6 +24,7 @@
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
 from jayyoke.utils.source import build_socket_factory
+from jayyoke.utils.task import end_tasks
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -69,9 +70,7 @@
         if node.shadows is not None:
             await node.shadows.close()
         await node.engines.close()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
 
 
 def _tune_collector() -> None:
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -39,6 +39,7 @@
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
 from jayyoke.utils.boottime import read_boot_time_s
+from jayyoke.utils.task import end_tasks
 
 EXIT_USAGE = 2
 # A settings file that changes without a signal is noticed within this time.
@@ -205,8 +206,7 @@
         await _drain(instance)
         for task in tasks:
             task.remove_done_callback(_end_on_failure)
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
         await instance.listener.close()
         instance.pool.close()
         await ready.close()
--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -15,6 +15,7 @@
 from jayyoke.core.peering import Handler, Message
 from jayyoke.ops.digest import Digests, shorten
 from jayyoke.ops.membership import HEARTBEAT_INTERVAL_S, Membership
+from jayyoke.utils.task import end_tasks
 from jayyoke.wire.gen.constants import REVISION
 from jayyoke.wire.gen.ttypes import Failure, Hello, Welcome
 from jayyoke.wire.link import HANDSHAKE_TIMEOUT_S, Connection, Traffic, accept, dial
@@ -154,9 +155,7 @@
         """Close the listener and every connection."""
         if self._server is not None:
             self._server.close()
-        for task in self._links.values():
-            task.cancel()
-        await asyncio.gather(*self._links.values(), return_exceptions=True)
+        await end_tasks(self._links.values())
         for connection in (*self._dialled.values(), *self._accepted.values()):
             connection.close()
         if self._serving:
--- a/standin/demo.py
+++ b/standin/demo.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from jayyoke.utils.task import end_tasks
 from standin.calls import Callers
 from standin.checks import check_all, format_rows
 from standin.deployment import DEPLOYMENTS
@@ -79,9 +80,7 @@
         callers.stopping = True
         await asyncio.gather(*chats)
     finally:
-        for task in followers + chats:
-            task.cancel()
-        await asyncio.gather(*followers, *chats, return_exceptions=True)
+        await end_tasks([*followers, *chats])
 
 
 async def _run_until_signal(name: str, seed: int, folder: Path) -> bool:
--- a/standin/entryupstream.py
+++ b/standin/entryupstream.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from jayyoke.utils.task import end_tasks
+
 
 @dataclass(slots=True)
 class SeenRequest:
@@ -52,9 +54,7 @@
         """Stop listening and end every connection."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     def describe(self, service: str, **changes: object) -> dict[str, object]:
         """Return the entry that the upstream writes into the store."""
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -52,7 +52,7 @@
         self.lose_answers = False
         self.delay_writes_s = 0.0
         self.deaf = False
-        # Plays a narrow link: answers to reads and feeds take their size over this; 0 means at once.
+        # Plays a narrow link for the answers to reads and feeds; 0 sends them at once.
         self.link_bytes_per_s = 0.0
         # Where such an answer stops for good.
         self.silent_after_bytes: int | None = None
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -12,6 +12,7 @@
 from jayyoke.core.machine import Bounds, MachineSettings, StoreProfile
 from jayyoke.scripts.entry import Instance, build_peers
 from jayyoke.server.listener import Listener
+from jayyoke.utils.task import end_tasks
 from standin.entryupstream import EntryUpstream, Script
 from standin.rowstore import RowStoreStandin
 
@@ -130,9 +131,7 @@
         await peers.start(settings.peer_address)
 
         async def end() -> None:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_tasks(tasks)
             await instance.listener.close()
             await peers.close()
             instance.pool.close()
--- a/tests/rowstore_test.py
+++ b/tests/rowstore_test.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -11,6 +12,7 @@
 from jayyoke.core.error import StoreUnavailable
 from jayyoke.platform import rowstore
 from jayyoke.platform.rowstore import RowStore
+from jayyoke.utils.task import end_tasks
 from standin.rowstore import Fault, RowStoreStandin
 
 # A configuration of the grown deployments, and the narrowest of their links.
@@ -82,3 +84,27 @@
                     await store.read("op")
 
         run_store(test)
+
+
+class TestStop:
+    def test_cancellation_that_meets_the_timeout(self):
+        """Guards against a task that goes on, so that its process never stops."""
+
+        async def follow(store: RowStore) -> None:
+            while True:
+                try:
+                    await store.write("members", [])
+                except StoreUnavailable:
+                    continue
+
+        async def test(standin: RowStoreStandin, store: RowStore) -> None:
+            standin.fault = Fault.SILENT
+            task = asyncio.create_task(follow(store))
+            loop = asyncio.get_running_loop()
+            # A loop that is held up runs the client's timeout and the cancellation together.
+            loop.call_later(rowstore.CALL_TIMEOUT_S / 2, time.sleep, rowstore.CALL_TIMEOUT_S)
+            await asyncio.sleep(rowstore.CALL_TIMEOUT_S * 0.95)
+            await end_tasks([task])
+            assert task.cancelled()
+
+        run_store(test)
