Add a randomized soak of real entry processes

Why: the users ask for a fault soak of our own that runs the real programs, injects faults from outside and checks promises while callers keep using open connections.

Change: the package soak/. A seed draws faults in series and overlapping (store away, cut, deaf, late, without history, its clock jumping; links delayed, reset, silent, cut one way, breaking; processes paused, killed, restarted, reloaded; upstreams slow, silent, resetting, refusing, failing, cutting, closing idle connections, replaced at the same address; keys changed; domains emptied). It then heals, waits 10 s and calls every kind at every instance. Eight promises are checked from what callers and upstreams saw. Ports and configurations of the stand-ins move into modules of their own, and the rig's ports no longer come from the range of outgoing connections.

Ruled out as faults of the product, found while the soak was written: requests cut by the end of the runner, a name read after the upstream was replaced, ports taken by outgoing connections. The checks were changed for these three only.

--- a/bench/imports.py
+++ b/bench/imports.py
@@ -7,7 +7,7 @@
 import grimp
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "imports.md"
-ROOTS = ("jayyoke", "standin", "bench")
+ROOTS = ("jayyoke", "standin", "bench", "soak")
 _HEAD = """# Import graph
 
 An arrow points from a package to one that it imports. `make lint` checks that the graph has no
--- a/bench/path.py
+++ b/bench/path.py
@@ -139,7 +139,7 @@
 
 @contextlib.contextmanager
 def _run(folder: Path) -> Iterator[dict[str, str]]:
-    from standin.fleet import find_free_address
+    from standin.port import find_free_address
 
     names = ("table", "listing", "engine", "relay", "jayyoke", "operator", "peer")
     addresses = {name: find_free_address() for name in names}
--- /dev/null
+++ b/soak/run_test.py
@@ -0,0 +1,23 @@
+"""A short seeded soak: what needs no clock is checked, so that a busy machine changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from soak.plan import Size
+from soak.run import run_seed
+
+# Seeds 1 and 2 hold kills, pauses, cuts of store and upstreams, and changes of configuration.
+SEEDS = (1, 2)
+FAULTS_S = 4.0
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_promises_hold(self, seed, tmp_path):
+        """Guards against answers, runs and recoveries that break a promise under faults."""
+        size = Size(instances=2, upstreams=3)
+        findings = asyncio.run(run_seed(seed, tmp_path, size, FAULTS_S, timed=False))
+        assert findings == []
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,104 @@
+"""Upstreams of the soak: each records what reaches it and misbehaves in the mode it is told."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from soak.plan import Mode
+from soak.record import Record, Run
+from standin.entryupstream import (
+    EntryUpstream,
+    SeenRequest,
+    format_answer,
+    format_chunk,
+    format_event,
+    format_stream_head,
+)
+
+EVENTS = 6
+EVENT_GAP_S = 0.02
+USUAL_S = 0.005
+SLOW_S = 0.5
+# Far beyond every deadline of the soak.
+SILENT_S = 60.0
+IDLE_S = 0.05
+
+
+def build_body(request_id: str, upstream: str) -> bytes:
+    """Return the answer that an upstream gives to a request."""
+    return f"answer to {request_id} by {upstream}".encode()
+
+
+class SoakUpstream:
+    """Serves one address; its name changes when another upstream takes the address over."""
+
+    def __init__(self, name: str, record: Record):
+        self.name = name
+        self.mode = Mode.WELL
+        self._record = record
+        self.server = EntryUpstream(name, self._answer)
+
+    async def _answer(self, request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        mode, name = self.mode, self.name
+        misdirected = request.get("expect-worker") not in ("", name)
+        refuses = misdirected or mode is Mode.REFUSES
+        self._note(request, name, ran=not refuses)
+        if refuses:
+            status = "421 Misdirected Request" if misdirected else "503 Service Unavailable"
+            writer.write(format_answer(request, b"", status, Not_Executed="1"))
+            await writer.drain()
+            return
+        match mode:
+            case Mode.SILENT:
+                await asyncio.sleep(SILENT_S)
+                return
+            case Mode.RESETS:
+                writer.transport.abort()
+                return
+            case Mode.FAILS:
+                writer.write(format_answer(request, b"failed", "500 Internal Server Error"))
+                await writer.drain()
+                return
+            case Mode.SLOW:
+                await asyncio.sleep(SLOW_S)
+            case _:
+                await asyncio.sleep(USUAL_S)
+        if "/stream/" in request.line or "/resume/" in request.line:
+            await self._stream(request, writer, mode)
+        else:
+            body = build_body(request.id, name)
+            answer = format_answer(request, body)
+            writer.write(answer[: len(answer) // 2] if mode is Mode.CUTS else answer)
+            await writer.drain()
+        if mode is Mode.CUTS:
+            writer.close()
+        if mode is Mode.FORGETS_IDLE:
+            asyncio.get_running_loop().call_later(IDLE_S, writer.transport.abort)
+
+    async def _stream(self, request: SeenRequest, writer: asyncio.StreamWriter, mode: Mode) -> None:
+        last = request.get("last-event-id")
+        first = int(last) + 1 if last.isdigit() else 0
+        writer.write(format_stream_head(request))
+        for number in range(first, EVENTS):
+            if mode is Mode.CUTS and number == EVENTS // 2:
+                return
+            writer.write(format_chunk(format_event(number)))
+            await writer.drain()
+            await asyncio.sleep(SLOW_S / EVENTS if mode is Mode.SLOW else EVENT_GAP_S)
+        writer.write(format_chunk(b""))
+        await writer.drain()
+
+    def _note(self, request: SeenRequest, name: str, *, ran: bool) -> None:
+        run = Run(
+            id=request.id,
+            upstream=name,
+            at_s=time.monotonic(),
+            line=request.line,
+            body=request.body,
+            team=request.get("tenant"),
+            credentials=request.get("authorization"),
+            expected=request.get("expect-worker"),
+            ran=ran,
+        )
+        self._record.runs.append(run)
--- a/standin/faultyfleet.py
+++ b/standin/faultyfleet.py
@@ -25,9 +25,9 @@
     TEAM_KEYS,
     Fleet,
     Process,
-    find_free_address,
     run_fleet,
 )
+from standin.port import find_free_address
 from standin.proxy import Rules
 
 WAIT_TIMEOUT_S = 30.0
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -6,9 +6,7 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,17 +19,12 @@
 import yaml
 
 from standin.deployment import Deployment
+from standin.port import find_free_address
 
 OPERATOR_KEY = "demo-operator"
 TEAM_KEYS = ("demo-key-1", "demo-key-2")
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
-# Ports below 32768 are not given to outgoing connections, which took a picked port before the
-# process that it was meant for could bind it.
-PORTS = (10_000, 32_700)
-BLOCK_PORTS = 64
-_free_ports: list[int] = []
-_locks: list[socket.socket] = []
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
 
@@ -129,38 +122,6 @@
             return -1
 
 
-def find_free_address() -> str:
-    """Return a loopback address whose port was free a moment ago; no port is returned twice."""
-    while True:
-        if not _free_ports:
-            _take_block()
-        port = _free_ports.pop()
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
-
-
-def _take_block() -> None:
-    """Take a block of ports; its first one stays bound while this process lives.
-
-    Fleets that run at the same time picked the same ports before their processes bound them.
-    """
-    while True:
-        first = random.randrange(*PORTS, BLOCK_PORTS)
-        lock = socket.socket()
-        try:
-            lock.bind(("127.0.0.1", first))
-        except OSError:
-            lock.close()
-            continue
-        _locks.append(lock)
-        _free_ports.extend(range(first + 1, first + BLOCK_PORTS))
-        return
-
-
 def load_example(name: str) -> dict:
     """Return the example configuration of a deployment as plain data."""
     return yaml.safe_load((EXAMPLES / f"{name}.yaml").read_text(encoding="utf-8"))
--- a/standin/proxy.py
+++ b/standin/proxy.py
@@ -20,9 +20,10 @@
     `truncate_after_bytes` closes a connection after that many bytes of an answer; `reorder`
     delays every second chunk of different connections, so that answers overtake each other.
     `silence` keeps connections open and drops all bytes; new connections made while
-    `silence_old_only` is set pass. A connection that lost bytes stays silent for good, since TCP
-    never delivers what follows a gap. `break_share` closes a connection with this probability at
-    each chunk, which is how a lost message shows itself over TCP.
+    `silence_old_only` is set pass. `silence_answers` drops only what the target sends. A connection
+    that lost bytes stays silent for good, since TCP never delivers what follows a gap.
+    `break_share` closes a connection with this probability at each chunk, which is how a lost
+    message shows itself over TCP.
     """
 
     refuse: bool = False
@@ -30,6 +31,7 @@
     jitter_s: float = 0.0
     silence: bool = False
     silence_old_only: bool = False
+    silence_answers: bool = False
     truncate_after_bytes: int = -1
     reorder: bool = False
     drop_connections: bool = False
@@ -109,13 +111,15 @@
         answer: bool,
     ) -> None:
         passed = 0
+        muted = False
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 rules = self.find_rules(origin)
                 await self._delay(rules)
                 if rules.silence or (rules.silence_old_only and generation < self.generation):
                     lost.set()
-                if lost.is_set():
+                muted = muted or (answer and rules.silence_answers)
+                if muted or lost.is_set():
                     continue
                 if self._random.random() < rules.break_share:
                     break
--- a/standin/proxy_test.py
+++ b/standin/proxy_test.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from standin.fleet import find_free_address
+from standin.port import find_free_address
 from standin.proxy import Proxy, Rules
 
 
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -52,6 +52,7 @@
         self.lose_answers = False
         self.delay_writes_s = 0.0
         self.deaf = False
+        self.clock_offset_s = 0.0
         # Plays a narrow link for the answers to reads and feeds; 0 sends them at once.
         self.link_bytes_per_s = 0.0
         # Where such an answer stops for good.
@@ -227,7 +228,7 @@
         return True
 
     def _now(self) -> dict[str, int]:
-        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        now_ms = int((asyncio.get_running_loop().time() + self.clock_offset_s) * 1000)
         return {"schemaVer": self.revision, "nowMs": now_ms}
 
 
--- a/tests/entry_moves_test.py
+++ b/tests/entry_moves_test.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 
+from standin.entryconfig import build_config
 from standin.entryupstream import SeenRequest, answer_whole, format_answer
-from tests.entryrig import Entry, Rig, build_config, open_rig, wait_ready, wait_until
+from tests.entryrig import Entry, Rig, open_rig, wait_ready, wait_until
 
 SERVICE = "desk"
 # Longer than the steps need, so that a slow machine changes no verdict.
--- a/tests/entry_news_test.py
+++ b/tests/entry_news_test.py
@@ -6,9 +6,10 @@
 
 import pytest
 
+from standin.entryconfig import build_config
 from standin.entryupstream import answer_whole
 from standin.rowstore import Fault
-from tests.entryrig import Rig, build_config, open_rig, run_rig, wait_ready, wait_until
+from tests.entryrig import Rig, open_rig, run_rig, wait_ready, wait_until
 
 
 class TestConfiguration:
--- a/tests/entry_process_test.py
+++ b/tests/entry_process_test.py
@@ -6,46 +6,22 @@
 import json
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 
 import aiohttp
 
+from standin.entryconfig import HOST, KEY, build_config, format_settings
 from standin.entryupstream import SeenRequest, answer_whole
-from tests.entryrig import HOST, KEY, build_config, open_rig
+from standin.port import find_free_ports
+from tests.entryrig import open_rig
 
 ROOT = Path(__file__).parent.parent
 
 
-def find_ports(count: int) -> list[int]:
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
-def write_settings(path: Path, store: str, ports: list[int], seeds: list[str]) -> None:
-    path.write_text(
-        f"""
-nodeName = "entry-1"
-az = "zone-a"
-region = "region"
-seeds = {json.dumps(seeds)}
-[listen]
-http = "127.0.0.1:{ports[0]}"
-readiness = "127.0.0.1:{ports[1]}"
-admin = "127.0.0.1:{ports[2]}"
-[platform]
-address = "{store}"
-[bounds]
-graceS = 6
-""",
-        encoding="utf-8",
-    )
+def write(path: Path, store: str, ports: list[int], seeds: list[str]) -> None:
+    text = format_settings("entry-1", "zone-a", store, ports, seeds, grace_s=6.0)
+    path.write_text(text, encoding="utf-8")
 
 
 async def read_events(process: asyncio.subprocess.Process, name: str) -> dict:
@@ -71,9 +47,9 @@
         async def main() -> None:
             async with open_rig(build_config()) as rig, aiohttp.ClientSession() as http:
                 await rig.add_upstream("u1", slow)
-                ports = find_ports(4)
+                ports = find_free_ports(4)
                 path = tmp_path / "boot.toml"
-                write_settings(path, rig.store.address, ports, [])
+                write(path, rig.store.address, ports, [])
                 process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
@@ -88,7 +64,7 @@
                     await read_events(process, "upstream")
                     async with http.get(f"http://127.0.0.1:{ports[1]}/-/readyz") as ready:
                         assert ready.status == 200
-                    write_settings(path, rig.store.address, ports, ["127.0.0.1:9"])
+                    write(path, rig.store.address, ports, ["127.0.0.1:9"])
                     event = await read_events(process, "reload")
                     assert (event["signalled"], event["seeds"]) == (False, ["127.0.0.1:9"])
                     process.send_signal(signal.SIGHUP)
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from standin.entryconfig import KEY
 from standin.entryupstream import (
     SeenRequest,
     answer_whole,
@@ -17,7 +18,7 @@
     format_event,
     format_stream_head,
 )
-from tests.entryrig import KEY, Rig, run_rig, wait_ready, wait_until
+from tests.entryrig import Rig, run_rig, wait_ready, wait_until
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -13,57 +12,11 @@
 from jayyoke.scripts.entry import Instance, build_peers
 from jayyoke.server.listener import Listener
 from jayyoke.utils.task import end_tasks
+from standin.entryconfig import HOST, KEY, build_config
 from standin.entryupstream import EntryUpstream, Script
+from standin.port import find_free_ports
 from standin.rowstore import RowStoreStandin
 
-HOST = "calls.example"
-KEY = "key-of-the-yard"
-
-
-def build_config(version: int = 1, **changes: object) -> dict[str, object]:
-    """Return a configuration with one route of each kind, all on the service `desk`."""
-    routes = [
-        _route("safe", "safe", attempts=2),
-        _route("unsafe", "unsafe", attempts=1),
-        _route("stream", "stream", attempts=1, affinity=True),
-        _route("resume", "stream", attempts=2, affinity=True, resumable=True),
-    ]
-    config: dict[str, object] = {
-        "version": version,
-        "routes": routes,
-        "backends": [{"name": "desk", "healthPath": "/healthz", "maxConns": 96}],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
-            "headerTimeoutMs": 500,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{"name": "yard", "apiKeys": [KEY], "prio": 1}],
-    }
-    return config | changes
-
-
-def _route(name: str, kind: str, **fields: object) -> dict[str, object]:
-    route: dict[str, object] = {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "type": kind,
-        "timeoutMs": 3000,
-        "sloMs": 400,
-        "prio": 1,
-        "backend": "desk",
-        "public": False,
-        "itlTargetMs": 300,
-    }
-    return route | fields
-
-
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
 
 class Entry:
     """Holds one instance and a client that calls it."""
@@ -110,7 +63,7 @@
 
     async def add_entry(self, name: str = "entry-1", seeds: tuple[str, ...] = ()) -> Entry:
         """Start an instance and wait until it knows a configuration, if the store has one."""
-        port, peer_port = _find_port(), _find_port()
+        port, peer_port = find_free_ports(2)
         settings = MachineSettings(
             instance=name,
             domain="zone-a",
