Let served instances leave the counts of a move to their followers

In a move each of 64 to 76 instances wrote its counts, read all counts and read the state every 0.8 s: 285 calls a second.

Ruled out: feeds (8 followers, about 20 calls a second) and renewals (8 a second), worked out from their periods.

Change: an instance whose followers serve it writes its counts only, and learns the state of the move through them. Followers, and instances that no follower serves, decide as before. Sites with two instances a domain are all followers.

Figures: tests/entry_moves_test.py fails before (the third instance of a domain reads both tables) and passes after.

--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -1,7 +1,11 @@
 """Takes part in version moves: pools the counts of all instances and writes the move's status.
 
-No instance leads. Each writes its own counts, reads those of the others and, where the rows ask
-for it, writes the next state under the condition that nobody else has.
+No instance leads. Each writes its own counts. The followers of each domain, and instances that no
+follower serves, read all counts and, where the rows ask for it, write the next state under the
+condition that nobody else has; the others learn the state from their followers.
+
+Load it answers: with 76 instances that all read counts and states, a move cost the store 285 calls
+a second.
 """
 
 from __future__ import annotations
@@ -45,9 +49,11 @@
         instance: str,
         count_instances: Callable[[], int],
         canary_share: float,
+        is_served: Callable[[], bool] = lambda: False,
     ):
         self._view = view
         self._count_instances = count_instances
+        self._is_served = is_served
         self._canary_share = canary_share
         self._store = store
         self._clock = clock
@@ -142,8 +148,14 @@
         return status is None or status.order != order.revision or status.state not in _FINAL
 
     async def _keep(self, order: MoveOrder) -> None:
+        own = self._own.get(order.service, {})
+        prefix = f"{order.service}/{order.revision}/"
+        await self._write_counts(prefix, own)
+        if self._is_served():
+            return
         pool = self._pools.setdefault((order.service, order.revision), EvidencePool())
-        await self._share_counts(order, pool)
+        pool.replace(self._source, own)
+        await self._read_counts(order, prefix, pool)
         counts = pool.total()
         self._halt_if_bad(order, counts)
         page = await self._read_status()
@@ -172,10 +184,7 @@
             self._halted.add(place)
             log_event("move-halted", service=order.service, reason=str(verdict))
 
-    async def _share_counts(self, order: MoveOrder, pool: EvidencePool) -> None:
-        own = self._own.get(order.service, {})
-        pool.replace(self._source, own)
-        prefix = f"{order.service}/{order.revision}/"
+    async def _write_counts(self, prefix: str, own: Mapping[tuple[str, str], Counts]) -> None:
         body = json.dumps(
             [
                 [version, route, value.requests, value.failures, value.slow]
@@ -185,6 +194,8 @@
         if own and self._written.get(prefix) != body:
             await self._store.write(EVIDENCE_TABLE, [Put(prefix + self._source, body)])
             self._written[prefix] = body
+
+    async def _read_counts(self, order: MoveOrder, prefix: str, pool: EvidencePool) -> None:
         page = await self._store.read(EVIDENCE_TABLE)
         for row in page.rows:
             if row.key.startswith(prefix):
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -92,6 +92,8 @@
             settings.instance,
             lambda: len(self.roster.list_alive()),
             settings.bounds.canary_share,
+            # Followers are known only once the view is followed.
+            lambda: self.peers.served,
         )
         self.placement = Placement(
             self.view,
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -6,6 +6,7 @@
 import base64
 import enum
 import json
+from collections import Counter
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -46,6 +47,8 @@
         self.revision = 0
         self.address = ""
         self.calls = 0
+        # By User-Agent, path and table.
+        self.calls_by: Counter[tuple[str, str, str]] = Counter()
         self.fault: Fault | None = None
         # Callers whose User-Agent holds one of these words meet the fault; empty means all.
         self.faulty_callers: set[str] = set()
@@ -121,6 +124,7 @@
     async def _refuse(self, request: web.Request) -> web.Response | None:
         self.calls += 1
         caller = request.headers.get("User-Agent", "")
+        self.calls_by[(caller, request.path, request.query.get("table", ""))] += 1
         if self.faulty_callers and not any(word in caller for word in self.faulty_callers):
             return None
         match self.fault:
--- a/tests/entry_moves_test.py
+++ b/tests/entry_moves_test.py
@@ -102,3 +102,38 @@
                 assert not new.seen
 
         asyncio.run(main())
+
+    def test_served_instance_leaves_the_counts_of_others_to_its_followers(self):
+        """Guards against a move that every instance of a large fleet reads from the store."""
+
+        async def main() -> None:
+            async with open_rig(build_config()) as rig:
+                await rig.add_upstream("old-1", answer_whole, version="v1")
+                entries = [await rig.add_entry(f"entry-{number}") for number in range(3)]
+                for entry in entries:
+                    await wait_ready(entry, 1)
+                    await wait_until(
+                        lambda entry=entry: len(entry.instance.roster.list_alive()) == 3
+                    )
+                served = next(e for e in entries if not e.instance.roster.is_follower())
+                await wait_until(lambda: served.instance.peers.served)
+                rig.store.calls_by.clear()
+                rig.store.put(
+                    "op",
+                    f"rollout/{SERVICE}",
+                    {"backend": SERVICE, "to": "v2", "durationS": DURATION_S},
+                )
+                await rig.add_upstream("new-1", fail_always, version="v2")
+                await wait_until(lambda: served.instance.view.orders)
+                await call_until([served], lambda: read_state(rig) == "reverted")
+                await wait_until(lambda: states_of(served) == ["reverted"])
+                name = served.instance.settings.instance
+                assert rig.store.calls_by[(name, "/-/rows-tx", "")] > 0
+                for table in ("evidence", "status"):
+                    assert rig.store.calls_by[(name, "/-/rows-get", table)] == 0
+
+        asyncio.run(main())
+
+
+def states_of(entry: Entry) -> list[str]:
+    return [status.state.value for status in entry.instance.view.statuses.values()]
