Notice a failure domain that is out of reach, and keep requests away from it

Each of 77 instances serves some seven requests a second and learns of each of 36 engines by itself: a connect timeout of 0.4 s for each, and again after each suspension of 0.7 to 4 s.

Ruled out: waiting in line (nothing was refused), engines' own queues (their time is measured from the first answer). Refused and reset connections are not counted, since those are answered at once and say something about one upstream.

Two upstreams of a domain that accept no connection in time, with no answer from the domain between, put the domain in doubt: requests go to other domains, kept connections into it are dropped, and one request after each hold of 0.6 to 1.2 s tests it until one of its upstreams answers. Both beliefs are logged (domain-doubted, domain-reached).

--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -78,6 +78,10 @@
     """Reports that no byte of the request was sent."""
 
 
+class ConnectTimedOut(ConnectFailed):
+    """Reports that a connection was neither accepted nor refused in time."""
+
+
 class AnswerBroken(UpstreamError):
     """Reports an answer that was truncated, went silent or timed out; the request may have run."""
 
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed
+from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, ConnectTimedOut
 from jayyoke.core.machine import Bounds
 from jayyoke.core.route import RouteKind
 from jayyoke.core.upstream import Upstream
@@ -180,14 +180,16 @@
             connection = await self._pool.acquire(upstream, not call.route.repeatable, began_s)
             outcome = await self._exchange(call, caller, connection, place, progress)
         except ConnectFailed as error:
-            outcome = NotRun(f"unreachable: {error}", arrived=False)
+            silent = isinstance(error, ConnectTimedOut)
+            outcome = NotRun(f"unreachable: {error}", arrived=False, silent=silent)
         finally:
             if connection is not None and not isinstance(outcome, Delivered | Failed):
                 connection.abort()
             self._placement.leave(service, upstream)
             first_s = progress.first_s
             latency_s = None if first_s is None else first_s - began_s
-            self._placement.record(call, service, upstream, outcome, latency_s)
+            for doubted in self._placement.record(call, service, upstream, outcome, latency_s):
+                self._pool.drop(doubted)
         if connection is not None and isinstance(outcome, Delivered | Failed):
             self._pool.release(upstream, connection, self._now_s())
         if isinstance(outcome, MayHaveRun):
--- a/jayyoke/edge/outcome.py
+++ b/jayyoke/edge/outcome.py
@@ -17,12 +17,13 @@
     """Says that the upstream certainly did not run the request and never will.
 
     `arrived` tells whether the upstream has seen it; `misdirected` that the address belongs to
-    another upstream by now.
+    another upstream by now; `silent` that no connection was accepted in time.
     """
 
     reason: str
     arrived: bool
     misdirected: bool = False
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -23,6 +23,7 @@
     rank_homes,
 )
 from jayyoke.edge.cold import ColdLimiter
+from jayyoke.edge.domain import DomainTracks
 from jayyoke.edge.line import WaitingLine
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveKeeper
@@ -89,6 +90,7 @@
         self._instance = instance
         self._prompts = PromptMemory()
         self.tracks = Tracks()
+        self._domains = DomainTracks()
 
     @property
     def instances(self) -> int:
@@ -155,11 +157,15 @@
         upstream: Upstream,
         outcome: Outcome,
         latency_s: float | None,
-    ) -> None:
-        """Count an outcome for the upstream and for its version."""
+    ) -> tuple[Upstream, ...]:
+        """Count an outcome for the upstream, its domain and its version.
+
+        The upstreams returned are those whose kept connections are in doubt.
+        """
         track = self.tracks.get(upstream.incarnation)
         now_s = self._now_s()
         suspended = False
+        doubted = self._record_domain(call, upstream, outcome, now_s)
         match outcome:
             case Delivered():
                 track.record_success(latency_s, now_s)
@@ -186,6 +192,28 @@
                 hold_s=track.suspension_s,
             )
         self._record_version(call, service, upstream, outcome, latency_s)
+        return doubted
+
+    def _record_domain(
+        self, call: Call, upstream: Upstream, outcome: Outcome, now_s: float
+    ) -> tuple[Upstream, ...]:
+        """Note whether the domain was reached; return its upstreams when doubt begins."""
+        domain = upstream.domain
+        match outcome:
+            case NotRun(silent=True):
+                if not self._domains.record_lost(domain, upstream.incarnation, now_s):
+                    return ()
+                event = "domain-doubted"
+            case Delivered() | Failed() | NotRun(arrived=True):
+                if not self._domains.record_reached(domain):
+                    return ()
+                event = "domain-reached"
+            case _:
+                return ()
+        log_event(event, request_id=call.head.request_id, domain=domain, upstream=upstream.name)
+        if event == "domain-reached":
+            return ()
+        return tuple(f for f in self._view.upstreams.values() if f.domain == domain)
 
     def retain(self) -> None:
         """Forget upstreams that are gone."""
@@ -250,7 +278,7 @@
             own=track.in_flight,
             places=upstream.slots or DEFAULT_PLACES,
             latency_s=track.latency.value or UNKNOWN_LATENCY_S,
-            suspended=track.is_suspended(now_s),
+            suspended=track.is_suspended(now_s) or self._domains.is_held(upstream.domain, now_s),
             age_s=time.time() - upstream.started_ms / 1000,
             load_known=track.knows_load(now_s),
         )
@@ -283,6 +311,7 @@
             ):
                 continue
             self.tracks.get(upstream.incarnation).in_flight += 1
+            self._domains.note_test(upstream.domain, now_s)
             fetch_from = self._find_holder(call, key, upstream, profile, now_s)
             if key:
                 shared_parts = [part.id for part in call.head.parts[:-1]]
@@ -341,6 +370,8 @@
         track = self.tracks.get(upstream.incarnation)
         if track.replaced or track.is_suspended(now_s):
             return False
+        if self._domains.is_held(upstream.domain, now_s):
+            return False
         return upstream.domain not in self._view.evacuated
 
     def _is_cold(self, upstream: Upstream, profile: ServiceProfile, now_s: float) -> bool:
--- /dev/null
+++ b/jayyoke/edge/place_test.py
@@ -0,0 +1,147 @@
+"""Tests of placing calls under load, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import random
+from collections import defaultdict
+
+from jayyoke.core.machine import Bounds
+from jayyoke.core.route import Route, RouteKind, ServiceShare
+from jayyoke.core.upstream import Upstream
+from jayyoke.edge.call import Call
+from jayyoke.edge.domain import FIRST_HOLD_S
+from jayyoke.edge.moves import MoveKeeper
+from jayyoke.edge.outcome import Delivered, NotRun
+from jayyoke.edge.place import Place, Placement
+from jayyoke.edge.pool import CONNECT_TIMEOUT_S
+from jayyoke.edge.storeclock import StoreClock
+from jayyoke.edge.view import FleetView
+from jayyoke.platform import names
+from jayyoke.platform.message import PromptPart, RequestHead
+from jayyoke.platform.table import Row
+
+SERVICE = "engines"
+DOMAINS = ("zone-a", "zone-b", "zone-c")
+REQUESTS_PER_S = 7.0
+CUT_S = 6.0
+SILENT = NotRun("unreachable", arrived=False, silent=True)
+ROUTE = Route("chat", "h", "/", RouteKind.STREAM, (ServiceShare(SERVICE, 1.0),), 8.0, 0.6)
+
+
+class Clock:
+    """Holds a time that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def read_s(self) -> float:
+        return self.now_s
+
+
+def build_placement(clock: Clock, engines_per_domain: int) -> Placement:
+    view = FleetView(clock.read_s)
+    config = {
+        "version": 1,
+        "routes": [],
+        "backends": [{"name": SERVICE, "cacheTokens": 1000}],
+    }
+    view.take(
+        names.OPERATOR_TABLE,
+        [Row(names.CONFIG_KEY, json.dumps(config).encode(), 1)],
+        [],
+        1,
+        whole=True,
+        confirmed_s=clock.now_s,
+        source="test",
+    )
+    rows = []
+    for domain in DOMAINS:
+        for number in range(engines_per_domain):
+            row = {
+                "backend": SERVICE,
+                "address": f"127.0.0.1:{9000 + len(rows)}",
+                "az": domain,
+                "state": "ready",
+                "slots": 16,
+                "born": 1,
+            }
+            rows.append(Row(f"{domain}-{number}", json.dumps(row).encode(), 1))
+    view.take(names.UPSTREAM_TABLE, rows, [], 1, whole=True, confirmed_s=clock.now_s, source="test")
+    moves = MoveKeeper(view, None, StoreClock(clock.read_s), "i1", lambda: 1, 0.1)  # type: ignore[arg-type]
+    return Placement(view, moves, Bounds(), "i1", clock.read_s, random.Random(1), lambda: ["i1"])
+
+
+def build_call(clock: Clock, number: int) -> Call:
+    parts = (PromptPart(f"session-{number}", 10_000), PromptPart(f"own-{number}", 1000))
+    head = RequestHead(f"r{number}", 8.0, "", parts, 11_000, 100, None)
+    deadline_s = clock.now_s + 8.0
+    return Call(head, "POST", b"/", (), b"", ROUTE, "team", 1, clock.now_s, deadline_s, 1)
+
+
+class TestCutDomain:
+    def test_few_requests_meet_a_domain_that_is_cut_off(self):
+        """Guards against each engine of a cut domain costing requests a timeout of its own.
+
+        The load is that of one of 77 instances: 7 requests/s over 36 engines in three domains,
+        while one domain accepts no connection for 6 s.
+        """
+        clock = Clock()
+        placement = build_placement(clock, 12)
+        began_s = clock.now_s
+        # When the next step of which request is due, and the engine that it waits for.
+        due: list[tuple[float, int, Upstream | None]] = []
+        for number in range(round(REQUESTS_PER_S * CUT_S)):
+            heapq.heappush(due, (began_s + number / REQUESTS_PER_S, number, None))
+        tried: dict[int, set[str]] = defaultdict(set)
+
+        async def place(number: int) -> None:
+            call = build_call(clock, number)
+            found = await placement.find(call, SERVICE, tried[number], started=False)
+            assert isinstance(found, Place)
+            if found.upstream.domain == "zone-b":
+                due_s = clock.now_s + CONNECT_TIMEOUT_S
+                heapq.heappush(due, (due_s, number, found.upstream))
+                return
+            placement.leave(SERVICE, found.upstream)
+            placement.record(call, SERVICE, found.upstream, Delivered(200), 0.1)
+
+        lost = 0
+        while due:
+            clock.now_s, number, waited_for = heapq.heappop(due)
+            if waited_for is not None:
+                lost += 1
+                tried[number].add(waited_for.incarnation)
+                call = build_call(clock, number)
+                placement.leave(SERVICE, waited_for)
+                placement.record(call, SERVICE, waited_for, SILENT, None)
+            asyncio.run(place(number))
+        # Those under way when the cut begins; then one a hold of 0.6 to 1.2 s.
+        assert lost <= REQUESTS_PER_S * CONNECT_TIMEOUT_S + 2 + CUT_S / FIRST_HOLD_S
+
+    def test_domain_that_is_back_is_used_again(self):
+        """Guards against a domain that stays idle after a cut."""
+        clock = Clock()
+        placement = build_placement(clock, 2)
+        call = build_call(clock, 0)
+
+        async def find_domains() -> set[str]:
+            found = set()
+            for number in range(60):
+                place = await placement.find(build_call(clock, number), SERVICE, set(), False)
+                assert isinstance(place, Place)
+                placement.leave(SERVICE, place.upstream)
+                placement.record(call, SERVICE, place.upstream, Delivered(200), 0.1)
+                found.add(place.upstream.domain)
+            return found
+
+        upstreams = placement._view.by_service[SERVICE]
+        for upstream in upstreams:
+            if upstream.domain == "zone-b":
+                placement.record(call, SERVICE, upstream, SILENT, None)
+        assert asyncio.run(find_domains()) == {"zone-a", "zone-c"}
+        # Longer than every hold and suspension.
+        clock.now_s += 5.0
+        assert asyncio.run(find_domains()) == set(DOMAINS)
--- a/jayyoke/edge/pool.py
+++ b/jayyoke/edge/pool.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from jayyoke.core.error import ConnectFailed
+from jayyoke.core.error import ConnectFailed, ConnectTimedOut
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.connection import UpstreamConnection
 
@@ -75,7 +75,9 @@
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(loop), host, int(port)
                 )
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            raise ConnectTimedOut(f"{address} accepts no connection in time") from error
+        except OSError as error:
             raise ConnectFailed(f"{address} cannot be reached: {error!r}") from error
         self.opened += 1
         return connection
