Let the soak know when its own runner is held up

Ruled out: the product.

Change: the runner records its own hold-ups as disturbances; the check of recovery leaves out requests within 4 s after one, and the clean phase lasts until each kind was served at each instance (20 s at most).

--- a/soak/promise.py
+++ b/soak/promise.py
@@ -120,27 +120,35 @@
 def check_recovery(record: Record) -> list[Finding]:
     """Check that some time after the last fault every request is served."""
     findings = []
-    served: set[tuple[int, str]] = set()
-    instances = {sent.instance for sent in record.sent}
     for sent in record.sent:
         if sent.sent_s < record.clean_from_s or sent.left:
             continue
         if sent.status == 200 and sent.complete:
-            served.add((sent.instance, sent.kind))
+            continue
+        if record.is_disturbed(sent.instance, sent.sent_s - CONTACT_S, sent.ended_s):
+            # All faults are over: the runner itself was held up.
             continue
         if sent.status == 401 and sent.key == SECOND_KEY:
             # check_keys tells whether that is right.
             continue
         detail = f"instance {sent.instance}: {sent.kind} {sent.status} {sent.body!r} {sent.error}"
         findings.append(Finding("recovers", sent.id, detail))
-    for instance in sorted(instances):
-        for kind in KINDS:
-            if (instance, kind) not in served:
-                detail = f"no {kind} served at instance {instance}"
-                findings.append(Finding("recovers", f"instance-{instance}", detail))
+    for instance, kind in list_unserved(record):
+        detail = f"no {kind} served at instance {instance}"
+        findings.append(Finding("recovers", f"instance-{instance}", detail))
     return findings
 
 
+def list_unserved(record: Record) -> list[tuple[int, str]]:
+    """Return the instances and kinds of which no request of the clean phase was served."""
+    instances = {sent.instance for sent in record.sent}
+    unserved = {(instance, kind) for instance in instances for kind in KINDS}
+    for sent in record.sent:
+        if sent.sent_s >= record.clean_from_s and sent.status == 200 and sent.complete:
+            unserved.discard((sent.instance, sent.kind))
+    return sorted(unserved)
+
+
 def check_deadlines(record: Record) -> list[Finding]:
     """Check that a final answer comes by the deadline."""
     findings = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,14 +10,19 @@
 
 from soak.fleet import SoakFleet
 from soak.plan import FAULTS_S, Size, Step, draw_plan
-from soak.promise import Finding, check_run
-from soak.record import Record
+from soak.promise import Finding, check_run, list_unserved
+from soak.record import Disturbance, Record
 
 # Half of what the users allow for a deployment to recover (`recoveryS`, 15 s), and the checks'
 # own time: a held up instance needs the rest.
 RECOVERY_S = 10.0
 CLEAN_S = 2.0
+# On a busy machine it takes longer until each kind was called at each instance.
+CLEAN_LIMIT_S = 20.0
 LOOK_S = 0.2
+WATCH_S = 0.05
+# An upstream that answers this late makes requests miss their objective.
+HELD_UP_S = 0.3
 
 
 async def run_seed(
@@ -27,6 +32,7 @@
     steps = draw_plan(seed, size, faults_s)
     record = Record()
     fleet = SoakFleet(size, record, folder, seed)
+    watch = asyncio.create_task(_watch_runner(record))
     try:
         await fleet.start()
         fleet.start_callers()
@@ -35,14 +41,27 @@
         await asyncio.sleep(RECOVERY_S)
         record.clean_from_s = time.monotonic()
         await asyncio.sleep(CLEAN_S)
+        while list_unserved(record) and time.monotonic() < record.clean_from_s + CLEAN_LIMIT_S:
+            await asyncio.sleep(LOOK_S)
         await fleet.stop_callers()
     finally:
+        watch.cancel()
         await fleet.close()
     findings = check_run(record, timed=timed)
     _write(folder, steps, record, findings)
     return findings
 
 
+async def _watch_runner(record: Record) -> None:
+    """Record when the runner itself, with store, upstreams and callers, is held up."""
+    while True:
+        began_s = time.monotonic()
+        await asyncio.sleep(WATCH_S)
+        ended_s = time.monotonic()
+        if ended_s - began_s - WATCH_S > HELD_UP_S:
+            record.disturbances.append(Disturbance(None, began_s, ended_s, "runner held up"))
+
+
 async def _run_steps(fleet: SoakFleet, steps: list[Step]) -> None:
     began_s = time.monotonic()
     applied = []
