Send a repeat to another domain after an upstream whose host does not react

The request may then have run, so the caller got 502 after 1.9 s.

Ruled out: the doubt about domains (only one engine had been lost by then), and a slow engine (its host acknowledged nothing: ETIMEDOUT).

--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -86,6 +86,10 @@
     """Reports an answer that was truncated, went silent or timed out; the request may have run."""
 
 
+class PathLost(AnswerBroken):
+    """Reports that the upstream's host acknowledges nothing; the request may have run."""
+
+
 class StreamCut(AnswerBroken):
     """Reports that the connection of a running stream ended before the answer did."""
 
--- a/jayyoke/edge/domain.py
+++ b/jayyoke/edge/domain.py
@@ -3,8 +3,8 @@
 Load it answers: a domain of 36 engines that is cut off while 77 instances serve seven requests a
 second each. Learning of each engine by itself takes a timeout for each of them and again after
 each suspension, so a third of the requests lost a timeout for as long as the cut lasted. Two
-engines of one domain that do not even accept a connection put the whole domain in doubt; one
-request at a time then tests it, until one of its engines answers.
+engines of one domain that accept no connection, or acknowledge nothing on a kept one, put the whole
+domain in doubt; one request at a time then tests it, until one of its engines answers.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
         self._tracks: dict[str, DomainTrack] = {}
 
     def record_lost(self, domain: str, incarnation: str, now_s: float) -> bool:
-        """Count an upstream that accepted no connection in time; tell whether doubt begins."""
+        """Count an upstream whose host does not react; tell whether doubt begins."""
         track = self._tracks.setdefault(domain, DomainTrack())
         doubted = self.is_doubted(domain)
         track.lost.add(incarnation)
@@ -55,6 +55,10 @@
         track = self._tracks.get(domain)
         return track is not None and len(track.lost) >= LEAST_LOST
 
+    def has_lost(self, domain: str) -> bool:
+        """Tell whether an upstream was lost since the domain last answered."""
+        return domain in self._tracks
+
     def is_held(self, domain: str, now_s: float) -> bool:
         """Tell whether requests go to other domains if they can."""
         return self.is_doubted(domain) and now_s < self._tracks[domain].held_until_s
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -7,7 +7,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, ConnectTimedOut
+from jayyoke.core.error import (
+    AnswerBroken,
+    AnswerMismatched,
+    ConnectFailed,
+    ConnectTimedOut,
+    PathLost,
+)
 from jayyoke.core.machine import Bounds
 from jayyoke.core.route import RouteKind
 from jayyoke.core.upstream import Upstream
@@ -235,6 +241,8 @@
             return await self._relay_whole(call, caller, answer, progress)
         except TimeoutError:
             return MayHaveRun("no answer in time", silent=True)
+        except PathLost as error:
+            return MayHaveRun(str(error), silent=True, path_lost=True)
         except (AnswerBroken, AnswerMismatched) as error:
             return MayHaveRun(str(error), silent=False)
 
--- a/jayyoke/edge/outcome.py
+++ b/jayyoke/edge/outcome.py
@@ -30,11 +30,13 @@
 class MayHaveRun:
     """Says that no whole answer came although the request was sent.
 
-    `silent` tells that nothing was heard of the upstream, which then is in doubt.
+    `silent` tells that nothing was heard of the upstream, which then is in doubt, and `path_lost`
+    that not even its host acknowledged anything.
     """
 
     reason: str
     silent: bool
+    path_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -200,7 +200,7 @@
         """Note whether the domain was reached; return its upstreams when doubt begins."""
         domain = upstream.domain
         match outcome:
-            case NotRun(silent=True):
+            case NotRun(silent=True) | MayHaveRun(path_lost=True):
                 if not self._domains.record_lost(domain, upstream.incarnation, now_s):
                     return ()
                 event = "domain-doubted"
@@ -265,20 +265,23 @@
                 continue
             if call.route.regions and self._find_region(upstream) not in call.route.regions:
                 continue
-            candidate = self._describe(upstream, now_s)
+            candidate = self._describe(upstream, now_s, repeat=bool(tried))
             if not self.tracks.get(upstream.incarnation).replaced:
                 found.append(candidate)
         return found
 
-    def _describe(self, upstream: Upstream, now_s: float) -> Candidate:
+    def _describe(self, upstream: Upstream, now_s: float, repeat: bool = False) -> Candidate:
         track = self.tracks.get(upstream.incarnation)
+        avoided = self._domains.is_held(upstream.domain, now_s)
+        # A call that has lost time to an unreachable upstream does not try its neighbours next.
+        avoided = avoided or (repeat and self._domains.has_lost(upstream.domain))
         return Candidate(
             upstream=upstream,
             load=track.estimate_load(now_s),
             own=track.in_flight,
             places=upstream.slots or DEFAULT_PLACES,
             latency_s=track.latency.value or UNKNOWN_LATENCY_S,
-            suspended=track.is_suspended(now_s) or self._domains.is_held(upstream.domain, now_s),
+            suspended=avoided or track.is_suspended(now_s),
             age_s=time.time() - upstream.started_ms / 1000,
             load_known=track.knows_load(now_s),
         )
