--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -117,7 +117,16 @@
         """Keep what a send led to; return True if the caller has its answer."""
         match outcome:
             case Delivered(status):
-                self._log(call, "answered", progress, upstream=upstream.name, status=status)
+                first_s = progress.first_s or self._now_s()
+                first_ms = round((first_s - call.arrived_s) * 1000, 1)
+                self._log(
+                    call,
+                    "answered",
+                    progress,
+                    upstream=upstream.name,
+                    status=status,
+                    first_ms=first_ms,
+                )
                 return True
             case NotRun(reason, arrived):
                 progress.arrivals += arrived
--- a/tests/entry_process_test.py
+++ b/tests/entry_process_test.py
@@ -87,6 +87,8 @@
                     async with await call as answer:
                         assert answer.status == 200
                         assert await answer.read() == b"done r1"
+                    event = await read_events(process, "answered")
+                    assert 0 < event["first_ms"] <= event["took_ms"]
                     await read_events(process, "stopped")
                     assert await process.wait() == 0
                 finally:
