--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -182,6 +182,7 @@
     async def apply(self, fault: plan.Fault) -> None:
         """Put a fault on and take it off after its time."""
         began_s = time.monotonic()
+        # Whom the fault disturbs: each instance unless a case says otherwise, () for nobody.
         instances: tuple[int | None, ...] = (None,)
         match fault:
             case plan.StoreAway(kind, for_s):
@@ -279,7 +280,7 @@
 
     def _write_upstream(self, number: int, state: str) -> None:
         upstream = self.upstreams[number]
-        port = self._servers_port(f"upstream-{number}")
+        port = self._find_link_port(f"upstream-{number}")
         row = upstream.server.describe(
             SERVICE,
             address=f"127.0.0.1:{port}",
@@ -289,7 +290,7 @@
         )
         self.store.put("servers", upstream.name, row)
 
-    def _servers_port(self, link: str) -> int:
+    def _find_link_port(self, link: str) -> int:
         index = list(self.proxies).index(link)
         return self._servers[index].sockets[0].getsockname()[1]
 
