Await large configurations from peers on narrow links too

A configuration of 1,770 routes is 510 KB between instances, 0.8 s on a link of 5 Mbit/s, so an instance on such a link that the store turns away (or that starts meanwhile) never got it.

Ruled out: that waiting questions are concerned (large rows are left out of their answers).

Change: an answer ends by silence (0.6 s beyond the wait) and after 5 s in all; opening a connection has 0.6 s.

--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -21,6 +21,8 @@
 RELAY_PATH = "/relay"
 # A peer answers within a few ms; asking again costs less than waiting.
 CALL_TIMEOUT_S = 0.6
+# A configuration of 510 KB takes 0.8 s on the narrowest link (5 Mbit/s), longer beside requests.
+TRANSFER_TIMEOUT_S = 5.0
 MAX_ANSWER_BYTES = 8 << 20
 MAX_QUESTION_BYTES = 4096
 # A configuration of 1,400 routes has 300 KB; a follower that passed it to eight others over a link
@@ -63,7 +65,10 @@
         question = serialize(
             ttypes.FetchTables(known=dict(known), wait_ms=int(wait_s * 1000) or None)
         )
-        timeout = aiohttp.ClientTimeout(total=wait_s + CALL_TIMEOUT_S)
+        silence_s = wait_s + CALL_TIMEOUT_S
+        timeout = aiohttp.ClientTimeout(
+            total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
+        )
         try:
             async with self._http.post(
                 f"http://{peer}{RELAY_PATH}", data=question, timeout=timeout
