Start entry processes in one place, and end every task of the soak

Cause: reading the change once more. Three places started an entry process with the same ten lines; the bound of a stop stood twice; a run of the soak that broke off left its callers and steps running, and cancelled its watch without waiting.

Ruled out: such tasks in the product (`end_tasks` is awaited at each stop), and waits for the store on the request path (placing reads the view only).

Change: standin/entryprocess.py; soak ends callers, steps and watch with `end_tasks`. No check or bound changes, and no file of the product.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,27 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
-import sys
 import time
 from pathlib import Path
 
 import aiohttp
 
+from jayyoke.utils.task import end_tasks
 from soak import plan
 from soak.caller import SECOND_KEY, SoakCaller
 from soak.plan import Mode, Size, Trouble
+from soak.promise import GRACE_S
 from soak.record import NO_INSTANCE, Disturbance, KeyChange, Leaving, Record, Stop
 from soak.upstream import SoakUpstream
 from standin.entryconfig import KEY, build_config, format_settings
+from standin.entryprocess import start_entry
 from standin.port import find_free_ports
 from standin.proxy import Proxy, Rules
 from standin.rowstore import Fault, RowStoreStandin
 
-ROOT = Path(__file__).resolve().parent.parent
-GRACE_S = 6.0
 CALLERS_PER_INSTANCE = 3
 START_TIMEOUT_S = 30.0
 LOOK_S = 0.05
@@ -73,17 +72,7 @@
         for caller in self.callers:
             caller.lifetime = self.lifetime
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "jayyoke.scripts.start",
-                "--metrics-port",
-                str(self.ports[3]),
-                cwd=ROOT,
-                env=os.environ | {"JAYYOKE_SETTINGS": str(self.settings)},
-                stdout=log,
-                stderr=log,
-            )
+            self.process = await start_entry(self.settings, self.ports[3], stdout=log, stderr=log)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it lives."""
@@ -96,7 +85,6 @@
 
     def __init__(self, size: Size, record: Record, folder: Path, seed: int):
         self._record = record
-        self._folder = folder
         self._source = random.Random(seed)
         self._seed = seed
         self.store = RowStoreStandin()
@@ -161,7 +149,8 @@
         await asyncio.gather(*self._calls)
 
     async def close(self) -> None:
-        """End the processes of this run, then the stand-ins."""
+        """End the callers and processes of this run, then the stand-ins."""
+        await end_tasks(self._calls)
         await asyncio.gather(*(self._end(member) for member in self.members))
         for server in self._servers:
             server.close()
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
+from jayyoke.utils.task import end_tasks
 from soak.fleet import SoakFleet
 from soak.plan import FAULTS_S, Size, Step, draw_plan
 from soak.promise import Finding, check_run, list_unserved
@@ -45,7 +46,7 @@
             await asyncio.sleep(LOOK_S)
         await fleet.stop_callers()
     finally:
-        watch.cancel()
+        await end_tasks([watch])
         await fleet.close()
     findings = check_run(record, timed=timed)
     _write(folder, steps, record, findings)
@@ -64,13 +65,16 @@
 
 async def _run_steps(fleet: SoakFleet, steps: list[Step]) -> None:
     began_s = time.monotonic()
-    applied = []
-    for step in steps:
-        while (left_s := began_s + step.at_s - time.monotonic()) > 0:
-            await asyncio.sleep(min(left_s, LOOK_S))
-            fleet.note_deaths()
-        applied.append(asyncio.create_task(fleet.apply(step.fault)))
-    await asyncio.gather(*applied)
+    applied: list[asyncio.Task[None]] = []
+    try:
+        for step in steps:
+            while (left_s := began_s + step.at_s - time.monotonic()) > 0:
+                await asyncio.sleep(min(left_s, LOOK_S))
+                fleet.note_deaths()
+            applied.append(asyncio.create_task(fleet.apply(step.fault)))
+        await asyncio.gather(*applied)
+    finally:
+        await end_tasks(applied)
 
 
 def _write(folder: Path, steps: list[Step], record: Record, findings: list[Finding]) -> None:
--- /dev/null
+++ b/standin/entryprocess.py
@@ -0,0 +1,34 @@
+"""Starts real processes of entry instances on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+from typing import IO
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+async def start_entry(
+    settings: Path,
+    metrics_port: int,
+    *,
+    stdout: int | IO[bytes],
+    stderr: int | IO[bytes] | None = None,
+    python_options: tuple[str, ...] = (),
+) -> asyncio.subprocess.Process:
+    """Start an entry process with a settings file; raise OSError."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        *python_options,
+        "-m",
+        "jayyoke.scripts.start",
+        "--metrics-port",
+        str(metrics_port),
+        cwd=ROOT,
+        env=os.environ | {"JAYYOKE_SETTINGS": str(settings)},
+        stdout=stdout,
+        stderr=stderr,
+    )
--- a/tests/entry_process_test.py
+++ b/tests/entry_process_test.py
@@ -4,20 +4,17 @@
 
 import asyncio
 import json
-import os
 import signal
-import sys
 from pathlib import Path
 
 import aiohttp
 
 from standin.entryconfig import HOST, KEY, build_config, format_settings
+from standin.entryprocess import start_entry
 from standin.entryupstream import SeenRequest, answer_whole
 from standin.port import find_free_ports
 from tests.entryrig import open_rig
 
-ROOT = Path(__file__).parent.parent
-
 
 def write(path: Path, store: str, ports: list[int], seeds: list[str]) -> None:
     text = format_settings("entry-1", "zone-a", store, ports, seeds, grace_s=6.0)
@@ -50,16 +47,7 @@
                 ports = find_free_ports(4)
                 path = tmp_path / "boot.toml"
                 write(path, rig.store.address, ports, [])
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "jayyoke.scripts.start",
-                    "--metrics-port",
-                    str(ports[3]),
-                    cwd=ROOT,
-                    env=os.environ | {"JAYYOKE_SETTINGS": str(path)},
-                    stdout=asyncio.subprocess.PIPE,
-                )
+                process = await start_entry(path, ports[3], stdout=asyncio.subprocess.PIPE)
                 try:
                     await read_events(process, "upstream")
                     async with http.get(f"http://127.0.0.1:{ports[1]}/-/readyz") as ready:
@@ -109,18 +97,12 @@
                 ports = find_free_ports(4)
                 path = tmp_path / "boot.toml"
                 write(path, rig.store.address, ports, [])
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-X",
-                    "importtime",
-                    "-m",
-                    "jayyoke.scripts.start",
-                    "--metrics-port",
-                    str(ports[3]),
-                    cwd=ROOT,
-                    env=os.environ | {"JAYYOKE_SETTINGS": str(path)},
+                process = await start_entry(
+                    path,
+                    ports[3],
                     stdout=asyncio.subprocess.PIPE,
                     stderr=asyncio.subprocess.PIPE,
+                    python_options=("-X", "importtime"),
                 )
                 try:
                     # The imports that take long have begun.
@@ -144,13 +126,8 @@
 
     def test_unusable_settings_end_it_with_a_reason(self, tmp_path):
         async def main() -> None:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "jayyoke.scripts.start",
-                cwd=ROOT,
-                env=os.environ | {"JAYYOKE_SETTINGS": str(tmp_path / "none.toml")},
-                stdout=asyncio.subprocess.PIPE,
+            process = await start_entry(
+                tmp_path / "none.toml", find_free_ports(1)[0], stdout=asyncio.subprocess.PIPE
             )
             event = await read_events(process, "settings-unusable")
             assert "none.toml" in event["error"]
