Log why a request was refused, and tell full engines from silent stewards

Cause: one of four loaded runs of tests/partition_test.py today ended with 503 overloaded where 200 was due, and three listed ones with 502 answer-broken. The logs do not tell why: refusals wrote no line, the refusal blamed the load bound also if no steward had answered, and a last attempt did not say whether attempts or the retry budget had run out.

Ruled out: nothing yet; this change only makes the next failure readable.

Change: refusals write one line within the rate of the decision log; the detail of a refusal names the stewards that did not answer; the error of a last attempt says which limit ended it. The code of the refusal stays.

Before: placement_test and limits_test fail on the old code. After: they pass.

Conclusion: rerun beside load until one fails, then read its lines.

--- a/jayyoke/ops/decisions.py
+++ b/jayyoke/ops/decisions.py
@@ -8,9 +8,11 @@
 import json
 import time
 from collections.abc import Sequence
+from typing import Any
 
 from absl import logging
 
+from jayyoke.core.error import Refusal
 from jayyoke.core.request import CallerRequest
 from jayyoke.utils.bucket import TokenBucket
 
@@ -38,10 +40,7 @@
         level: int = logging.INFO,
     ) -> None:
         """Write the line of one decision unless the level is off or the rate is exceeded."""
-        if level > logging.get_verbosity():
-            return
-        if not self._bucket.take(time.monotonic()):
-            self.dropped += 1
+        if not self._take(level):
             return
         line = {
             "event": event,
@@ -52,6 +51,31 @@
             "reason": reason,
             "passed_over": list(passed_over[:MAX_PASSED_OVER]),
         }
+        self._put(line, level)
+
+    def write_refusal(self, request_id: str, refusal: Refusal) -> None:
+        """Write why a request was refused or failed unless the rate is exceeded."""
+        if not self._take(logging.INFO):
+            return
+        line = {
+            "event": "refusal",
+            "request_id": request_id,
+            "status": refusal.status,
+            "code": refusal.code,
+            "run": refusal.run.value,
+            "reason": refusal.detail,
+        }
+        self._put(line, logging.INFO)
+
+    def _take(self, level: int) -> bool:
+        if level > logging.get_verbosity():
+            return False
+        if not self._bucket.take(time.monotonic()):
+            self.dropped += 1
+            return False
+        return True
+
+    def _put(self, line: dict[str, Any], level: int) -> None:
         if self.dropped != self._reported:
             line["dropped_lines"] = self.dropped - self._reported
             self._reported = self.dropped
@@ -73,6 +97,11 @@
     _log.write(request, upstream, reason, passed_over, event, level)
 
 
+def log_refusal(request_id: str, refusal: Refusal) -> None:
+    """Write the line of one refused or failed request to the log of this process."""
+    _log.write_refusal(request_id, refusal)
+
+
 def count_dropped() -> int:
     """Return the number of decision lines dropped since the start."""
     return _log.dropped
--- a/jayyoke/ops/limits_test.py
+++ b/jayyoke/ops/limits_test.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from jayyoke.core.config import ClassKind, ClassSpec, ServiceSpec, TeamSpec
-from jayyoke.core.error import AnswerBroken, Refusal
+from jayyoke.core.error import AnswerBroken, Refusal, Run
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.deadline import parse_deadline
 from jayyoke.ops.decisions import DecisionLog
@@ -143,3 +143,15 @@
         assert lines[0]["passed_over"] == ["engine-2"]
         assert SECRET not in caplog.text
         assert "hash-of-the-key" not in caplog.text
+
+    def test_refusal_has_its_cause_and_counts_to_the_limit(self, caplog):
+        """Guards against failed requests whose id leads to no line."""
+        logging.set_verbosity(logging.INFO)
+        log = DecisionLog(lines_per_s=0.0, burst=1.0)
+        refusal = Refusal(502, "answer-broken", "e1: silent", Run.UNKNOWN)
+        with caplog.at_level("INFO", logger="absl"):
+            log.write_refusal("r-1", refusal)
+            log.write_refusal("r-2", refusal)
+        lines = [json.loads(record.getMessage()) for record in caplog.records]
+        assert [(line["request_id"], line["reason"]) for line in lines] == [("r-1", "e1: silent")]
+        assert log.dropped == 1
--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.code import NO_UPSTREAM, OVERLOADED
 from jayyoke.core.config import ServiceSpec
 from jayyoke.core.error import PeerUnavailable
 from jayyoke.core.member import Member
@@ -156,7 +157,7 @@
         engines = self.list_engines(ask.service_name, ask.exclude or ())
         engines = self.select(ask.service_name, str(ask.chat), engines)
         if service is None or not engines:
-            return Choice("", "no-upstream")
+            return Choice("", NO_UPSTREAM)
         mean = self._loads.mean(service.name, engines)
         utilisation = self._loads.rate(service, mean)
         remembered, cached = self.memory.find(ask.chat, self._clock.now_s()) or ("", 0)
@@ -203,7 +204,7 @@
                 return Choice(reserve.upstream, "rendezvous", tuple(passed))
             if reason == STEWARD_UNREACHABLE:
                 break
-        return Choice("", "overloaded", tuple(passed))
+        return Choice("", STEWARD_UNREACHABLE if unreached else OVERLOADED, tuple(passed))
 
     async def admit(self, entry: str, ask: Ask, engine: str) -> bool:
         """Reserve the request's work on one engine and tell whether it was admitted."""
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from jayyoke.core.clock import Clock
+from jayyoke.core.code import NO_UPSTREAM, OVERLOADED
 from jayyoke.core.error import PeerUnavailable, Refusal, Run
 from jayyoke.core.member import MemberChange
 from jayyoke.core.peering import Peers
@@ -20,7 +21,7 @@
 from jayyoke.ops.gateway import Gateway
 from jayyoke.ops.home import Homes
 from jayyoke.ops.memory import hash_chat
-from jayyoke.ops.owner import Choice, Owner, read_placed
+from jayyoke.ops.owner import STEWARD_UNREACHABLE, Choice, Owner, read_placed
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.rendezvous import choose
 from jayyoke.ops.stewardship import Directory, Stewardship
@@ -106,10 +107,10 @@
                 return Placement(upstream, choice.reason, passed, ask.request_id)
             if choice.upstream:
                 self._ended.setdefault(choice.upstream, []).append(ask.request_id)
-            if choice.reason == "no-upstream":
-                raise self._refuse(request, "no-upstream")
+            if choice.reason == NO_UPSTREAM:
+                raise self._refuse(request, NO_UPSTREAM)
             if self._clock.now_s() + pause_s > now_s + wait_s:
-                raise self._refuse(request, "overloaded")
+                raise self._refuse(request, OVERLOADED, choice)
             await self._sleep(pause_s)
             pause_s = min(OVERLOAD_RETRY_MOST_S, pause_s * 1.5)
 
@@ -228,7 +229,7 @@
         # Plain services have no stewards, so another group's workers serve if the own has none.
         names = names or self._owner.list_reachable(service, exclude)
         if not names:
-            raise self._refuse(request, "no-upstream")
+            raise self._refuse(request, NO_UPSTREAM)
         self._plain_turn += 1
         start = self._plain_turn % len(names)
         turned = [*names[start:], *names[:start]]
@@ -238,9 +239,12 @@
         self._plain[name] = self._plain.get(name, 0) + 1
         return Placement(upstream, "least-loaded")
 
-    def _refuse(self, request: CallerRequest, code: str) -> Refusal:
+    def _refuse(self, request: CallerRequest, code: str, choice: Choice | None = None) -> Refusal:
         service = request.service.name
         detail = f"no upstream of service {service!r} may receive new work"
-        if code == "overloaded":
+        if code == OVERLOADED:
             detail = f"every engine of service {service!r} is at its load bound or limit"
+        if choice is not None and choice.reason == STEWARD_UNREACHABLE:
+            tried = ", ".join(choice.passed_over)
+            detail = f"the stewards of {tried} did not answer, and no share is left without them"
         return Refusal(503, code, detail, Run.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- a/jayyoke/ops/placement_test.py
+++ b/jayyoke/ops/placement_test.py
@@ -9,7 +9,7 @@
 from jayyoke.core import kernel
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import ClassKind, ClassSpec, TeamSpec
-from jayyoke.core.error import Refusal, Run
+from jayyoke.core.error import PeerUnavailable, Refusal, Run
 from jayyoke.core.member import Member
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.dispatch import Dispatch
@@ -113,6 +113,25 @@
 
         asyncio.run(run())
 
+    def test_refusal_names_the_stewards_that_did_not_answer(self):
+        """Guards against a refusal that blames full engines while their stewards are cut off."""
+
+        async def run():
+            fleet = _Fleet(2, ("e1",))
+            steward = fleet.nodes["n0"].placer._stewardship.find("e1")
+            entry = "n0" if steward == "n1" else "n1"
+
+            async def answer_nothing(*_):
+                raise PeerUnavailable("silent")
+
+            fleet.hub.peers[entry].ask = answer_nothing
+            with pytest.raises(Refusal) as caught:
+                await fleet.nodes[entry].placer.place(_request("c", 4000))
+            assert caught.value.code == "overloaded"
+            assert "did not answer" in caught.value.detail
+
+        asyncio.run(run())
+
 
 class TestDigest:
     def test_deltas_reach_a_peer_and_a_restart_is_reported(self):
--- a/jayyoke/ops/resume.py
+++ b/jayyoke/ops/resume.py
@@ -305,8 +305,10 @@
                 self._node.engines.report_loss(placement.upstream)
             if not elsewhere:
                 self._node.engines.cancel(placement.upstream, self._request.request_id)
-        if attempt >= MAX_ATTEMPTS or not self._node.limits.retries.spend():
-            raise error
+        if attempt >= MAX_ATTEMPTS:
+            raise type(error)(f"{error}; attempt {attempt} was the last") from error
+        if not self._node.limits.retries.spend():
+            raise type(error)(f"{error}; attempt {attempt}, the retry budget is used up") from error
         self._node.metrics.count(self._node.metrics.resumptions, fault)
         passed = (name,) if name in self._exclude else ()
         log_decision(self._request, name, f"{fault}: {error}", passed, "resumption")
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -16,6 +16,7 @@
 from jayyoke.core.kernel import find
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.deadline import HEADER, parse_deadline
+from jayyoke.ops.decisions import log_refusal
 from jayyoke.ops.node import Node
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat, format_body, parse_completion
@@ -135,6 +136,7 @@
         return response
 
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
+        log_refusal(request_id, refusal)
         metrics = self._node.metrics
         metrics.count(metrics.refusals, refusal.code, refusal.run.value)
         metrics.count(metrics.requests, "", "refused")
