Say why no share is left without a steward

Cause: the loaded runs of test_each_side_serves_and_nothing_runs_twice[both] that failed today (3 of 29) end with 'the stewards of jayyoke-pool-0, jayyoke-pool-2 did not answer, and no share is left without them', which does not tell whether the engines counted as cold, full or over their bound.

Ruled out: a steward that answered and refused.

Change: the reason names the limit that was used up.

Conclusion: open.

--- a/jayyoke/ops/owner.py
+++ b/jayyoke/ops/owner.py
@@ -191,7 +191,7 @@
                 self._remember(ask, entry, engine)
                 found = "remembered" if engine == remembered else "rendezvous"
                 return Choice(engine, found, tuple(passed))
-            if reason == STEWARD_UNREACHABLE:
+            if reason.startswith(STEWARD_UNREACHABLE):
                 unreached.append(reserve)
             passed.append(engine)
             tries += 1
@@ -202,9 +202,9 @@
             if not reason:
                 self._remember(ask, entry, reserve.upstream)
                 return Choice(reserve.upstream, "rendezvous", tuple(passed))
-            if reason == STEWARD_UNREACHABLE:
+            if reason.startswith(STEWARD_UNREACHABLE):
                 break
-        return Choice("", STEWARD_UNREACHABLE if unreached else OVERLOADED, tuple(passed))
+        return Choice("", reason if unreached else OVERLOADED, tuple(passed))
 
     async def admit(self, entry: str, ask: Ask, engine: str) -> bool:
         """Reserve the request's work on one engine and tell whether it was admitted."""
@@ -259,22 +259,23 @@
         engine = reserve.upstream
         load = self._loads.find(engine)
         if load is None:
-            return STEWARD_UNREACHABLE
+            return f"{STEWARD_UNREACHABLE}: its load is not known"
         warm = load.limit_tokens >= service.full_work_tokens
         now_s = self._clock.now_s()
         recent = self._list_local(engine, now_s)
         mean = self._loads.mean(service.name, engines)
         if self._loads.rate(service, mean)(engine) >= 1.0:
-            return STEWARD_UNREACHABLE
+            return f"{STEWARD_UNREACHABLE}: it is full"
         counts = sum(len(self._list_local(name, now_s)) for name in engines)
         own_mean = (counts + 1) / max(len(engines), 1)
         if len(recent) + 1 > compute_bound(tighten(service.bound_multiple), own_mean):
-            return STEWARD_UNREACHABLE
+            return f"{STEWARD_UNREACHABLE}: the share of its bound is used"
         work = reserve.work_tokens + sum(tokens for _, tokens in recent)
         bears = load.limit_tokens if warm else min(load.limit_tokens, service.cold_work_tokens)
         room = bears - load.work_tokens
         if (recent or not warm) and work * len(self._peers.members()) > room:
-            return STEWARD_UNREACHABLE
+            limit = "limit" if warm else "cold limit"
+            return f"{STEWARD_UNREACHABLE}: the share of its {limit} is used"
         self._local[engine] = [*recent, (now_s, reserve.work_tokens)]
         return ""
 
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -244,7 +244,7 @@
         detail = f"no upstream of service {service!r} may receive new work"
         if code == OVERLOADED:
             detail = f"every engine of service {service!r} is at its load bound or limit"
-        if choice is not None and choice.reason == STEWARD_UNREACHABLE:
+        if choice is not None and choice.reason.startswith(STEWARD_UNREACHABLE):
             tried = ", ".join(choice.passed_over)
-            detail = f"the stewards of {tried} did not answer, and no share is left without them"
+            detail = f"no steward of {tried} answered; {choice.reason}"
         return Refusal(503, code, detail, Run.NOT_RUN, retry_after_s=RETRY_AFTER_S)
--- a/jayyoke/ops/placement_test.py
+++ b/jayyoke/ops/placement_test.py
@@ -128,7 +128,7 @@
             with pytest.raises(Refusal) as caught:
                 await fleet.nodes[entry].placer.place(_request("c", 4000))
             assert caught.value.code == "overloaded"
-            assert "did not answer" in caught.value.detail
+            assert "no steward of e1 answered" in caught.value.detail
 
         asyncio.run(run())
 
