Await a feed that may bring a deferred table instead of leaving the read out

Cause: the read was left out while the feed held the table; a feed that is deaf for a second would have kept the instance from what its follower knows.

Ruled out: a second transfer: the revision is compared after the wait.

--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -234,20 +234,19 @@
             self._relayed_s = max(self._relayed_s, answered_s - max(ages_s, default=math.inf))
         for table in news.tables:
             if table.deferred:
-                await self._read_directly(peer, table.name)
+                await self._read_directly(peer, table.name, table.revision)
                 continue
             self._take(peer, table, answered_s)
         return True
 
-    async def _read_directly(self, peer: str, name: str) -> None:
-        """Read a table with large rows from the store, or from the peer if the store is away."""
-        if self.transfers[name].locked():
-            # The feed brings the same rows.
-            await asyncio.sleep(IDLE_S)
-            return
-        began_s = self._view.now_s()
+    async def _read_directly(self, peer: str, name: str, revision: int) -> None:
+        """Read a table up to a revision from the store, or from the peer if the store is away."""
         try:
             async with self.transfers[name]:
+                if self._view.tables[name].revision >= revision:
+                    # The feed brought the same rows meanwhile.
+                    return
+                began_s = self._view.now_s()
                 page = await self._store.read(name)
         except StoreUnavailable as error:
             log_event("deferred-table-store-away", table=name, reason=str(error))
