Log the age of the load that placed a request

Ruled out: logging it with each report, which would be a line per answer.

Change: placed lines carry load_age_ms, null if the engine was never heard.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -40,7 +40,8 @@
     """Describes an upstream that a request may go to.
 
     `load` is the estimate over all instances, `own` the requests of this instance. `places` is how
-    many requests it runs at once, or 0 if that is not known. `age_s` is the time since its start.
+    many requests it runs at once, or 0 if that is not known. `age_s` is the time since its start,
+    `load_age_s` that since the load was reported, or None if it never was.
     """
 
     upstream: Upstream
@@ -51,6 +52,7 @@
     suspended: bool = False
     age_s: float = HOME_RAMP_S
     load_known: bool = True
+    load_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jayyoke/edge/loadnews_test.py
+++ b/jayyoke/edge/loadnews_test.py
@@ -9,6 +9,7 @@
 from thrift.TSerialization import serialize
 
 from jayyoke.core.error import PeerProtocolError
+from jayyoke.edge import place
 from jayyoke.edge.loadnews import MAX_HEARD, HeardLoad, LoadNews
 from jayyoke.edge.place import Place, Placement
 from jayyoke.edge.place_test import DOMAINS, SERVICE, Clock, build_call, build_placement
@@ -81,6 +82,20 @@
         for _ in range(REQUESTS):
             assert asyncio.run(place_session(clock, asker)).upstream.incarnation != home
 
+    def test_line_of_the_decision_tells_the_age_of_the_load(self, monkeypatch):
+        """Guards against a load of 0 in the logs that may mean idle or unknown."""
+        clock = Clock()
+        placement = build_placement(clock, ENGINES_PER_DOMAIN)
+        ages_ms = []
+        monkeypatch.setattr(
+            place, "log_event", lambda event, **fields: ages_ms.append(fields["load_age_ms"])
+        )
+        asyncio.run(place_session(clock, placement))
+        hear_all(placement, "")
+        clock.now_s += 1.5
+        asyncio.run(place_session(clock, placement))
+        assert ages_ms == [None, 1500]
+
     def test_own_newer_load_stays(self):
         """Guards against a session that leaves its home for what another instance saw before."""
         clock = Clock()
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -293,6 +293,7 @@
             suspended=avoided or track.is_suspended(now_s),
             age_s=time.time() - upstream.started_ms / 1000,
             load_known=track.knows_load(now_s),
+            load_age_s=track.find_load_age_s(now_s),
         )
 
     def _find_region(self, upstream: Upstream) -> str:
@@ -338,6 +339,7 @@
                 home_key=key,
                 shared_tokens=shared,
                 load=round(found.load, 1),
+                load_age_ms=None if found.load_age_s is None else round(found.load_age_s * 1000),
                 candidates=len(candidates),
                 fetch_from=fetch_from,
             )
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -39,6 +39,10 @@
     cold_until_s: float = 0.0
     replaced: bool = False
 
+    def find_load_age_s(self, now_s: float) -> float | None:
+        """Return how old the last report is, or None without one."""
+        return None if self.report is None else now_s - self.reported_s
+
     def knows_load(self, now_s: float) -> bool:
         """Tell whether a report is recent enough to go by."""
         return self.report is not None and now_s - self.reported_s <= REPORT_VALID_S
