Move the search for a prompt's holder out of placement, and split the entry tests

UpstreamConnection.used was set and never read.

Ruled out: dropping LoadNews for the loads that Tracks keeps: a follower passes on loads of engines that it has no track of.

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -42,7 +42,6 @@
         self._error: Exception | None = None
         self._surplus = False
         self._idle = True
-        self.used = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -146,7 +145,6 @@
     def rest(self, now_s: float) -> None:
         """Mark the connection idle after a whole answer."""
         self._idle = True
-        self.used = True
         self.idle_since_s = now_s
 
     def abort(self) -> None:
--- /dev/null
+++ b/jayyoke/edge/holder.py
@@ -0,0 +1,62 @@
+"""Finds the engine from which a chosen one fetches what it lacks of a prompt.
+
+Load it answers: sessions of 10,000 shared tokens that leave their engine. Fetching a prompt costs a
+tenth of reading it again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+
+from jayyoke.core.upstream import Upstream
+from jayyoke.edge.choose import Candidate, find_former_home, rank_homes
+from jayyoke.edge.promptmemory import PromptMemory
+from jayyoke.platform.message import PromptPart
+
+
+class PromptHolders:
+    """Knows from own placements, and else guesses, which engines have a prompt."""
+
+    __slots__ = ("_describe", "_prompts")
+
+    def __init__(self, describe: Callable[[Upstream, float], Candidate]):
+        self._describe = describe
+        self._prompts = PromptMemory()
+
+    def note(self, parts: Sequence[PromptPart], chosen: Upstream, now_s: float) -> None:
+        """Remember that an engine gets a prompt; its last part belongs to the request alone."""
+        self._prompts.note([part.id for part in parts[:-1]], chosen.incarnation, now_s)
+
+    def find_address(
+        self,
+        parts: Sequence[PromptPart],
+        key: str,
+        chosen: Upstream,
+        sources: Mapping[str, Upstream],
+        now_s: float,
+    ) -> str:
+        """Return the address of an engine that has more of the prompt than the chosen one.
+
+        `key` names the part that makes the session's home; `sources` are the engines that can be
+        fetched from, by incarnation. The address is empty if there is none.
+        """
+        for part in (key, *(part.id for part in reversed(parts[:-2]))):
+            holders = self._prompts.find(part, now_s)
+            if part == key and not holders:
+                described = [self._describe(found, now_s) for found in sources.values()]
+                holders = _guess_holders(key, described, chosen)
+            if chosen.incarnation in holders:
+                continue
+            for name in holders:
+                if name in sources:
+                    return sources[name].address
+        return ""
+
+
+def _guess_holders(key: str, described: Sequence[Candidate], chosen: Upstream) -> list[str]:
+    """Return where other instances have most likely placed a session's prompt."""
+    home = next(iter(rank_homes(key, described)), None)
+    if home is not None and home.upstream != chosen:
+        return [home.upstream.incarnation]
+    former = find_former_home(key, described, chosen.incarnation)
+    return [former.incarnation] if former is not None else []
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -17,19 +17,17 @@
     Candidate,
     choose_upstreams,
     count_shared_tokens,
-    find_former_home,
     find_home_key,
     has_place,
-    rank_homes,
 )
 from jayyoke.edge.cold import ColdLimiter
 from jayyoke.edge.domain import DomainTracks
+from jayyoke.edge.holder import PromptHolders
 from jayyoke.edge.line import WaitingLine
 from jayyoke.edge.loadnews import HeardLoad, LoadNews
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveKeeper
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.promptmemory import PromptMemory
 from jayyoke.edge.track import Tracks
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.message import AnswerHead
@@ -89,7 +87,7 @@
         self._baseline = baseline
         self._lines: dict[str, WaitingLine] = {}
         self._instance = instance
-        self._prompts = PromptMemory()
+        self._holders = PromptHolders(self._describe)
         self.tracks = Tracks()
         self._domains = DomainTracks()
         self.load_news = LoadNews(now_s, self._learn_load)
@@ -327,8 +325,7 @@
             self._domains.note_test(upstream.domain, now_s)
             fetch_from = self._find_holder(call, key, upstream, profile, now_s)
             if key:
-                shared_parts = [part.id for part in call.head.parts[:-1]]
-                self._prompts.note(shared_parts, upstream.incarnation, now_s)
+                self._holders.note(call.head.parts, upstream, now_s)
             log_event(
                 "placed",
                 request_id=call.head.request_id,
@@ -349,36 +346,16 @@
     def _find_holder(
         self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
     ) -> str:
-        """Return the address of an engine that has more of the prompt than the chosen one.
-
-        Fetching a prompt costs a tenth of reading it. A leaving engine still has what it read.
-        """
+        """Return the address of the engine to fetch the prompt from, or an empty string."""
         if not key or profile.token_bytes <= 0:
             return ""
-        known = {
+        # A leaving engine still has what it read.
+        sources = {
             found.incarnation: found
             for found in self._view.upstreams.values()
             if found.service == chosen.service and self._may_fetch(found, now_s)
         }
-        for part in (key, *(part.id for part in reversed(call.head.parts[:-2]))):
-            holders = self._prompts.find(part, now_s)
-            if part == key and not holders:
-                described = [self._describe(found, now_s) for found in known.values()]
-                holders = self._guess_holders(key, described, chosen)
-            if chosen.incarnation in holders:
-                continue
-            for name in holders:
-                if name in known:
-                    return known[name].address
-        return ""
-
-    def _guess_holders(self, key: str, described: list[Candidate], chosen: Upstream) -> list[str]:
-        """Return where other instances have most likely placed a session's prompt."""
-        home = next(iter(rank_homes(key, described)), None)
-        if home is not None and home.upstream != chosen:
-            return [home.upstream.incarnation]
-        former = find_former_home(key, described, chosen.incarnation)
-        return [former.incarnation] if former is not None else []
+        return self._holders.find_address(call.head.parts, key, chosen, sources, now_s)
 
     def _may_fetch(self, upstream: Upstream, now_s: float) -> bool:
         track = self.tracks.get(upstream.incarnation)
--- /dev/null
+++ b/tests/entry_answers_test.py
@@ -0,0 +1,194 @@
+"""Tests of answers of upstreams that break, mix or fall silent, at a whole entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from standin.entryupstream import (
+    SeenRequest,
+    format_answer,
+    format_chunk,
+    format_event,
+    format_stream_head,
+)
+from tests.entryrig import Rig, reset, run_rig, wait_ready
+
+
+class TestForeignBytes:
+    def test_late_second_answer_is_not_passed_on(self):
+        """Guards against an answer that belongs to the request before on the connection."""
+
+        async def answer_twice(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            answer = format_answer(request, b"done " + request.id.encode(), Keep_Alive="timeout=30")
+            writer.write(answer)
+            await writer.drain()
+            if request.id == "r1":
+                # Arrives when the next request has been sent.
+                asyncio.get_running_loop().call_later(0.05, writer.write, answer)
+
+        async def test(rig: Rig) -> None:
+            upstream = await rig.add_upstream("u1", answer_twice)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            await entry.call("/unsafe/x", request_id="r1")
+            await asyncio.sleep(0.04)
+            for number in range(2, 8):
+                status, body, _ = await entry.call("/unsafe/x", request_id=f"r{number}")
+                assert (status, body) == (200, f"done r{number}".encode())
+            assert len(upstream.seen) == 7
+
+        run_rig(test)
+
+    def test_answer_without_length_ends_with_the_connection(self):
+        """Guards against refusing an answer that only its connection's end completes."""
+
+        async def answer_unframed(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.id}\r\nWorker-Signature: sig\r\n\r\n"
+            writer.write(head.encode() + b"all of it")
+            await writer.drain()
+            writer.close()
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_unframed)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            status, body, _ = await entry.call("/unsafe/x")
+            assert (status, body) == (200, b"all of it")
+
+        run_rig(test)
+
+    def test_reset_does_not_complete_an_answer_without_length(self):
+        """Guards against a part of an answer that looks whole."""
+
+        async def answer_unframed(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.id}\r\nWorker-Signature: sig\r\n\r\n"
+            writer.write(head.encode() + b"a part")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_unframed)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            status, _, _ = await entry.call("/unsafe/x")
+            assert status == 502
+
+        run_rig(test)
+
+
+class TestStreams:
+    def test_resumes_elsewhere_without_a_gap(self):
+        """Guards against doubled, missing and joined events when an upstream breaks off."""
+
+        async def break_off(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(format_stream_head(request))
+            writer.write(format_chunk(format_event(1) + format_event(2)))
+            writer.write(format_chunk(format_event(3)[:9]))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            reset(writer)
+
+        async def go_on(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            if not request.get("last-event-id"):
+                await break_off(request, writer)
+                return
+            writer.write(format_stream_head(request))
+            first = int(request.get("last-event-id")) + 1
+            # One event is repeated; the instance must drop it.
+            for number in range(first - 1, 6):
+                writer.write(format_chunk(format_event(number)))
+            writer.write(format_chunk(b""))
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", go_on)
+            await rig.add_upstream("u2", go_on)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            status, body, _ = await entry.call("/resume/x")
+            assert status == 200
+            assert body == b"".join(format_event(number) for number in range(1, 6))
+            assert sum(len(upstream.seen) for upstream in rig.upstreams) == 2
+
+        run_rig(test)
+
+    def test_broken_stream_does_not_look_whole(self):
+        """Guards against a stream that ends as complete before its last event."""
+
+        async def break_off(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(format_stream_head(request) + format_chunk(format_event(1)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.close()
+
+        async def test(rig: Rig) -> None:
+            upstream = await rig.add_upstream("u1", break_off)
+            await rig.add_upstream("u2", break_off)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            with pytest.raises(aiohttp.ClientError):
+                await entry.call("/stream/x")
+            assert len(upstream.seen) + len(rig.upstreams[1].seen) == 1
+
+        run_rig(test)
+
+
+class TestAnswersThatAreNotWhole:
+    @pytest.mark.parametrize(
+        "head",
+        [
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody",
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
+            "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+            "HTTP/1.1 200 OK\r\nWorker-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+            "\x00\x01 no answer at all\r\n\r\n",
+        ],
+        ids=["unsigned", "encoded", "without-id", "no-http"],
+    )
+    def test_success_that_is_not_the_upstreams_is_not_passed_on(self, head):
+        """Guards against bytes of a faulty upstream that a caller takes for its answer."""
+
+        async def spoil(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(head.replace("{id}", request.id).encode("latin-1"))
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", spoil)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            assert (await entry.call("/unsafe/x"))[0] == 502
+
+        run_rig(test)
+
+
+class TestSilentConnections:
+    def test_one_broken_connection_ends_the_idle_ones(self):
+        """Guards against losing one request for each kept connection that has gone dead."""
+
+        async def test(rig: Rig) -> None:
+            seen = 0
+
+            async def script(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+                nonlocal seen
+                seen += 1
+                if request.id == "broken":
+                    reset(writer)
+                    return
+                await asyncio.sleep(0.05)
+                answer = format_answer(request, b"ok", Keep_Alive="timeout=30")
+                writer.write(answer)
+
+            upstream = await rig.add_upstream("u1", script)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            calls = [entry.call("/safe/x", request_id=f"r{number}") for number in range(4)]
+            await asyncio.gather(*calls)
+            opened = upstream.connections
+            assert opened > 1
+            await entry.call("/unsafe/x", request_id="broken")
+            await entry.call("/unsafe/x", request_id="after")
+            assert upstream.connections == opened + 1
+
+        run_rig(test)
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -101,6 +103,13 @@
             await upstream.close()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection with a reset instead of an orderly end."""
+    opened: socket.socket = writer.get_extra_info("socket")
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def wait_until(condition, timeout_s: float = 10.0) -> None:
     """Return when the condition holds; fail the test otherwise."""
     async with asyncio.timeout(timeout_s):
