Log what tells a silent upstream from an instance that stood still

"No answer in time" looks alike whether the upstream or the instance was silent, a placement does not say how many candidates were left out as suspended, and upstream-gone does not say that the store had been silent before.

No decision changes.

Tests: utils/patience_test.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -59,12 +59,13 @@
     """Orders the candidates to try.
 
     Engines of `limit` or more requests come last, the least loaded first. `limit` is None if loads
-    did not decide.
+    did not decide. `suspended` counts the candidates in doubt.
     """
 
     order: tuple[Candidate, ...]
     reason: str
     limit: float | None = None
+    suspended: int = 0
 
 
 def find_home_key(parts: Sequence[PromptPart]) -> str:
@@ -94,6 +95,7 @@
     that mean over all live engines, also those that the request may not use.
     """
     usable = [found for found in candidates if not found.suspended]
+    suspended = len(candidates) - len(usable)
     reason = "home" if home_key else "least-work"
     if not usable:
         # Better an upstream in doubt than a refusal.
@@ -101,10 +103,10 @@
         reason += ",all-suspended"
     if home_key and engine:
         limit = _find_load_limit(mean_load, shared_tokens, load_factor)
-        return Choice(_order_by_home(usable, home_key, limit), reason, limit)
+        return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
     sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
     work = sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random()))
-    return Choice(tuple(work), reason)
+    return Choice(tuple(work), reason, None, suspended)
 
 
 def _order_by_home(
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 
@@ -28,6 +27,7 @@
 from jayyoke.edge.stream import EventRelay
 from jayyoke.ops.metrics import Metrics
 from jayyoke.platform.message import encode_request, select_answer_headers
+from jayyoke.utils.patience import Patience
 
 # Below this much time an upstream cannot answer any more.
 LEAST_TIME_S = 0.02
@@ -129,7 +129,14 @@
                 progress.runs += 1
                 progress.failure = outcome
                 progress.last = f"status-{status}"
-        self._log(call, "attempt-failed", progress, upstream=upstream.name, reason=progress.last)
+        self._log(
+            call,
+            "attempt-failed",
+            progress,
+            upstream=upstream.name,
+            reason=progress.last,
+            timer_late_ms=progress.timer_late_ms,
+        )
         return False
 
     def _may_repeat(self, call: Call, outcome: Outcome, progress: Progress) -> bool:
@@ -245,9 +252,9 @@
             fetch_from=place.fetch_from,
         )
         connection.send(call.method, data)
-        patience_s = self._find_patience_s(call, progress, left_s)
+        progress.patience = Patience(self._find_patience_s(call, progress, left_s))
         try:
-            async with asyncio.timeout(patience_s):
+            async with progress.patience:
                 answer = await connection.receive(call.head.request_id)
             self._placement.note_answer(place.upstream, answer.head)
             progress.answering = True
@@ -280,7 +287,8 @@
     ) -> Outcome:
         headers = tuple(select_answer_headers(answer.raw_headers))
         body = b""
-        async with asyncio.timeout(call.deadline_s - self._now_s()):
+        progress.patience = Patience(call.deadline_s - self._now_s())
+        async with progress.patience:
             while not answer.body.at_eof() and len(body) <= WHOLE_ANSWER_BYTES:
                 body += await answer.body.readany()
         progress.first_s = self._now_s()
@@ -299,7 +307,8 @@
             return Delivered(answer.status)
         await caller.start(answer.status, answer.reason, headers, None)
         await caller.write(body)
-        async with asyncio.timeout(call.deadline_s - self._now_s()):
+        progress.patience = Patience(call.deadline_s - self._now_s())
+        async with progress.patience:
             while not answer.body.at_eof():
                 await caller.write(await answer.body.readany())
         await caller.finish()
@@ -326,7 +335,8 @@
                 if progress.first_s is None:
                     patience_s = self._find_patience_s(call, progress, left_s)
                 limit_s = min(left_s, heard_s + patience_s - self._now_s())
-            async with asyncio.timeout(limit_s):
+            progress.patience = Patience(limit_s)
+            async with progress.patience:
                 chunk = await answer.body.readany()
             passed_on = relay.count
             events = relay.feed(chunk)
--- a/jayyoke/edge/log.py
+++ b/jayyoke/edge/log.py
@@ -19,7 +19,7 @@
 
     def __init__(self, descriptor: int, lines_per_s: float = LINES_PER_S):
         self._descriptor = descriptor
-        self._bucket = TokenBucket(lines_per_s, BURST_LINES, time.monotonic())
+        self._bucket = TokenBucket(lines_per_s, max(BURST_LINES, lines_per_s), time.monotonic())
         self._reported = 0
         self.dropped = 0
 
@@ -45,9 +45,11 @@
 _log = EventLog(STANDARD_OUTPUT)
 
 
-def start_log(descriptor: int = STANDARD_OUTPUT) -> None:
-    """Make the descriptor non-blocking, so that a slow reader never holds up requests."""
+def start_log(descriptor: int = STANDARD_OUTPUT, lines_per_s: float = LINES_PER_S) -> None:
+    """Write to a descriptor at a bounded rate, so that a slow reader never holds up requests."""
+    global _log
     os.set_blocking(descriptor, False)
+    _log = EventLog(descriptor, lines_per_s)
 
 
 def log_event(event: str, **fields: object) -> None:
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -365,6 +365,7 @@
                 mean_load=round(mean, 1),
                 load_limit=None if choice.limit is None else round(choice.limit, 1),
                 candidates=len(candidates),
+                suspended=choice.suspended,
                 fetch_from=fetch_from,
             )
             return Place(upstream, fetch_from)
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -7,6 +7,7 @@
 from jayyoke.edge.outcome import Failed
 from jayyoke.edge.pace import AnswerTimes, Pace
 from jayyoke.edge.stream import EventRelay
+from jayyoke.utils.patience import Patience
 
 
 @dataclass(slots=True)
@@ -30,6 +31,13 @@
     sent_s: float = 0.0
     pace: Pace = field(default_factory=Pace)
     judged: bool = False
+    # The wait for the present send's newest bytes.
+    patience: Patience | None = None
+
+    @property
+    def timer_late_ms(self) -> int:
+        """Return by how much the timer of the last wait was late: this process stood still."""
+        return 0 if self.patience is None else round(self.patience.late_s * 1000)
 
     def begin_send(self, now_s: float) -> None:
         """Forget what was measured of the send before."""
@@ -40,6 +48,7 @@
         self.answering = False
         self.pace = Pace()
         self.judged = False
+        self.patience = None
 
     def measure(self, cached_prompt: bool) -> AnswerTimes:
         """Return the times of the present send."""
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -169,6 +169,7 @@
     ) -> None:
         """Merge news of a table from the store or a peer and derive what they mean."""
         copy = self.tables[table]
+        silent_s = confirmed_s - copy.confirmed_s
         if whole:
             changed = copy.apply_snapshot(rows, revision)
         else:
@@ -181,7 +182,7 @@
             case names.OPERATOR_TABLE:
                 self._derive_operator(copy, changed, source)
             case names.UPSTREAM_TABLE:
-                self._derive_upstreams(copy, changed, source)
+                self._derive_upstreams(copy, changed, source, silent_s)
             case names.STATUS_TABLE:
                 self._derive_statuses(copy, source)
         self._changes.on_next(table)
@@ -230,13 +231,17 @@
             source=source,
         )
 
-    def _derive_upstreams(self, copy: TableCopy, changed: set[str], source: str) -> None:
+    def _derive_upstreams(
+        self, copy: TableCopy, changed: set[str], source: str, silent_s: float
+    ) -> None:
         for key in changed:
             row = copy.rows.get(key)
             known = self.upstreams.get(key)
             if row is None:
                 if self.upstreams.pop(key, None) is not None:
-                    log_event("upstream-gone", upstream=key, source=source)
+                    log_event(
+                        "upstream-gone", upstream=key, source=source, silent_s=round(silent_s, 2)
+                    )
                 continue
             try:
                 upstream = decode_upstream(key, row.value)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -320,12 +320,15 @@
 
 def main(
     metrics_port: Annotated[int, typer.Option(help="TCP port of /metrics.")] = METRICS_PORT,
+    log_lines_per_s: Annotated[
+        float, typer.Option(help="Log lines a second above which lines are dropped.", min=1.0)
+    ] = log.LINES_PER_S,
     policy: Annotated[
         str, typer.Option(help="Order of engines; others than 'home' are baselines.")
     ] = OWN_POLICY,
 ) -> None:
     """Run an entry instance with the settings file that the environment names."""
-    log.start_log()
+    log.start_log(lines_per_s=log_lines_per_s)
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
     try:
         text = _read_text(path)
--- /dev/null
+++ b/jayyoke/utils/patience_test.py
@@ -0,0 +1,54 @@
+"""Tests of time-outs that know how late they are."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from jayyoke.utils.patience import Patience
+
+
+class TestPatience:
+    def test_expires(self):
+        async def wait() -> None:
+            async with Patience(0.01):
+                await asyncio.sleep(5)
+
+        with pytest.raises(TimeoutError):
+            asyncio.run(wait())
+
+    def test_body_that_ends_in_time_is_not_disturbed(self):
+        async def wait() -> str:
+            async with Patience(0.02):
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.03)
+            return "done"
+
+        assert asyncio.run(wait()) == "done"
+
+    def test_tells_how_long_the_process_stood_still(self):
+        async def wait() -> float:
+            patience = Patience(0.01)
+            with pytest.raises(TimeoutError):
+                async with patience:
+                    asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+                    await asyncio.sleep(5)
+            return patience.late_s
+
+        assert asyncio.run(wait()) >= 0.25
+
+    def test_cancelling_from_outside_stays_a_cancellation(self):
+        async def wait() -> None:
+            async with Patience(5.0):
+                await asyncio.sleep(5)
+
+        async def cancel() -> None:
+            task = asyncio.create_task(wait())
+            await asyncio.sleep(0)
+            task.cancel()
+            await task
+
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(cancel())
