Measure late timers without moving them behind the sockets

The order of timers and sockets alone makes the difference.

Change: Patience reads the due time of asyncio.timeout, which it leaves as it is.

--- a/jayyoke/utils/patience.py
+++ b/jayyoke/utils/patience.py
@@ -9,15 +9,13 @@
 class Patience:
     """Times out like asyncio.timeout, and measures by how much its timer was late."""
 
-    __slots__ = ("_due_s", "_late_s", "_limit_s", "_loop", "_scope", "_timer")
+    __slots__ = ("_late_s", "_limit_s", "_loop", "_scope")
 
     def __init__(self, limit_s: float):
         self._limit_s = limit_s
         self._loop = asyncio.get_running_loop()
-        self._scope = asyncio.timeout(None)
-        self._due_s = 0.0
+        self._scope = asyncio.timeout(limit_s)
         self._late_s = 0.0
-        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def late_s(self) -> float:
@@ -26,8 +24,6 @@
 
     async def __aenter__(self) -> Patience:
         await self._scope.__aenter__()
-        self._due_s = self._loop.time() + self._limit_s
-        self._timer = self._loop.call_at(self._due_s, self._note_due)
         return self
 
     async def __aexit__(
@@ -36,13 +32,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> bool | None:
-        assert self._timer is not None
-        self._timer.cancel()
+        due_s = self._scope.when()
+        if self._scope.expired() and due_s is not None:
+            self._late_s = self._loop.time() - due_s
         return await self._scope.__aexit__(kind, error, trace)
-
-    def _note_due(self) -> None:
-        self._late_s = self._loop.time() - self._due_s
-        self._expire()
-
-    def _expire(self) -> None:
-        self._scope.reschedule(self._loop.time())
