Read what came while the process stood still before its timers expire

Callers saw: after a pause of their instance, requests failed or ran again although their answers had come; then all went to one engine, which held 59 of its 64 slots where the mean was 18 (LIMIT).

Cause: the silence of the instance was taken for that of the engines. asyncio runs expired timers before the tasks whose answers it has just read, so an instance that wakes gives up every request that it holds, and suspends their engines.

Change: Patience, in place of asyncio.timeout, where an answer is waited for: a late timer gives the sockets 50 ms, and what has been read goes first. Ruled out: a head's time-out needs nothing, since reading it cancels the timer at once; the probes of the product's own door go through a breaker that wants two failures.

Tests: patience_test and entry_test.TestStandStill fail before (TimeoutError; the call was sent twice) and pass now.

--- a/jayyoke/edge/pool.py
+++ b/jayyoke/edge/pool.py
@@ -8,6 +8,7 @@
 from jayyoke.core.error import ConnectFailed, ConnectTimedOut
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.connection import UpstreamConnection
+from jayyoke.utils.patience import Patience
 
 # A connection opens in 1 to 5 ms; a lost opening packet is repeated after 1 s by the system.
 CONNECT_TIMEOUT_S = 0.4
@@ -71,7 +72,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with Patience(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(loop), host, int(port)
                 )
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -21,6 +21,7 @@
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat, format_body, parse_completion
 from jayyoke.server.problem import format_problem, make_request_id
+from jayyoke.utils.patience import Patience
 
 MAX_BODY_BYTES = 4 << 20
 BODY_TIMEOUT_S = 10.0
@@ -187,7 +188,7 @@
         if http.content.is_eof():
             return await http.read()
         try:
-            async with asyncio.timeout(self._body_timeout_s):
+            async with Patience(self._body_timeout_s):
                 return await http.read()
         except TimeoutError:
             detail = f"the body did not arrive within {self._body_timeout_s:g} s"
--- a/jayyoke/server/entry.py
+++ b/jayyoke/server/entry.py
@@ -16,6 +16,7 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.message import RequestHead, decode_request
+from jayyoke.utils.patience import Patience
 
 MAX_BACKLOG = 512
 # A caller that reuses a connection at its idle limit must still meet it open.
@@ -286,7 +287,7 @@
     parts = []
     size = 0
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with Patience(BODY_TIMEOUT_S):
             while not content.at_eof():
                 part = await content.readany()
                 size += len(part)
--- a/jayyoke/utils/patience_test.py
+++ b/jayyoke/utils/patience_test.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -39,6 +40,25 @@
 
         assert asyncio.run(wait()) >= 0.25
 
+    def test_answer_that_came_while_the_process_stood_still_is_read(self):
+        async def wait() -> bytes:
+            ours, theirs = socket.socketpair()
+            reader, writer = await asyncio.open_connection(sock=ours)
+
+            def stand_still() -> None:
+                theirs.send(b"answer")
+                time.sleep(0.3)
+
+            try:
+                async with Patience(0.1):
+                    asyncio.get_running_loop().call_soon(stand_still)
+                    return await reader.read(6)
+            finally:
+                writer.close()
+                theirs.close()
+
+        assert asyncio.run(wait()) == b"answer"
+
     def test_cancelling_from_outside_stays_a_cancellation(self):
         async def wait() -> None:
             async with Patience(5.0):
--- a/jayyoke/wire/link.py
+++ b/jayyoke/wire/link.py
@@ -16,6 +16,7 @@
 from jayyoke.core.error import HandshakeCut, PeerProtocolError, PeerUnavailable
 from jayyoke.core.member import Member
 from jayyoke.core.peering import Message
+from jayyoke.utils.patience import Patience
 from jayyoke.utils.source import open_socket
 from jayyoke.wire.frame import (
     HEADER_BYTES,
@@ -86,7 +87,7 @@
         try:
             if not self.send(message, correlation):
                 raise PeerUnavailable(f"{self.member.name}: connection is closed or its queue full")
-            async with asyncio.timeout(timeout_s):
+            async with Patience(timeout_s):
                 answer = await future
         except TimeoutError:
             detail = f"{self.member.name} did not answer within {timeout_s} s"
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
-from standin.entryconfig import KEY
+from standin.entryconfig import HOST, KEY
 from standin.entryupstream import (
     SeenRequest,
     answer_whole,
@@ -15,6 +16,11 @@
 from tests.entryrig import Rig, reset, run_rig, wait_ready, wait_until
 
 
+def stand_still() -> None:
+    """Stop the whole process for longer than the safe route's patience and a head may take."""
+    time.sleep(0.8)
+
+
 async def hang(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
     await asyncio.sleep(30)
 
@@ -260,6 +266,52 @@
         run_rig(test)
 
 
+class TestStandStill:
+    """Tests that an instance that stood still does not take its own silence for that of others."""
+
+    def test_answer_that_waits_in_the_socket_is_not_given_up(self):
+        """Guards against woken instances that suspend every engine and send all to the last one."""
+
+        async def answer_and_stall(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+            await answer_whole(request, writer)
+            stand_still()
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_and_stall)
+            await rig.add_upstream("u2", answer_and_stall)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            status, body, _ = await entry.call("/safe/x", method="GET")
+            assert (status, body) == (200, b"done r1")
+            assert sum(len(upstream.seen) for upstream in rig.upstreams) == 1
+            tracks = entry.instance.placement.tracks
+            assert not any(
+                tracks.get(found.incarnation).is_suspended(entry.instance.view.now_s())
+                for found in entry.instance.view.upstreams.values()
+            )
+
+        run_rig(test)
+
+    def test_head_that_waits_in_the_socket_is_read(self):
+        """Guards against woken instances that close connections with unread requests."""
+
+        async def test(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_whole)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            host, _, port = entry.url.removeprefix("http://").rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /safe/x HTTP/1.1\r\nRequest-Id: r1\r\n")
+            await asyncio.sleep(0.1)
+            writer.write(f"Host: {HOST}\r\nAuthorization: Bearer {KEY}\r\n\r\n".encode())
+            stand_still()
+            answer = await asyncio.wait_for(reader.readline(), 5)
+            assert answer.startswith(b"HTTP/1.1 200")
+            writer.close()
+
+        run_rig(test)
+
+
 class TestHost:
     def test_case_and_port_do_not_matter(self):
         """Guards against a 404 for a host that is spelt in another case."""
