Let no engine beyond the load bound have a request, even as the last one left

Callers saw: one engine answered slowly, with 59 of 64 slots in use, while others stood idle.

Cause: the load limit was an order, not a limit.

Change: engines beyond the bound are left out of the choice. A repeatable request may then go to an engine in doubt that has room; one that must run once, or whose other domains cannot be reached, waits for room for half of its objective and is refused with `load-limit`, which is true: it has not run. This replaces the rule for cold engines alone.

Tests: choose_test and place_test.TestLoadLimit.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -5,6 +5,9 @@
 each session has a home among the engines by rendezvous hashing, which all instances agree on, and
 leaves it only while the home carries more than its part. Plain services take the upstream with the
 least work.
+
+The load limit leaves engines out and does not only put them last: with one engine left, whatever
+the reason, that engine would get everything. Requests wait for room or are refused instead.
 """
 
 from __future__ import annotations
@@ -17,8 +20,8 @@
 from jayyoke.ops.rendezvous import rank_weighted
 from jayyoke.platform.message import PromptPart
 
-# An engine beyond this part of the users' bound on load over the mean, and the slack, gets no more
-# while another is below it. Their bound allows 3 more; estimates are some seconds old.
+# An engine beyond this part of the users' bound on load over the mean, and the slack, gets no more.
+# Their bound allows 3 more; estimates are some seconds old.
 LOAD_PART = 0.85
 LOAD_SLACK = 2.5
 # Requests with few shared tokens leave a loaded home first, since they lose least by it.
@@ -40,7 +43,8 @@
     """Describes an upstream that a request may go to.
 
     `load` is the estimate over all instances, `own` the requests of this instance. `places` is how
-    many requests it runs at once, or 0 if that is not known. `age_s` is the time since its start,
+    many requests it runs at once, or 0 if that is not known. `suspended` tells that it failed
+    lately, `unreachable` that its whole domain seems to be. `age_s` is the time since its start,
     `load_age_s` that since the load was reported, or None if it never was.
     """
 
@@ -50,13 +54,14 @@
     places: int
     latency_s: float
     suspended: bool = False
+    unreachable: bool = False
     age_s: float = HOME_RAMP_S
     load_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """Orders the candidates to try.
+    """Orders the candidates to try; engines beyond the users' bound on load are left out.
 
     Engines of `limit` or more requests come last, the least loaded first. `limit` is None if loads
     did not decide. `suspended` counts the candidates in doubt.
@@ -88,25 +93,42 @@
     source: random.Random,
     load_factor: float,
     mean_load: float,
+    repeatable: bool,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
     `load_factor` is the users' bound on an engine's load over the mean of its service, `mean_load`
-    that mean over all live engines, also those that the request may not use.
+    that mean over all live engines, also those that the request may not use. A request that is not
+    `repeatable` is not risked at an engine in doubt while others live.
     """
-    usable = [found for found in candidates if not found.suspended]
-    suspended = len(candidates) - len(usable)
     reason = "home" if home_key else "least-work"
+    usable = [found for found in candidates if not (found.suspended or found.unreachable)]
+    suspended = len(candidates) - len(usable)
+    doubted = [found for found in candidates if found.suspended and not found.unreachable]
     if not usable:
         # Better an upstream in doubt than a refusal.
-        usable = list(candidates)
+        usable, doubted = list(candidates), []
         reason += ",all-suspended"
-    if home_key and engine:
-        limit = _find_load_limit(mean_load, shared_tokens, load_factor)
+    if not engine:
+        sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
+        return Choice(_order_by_wait(sample, engine, source), reason, None, suspended)
+    usable = [found for found in usable if is_within_bound(found, load_factor, mean_load)]
+    if not usable and repeatable:
+        usable = [found for found in doubted if is_within_bound(found, load_factor, mean_load)]
+        reason += ",rest-loaded"
+    limit = _find_load_limit(mean_load, shared_tokens, load_factor)
+    if home_key:
         return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
     sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
-    work = sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random()))
-    return Choice(tuple(work), reason, None, suspended)
+    return Choice(_order_by_wait(sample, engine, source), reason, limit, suspended)
+
+
+def _order_by_wait(
+    candidates: Sequence[Candidate], engine: bool, source: random.Random
+) -> tuple[Candidate, ...]:
+    return tuple(
+        sorted(candidates, key=lambda found: (_estimate_wait(found, engine), source.random()))
+    )
 
 
 def _order_by_home(
--- a/jayyoke/edge/choose_test.py
+++ b/jayyoke/edge/choose_test.py
@@ -37,9 +37,15 @@
     return Candidate(**(values | fields))
 
 
+def list_order(candidates, key="session", repeatable=True) -> list[str]:
+    mean = sum(found.load for found in candidates) / len(candidates)
+    choice = choose_upstreams(candidates, key, LONG, True, random.Random(1), 2.0, mean, repeatable)
+    return [found.upstream.name for found in choice.order]
+
+
 def choose(candidates, key="session", tokens=LONG, engine=True) -> str:
     mean = sum(found.load for found in candidates) / len(candidates)
-    choice = choose_upstreams(candidates, key, tokens, engine, random.Random(1), 2.0, mean)
+    choice = choose_upstreams(candidates, key, tokens, engine, random.Random(1), 2.0, mean, True)
     return choice.order[0].upstream.name
 
 
@@ -135,9 +141,37 @@
         names = [f"e{number}" for number in range(5)]
         home = rank_homes("session", [build(name) for name in names])[0].upstream.name
         candidates = [build(name, 9.0 if name == home else 4.0) for name in names]
-        order = choose_upstreams(candidates, "session", LONG, True, random.Random(1), 2.0, 2.5)
+        order = choose_upstreams(
+            candidates, "session", LONG, True, random.Random(1), 2.0, 2.5, True
+        )
         assert order.order[0].upstream.name != home
 
+    @pytest.mark.parametrize("key", ["session", ""])
+    def test_last_engine_in_no_doubt_does_not_get_everything(self, key):
+        """Guards against an engine beyond twice the mean and 3 because all others are suspended."""
+        others = [build(f"e{number}", 9.0, suspended=True) for number in range(5)]
+        order = list_order([build("last", 37.0), *others], key)
+        assert order
+        assert "last" not in order
+
+    def test_request_that_runs_once_is_not_risked_at_an_engine_in_doubt(self):
+        others = [build(f"e{number}", 9.0, suspended=True) for number in range(5)]
+        assert list_order([build("last", 37.0), *others], repeatable=False) == []
+
+    def test_limit_holds_where_other_domains_cannot_be_reached(self):
+        """Guards against requests that wait for a cut domain because the own engines are full."""
+        others = [build(f"e{number}", 9.0, unreachable=True) for number in range(5)]
+        assert list_order([build("last", 37.0), *others]) == []
+
+    def test_limit_holds_where_every_engine_is_in_doubt(self):
+        candidates = [build("e1", 30.0, suspended=True), build("e2", 5.0, suspended=True)]
+        candidates += [build(f"e{number}", 5.0, unreachable=True) for number in range(3, 7)]
+        assert "e1" not in list_order(candidates)
+        assert len(list_order(candidates)) == 5
+
+    def test_only_engine_of_a_service_has_no_mean_to_exceed(self):
+        assert list_order([build("e1", 50.0)]) == ["e1"]
+
     def test_suspended_engine_is_passed_over(self):
         names = [f"e{number}" for number in range(5)]
         home = rank_homes("session", [build(name) for name in names])[0].upstream.name
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -19,7 +19,6 @@
     count_shared_tokens,
     find_home_key,
     has_place,
-    is_within_bound,
 )
 from jayyoke.edge.cold import ColdLimiter
 from jayyoke.edge.domain import DomainTracks
@@ -124,6 +123,7 @@
         line = self._lines.setdefault(service, WaitingLine())
         ends_s = self._now_s() + self._find_wait_limit_s(call)
         waited = False
+        refused = Refused("no-place", FULL_RETRY_S)
         draw = self._source.random()
         while True:
             now_s = self._now_s()
@@ -135,12 +135,13 @@
                 return Refused(reason, NO_UPSTREAM_RETRY_S)
             if waited or not line.outranked(call.rank, call.deadline_s):
                 taken = self._take(call, service, candidates, loads.mean)
-                if taken is not None:
+                if isinstance(taken, Place):
                     return taken
+                refused = taken
             waited = True
             left_s = ends_s - now_s
             if left_s <= 0 or line.full:
-                return Refused("no-place", FULL_RETRY_S)
+                return refused
             await line.wait(call.rank, call.deadline_s, left_s)
 
     def find_load(self, service: str, upstream: Upstream) -> float:
@@ -288,16 +289,17 @@
     def _describe(self, upstream: Upstream, loads: Loads, repeat: bool = False) -> Candidate:
         now_s = self._now_s()
         track = self.tracks.get(upstream.incarnation)
-        avoided = self._domains.is_held(upstream.domain, now_s)
+        unreachable = self._domains.is_held(upstream.domain, now_s)
         # A call that has lost time to an unreachable upstream does not try its neighbours next.
-        avoided = avoided or (repeat and self._domains.has_lost(upstream.domain))
+        unreachable = unreachable or (repeat and self._domains.has_lost(upstream.domain))
         return Candidate(
             upstream=upstream,
             load=loads.find(upstream.incarnation),
             own=track.in_flight,
             places=upstream.slots or DEFAULT_PLACES,
             latency_s=track.latency.value or UNKNOWN_LATENCY_S,
-            suspended=avoided or track.is_suspended(now_s),
+            suspended=track.is_suspended(now_s),
+            unreachable=unreachable,
             age_s=self._read_unix_s() - upstream.started_ms / 1000,
             load_age_s=track.find_load_age_s(now_s),
         )
@@ -313,7 +315,7 @@
 
     def _take(
         self, call: Call, service: str, candidates: list[Candidate], mean: float
-    ) -> Place | None:
+    ) -> Place | Refused:
         now_s = self._now_s()
         config = self._view.config
         profile = config.services.get(service) if config is not None else None
@@ -331,19 +333,15 @@
                 self._source,
                 self._bounds.load_factor,
                 mean,
+                call.route.repeatable,
             )
-        spared = False
         for found in choice.order:
-            if spared and not is_within_bound(found, self._bounds.load_factor, mean):
-                # The others will take it soon; this one has more than its part.
-                return None
             if not has_place(found):
                 continue
             upstream = found.upstream
             if self._is_cold(upstream, profile, now_s) and not self._cold.take(
                 upstream.incarnation, profile.cold_rate, self._list_instances(), now_s
             ):
-                spared = profile.engine
                 continue
             self.tracks.get(upstream.incarnation).in_flight += 1
             self._domains.note_test(upstream.domain, now_s)
@@ -369,7 +367,7 @@
                 fetch_from=fetch_from,
             )
             return Place(upstream, fetch_from)
-        return None
+        return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
 
     def _find_holder(
         self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
--- a/jayyoke/edge/place_test.py
+++ b/jayyoke/edge/place_test.py
@@ -17,7 +17,13 @@
 from jayyoke.edge.domain import MAX_HOLD_S
 from jayyoke.edge.moves import MoveKeeper
 from jayyoke.edge.outcome import Delivered, MayHaveRun, NotRun
-from jayyoke.edge.place import Place, Placement
+from jayyoke.edge.place import (
+    FULL_RETRY_S,
+    WAIT_OBJECTIVE_PART,
+    Place,
+    Placement,
+    Refused,
+)
 from jayyoke.edge.pool import CONNECT_TIMEOUT_S
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import FleetView
@@ -190,3 +196,62 @@
         # Longer than every hold and suspension.
         clock.now_s += 5.0
         assert asyncio.run(find_domains()) == set(DOMAINS)
+
+
+class TestLoadLimit:
+    """Tests what a request gets when every engine that it may use is beyond the load limit."""
+
+    def test_waits_for_room_and_is_refused_in_time(self):
+        """Guards against an engine that gets all requests of an instance that doubts the others."""
+        clock = Clock()
+        placement = build_placement(clock, 2)
+        engines = placement._view.by_service[SERVICE]
+        for upstream in engines[1:]:
+            for _ in range(3):
+                placement.record(build_call(clock, 0), SERVICE, upstream, SILENT, None)
+        call = build_call(clock, 1)
+        waiting = placement.tracks.get(engines[0].incarnation)
+        waiting.in_flight = 12
+
+        async def test() -> Place | Refused:
+            return await placement.find(call, SERVICE, set(), started=False)
+
+        async def advance() -> None:
+            while True:
+                await asyncio.sleep(0.02)
+                clock.now_s += 0.02
+
+        async def run() -> Place | Refused:
+            moving = asyncio.ensure_future(advance())
+            try:
+                return await test()
+            finally:
+                moving.cancel()
+
+        began_s = clock.now_s
+        found = asyncio.run(run())
+        assert found == Refused("load-limit", FULL_RETRY_S)
+        assert clock.now_s - began_s >= WAIT_OBJECTIVE_PART * ROUTE.objective_s
+
+    def test_request_that_waits_takes_the_room_that_another_leaves(self):
+        clock = Clock()
+        placement = build_placement(clock, 2)
+        engines = placement._view.by_service[SERVICE]
+        for upstream in engines[1:]:
+            for _ in range(3):
+                placement.record(build_call(clock, 0), SERVICE, upstream, SILENT, None)
+        placement.tracks.get(engines[0].incarnation).in_flight = 4
+
+        async def test() -> Place | Refused:
+            waiting = asyncio.ensure_future(
+                placement.find(build_call(clock, 1), SERVICE, set(), started=False)
+            )
+            await asyncio.sleep(0.05)
+            assert not waiting.done()
+            for _ in range(3):
+                placement.leave(SERVICE, engines[0])
+            return await waiting
+
+        found = asyncio.run(test())
+        assert isinstance(found, Place)
+        assert found.upstream == engines[0]
