Keep upstreams whose entries lapsed with the store until it has listed them again

Callers saw: just after the store came back, all chats went to one engine, which was slow while five others stood idle (LIMIT).

Cause: the silence of the store was taken for the death of every engine. Entries are leases that engines renew at the store, so they lapse while it is away, and its first answer lists none. Engines came back one by one; the first got what all instances sent, its load was the mean of the service, and what was known of it was forgotten.

Change: edge/lapse keeps live upstreams that are missing within two seconds of the end of a silence of all sources (two seconds or more). An entry that peers report as removed while the store answers them, a draining one, and one still missing after two seconds are gone as before.

Tests: lapse_test; five of its cases fail before.

--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -236,12 +236,9 @@
     def _take(self, peer: str, table: RelayedTable, answered_s: float) -> None:
         if table.name not in self._view.tables or table.revision < 0:
             return
-        copy = self._view.tables[table.name]
         confirmed_s = answered_s - table.age_s
         if table.rows is None:
-            if table.revision >= copy.revision:
-                copy.revision = table.revision
-                copy.confirmed_s = max(copy.confirmed_s, confirmed_s)
+            self._view.confirm(table.name, table.revision, confirmed_s)
             return
         self._view.take(
             table.name,
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -126,6 +126,7 @@
         refused = Refused("no-place", FULL_RETRY_S)
         draw = self._source.random()
         while True:
+            self._view.drop_lapsed()
             now_s = self._now_s()
             loads = self._estimate_loads(service, now_s)
             candidates = self._list_candidates(call, service, tried, draw, loads)
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -14,6 +14,7 @@
 from jayyoke.core.finding import Finding
 from jayyoke.core.route import MoveOrder, MoveStatus, Route, RoutingConfig, TeamAccess
 from jayyoke.core.upstream import Upstream, UpstreamState
+from jayyoke.edge.lapse import LapsedEntries
 from jayyoke.edge.log import log_event
 from jayyoke.platform import names
 from jayyoke.platform.decode import (
@@ -144,6 +145,7 @@
         self.returned_s: dict[str, float] = {}
         self.orders: dict[str, MoveOrder] = {}
         self.statuses: dict[str, MoveStatus] = {}
+        self._lapsed = LapsedEntries()
         self._changes: Subject[str] = Subject()
 
     @property
@@ -170,6 +172,9 @@
         """Merge news of a table from the store or a peer and derive what they mean."""
         copy = self.tables[table]
         silent_s = confirmed_s - copy.confirmed_s
+        if table == names.UPSTREAM_TABLE:
+            self.drop_lapsed()
+            self._lapsed.note_confirmed(silent_s, self.now_s())
         if whole:
             changed = copy.apply_snapshot(rows, revision)
         else:
@@ -187,6 +192,27 @@
                 self._derive_statuses(copy, source)
         self._changes.on_next(table)
 
+    def confirm(self, table: str, revision: int, confirmed_s: float) -> None:
+        """Take a peer's word that a table has not changed up to a revision."""
+        copy = self.tables[table]
+        if revision < copy.revision:
+            return
+        if table == names.UPSTREAM_TABLE:
+            self._lapsed.note_confirmed(confirmed_s - copy.confirmed_s, self.now_s())
+        copy.revision = revision
+        copy.confirmed_s = max(copy.confirmed_s, confirmed_s)
+
+    def drop_lapsed(self) -> None:
+        """Forget the upstreams that the store has not listed again in time after its return."""
+        expired = self._lapsed.take_expired(self.now_s())
+        if not expired:
+            return
+        for key in expired:
+            self.upstreams.pop(key, None)
+            log_event("upstream-gone", upstream=key, source="lapsed")
+        self._index_upstreams()
+        self._changes.on_next(names.UPSTREAM_TABLE)
+
     def _derive_operator(self, copy: TableCopy, changed: set[str], source: str) -> None:
         if names.CONFIG_KEY in changed and names.CONFIG_KEY in copy.rows:
             self._take_config(copy.rows[names.CONFIG_KEY], source)
@@ -238,11 +264,9 @@
             row = copy.rows.get(key)
             known = self.upstreams.get(key)
             if row is None:
-                if self.upstreams.pop(key, None) is not None:
-                    log_event(
-                        "upstream-gone", upstream=key, source=source, silent_s=round(silent_s, 2)
-                    )
+                self._take_missing(key, source, silent_s)
                 continue
+            self._lapsed.forget(key)
             try:
                 upstream = decode_upstream(key, row.value)
             except InvalidRow as error:
@@ -266,6 +290,25 @@
                     revision=row.version,
                     source=source,
                 )
+        self._index_upstreams()
+
+    def _take_missing(self, key: str, source: str, silent_s: float) -> None:
+        """Forget an upstream that is not listed any more, unless its entry may have lapsed."""
+        known = self.upstreams.get(key)
+        if known is None:
+            return
+        live = known.state is UpstreamState.LIVE
+        kept = live and self._lapsed.keep(key, self.now_s())
+        if not kept:
+            del self.upstreams[key]
+        log_event(
+            "upstream-unlisted" if kept else "upstream-gone",
+            upstream=key,
+            source=source,
+            silent_s=round(silent_s, 2),
+        )
+
+    def _index_upstreams(self) -> None:
         by_service: dict[str, list[Upstream]] = {}
         live = {upstream.incarnation for upstream in self.upstreams.values()}
         for name in sorted(self.upstreams):
