Count instances as alive by what was last confirmed, not by the present time

Callers would see: after 16 s without the store, every instance takes the repeats and the cold upstreams' requests of the whole fleet, six times as many as the users allow.

Members renew a row in the store, and those that did not renew for four periods are gone; while the store is away nobody can renew, so every instance came to believe that it was alone. Budgets that all share are divided by that count.

Evidence: found by looking for the cause elsewhere, and by the test: of six members none counted after 60 s of silence.

Change: a renewal's age is taken at the last confirmation of the table.

Tests: roster_test.TestSilentStore; the first case fails before.

--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 from dataclasses import dataclass
 
@@ -106,7 +107,12 @@
         return self._name in [found.name for found in followers]
 
     def _find_alive(self) -> list[Member]:
-        now_ms = self._clock.read_ms()
+        # Rows that could not be renewed or read since then say nothing about their instances.
+        confirmed_s = self._view.tables[MEMBER_TABLE].confirmed_s
+        silent_s = max(0.0, self._view.now_s() - confirmed_s)
+        if math.isinf(silent_s):
+            return []
+        now_ms = self._clock.read_ms() - silent_s * 1000
         members = self.list_members()
         limit_ms = ALIVE_PERIODS * 1000 * max(LEAST_PERIOD_S, PERIOD_S_PER_INSTANCE * len(members))
         return [found for found in members if now_ms - found.renewed_ms < limit_ms]
--- a/jayyoke/edge/roster_test.py
+++ b/jayyoke/edge/roster_test.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
@@ -14,10 +15,10 @@
 WIDE = 25e6
 
 
-def build(links: dict[str, float], own: str) -> Roster:
+def build(links: dict[str, float], own: str, now_s: Callable[[], float] = lambda: NOW_S) -> Roster:
     """Return an instance's roster once all rows of its domain are known."""
-    view = FleetView(lambda: NOW_S)
-    clock = StoreClock(lambda: NOW_S)
+    view = FleetView(now_s)
+    clock = StoreClock(now_s)
     clock.note(50_000, NOW_S)
     rows = []
     for name, link in links.items():
@@ -51,3 +52,29 @@
         )
         assert {found.name for found in roster.find_followers()} == {"i1", "i2"}
         assert "old" in roster.list_alive()
+
+
+class TestSilentStore:
+    def test_instances_do_not_fall_out_of_the_shared_budgets(self):
+        """Guards against each instance taking what all may repeat or send to a cold upstream."""
+        now_s = NOW_S
+        names = {f"i{number}": WIDE for number in range(6)}
+        roster = build(names, "i0", lambda: now_s)
+        now_s = NOW_S + 60.0
+        assert set(roster.list_alive()) == set(names)
+
+    def test_instance_that_stopped_before_the_silence_is_not_counted(self):
+        now_s = NOW_S
+        roster = build({"i0": WIDE, "i1": WIDE}, "i0", lambda: now_s)
+        now_s = NOW_S + 60.0
+        row = {"domain": "a", "address": "i0", "renewed_ms": 110_000}
+        roster._view.take(
+            MEMBER_TABLE,
+            (Row("i0", json.dumps(row).encode(), 2),),
+            (),
+            2,
+            whole=False,
+            confirmed_s=now_s,
+            source="store",
+        )
+        assert roster.list_alive() == ["i0"]
