Spread own requests evenly where the load bound is near, and know usual loads by engine

Cause: two beliefs. What an engine has that nobody lately heard of was taken for the mean over the service, 0.2 to 2.1 s after a report; half of the engines of a service that has a version on trial have almost nothing, so the other half seemed half as full as it was. And with such a mean the old engines' usual load is 3 requests below the bound: no estimate of that age can tell them apart, and the least loaded one by the same reports gets the requests of all instances.

Change: the usual load is averaged for each engine; one that no answer came from, or that the store's rows put out of use, counts as idle. Where the bound lies within 2.7 standard deviations of the usual load, each instance sends to the engine that has the fewest of its own requests, the home among equals; their sum stays even without a message, and the bound itself is the limit. With a factor of 2 this is never so while all engines may be used.

Tests: chatfleet_test (trial, three loads), choose_test.TestNearBound, load_test.

--- a/bench/chatfleet.py
+++ b/bench/chatfleet.py
@@ -31,6 +31,8 @@
 from jayyoke.utils.task import end_tasks
 
 SERVICE = "engines"
+OLD_VERSION = "v1"
+NEW_VERSION = "v2"
 OBJECTIVE_S = 0.6
 DEADLINE_S = 8.0
 FIRST_TOKEN_S = 0.055
@@ -94,6 +96,14 @@
     ends_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """Makes the last engines those of another version, which gets a share of the requests."""
+
+    engines: int
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Holds what an instance believed when it sent a request, and what was so."""
@@ -152,6 +162,7 @@
         outages: Sequence[Outage] = (),
         exchange: Callable[[ChatFleet], None] | None = None,
         policy: str = OWN_POLICY,
+        trial: Trial | None = None,
     ):
         self._loop = VirtualLoop()
         self._began_s = self._loop.time()
@@ -161,6 +172,7 @@
         self._outages = outages
         self._exchange = exchange
         self._policy = policy
+        self._trial = trial
         self.source = random.Random(seed)
         self.engines = {f"e{number}": Engine(f"e{number}") for number in range(engines)}
         self._revision = 1
@@ -321,10 +333,32 @@
             "state": "ready",
             "slots": SLOTS,
             "born": int((UNIX_S + engine.started_s) * 1000),
+            "version": self._find_version(number),
             "warmupLeftMs": int(1000 * max(0.0, COLD_S - age_s)),
         }
         return Row(engine.name, json.dumps(entry).encode(), self._revision)
 
+    def _find_version(self, number: int) -> str:
+        on_trial = 0 if self._trial is None else self._trial.engines
+        return NEW_VERSION if number >= len(self.engines) - on_trial else OLD_VERSION
+
+    def _give_trial(self, view: FleetView, trial: Trial) -> None:
+        """Let an instance know of a version on trial, which stays at its share."""
+        key = f"{names.MOVE_PREFIX}{SERVICE}"
+        order = {"backend": SERVICE, "to": NEW_VERSION, "durationS": 600.0}
+        status = {"state": "active", "to": NEW_VERSION, "order": 1, "share": trial.share}
+        row = Row(key, json.dumps(order).encode(), 1)
+        view.take(
+            names.OPERATOR_TABLE,
+            [row],
+            [],
+            1,
+            whole=False,
+            confirmed_s=0.0,
+            source="play",
+        )
+        _give(view, names.STATUS_TABLE, [Row(key, json.dumps(status).encode(), 1)])
+
     def _build_placement(self, number: int, count: int) -> Placement:
         def read_s() -> float:
             return self.now_s
@@ -341,6 +375,8 @@
         _give(
             view, names.UPSTREAM_TABLE, [self._describe(found) for found in self.engines.values()]
         )
+        if self._trial is not None:
+            self._give_trial(view, self._trial)
         own = f"i{number}"
         moves = MoveKeeper(view, None, StoreClock(read_s), own, lambda: 1, Bounds())  # type: ignore[arg-type]
         instances = [f"i{other}" for other in range(count)]
--- a/bench/chatfleet_test.py
+++ b/bench/chatfleet_test.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from bench.chatfleet import ChatFleet, ChatKind, HotSession, Outage, find_worst_window
+from bench.chatfleet import (
+    USUAL_KINDS,
+    ChatFleet,
+    ChatKind,
+    HotSession,
+    Outage,
+    Trial,
+    find_worst_window,
+)
 
 # Three domains have the same traffic and three, two and one instance.
 WEIGHTS = (*[1 / 9] * 3, *[1 / 6] * 2, 1 / 3)
@@ -26,8 +34,15 @@
 )
 
 
-def play(seed: int, length_s: float = 20.0, weights=WEIGHTS, **fields) -> ChatFleet:
-    fleet = ChatFleet(weights, engines=6, seed=seed, **fields)
+QUIET_KINDS = (
+    ChatKind("long", 5.4, 10_500, 1300, 0.85, 20),
+    ChatKind("middle", 20.3, 700, 130, 0.63, 172),
+    ChatKind("short", 14.6, 2040, 360, 0.05, 124),
+)
+
+
+def play(seed: int, length_s: float = 20.0, weights=WEIGHTS, engines=6, **fields) -> ChatFleet:
+    fleet = ChatFleet(weights, engines=engines, seed=seed, **fields)
     fleet.play(length_s)
     return fleet
 
@@ -58,3 +73,11 @@
 
     def test_busy_hour(self):
         assert find_worst_share(play(0, length_s=12.0, kinds=BUSY_KINDS)) <= ALLOWED_SHARE
+
+    @pytest.mark.parametrize("kinds", [USUAL_KINDS, QUIET_KINDS, BUSY_KINDS])
+    @pytest.mark.parametrize("seed", [0, 1])
+    def test_old_engines_beside_a_version_on_trial(self, seed, kinds):
+        """Guards against engines over the bound because half of the service may get little."""
+        fleet = play(seed, engines=12, kinds=kinds, trial=Trial(engines=6, share=0.05))
+        assert find_worst_share(fleet) <= ALLOWED_SHARE
+        assert fleet.refused == 0
--- a/bench/loadbound.py
+++ b/bench/loadbound.py
@@ -12,6 +12,7 @@
     ChatKind,
     HotSession,
     Outage,
+    Trial,
     find_worst_window,
 )
 from bench.result import Result
@@ -48,6 +49,7 @@
     hot: Sequence[HotSession] = ()
     outages: Sequence[Outage] = ()
     exchange: Callable[[ChatFleet], None] | None = None
+    trial: Trial | None = None
 
 
 def exchange_in_domains(fleet: ChatFleet) -> None:
@@ -74,6 +76,16 @@
         hot=[HotSession("middle", 0.17, 7.0, 12.0)],
         exchange=exchange_in_domains,
     ),
+    Case("version on trial", SMALL_WEIGHTS, 12, 20.0, trial=Trial(6, 0.05)),
+    Case(
+        "64 instances, 45 engines, version on trial",
+        [1.0] * 64,
+        45,
+        14.0,
+        GROWN_KINDS,
+        exchange=exchange_in_domains,
+        trial=Trial(22, 0.05),
+    ),
 )
 
 
@@ -91,6 +103,7 @@
                 case.outages,
                 case.exchange,
                 policy,
+                case.trial,
             )
             arrivals = fleet.play(case.length_s)
             worst, _ = find_worst_window(arrivals, LOAD_FACTOR, SETTLED_S)
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -8,10 +8,16 @@
 
 The load limit leaves engines out and does not only put them last: with one engine left, whatever
 the reason, that engine would get everything. Requests wait for room or are refused instead.
+
+Where few of a service's engines may be used, as while half of them have a version on trial, their
+usual load is near the bound. No estimate is good enough to tell them apart there, and instances
+that heard the same would act alike. Each instance then spreads its own requests evenly, which
+keeps their sum even without a message.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -24,6 +30,11 @@
 # Their bound allows 3 more; estimates are some seconds old.
 LOAD_PART = 0.85
 LOAD_SLACK = 2.5
+# The users' bound itself, which counts the request that is to be placed.
+BOUND_SLACK = 3.0
+# The bound is near if it lies within this many standard deviations of a Poisson count at the mean.
+# With a factor of 2, it never is while all engines may be used: (m + 3) / sqrt(m + 1) > 2.8.
+NEAR_DEVIATIONS = 2.7
 # Requests with few shared tokens leave a loaded home first, since they lose least by it.
 SMALL_LOAD_PART = 0.575
 SMALL_LOAD_SLACK = 1.0
@@ -112,15 +123,34 @@
     if not engine:
         sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
         return Choice(_order_by_wait(sample, engine, source), reason, None, suspended)
-    usable = [found for found in usable if is_within_bound(found, load_factor, mean_load)]
+    near = _is_bound_near(usable, load_factor, mean_load)
+    part, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_PART, LOAD_SLACK)
+    limit = part * load_factor * mean_load + slack
+    usable = [found for found in usable if found.load < limit]
     if not usable and repeatable:
-        usable = [found for found in doubted if is_within_bound(found, load_factor, mean_load)]
+        usable = [found for found in doubted if found.load < limit]
         reason += ",rest-loaded"
-    limit = _find_load_limit(mean_load, shared_tokens, load_factor)
-    if home_key:
-        return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
-    sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
-    return Choice(_order_by_wait(sample, engine, source), reason, limit, suspended)
+    if near:
+        reason += ",even"
+        return Choice(_order_by_own(usable, home_key), reason, limit, suspended)
+    if not home_key:
+        sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
+        return Choice(_order_by_wait(sample, engine, source), reason, limit, suspended)
+    if shared_tokens < SMALL_PROMPT_TOKENS:
+        limit = SMALL_LOAD_PART * load_factor * mean_load + SMALL_LOAD_SLACK
+    return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
+
+
+def _is_bound_near(usable: Sequence[Candidate], load_factor: float, mean_load: float) -> bool:
+    """Tell whether the engines that can be used have their usual load near the users' bound."""
+    usual = max(mean_load, sum(found.load for found in usable) / max(1, len(usable)))
+    room = load_factor * mean_load + BOUND_SLACK - usual
+    return room < NEAR_DEVIATIONS * math.sqrt(usual + 1.0)
+
+
+def _order_by_own(candidates: Sequence[Candidate], key: str) -> tuple[Candidate, ...]:
+    """Return those with the fewest requests of this instance first, homes before others."""
+    return tuple(sorted(rank_homes(key, candidates), key=lambda found: found.own))
 
 
 def _order_by_wait(
@@ -140,12 +170,6 @@
     return tuple(within + beyond)
 
 
-def _find_load_limit(mean: float, shared_tokens: int, load_factor: float) -> float:
-    if shared_tokens < SMALL_PROMPT_TOKENS:
-        return SMALL_LOAD_PART * load_factor * mean + SMALL_LOAD_SLACK
-    return LOAD_PART * load_factor * mean + LOAD_SLACK
-
-
 def rank_homes(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the engines in the order in which they are the home of a session."""
     by_name = {found.upstream.incarnation: found for found in candidates}
@@ -188,8 +212,3 @@
     if candidate.places <= 0:
         return True
     return max(candidate.load, float(candidate.own)) < candidate.places
-
-
-def is_within_bound(candidate: Candidate, load_factor: float, mean_load: float) -> bool:
-    """Tell whether an engine keeps the users' bound, with room for errors of the estimates."""
-    return candidate.load < LOAD_PART * load_factor * mean_load + LOAD_SLACK
--- a/jayyoke/edge/choose_test.py
+++ b/jayyoke/edge/choose_test.py
@@ -186,6 +186,35 @@
         assert not has_place(build("e1", 64.0))
 
 
+class TestNearBound:
+    """Tests engines of which a service may use few, so that their usual load is near the bound."""
+
+    def test_own_requests_are_spread_evenly(self):
+        """Guards against instances that all send to the engine that seems the least loaded."""
+        usable = [build(f"e{number}", 8.0 + number, own=2) for number in range(5)]
+        usable.append(build("fewest", 10.0, own=1))
+        source = random.Random(1)
+        for number in range(20):
+            choice = choose_upstreams(usable, f"s{number}", LONG, True, source, 2.0, 4.5, True)
+            assert choice.order[0].upstream.name == "fewest"
+
+    def test_session_stays_at_its_home_among_equals(self):
+        usable = [build(f"e{number}", 8.0 + number % 2, own=1) for number in range(6)]
+        source = random.Random(1)
+        for number in range(20):
+            key = f"s{number}"
+            choice = choose_upstreams(usable, key, LONG, True, source, 2.0, 4.5, True)
+            assert choice.order[0] == rank_homes(key, usable)[0]
+
+    def test_bound_itself_is_the_limit(self):
+        """Guards against refusals because the margin of the limit is below the usual load."""
+        usable = [build(f"e{number}", 20.0, own=3) for number in range(6)]
+        source = random.Random(1)
+        assert choose_upstreams(usable, "s", LONG, True, source, 2.0, 10.0, True).order
+        over = [build(f"e{number}", 22.0, own=3) for number in range(6)]
+        assert not choose_upstreams(over, "s", LONG, True, source, 2.0, 10.0, True).order
+
+
 class TestPlainService:
     def test_least_work_goes_first(self):
         candidates = [build("a", own=3), build("b", own=1), build("c", own=2)]
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from jayyoke.edge.track import Track
@@ -53,18 +53,30 @@
         """Take how long a request had its place."""
         self._duration.add(duration_s)
 
-    def estimate(self, tracks: Mapping[str, Track], now_s: float) -> Loads:
+    def estimate(
+        self, tracks: Mapping[str, Track], now_s: float, resting: Collection[str] = ()
+    ) -> Loads:
         """Return the loads of all live upstreams of the service, given their tracks.
 
         The requests of others that a report counted end within the usual duration, and are
-        replaced by as many as the upstreams have on average: the weight of the report falls
-        exponentially with its age.
+        replaced by as many as the upstream usually has, or the service's upstreams have on average
+        where too little was heard of it: the weight of the report falls exponentially with its age.
+        Upstreams that no answer came from are taken for idle. Those that are `resting` get no more
+        requests from any instance.
         """
         if not tracks:
             return NO_LOADS
-        usual = sum(track.others for track in tracks.values()) / len(tracks)
+        heard = [track.others for track in tracks.values() if track.reported]
+        average = sum(heard) / len(heard) if heard else 0.0
         loads = {}
         for name, track in tracks.items():
+            loads[name] = float(track.in_flight)
+            if not track.reported:
+                continue
+            level_weight = track.weigh_level(now_s)
+            usual = level_weight * track.level + (1.0 - level_weight) * average
+            if name in resting:
+                usual = 0.0
             weight = math.exp(-max(0.0, now_s - track.heard_s) / self.duration_s)
-            loads[name] = track.in_flight + weight * track.others + (1.0 - weight) * usual
+            loads[name] += weight * track.others + (1.0 - weight) * usual
         return Loads(loads, sum(loads.values()) / len(loads))
--- a/jayyoke/edge/load_test.py
+++ b/jayyoke/edge/load_test.py
@@ -64,3 +64,26 @@
         loads = LoadEstimator().estimate(tracks, NOW_S + 0.1)
         assert loads.find("new") < 4
         assert loads.mean == pytest.approx(10)
+
+    def test_usual_load_outlives_a_report(self):
+        """Guards against a busy engine that seems as idle as those of a version on trial."""
+        busy, idle = Track(), Track()
+        for number in range(40):
+            busy.record_load(LoadReport(12, 0, 64), NOW_S + number / 10)
+            idle.record_load(LoadReport(0, 0, 64), NOW_S + number / 10)
+        loads = LoadEstimator().estimate({"busy": busy, "idle": idle}, NOW_S + 5.0)
+        assert loads.find("busy") > 9
+        assert loads.find("idle") < 3
+
+    def test_upstream_that_may_get_nothing_empties(self):
+        """Guards against a mean that counts requests of a version that is out of use."""
+        tracks = {"old": Track(), "new": Track()}
+        for number in range(40):
+            for track in tracks.values():
+                track.record_load(LoadReport(12, 0, 64), NOW_S + number / 10)
+        loads = LoadEstimator().estimate(tracks, NOW_S + 7.0, resting={"old"})
+        assert loads.find("old") < 0.5
+
+    def test_upstream_that_was_never_heard_is_idle(self):
+        tracks = {"old": build(reported=20), "new": Track(in_flight=1)}
+        assert LoadEstimator().estimate(tracks, NOW_S + 5.0).find("new") == 1.0
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -20,6 +21,9 @@
 MAX_SUSPENSION_S = 4.0
 # A failed probe after a suspension doubles it; a good stretch of this length forgets it.
 FORGET_SUSPENSION_S = 8.0
+# Over how long the usual load of an upstream is averaged, and for how long it is kept unheard.
+LEVEL_S = 2.0
+LEVEL_KEPT_S = 5.0
 
 
 @dataclass(slots=True)
@@ -33,6 +37,9 @@
     others: int = 0
     heard_s: float = 0.0
     reported: bool = False
+    # Their usual number, averaged since `level_began_s`.
+    level: float = 0.0
+    level_began_s: float = 0.0
     latency: Ewma = field(default_factory=lambda: Ewma(LATENCY_WEIGHT))
     failure_rate: float = 0.0
     outcomes: float = 0.0
@@ -56,12 +63,27 @@
         self._take_report(LoadReport(running=requests, waiting=0, slots=0), heard_s)
 
     def _take_report(self, report: LoadReport, at_s: float) -> None:
-        self.reported = True
+        gap_s = max(0.0, at_s - self.heard_s)
         self.heard_s = at_s
         # Own requests that are still being read are in no report; those that wait may be.
         running = max(0, report.running - self.answering)
         waiting = max(0, report.waiting - (self.in_flight - self.answering))
         self.others = running + waiting
+        if not self.reported:
+            self.reported = True
+            self.level, self.level_began_s = float(self.others), at_s
+            return
+        self._update_level(gap_s)
+
+    def weigh_level(self, now_s: float) -> float:
+        """Return how much the usual load tells, from 0 for a single report or long silence to 1."""
+        span_s = self.heard_s - self.level_began_s
+        known = 1.0 - math.exp(-span_s / LEVEL_S)
+        return known * math.exp(-max(0.0, now_s - self.heard_s) / LEVEL_KEPT_S)
+
+    def _update_level(self, gap_s: float) -> None:
+        """Average the load over time; a report stands for the time since the one before."""
+        self.level += (1.0 - math.exp(-gap_s / LEVEL_S)) * (self.others - self.level)
 
     def record_success(self, latency_s: float | None, now_s: float) -> None:
         """Count a good answer and the time until it, if it is comparable."""
