Take an answer that names no request for nobody's

Cause: an answer that bears no request id counted as the present one, also a refusal that an upstream wrote once more on a kept connection. Upstreams echo the id.

Change: on a kept connection such an answer is skipped like one that names another request, and the request's own is awaited; on a new connection the request may have run (502).

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -51,6 +51,7 @@
         self._surplus = False
         self._broken = False
         self._idle = True
+        self._reused = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -151,15 +152,18 @@
     async def receive(self, request_id: str) -> Answer:
         """Return the answer to the request sent last; raise AnswerBroken or AnswerMismatched.
 
-        Late answers to earlier requests on this connection are skipped.
+        Late answers to earlier requests on this connection are skipped. An answer is the present
+        request's only if it names it: a refusal taken from another one would deny a run.
         """
         for _ in range(MAX_FOREIGN_ANSWERS):
             message, payload = await self._next_answer()
             if 100 <= message.code < 200:
                 continue
             head = decode_answer(message.raw_headers)
-            if request_id and head.request_id and head.request_id != request_id:
+            if head.request_id != request_id:
                 self._surplus = True
+                if not head.request_id and not self._reused:
+                    raise AnswerMismatched("the answer names no request")
                 await _skip(payload)
                 continue
             self._payload = payload
@@ -172,6 +176,7 @@
     def rest(self, now_s: float) -> None:
         """Mark the connection idle after a whole answer."""
         self._idle = True
+        self._reused = True
         self.idle_since_s = now_s
 
     def abort(self) -> None:
