Let nothing but its own events go on with a stream that broke off

Cause: of a resumed run only the status was looked at. A 200 of another type was cut into events; an event without an id always counted as new; and the caller's stream was complete wherever the body ended, also if the resumed run had brought nothing.

Evidence: six of the seven cases of the new test fail before; an answer of status 500 was kept out already.

Change: a resumed run must be a stream of events; its comments are dropped, an event without an id breaks it, and one that brings no event does not complete the stream. A stream that breaks off after its last event is then cut and not completed; the caller can resume it, and the instance cannot tell the two cases apart.

Tests: entry_faulty_test.TestResumedStream.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -324,6 +324,8 @@
     ) -> Outcome:
         relay = progress.relay
         relay.restart()
+        if caller.started and not answer.head.event_stream:
+            return MayHaveRun("the rest of the stream is no stream of events", silent=False)
         pause_s = max(LEAST_PAUSE_S, PAUSE_FACTOR * call.route.pause_s)
         heard_s = self._now_s()
         while not answer.body.at_eof():
@@ -354,6 +356,8 @@
             await caller.write(events)
         if relay.torn:
             return MayHaveRun("the stream ended within an event", silent=False)
+        if relay.barren:
+            return MayHaveRun("the resumed stream brought no event", silent=False)
         if not caller.started:
             headers = tuple(select_answer_headers(answer.raw_headers))
             await caller.start(answer.status, answer.reason, headers, None)
--- a/jayyoke/edge/stream.py
+++ b/jayyoke/edge/stream.py
@@ -13,11 +13,12 @@
 class EventRelay:
     """Cuts an upstream's bytes into events; `last_id` is the last event passed on."""
 
-    __slots__ = ("_tail", "count", "last_id")
+    __slots__ = ("_began_at", "_tail", "count", "last_id")
 
     def __init__(self, last_id: int | None):
         self.last_id = last_id
         self.count = 0
+        self._began_at = 0
         self._tail = b""
 
     @property
@@ -25,12 +26,27 @@
         """Tell whether an event has begun and not ended."""
         return bool(self._tail.strip())
 
+    @property
+    def resumed(self) -> bool:
+        """Tell whether the present run goes on with a stream of which events were passed on."""
+        return self._began_at > 0
+
+    @property
+    def barren(self) -> bool:
+        """Tell whether the present run was to go on with a stream and brought nothing of it."""
+        return self.resumed and self.count == self._began_at
+
     def restart(self) -> None:
         """Begin with the bytes of another run; an event that was cut off is dropped."""
+        self._began_at = self.count
         self._tail = b""
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the whole new events; raise AnswerBroken if one is too large."""
+        """Return the whole new events.
+
+        Raise AnswerBroken if one is too large, or if one of a resumed run has no id, since nothing
+        shows then that it belongs to the stream.
+        """
         data = self._tail + chunk
         cut = data.rfind(b"\n\n") + 2
         if cut == 1:
@@ -46,7 +62,11 @@
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
         if found is None:
-            return True
+            if not self.resumed:
+                return True
+            if event.startswith(b":"):
+                return False
+            raise AnswerBroken("an event of a resumed stream has no id")
         number = int(found.group(1))
         if self.last_id is not None and number <= self.last_id:
             return False
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -61,6 +61,7 @@
     keep_alive_s: float | None
     close: bool
     encoded: bool
+    event_stream: bool = False
 
     @property
     def genuine(self) -> bool:
@@ -101,6 +102,7 @@
         keep_alive_s=_decode_keep_alive(found.get(names.KEEP_ALIVE)),
         close=b"close" in found.get(names.CONNECTION, b"").lower(),
         encoded=names.CONTENT_ENCODING in found,
+        event_stream=found.get(names.CONTENT_TYPE, b"").lower().startswith(names.EVENT_STREAM),
     )
 
 
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -20,6 +20,8 @@
 CONTENT_LENGTH = b"content-length"
 CONNECTION = b"connection"
 CONTENT_ENCODING = b"content-encoding"
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM = b"text/event-stream"
 
 # Names as they are sent.
 SEND_DEADLINE = b"Deadline-Ms"
--- a/tests/entry_faulty_test.py
+++ b/tests/entry_faulty_test.py
@@ -110,6 +110,78 @@
     return script
 
 
+def answer_text(request: SeenRequest) -> bytes:
+    return format_answer(request, b"out of memory\n\n", Content_Type="text/plain")
+
+
+def answer_error(request: SeenRequest) -> bytes:
+    status = "500 Internal Server Error"
+    return format_answer(request, b"out of memory\n\n", status, Content_Type="text/plain")
+
+
+def send_event_without_id(request: SeenRequest) -> bytes:
+    event = b"event: error\ndata: out of memory\n\n"
+    return format_stream_head(request) + format_chunk(event) + format_chunk(b"")
+
+
+def end_at_once(request: SeenRequest) -> bytes:
+    return format_stream_head(request) + format_chunk(b"")
+
+
+def repeat_only(request: SeenRequest) -> bytes:
+    return format_stream_head(request) + format_chunk(format_event(2)) + format_chunk(b"")
+
+
+def send_whole_head_as_text(request: SeenRequest) -> bytes:
+    inner = answer_error(request)
+    return format_stream_head(request) + format_chunk(inner) + format_chunk(b"")
+
+
+class TestResumedStream:
+    """Tests a stream that began, broke off, and met something else than its rest."""
+
+    @pytest.mark.parametrize(
+        "second",
+        [
+            answer_text,
+            answer_error,
+            send_event_without_id,
+            end_at_once,
+            repeat_only,
+            send_whole_head_as_text,
+        ],
+    )
+    def test_what_is_no_rest_of_it_neither_joins_nor_completes_it(self, second):
+        """Guards against an error's text in a stream, and a stream that ends early as complete."""
+
+        async def test(rig: Rig) -> None:
+            for name in ("u1", "u2"):
+                await rig.add_upstream(name, break_then(second))
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            seen, whole = await read_stream(entry)
+            assert seen == format_event(1) + format_event(2)
+            assert not whole
+
+        run_rig(test)
+
+    def test_comments_of_a_resumed_run_are_not_passed_on(self):
+        def go_on(request: SeenRequest) -> bytes:
+            events = b": alive\n\n" + format_event(3)
+            return format_stream_head(request) + format_chunk(events) + format_chunk(b"")
+
+        async def test(rig: Rig) -> None:
+            for name in ("u1", "u2"):
+                await rig.add_upstream(name, break_then(go_on))
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            seen, whole = await read_stream(entry)
+            assert seen == b"".join(format_event(number) for number in (1, 2, 3))
+            assert whole
+
+        run_rig(test)
+
+
 async def read_stream(entry) -> tuple[bytes, bool]:
     """Return what a caller of the resumable route gets, and whether it ended as complete."""
     seen = b""
