Take no refusal of another request and no text of another type for an engine's answer

Callers saw (reports of other operators), at the product's own front door: a chat that an engine was running was refused or read by a second engine because an earlier refusal came once more on the kept connection; an answer began with the text of an error.

Cause: only answers of status 200 had to name the request. The type of the body was not looked at, and bytes that are no events counted as events until the stream broke.

Handled before, and shown now: text of an error in a stream that began, heads that end early (chats and plain calls), refusals of other requests at plain services.

Change: an answer of whatever status that names another request is a mismatch, and the chat is asked again on a new connection; a success must be a stream of events, and its frames must begin with a field of one.

--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -28,6 +28,7 @@
 CANCEL_TIMEOUT_S = 1.0
 MAX_CANCELS = 256
 MAX_ANSWER_BYTES = 16 << 20
+EVENT_STREAM = "text/event-stream"
 
 
 class EngineBusy(UpstreamError):
@@ -192,16 +193,22 @@
 def _check_head(answer: aiohttp.ClientResponse, upstream: Upstream, request: CallerRequest) -> None:
     echoed = answer.headers.get("X-Request-Id")
     status = answer.status
-    if status == 200 and echoed == request.request_id:
+    own = echoed == request.request_id
+    if status == 200 and own and answer.content_type == EVENT_STREAM:
         return
     answer.close()
+    if echoed is not None and not own:
+        # A refusal of another request says nothing about this one.
+        raise AnswerMismatched(f"{upstream.name} answered for request {echoed!r:.140}")
     if status in (429, 503):
         raise EngineBusy(f"{upstream.name} answered with {status}")
     if 400 <= status < 500:
         raise EngineRejected(f"the engine answered with {status}", status)
     if status != 200:
         raise AnswerBroken(f"{upstream.name} answered with {status}")
-    raise AnswerMismatched(f"{upstream.name} answered for request {echoed!r:.140}")
+    if own:
+        raise AnswerBroken(f"{upstream.name} answered with {answer.content_type:.100}")
+    raise AnswerMismatched(f"{upstream.name} answered for no request")
 
 
 async def call_plain(
--- a/jayyoke/ops/sse.py
+++ b/jayyoke/ops/sse.py
@@ -23,6 +23,8 @@
 # Most events look like one of these; searches of bytes are 20 times faster than patterns.
 _PLAIN = ((b'"delta": {"content": "', b'"content": ""'), (b'"delta":{"content":"', b'"content":""'))
 _COMMENT = 0x3A
+# Every event begins with one of these fields, as the standard of server-sent events names them.
+_FIELDS = (b"data", b"event", b"id", b"retry")
 
 
 class Frames:
@@ -151,6 +153,8 @@
         # A resumed answer repeats the event that names the role.
         if self._resumed:
             return False
+        if not frame.startswith(_FIELDS):
+            raise AnswerBroken("the engine's bytes are no events")
         self.started = True
         return True
 
