--- a/bench/fuzz_answers.py
+++ b/bench/fuzz_answers.py
@@ -32,7 +32,7 @@
 TEAM = TeamSpec("team", "")
 # Texts that imitate the events which the relay looks for.
 TEXTS = ('"finish_reason":"stop"', "data: [DONE]\n\n", 'data: {"error": 1}', "weight", "\r\n\r\n")
-HEAD_FAULTS = ("refused", "crossed", "no id", "status 503", "status 500", "mute")
+HEAD_FAULTS = ("refused", "crossed", "no id", "text", "status 503", "status 500", "mute")
 BODY_FAULTS = (
     "abort",
     "end",
@@ -101,6 +101,7 @@
     status: int
     headers: dict[str, str]
     content: Stream
+    content_type: str = "text/event-stream"
     closed: bool = False
 
     def close(self) -> None:
@@ -133,7 +134,8 @@
         answered = "other" if script.fault == "crossed" else request_id
         position = int(headers.get("X-Resume-From", "0"))
         body = build_body(answered, position, self.totals[request_id], script)
-        return Response(status, head, body)
+        content_type = "text/plain" if script.fault == "text" else "text/event-stream"
+        return Response(status, head, body, content_type)
 
 
 def build_body(request_id: str, position: int, total: int, script: Script) -> Stream:
