Leave sessions at home where an instance has too few requests to spread

Cause: with 64 instances before 45 engines an instance has 0.16 requests at an engine, so the even order evens nothing and moves prompts.

Change: the even order wants 0.3 requests of its own for each engine that can be used.

Tests: choose_test.TestNearBound.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -12,7 +12,7 @@
 Where few of a service's engines may be used, as while half of them have a version on trial, their
 usual load is near the bound. No estimate is good enough to tell them apart there, and instances
 that heard the same would act alike. Each instance then spreads its own requests evenly, which
-keeps their sum even without a message.
+keeps their sum even without a message. An instance with few requests has nothing to spread.
 """
 
 from __future__ import annotations
@@ -35,6 +35,8 @@
 # The bound is near if it lies within this many standard deviations of a Poisson count at the mean.
 # With a factor of 2, it never is while all engines may be used: (m + 3) / sqrt(m + 1) > 2.8.
 NEAR_DEVIATIONS = 2.7
+# An instance with fewer requests of its own for each engine leaves sessions at their homes.
+LEAST_OWN_REQUESTS = 0.3
 # Requests with few shared tokens leave a loaded home first, since they lose least by it.
 SMALL_LOAD_PART = 0.575
 SMALL_LOAD_SLACK = 1.0
@@ -130,7 +132,8 @@
     if not usable and repeatable:
         usable = [found for found in doubted if found.load < limit]
         reason += ",rest-loaded"
-    if near:
+    own = sum(found.own for found in usable)
+    if near and own >= LEAST_OWN_REQUESTS * len(usable):
         reason += ",even"
         return Choice(_order_by_own(usable, home_key), reason, limit, suspended)
     if not home_key:
--- a/jayyoke/edge/choose_test.py
+++ b/jayyoke/edge/choose_test.py
@@ -206,6 +206,15 @@
             choice = choose_upstreams(usable, key, LONG, True, source, 2.0, 4.5, True)
             assert choice.order[0] == rank_homes(key, usable)[0]
 
+    def test_instance_with_few_requests_leaves_sessions_at_home(self):
+        """Guards against prompts read at every engine by a large fleet, which evens nothing."""
+        usable = [build(f"e{number}", 5.0, own=int(number < 3)) for number in range(23)]
+        source = random.Random(1)
+        for number in range(20):
+            key = f"s{number}"
+            choice = choose_upstreams(usable, key, LONG, True, source, 2.0, 2.6, True)
+            assert choice.order[0] == rank_homes(key, usable)[0]
+
     def test_bound_itself_is_the_limit(self):
         """Guards against refusals because the margin of the limit is below the usual load."""
         usable = [build(f"e{number}", 20.0, own=3) for number in range(6)]
