--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -123,22 +123,19 @@
         usable, doubted = list(candidates), []
         reason += ",all-suspended"
     if not engine:
-        sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
-        return Choice(_order_by_wait(sample, engine, source), reason, None, suspended)
+        return Choice(_order_by_wait(usable, engine, source), reason, None, suspended)
     near = _is_bound_near(usable, load_factor, mean_load)
-    part, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_PART, LOAD_SLACK)
-    limit = part * load_factor * mean_load + slack
+    margin, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_PART, LOAD_SLACK)
+    limit = margin * load_factor * mean_load + slack
     usable = [found for found in usable if found.load < limit]
     if not usable and repeatable:
         usable = [found for found in doubted if found.load < limit]
         reason += ",rest-loaded"
     own = sum(found.own for found in usable)
     if near and own >= LEAST_OWN_REQUESTS * len(usable):
-        reason += ",even"
-        return Choice(_order_by_own(usable, home_key), reason, limit, suspended)
+        return Choice(_order_by_own(usable, home_key), reason + ",even", limit, suspended)
     if not home_key:
-        sample = usable if len(usable) <= COMPARED else source.sample(usable, COMPARED)
-        return Choice(_order_by_wait(sample, engine, source), reason, limit, suspended)
+        return Choice(_order_by_wait(usable, engine, source), reason, limit, suspended)
     if shared_tokens < SMALL_PROMPT_TOKENS:
         limit = SMALL_LOAD_PART * load_factor * mean_load + SMALL_LOAD_SLACK
     return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
@@ -159,9 +156,9 @@
 def _order_by_wait(
     candidates: Sequence[Candidate], engine: bool, source: random.Random
 ) -> tuple[Candidate, ...]:
-    return tuple(
-        sorted(candidates, key=lambda found: (_estimate_wait(found, engine), source.random()))
-    )
+    """Return some of the candidates, those with the shortest wait first."""
+    sample = candidates if len(candidates) <= COMPARED else source.sample(candidates, COMPARED)
+    return tuple(sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random())))
 
 
 def _order_by_home(
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from jayyoke.core.upstream import Upstream
+from jayyoke.edge.canary import Split
 from jayyoke.edge.track import Track
 from jayyoke.utils.ewma import Ewma
 
@@ -35,6 +37,20 @@
 NO_LOADS = Loads({}, 0.0)
 
 
+def find_resting(
+    live: Iterable[Upstream], split: Split, evacuated: Collection[str]
+) -> frozenset[str]:
+    """Return the upstreams to which no instance may send anything, by the store's rows."""
+    resting = set()
+    for found in live:
+        share = 1.0
+        if split.version:
+            share = split.share if found.version == split.version else 1.0 - split.share
+        if share <= 0.0 or found.domain in evacuated:
+            resting.add(found.incarnation)
+    return frozenset(resting)
+
+
 class LoadEstimator:
     """Estimates the loads of one service's upstreams from own requests and reports."""
 
--- a/jayyoke/edge/load_test.py
+++ b/jayyoke/edge/load_test.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from jayyoke.edge.load import LoadEstimator
+from jayyoke.core.upstream import Upstream
+from jayyoke.edge.canary import Split
+from jayyoke.edge.load import LoadEstimator, find_resting
 from jayyoke.edge.track import Track
 from jayyoke.platform.message import LoadReport
 
@@ -87,3 +89,23 @@
     def test_upstream_that_was_never_heard_is_idle(self):
         tracks = {"old": build(reported=20), "new": Track(in_flight=1)}
         assert LoadEstimator().estimate(tracks, NOW_S + 5.0).find("new") == 1.0
+
+
+class TestResting:
+    LIVE = (
+        Upstream("o", "pool", "a", "", incarnation="o", version="v1"),
+        Upstream("n", "pool", "b", "", incarnation="n", version="v2"),
+    )
+
+    @pytest.mark.parametrize(
+        ("split", "evacuated", "resting"),
+        [
+            (Split(), (), set()),
+            (Split("v2", 0.0), (), {"n"}),
+            (Split("v2", 0.1), (), set()),
+            (Split("v2", 1.0), (), {"o"}),
+            (Split(), ("b",), {"n"}),
+        ],
+    )
+    def test_versions_without_a_share_and_emptied_domains_rest(self, split, evacuated, resting):
+        assert find_resting(self.LIVE, split, evacuated) == resting
--- a/jayyoke/edge/place.py
+++ b/jayyoke/edge/place.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from jayyoke.core.machine import Bounds
@@ -24,7 +24,7 @@
 from jayyoke.edge.domain import DomainTracks
 from jayyoke.edge.holder import PromptHolders
 from jayyoke.edge.line import WaitingLine
-from jayyoke.edge.load import NO_LOADS, LoadEstimator, Loads
+from jayyoke.edge.load import NO_LOADS, LoadEstimator, Loads, find_resting
 from jayyoke.edge.loadnews import HeardLoad, LoadNews
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveKeeper
@@ -309,25 +309,9 @@
         """Return the loads of all live upstreams of a service, also those a call may not use."""
         live = self._view.by_service.get(service, ())
         tracks = {found.incarnation: self.tracks.get(found.incarnation) for found in live}
-        resting = self._find_resting(service, live, now_s)
+        resting = find_resting(live, self._moves.find_split(service), self._view.evacuated)
         return self._find_estimator(service).estimate(tracks, now_s, resting)
 
-    def _find_resting(self, service: str, live: Sequence[Upstream], now_s: float) -> frozenset[str]:
-        """Return the upstreams to which no instance may send anything, by the store's rows."""
-        split = self._moves.find_split(service)
-        evacuated = self._view.evacuated
-        if not split.version and not evacuated:
-            return frozenset()
-        resting = set()
-        for found in live:
-            unused = False
-            if split.version:
-                share = split.share if found.version == split.version else 1.0 - split.share
-                unused = share <= 0.0
-            if unused or found.domain in evacuated:
-                resting.add(found.incarnation)
-        return frozenset(resting)
-
     def _find_estimator(self, service: str) -> LoadEstimator:
         return self._estimators.setdefault(service, LoadEstimator())
 
--- a/jayyoke/edge/stream.py
+++ b/jayyoke/edge/stream.py
@@ -33,7 +33,7 @@
 
     @property
     def barren(self) -> bool:
-        """Tell whether the present run was to go on with a stream and brought nothing of it."""
+        """Tell whether a resumed run has brought no event so far."""
         return self.resumed and self.count == self._began_at
 
     def restart(self) -> None:
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -37,7 +37,7 @@
     others: int = 0
     heard_s: float = 0.0
     reported: bool = False
-    # Their usual number, averaged since `level_began_s`.
+    # The usual number of others' requests, averaged since `level_began_s`.
     level: float = 0.0
     level_began_s: float = 0.0
     latency: Ewma = field(default_factory=lambda: Ewma(LATENCY_WEIGHT))
