Log the shared parts of a prompt and how far a lost answer was written

Change: 'placed' names the shared parts, 'attempt-failed' whether the answer had begun and for how long events came. No decision changed.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -102,6 +102,11 @@
     return sum(part.tokens for part in parts[:-1])
 
 
+def list_shared_parts(parts: Sequence[PromptPart]) -> list[str]:
+    """Return the ids of the parts of a prompt that other requests may have too."""
+    return [part.id for part in parts[:-1]]
+
+
 def choose_upstreams(
     candidates: Sequence[Candidate],
     home_key: str,
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -130,6 +130,8 @@
             upstream=upstream.name,
             reason=progress.last_reason,
             timer_late_ms=progress.timer_late_ms,
+            answering=progress.answering,
+            writing_ms=progress.measure_writing_ms(self._now_s()),
         )
         return False
 
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -20,6 +20,7 @@
     count_shared_tokens,
     find_home_key,
     has_free_slot,
+    list_shared_parts,
 )
 from jayyoke.edge.coldlimiter import ColdLimiter
 from jayyoke.edge.domain import DomainTracker
@@ -345,6 +346,7 @@
                 reason=choice.reason,
                 home_key=key,
                 shared_tokens=shared,
+                parts=list_shared_parts(call.head.parts),
                 load=round(found.load, 1),
                 load_age_ms=None if found.load_age_s is None else round(found.load_age_s * 1000),
                 own=found.own,
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -50,6 +50,10 @@
         self.counted = False
         self.timeout = None
 
+    def measure_writing_ms(self, now_s: float) -> int | None:
+        """Return for how long the current send's answer is being written, or None before it is."""
+        return None if self.first_s is None else round((now_s - self.first_s) * 1000)
+
     def measure(self, cached_prompt: bool) -> AnswerTimes:
         """Return the times of the current send."""
         latency_s = None if self.first_s is None else self.first_s - self.sent_s
