--- a/standin/entryupstream.py
+++ b/standin/entryupstream.py
@@ -44,9 +44,9 @@
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port, or on a free one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -99,6 +99,10 @@
         self._stop_functions.append(stop)
         return RunningEntry(instance, f"http://127.0.0.1:{port}", self._http, peer_listener)
 
+    def add_stop_function(self, stop: Callable[[], Awaitable[None]]) -> None:
+        """Call a function when the rig closes, after the instances that were added later."""
+        self._stop_functions.insert(0, stop)
+
     async def close(self) -> None:
         """Stop the instances, then the upstreams."""
         for stop in self._stop_functions:
