Decide which parts of prompts are kept from engines

Change: a decision without a network for both front doors. Suspects are the requests whose answer had not begun or only just; a part in the suspects of two ends (four if it had answers before) with no answer since is quarantined, and tried again after holds of 15 s to an hour. An answer clears it; ends at one moment count once; memory is bounded.

--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -3,14 +3,12 @@
 An engine that ends cuts all its requests, and one of them may be the cause. Those whose answer had
 not begun, or only just, are suspects. A part of their prompts that is in the suspects of several
 ends, with no complete answer on it since, is quarantined: requests with it are refused until a hold
-has passed. Then a few instances may send one as a trial; a complete answer clears the part, another
-end makes the next hold longer.
+has passed. Then a few instances may send one as a trial; an answer clears the part, another end
+makes the next hold longer.
 
-Sound parts are in many ends too, since most requests have them. Three things clear them: a complete
-answer after the end, a higher limit for parts that have had complete answers before, and that ends
-at the same moment, as in a loss of power, count once.
-
-Parts are named by keys, see `build_part_keys`. The caller's clock counts seconds.
+Sound parts are in many ends too, since most requests have them. Three things keep them free: an
+answer after the end, a higher limit for parts that have had answers before, and that ends at the
+same moment, as in a loss of power, count once.
 """
 
 from __future__ import annotations
@@ -19,25 +17,31 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
+from reactivex import Observable
+from reactivex.subject import Subject
+
 from jayyoke.ops.rendezvous import rank
 
-# Distinct ends after which a part is quarantined: one that has never had a complete answer, and one
-# that has had some. A request is sent once more after an end, so two ends are one request's work.
+# Ends after which a part is quarantined: one that has never had an answer, and one that has. A
+# request is sent once more after an end, so two ends are the work of one request.
 NEW_PART_LIMIT = 2
 KNOWN_PART_LIMIT = 4
 # Ends closer together have one cause, such as the loss of a rack. A repeated request needs longer
 # to reach its first token at the next engine.
 SAME_CAUSE_S = 0.1
-# How long a part is held back, by the number of ends at or above its limit.
-HOLDS_S = (5.0, 60.0, 600.0, 3600.0)
-# A suspect's answer has been written for less than this time.
+# Instances notice one end at slightly different times; a restart takes longer.
+SAME_END_S = 1.0
+# How long a part is held back, by the number of ends at or beyond its limit.
+HOLDS_S = (15.0, 120.0, 600.0, 3600.0)
+# The answer to a suspect has been written for less than this time.
 SUSPECT_WRITING_S = 0.25
-# A part is forgotten this long after its last end.
+# An answer that has been written for this time shows that its parts are sound.
+GOOD_WRITING_S = 0.5
+# A part is forgotten this long after its last end, and earlier if that led to no quarantine.
 KEPT_S = 86_400.0
-# An end that did not lead to a quarantine is forgotten earlier.
 UNPROVEN_KEPT_S = 600.0
 MAX_SUSPECTED = 1024
-MAX_ENDS_PER_PART = 16
+MAX_ENDS_PER_PART = 8
 MAX_GOOD = 8192
 MAX_PARTS_PER_REQUEST = 64
 MAX_KEY_CHARACTERS = 96
@@ -52,63 +56,87 @@
     for part in parts[:-1][-MAX_PARTS_PER_REQUEST:]:
         key = f"{service}/{part}"
         if len(key) > MAX_KEY_CHARACTERS:
-            key = "sha256/" + hashlib.sha256(key.encode()).hexdigest()
+            key = "sha256/" + hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
         keys.append(key)
     return tuple(keys)
 
 
 def is_suspect(writing_s: float | None) -> bool:
-    """Tell whether a request may have ended its engine, given for how long it was answered."""
+    """Tell whether a request may have ended its engine, given how long it was being answered."""
     return writing_s is None or writing_s < SUSPECT_WRITING_S
 
 
 @dataclass(frozen=True, slots=True)
-class PartEvidence:
-    """Holds the ends of engines under a part, and when it last had a complete answer, if known.
+class EngineEnd:
+    """Holds when an engine ended; `engine` is its incarnation."""
 
-    `ends` maps the incarnations of engines to the times of their ends.
-    """
+    engine: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """Holds the ends under a part, and when it last had an answer, or None if that is not known."""
 
     key: str
-    ends: dict[str, float]
-    good_s: float | None
+    ends: tuple[EngineEnd, ...]
+    good_s: float | None = None
 
 
 @dataclass(slots=True)
 class _Record:
-    ends: dict[str, float] = field(default_factory=dict)
+    """Holds the ends under a part since its last answer, which was at `good_s`."""
+
     good_s: float | None = None
+    ends: list[EngineEnd] = field(default_factory=list)
     # Whether a trial request of this instance is running.
     on_trial: bool = False
 
     @property
     def last_end_s(self) -> float:
-        return max(self.ends.values(), default=float("-inf"))
-
-    @property
-    def limit(self) -> int:
-        return NEW_PART_LIMIT if self.good_s is None else KNOWN_PART_LIMIT
+        return max((end.at_s for end in self.ends), default=float("-inf"))
 
     @property
     def strikes(self) -> int:
-        """Return how many ends with causes of their own there were."""
+        """Return the number of ends that have causes of their own."""
         count = 0
         previous_s = float("-inf")
-        for at_s in sorted(self.ends.values()):
-            if at_s - previous_s < SAME_CAUSE_S:
+        for end in sorted(self.ends, key=lambda end: end.at_s):
+            if end.at_s - previous_s < SAME_CAUSE_S:
                 continue
             count += 1
-            previous_s = at_s
+            previous_s = end.at_s
         return count
 
-    def find_hold_s(self) -> float | None:
+    @property
+    def hold_s(self) -> float | None:
         """Return how long the part is held back after its last end, or None if it is not."""
-        beyond = self.strikes - self.limit
+        limit = NEW_PART_LIMIT if self.good_s is None else KNOWN_PART_LIMIT
+        beyond = self.strikes - limit
         return None if beyond < 0 else HOLDS_S[min(beyond, len(HOLDS_S) - 1)]
 
+    def add(self, end: EngineEnd) -> bool:
+        """Add an end; return False if it is known."""
+        for index, known in enumerate(self.ends):
+            if known.engine != end.engine or abs(known.at_s - end.at_s) >= SAME_END_S:
+                continue
+            if end.at_s < known.at_s:
+                self.ends[index] = end
+            return False
+        if len(self.ends) >= MAX_ENDS_PER_PART:
+            oldest = min(self.ends, key=lambda known: known.at_s)
+            if end.at_s <= oldest.at_s:
+                return False
+            self.ends.remove(oldest)
+        self.ends.append(end)
+        return True
+
 
 class Quarantine:
-    """Holds the evidence about parts, this instance's and that of others."""
+    """Holds the evidence about parts from this and other instances, in seconds of the given clock.
+
+    `list_instances` names the live instances, of which each in turn may send trials.
+    """
 
     def __init__(
         self,
@@ -121,123 +149,121 @@
         self._list_instances = list_instances
         self._records: dict[str, _Record] = {}
         self._good_s: dict[str, float] = {}
-        self._news: dict[str, None] = {}
+        self._changes: Subject[str] = Subject()
+
+    @property
+    def changes(self) -> Observable[str]:
+        """Return the stream of keys of parts of which something new is known."""
+        return self._changes
 
     @property
     def suspected(self) -> int:
-        """Return how many parts were in an end without a complete answer since."""
+        """Return how many parts were in an end and have had no answer since."""
         return len(self._records)
 
     @property
-    def quarantined(self) -> int:
-        """Return how many parts are held back or on trial."""
-        return len(self.list_quarantined())
-
-    def record_end(self, keys: Iterable[str], engine: str) -> list[str]:
-        """Record that an engine ended under a suspect; return the parts quarantined by it."""
-        now_s = self._now_s()
-        return [key for key in keys if self._add_end(key, engine, now_s)]
+    def last_end_s(self) -> float:
+        """Return when an engine last ended under a part that has had no answer since."""
+        return max((found.last_end_s for found in self._records.values()), default=float("-inf"))
 
-    def record_good(self, keys: Iterable[str]) -> list[str]:
-        """Record a complete answer; return the parts that were suspected until now."""
-        now_s = self._now_s()
-        cleared = []
-        for key in keys:
-            self._remember_good(key, now_s)
-            record = self._records.pop(key, None)
-            if record is None:
-                continue
-            self._news[key] = None
-            cleared.append(key)
-        return cleared
+    def list_quarantined(self) -> list[str]:
+        """Return the parts that are held back or on trial."""
+        return [key for key, record in self._records.items() if record.hold_s is not None]
 
     def find_wait_s(self, keys: Iterable[str]) -> float | None:
-        """Return after how many seconds a request with these parts may be sent; None for now."""
+        """Return after how many seconds a request with these parts may be sent, or None for now."""
         if not self._records:
             return None
-        waits_s = [self._find_part_wait_s(key) for key in keys if key in self._records]
-        found_s = [wait_s for wait_s in waits_s if wait_s is not None]
+        found_s = []
+        for key in keys:
+            record = self._records.get(key)
+            wait_s = None if record is None else self._find_part_wait_s(key, record)
+            if wait_s is not None:
+                found_s.append(wait_s)
         return max(found_s, default=None)
 
     def begin(self, keys: Iterable[str]) -> None:
-        """Record that a request with these parts is sent, so that trials run one at a time."""
+        """Record that a request with these parts is sent, so that trials go one at a time."""
         self._mark_trial(keys, True)
 
-    def end(self, keys: Iterable[str]) -> None:
+    def finish(self, keys: Iterable[str]) -> None:
         """Record that a request with these parts has ended, whatever its outcome."""
         self._mark_trial(keys, False)
 
-    def list_quarantined(self) -> list[str]:
-        """Return the parts that are held back or on trial."""
-        return [key for key, record in self._records.items() if record.find_hold_s() is not None]
+    def record_end(self, keys: Iterable[str], end: EngineEnd) -> list[str]:
+        """Record that an engine ended under a suspect; return the parts quarantined by that."""
+        return [key for key in keys if self._add_end(key, end)]
+
+    def record_good(self, keys: Iterable[str]) -> list[str]:
+        """Record an answer on these parts; return those that were quarantined until now."""
+        now_s = self._now_s()
+        cleared = []
+        for key in keys:
+            self._remember_good(key, now_s)
+            record = self._records.pop(key, None)
+            if record is None:
+                continue
+            self._changes.on_next(key)
+            if record.hold_s is not None:
+                cleared.append(key)
+        return cleared
 
     def merge(self, evidence: Iterable[PartEvidence]) -> list[str]:
-        """Merge what another instance knows; return the parts that are quarantined by it."""
+        """Merge what another instance knows; return the parts quarantined by that."""
         quarantined = []
         for found in evidence:
             if found.good_s is not None:
                 self._merge_good(found.key, found.good_s)
-            for engine, at_s in found.ends.items():
-                if self._add_end(found.key, engine, at_s):
+            for end in found.ends:
+                if self._add_end(found.key, end) and found.key not in quarantined:
                     quarantined.append(found.key)
         return quarantined
 
-    def take_news(self) -> list[PartEvidence]:
-        """Return what has changed since the last call, for other instances."""
-        news, self._news = self._news, {}
-        return [self._describe(key) for key in news]
+    def describe(self, key: str) -> PartEvidence:
+        """Return what is known of a part."""
+        record = self._records.get(key)
+        return PartEvidence(key, tuple(record.ends) if record else (), self._good_s.get(key))
 
     def list_evidence(self, limit: int) -> list[PartEvidence]:
-        """Return what is known of the parts with the most recent ends."""
-        recent = sorted(self._records, key=lambda key: -self._records[key].last_end_s)
-        return [self._describe(key) for key in recent[:limit]]
+        """Return what is known of suspected parts, of those with the newest ends first."""
+        newest = sorted(self._records, key=lambda key: -self._records[key].last_end_s)
+        return [self.describe(key) for key in newest[:limit]]
 
-    def answer(self, evidence: Iterable[PartEvidence], limit: int) -> list[PartEvidence]:
+    def list_unknown_to(self, told: Iterable[PartEvidence], limit: int) -> list[PartEvidence]:
         """Return what another instance does not know, given what it has told."""
-        told = {found.key: found for found in evidence}
-        answer = []
-        for key, found in told.items():
-            known = self._describe(key)
-            newer = known.good_s is not None and known.good_s > (found.good_s or float("-inf"))
-            if newer or known.ends.keys() - found.ends.keys():
-                answer.append(known)
+        by_key = {found.key: found for found in told}
+        unknown = []
+        for found in by_key.values():
+            known = self.describe(found.key)
+            if _adds_to(known, found):
+                unknown.append(known)
         for known in self.list_evidence(limit):
-            if known.key not in told:
-                answer.append(known)
-        return answer[:limit]
-
-    def forget(self, key: str) -> bool:
-        """Clear a part by an operator's order; return True if it was suspected."""
-        return bool(self.record_good([key]))
+            if known.key not in by_key:
+                unknown.append(known)
+        return unknown[:limit]
 
     def forget_old(self) -> None:
         """Forget the parts whose last end was long ago."""
         now_s = self._now_s()
         for key, record in list(self._records.items()):
-            kept_s = UNPROVEN_KEPT_S if record.find_hold_s() is None else KEPT_S
+            kept_s = UNPROVEN_KEPT_S if record.hold_s is None else KEPT_S
             if now_s - record.last_end_s > kept_s:
                 del self._records[key]
 
-    def _add_end(self, key: str, engine: str, at_s: float) -> bool:
+    def _add_end(self, key: str, end: EngineEnd) -> bool:
         """Add an end; return True if the part is quarantined by it."""
         good_s = self._good_s.get(key)
-        if good_s is not None and good_s >= at_s:
+        if good_s is not None and good_s >= end.at_s:
             return False
         record = self._records.get(key)
         if record is None:
-            record = self._records[key] = _Record(good_s=good_s)
-        known_s = record.ends.get(engine)
-        if known_s is not None:
-            # Instances notice an end at slightly different times.
-            record.ends[engine] = min(known_s, at_s)
+            record = self._records[key] = _Record(good_s)
+        held = record.hold_s is not None
+        if not record.add(end):
             return False
-        if len(record.ends) >= MAX_ENDS_PER_PART:
-            return False
-        held = record.find_hold_s() is not None
-        record.ends[engine] = at_s
-        self._news[key] = None
         self._forget_excess()
-        return not held and record.find_hold_s() is not None
+        self._changes.on_next(key)
+        return not held and record.hold_s is not None
 
     def _merge_good(self, key: str, good_s: float) -> None:
         if good_s <= self._good_s.get(key, float("-inf")):
@@ -246,11 +272,11 @@
         record = self._records.get(key)
         if record is None:
             return
-        self._news[key] = None
         record.good_s = good_s
-        record.ends = {name: at_s for name, at_s in record.ends.items() if at_s > good_s}
+        record.ends = [end for end in record.ends if end.at_s > good_s]
         if not record.ends:
             del self._records[key]
+        self._changes.on_next(key)
 
     def _remember_good(self, key: str, at_s: float) -> None:
         self._good_s.pop(key, None)
@@ -258,20 +284,19 @@
         if len(self._good_s) > MAX_GOOD:
             del self._good_s[next(iter(self._good_s))]
 
-    def _find_part_wait_s(self, key: str) -> float | None:
-        record = self._records[key]
-        hold_s = record.find_hold_s()
+    def _find_part_wait_s(self, key: str, record: _Record) -> float | None:
+        hold_s = record.hold_s
         if hold_s is None:
             return None
-        since_s = self._now_s() - record.last_end_s - hold_s
-        if since_s < 0.0:
-            return -since_s
-        if record.on_trial or not self._may_try(key, since_s / hold_s):
+        beyond_s = self._now_s() - record.last_end_s - hold_s
+        if beyond_s < 0.0:
+            return -beyond_s
+        if record.on_trial or not self._may_try(key, beyond_s / hold_s):
             return hold_s
         return None
 
     def _may_try(self, key: str, share: float) -> bool:
-        """Tell whether this instance may try a part; their number grows with time."""
+        """Tell whether this instance may try a part; their share of all instances grows."""
         ranked = rank(key, {self._instance, *self._list_instances()})
         return ranked.index(self._instance) < 1 + int(share * len(ranked))
 
@@ -283,16 +308,24 @@
             if record is not None:
                 record.on_trial = running
 
-    def _describe(self, key: str) -> PartEvidence:
-        record = self._records.get(key)
-        ends = dict(record.ends) if record is not None else {}
-        return PartEvidence(key, ends, self._good_s.get(key))
-
     def _forget_excess(self) -> None:
+        """Forget the parts with the fewest ends, which are the easiest to learn again."""
         while len(self._records) > MAX_SUSPECTED:
-            # Parts with few ends are the easiest to learn again.
+            records = self._records
             weakest = min(
-                self._records,
-                key=lambda key: (self._records[key].strikes, self._records[key].last_end_s),
+                records, key=lambda key: (len(records[key].ends), records[key].last_end_s)
             )
-            del self._records[weakest]
+            del records[weakest]
+
+
+def _adds_to(known: PartEvidence, told: PartEvidence) -> bool:
+    """Tell whether this instance knows an answer or an end that another has not told."""
+    if known.good_s is not None and (told.good_s is None or known.good_s > told.good_s):
+        return any(end.at_s < known.good_s for end in told.ends) or told.good_s is None
+    for end in known.ends:
+        if not any(
+            end.engine == other.engine and abs(end.at_s - other.at_s) < SAME_END_S
+            for other in told.ends
+        ):
+            return True
+    return False
