--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -31,6 +31,7 @@
   STATUS = 51
   LIST_UPSTREAMS = 52
   UPSTREAMS = 53
+  PART_EVIDENCE = 60
 }
 
 // First message of a connection. Both sides exchange raw nonces before it, so its nonce is unset.
@@ -342,3 +343,21 @@
   // Recent loads that engines reported to the answering instance or that other instances sent to it.
   2: optional HeardLoads loads
 }
+
+// An engine that ended while it began to answer on a part of a prompt.
+struct EngineEnd {
+  1: string engine
+  2: i32 age_ms
+}
+
+// What is known of a part; good_age_ms is the time since the last complete answer on it, unset if none is known.
+struct KnownPart {
+  1: string key
+  2: list<EngineEnd> ends
+  3: optional i32 good_age_ms
+}
+
+// Evidence about parts; its answer has what the sender did not tell.
+struct PartEvidence {
+  1: list<KnownPart> parts
+}
--- /dev/null
+++ b/jayyoke/edge/partexchange.py
@@ -0,0 +1,223 @@
+"""Tells other instances what is known of suspected parts of prompts, and asks what they know.
+
+Each news goes to a few instances chosen at random, which pass it on (epidemic broadcast). Without
+suspected parts nothing is sent. While there are some, each instance asks a random other one from
+time to time, so that one that was cut off or has started again learns them too; the store need not
+be reachable for that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import aiohttp
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
+from jayyoke.edge.endobserver import log_quarantined
+from jayyoke.edge.log import log_event
+from jayyoke.ops.quarantine import (
+    KEPT_S,
+    MAX_ENDS_PER_PART,
+    MAX_KEY_CHARACTERS,
+    EngineEnd,
+    PartEvidence,
+    Quarantine,
+)
+from jayyoke.platform.body import read_body
+from jayyoke.utils.task import cancel_tasks
+from jayyoke.wire.gen import ttypes
+
+EVIDENCE_PATH = "/evidence"
+CALL_TIMEOUT_S = 0.6
+# With five, a message reaches 99 in 100 instances whatever their number; the rest ask.
+FANOUT = 5
+# The ends and answers of this time go into one message.
+BATCH_S = 0.03
+# How often an instance asks another one while an end is recent, and while a part is quarantined.
+RECENT_PERIOD_S = 1.0
+QUARANTINE_PERIOD_S = 5.0
+RECENT_S = 30.0
+# A process that stood still for so long asks what it has missed.
+STALL_S = 1.0
+PEERS_AT_START = 2
+# About 10 KB with the longest keys and the most ends, usually under 1 KB.
+MAX_TOLD = 24
+MAX_MESSAGE_BYTES = 16 << 10
+MAX_ENGINE_CHARACTERS = 120
+
+Send = Callable[[str, bytes], Awaitable[bytes]]
+
+
+class PartClient:
+    """Sends evidence to another instance and returns its answer."""
+
+    def __init__(self, http: aiohttp.ClientSession):
+        self._http = http
+
+    async def send(self, peer: str, message: bytes) -> bytes:
+        """Return a peer's answer; raise PeerUnavailable."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._http.post(
+                f"http://{peer}{EVIDENCE_PATH}", data=message, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise PeerUnavailable(f"{peer} answered {response.status}")
+                return await read_body(response, MAX_MESSAGE_BYTES, Effect.NONE)
+        except (TimeoutError, aiohttp.ClientError, StoreUnavailable) as error:
+            raise PeerUnavailable(f"{peer}: {type(error).__name__}") from error
+
+
+class PartExchange:
+    """Exchanges evidence about parts with other instances."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        send: Send,
+        list_peers: Callable[[], list[str]],
+        now_s: Callable[[], float],
+        source: random.Random,
+    ):
+        self._quarantine = quarantine
+        self._send = send
+        self._list_peers = list_peers
+        self._now_s = now_s
+        self._source = source
+        self._news: dict[str, None] = {}
+        self._changed = asyncio.Event()
+        self._sending: set[asyncio.Task[bool]] = set()
+        quarantine.changes.subscribe(self._add_news)
+
+    async def run(self) -> None:
+        """Tell news and ask for what was missed, until cancelled."""
+        starting = asyncio.create_task(self._ask_at_start())
+        try:
+            asked_s = self._now_s()
+            while True:
+                began_s = self._now_s()
+                await self._wait_for_news(RECENT_PERIOD_S)
+                now_s = self._now_s()
+                self._quarantine.forget_old()
+                stalled = now_s - began_s > RECENT_PERIOD_S + STALL_S
+                if stalled or now_s - asked_s >= self._find_period_s(now_s):
+                    asked_s = now_s
+                    self._ask(1)
+                if self._changed.is_set():
+                    await asyncio.sleep(BATCH_S)
+                    self._tell_news()
+        finally:
+            await cancel_tasks({starting, *self._sending})
+
+    def answer(self, message: bytes) -> bytes:
+        """Merge a peer's evidence and return what the peer lacks; raise PeerProtocolError."""
+        told = decode_evidence(message, self._now_s())
+        self._merge(told, "peer")
+        return encode_evidence(self._quarantine.list_unknown_to(told, MAX_TOLD), self._now_s())
+
+    async def _ask_at_start(self) -> None:
+        """Ask until one instance has answered, unless no other is known."""
+        while True:
+            peers = self._choose_peers(PEERS_AT_START)
+            answered = await asyncio.gather(*(self._exchange(peer, []) for peer in peers))
+            if any(answered) or not peers:
+                return
+            await asyncio.sleep(RECENT_PERIOD_S * self._source.uniform(0.8, 1.2))
+
+    async def _wait_for_news(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s * self._source.uniform(0.8, 1.2)):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _find_period_s(self, now_s: float) -> float:
+        if now_s - self._quarantine.last_end_s < RECENT_S:
+            return RECENT_PERIOD_S
+        return QUARANTINE_PERIOD_S if self._quarantine.list_quarantined() else math.inf
+
+    def _add_news(self, key: str) -> None:
+        self._news[key] = None
+        self._changed.set()
+
+    def _tell_news(self) -> None:
+        news, self._news = list(self._news), {}
+        self._changed.clear()
+        evidence = [self._quarantine.describe(key) for key in news]
+        for start in range(0, len(evidence), MAX_TOLD):
+            for peer in self._choose_peers(FANOUT):
+                self._start_exchange(peer, evidence[start : start + MAX_TOLD])
+
+    def _ask(self, count: int) -> None:
+        evidence = self._quarantine.list_evidence(MAX_TOLD)
+        for peer in self._choose_peers(count):
+            self._start_exchange(peer, evidence)
+
+    def _choose_peers(self, count: int) -> list[str]:
+        peers = self._list_peers()
+        return self._source.sample(peers, min(count, len(peers)))
+
+    def _start_exchange(self, peer: str, evidence: list[PartEvidence]) -> None:
+        task = asyncio.create_task(self._exchange(peer, evidence))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _exchange(self, peer: str, evidence: list[PartEvidence]) -> bool:
+        """Tell a peer evidence and merge its answer; return False if it gave none."""
+        message = encode_evidence(evidence, self._now_s())
+        try:
+            answer = decode_evidence(await self._send(peer, message), self._now_s())
+        except (PeerUnavailable, PeerProtocolError) as error:
+            log_event("peer-away", peer=peer, reason=str(error))
+            return False
+        self._merge(answer, peer)
+        return True
+
+    def _merge(self, evidence: Iterable[PartEvidence], source: str) -> None:
+        for key in self._quarantine.merge(evidence):
+            log_quarantined(self._quarantine, key, source=source)
+
+
+def encode_evidence(evidence: Iterable[PartEvidence], now_s: float) -> bytes:
+    """Return a message with evidence, whose times are sent as ages."""
+    parts = []
+    for found in evidence:
+        ends = [ttypes.EngineEnd(end.engine, _encode_age(end.at_s, now_s)) for end in found.ends]
+        good_age_ms = None if found.good_s is None else _encode_age(found.good_s, now_s)
+        parts.append(ttypes.KnownPart(found.key, ends, good_age_ms))
+    return serialize(ttypes.PartEvidence(parts))
+
+
+def decode_evidence(message: bytes, now_s: float) -> list[PartEvidence]:
+    """Return a peer's evidence without odd entries; raise PeerProtocolError if it is unreadable."""
+    try:
+        parts = deserialize(ttypes.PartEvidence(), message).parts or ()
+        return [found for part in parts[:MAX_TOLD] if (found := _decode_part(part, now_s))]
+    except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
+        raise PeerProtocolError(f"unreadable evidence: {error!r}") from error
+
+
+def _encode_age(at_s: float, now_s: float) -> int:
+    return max(0, min(int(KEPT_S * 1000), int((now_s - at_s) * 1000)))
+
+
+def _decode_part(part: ttypes.KnownPart, now_s: float) -> PartEvidence | None:
+    if not part.key or len(part.key) > MAX_KEY_CHARACTERS:
+        return None
+    ends = []
+    for end in (part.ends or ())[:MAX_ENDS_PER_PART]:
+        if not end.engine or len(end.engine) > MAX_ENGINE_CHARACTERS or not _is_age(end.age_ms):
+            continue
+        ends.append(EngineEnd(end.engine, now_s - end.age_ms / 1000))
+    good_s = now_s - part.good_age_ms / 1000 if _is_age(part.good_age_ms) else None
+    return PartEvidence(part.key, tuple(ends), good_s)
+
+
+def _is_age(age_ms: int | None) -> bool:
+    return age_ms is not None and 0 <= age_ms <= KEPT_S * 1000
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -43,6 +43,7 @@
     STATUS = 51
     LIST_UPSTREAMS = 52
     UPSTREAMS = 53
+    PART_EVIDENCE = 60
 
     _VALUES_TO_NAMES = {
         1: "HELLO",
@@ -71,6 +72,7 @@
         51: "STATUS",
         52: "LIST_UPSTREAMS",
         53: "UPSTREAMS",
+        60: "PART_EVIDENCE",
     }
 
     _NAMES_TO_VALUES = {
@@ -100,6 +102,7 @@
         "STATUS": 51,
         "LIST_UPSTREAMS": 52,
         "UPSTREAMS": 53,
+        "PART_EVIDENCE": 60,
     }
 
 
@@ -4418,6 +4421,264 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class EngineEnd(object):
+    """
+    Attributes:
+     - engine
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'engine',
+        'age_ms',
+    )
+
+
+    def __init__(self, engine=None, age_ms=None,):
+        self.engine = engine
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineEnd')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownPart(object):
+    """
+    Attributes:
+     - key
+     - ends
+     - good_age_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'ends',
+        'good_age_ms',
+    )
+
+
+    def __init__(self, key=None, ends=None, good_age_ms=None,):
+        self.key = key
+        self.ends = ends
+        self.good_age_ms = good_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = EngineEnd()
+                        _elem189.read(iprot)
+                        self.ends.append(_elem189)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.good_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownPart')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter190 in self.ends:
+                iter190.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.good_age_ms is not None:
+            oprot.writeFieldBegin('good_age_ms', TType.I32, 3)
+            oprot.writeI32(self.good_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartEvidence(object):
+    """
+    Attributes:
+     - parts
+
+    """
+
+    __slots__ = (
+        'parts',
+    )
+
+
+    def __init__(self, parts=None,):
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = KnownPart()
+                        _elem196.read(iprot)
+                        self.parts.append(_elem196)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartEvidence')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter197 in self.parts:
+                iter197.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -4732,5 +4993,23 @@
     (1, TType.LIST, 'tables', (TType.STRUCT, [RelayedTable, None], False), None, ),  # 1
     (2, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 2
 )
+all_structs.append(EngineEnd)
+EngineEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(KnownPart)
+KnownPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'ends', (TType.STRUCT, [EngineEnd, None], False), None, ),  # 2
+    (3, TType.I32, 'good_age_ms', None, None, ),  # 3
+)
+all_structs.append(PartEvidence)
+PartEvidence.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRUCT, [KnownPart, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -85,6 +85,10 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def list_keys(self, table: str) -> list[str]:
+        """Return the keys of a table's rows."""
+        return [key for found, key in self._rows if found == table]
+
     def put(self, table: str, key: str, body: object) -> int:
         """Write a row as operators and upstreams do; return its revision."""
         raw = body if isinstance(body, bytes) else json.dumps(body).encode()
