Keep requests from engines that end when they answer on their parts

Cause: each deadly request was sent to a second engine at once, came back by its caller, and nothing was learnt from an end. Change: the forwarder records ends and answers by part, refuses quarantined parts at once with the time of the next trial, sends no request again after two engines ended when they began on it, and resumes streams that were being written as often as engines end under them. Why it works: an engine ends only under a request it begins to answer, so the part at fault is the one that no answer shares.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -18,6 +18,7 @@
 from jayyoke.edge.answerrelay import AnswerRelay, find_silence_timeout_s
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.connection import UpstreamConnection
+from jayyoke.edge.endobserver import EndObserver
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
@@ -27,6 +28,7 @@
 from jayyoke.edge.retrybudget import RetryBudget
 from jayyoke.edge.stream import EventRelay
 from jayyoke.ops.metrics import Metrics
+from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, build_part_keys, is_suspect
 from jayyoke.platform import names
 from jayyoke.platform.message import decode_notice, encode_request
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
@@ -36,6 +38,8 @@
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
+# A request is not sent again after so many engines ended when they began to answer it.
+MAX_SUSPECT_RUNS = 2
 
 
 class Forwarder:
@@ -50,6 +54,9 @@
         bounds: Bounds,
         now_s: Callable[[], float],
         source: random.Random,
+        quarantine: Quarantine,
+        end_observer: EndObserver,
+        on_cleared: Callable[[str], None],
     ):
         self._placement = placement
         self._moves = moves
@@ -58,14 +65,18 @@
         self._bounds = bounds
         self._now_s = now_s
         self._source = source
-        self._relay = AnswerRelay(now_s, self._count_running)
+        self._quarantine = quarantine
+        self._end_observer = end_observer
+        self._on_cleared = on_cleared
+        self._relay = AnswerRelay(now_s, self._record_events)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_s = now_s()
 
     async def serve(self, call: Call, caller: Caller) -> None:
         """Answer a call; raise CallerGone or CancelledError if the caller leaves."""
-        progress = Progress(EventRelay(call.head.last_event))
         service = self._placement.draw_service(call)
+        part_keys = build_part_keys(service, [part.id for part in call.head.parts])
+        progress = Progress(EventRelay(call.head.last_event), part_keys)
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(self._bounds, self._started_s)
@@ -76,6 +87,10 @@
             if call.deadline_s - self._now_s() <= MIN_TIME_S:
                 progress.last_reason = "out-of-time"
                 break
+            refused = self._check_parts(progress)
+            if refused is not None:
+                progress.last_reason = refused.reason
+                break
             assignment = await self._placement.assign(call, service, progress.tried, caller.started)
             if isinstance(assignment, Refused):
                 progress.last_reason = progress.last_reason or assignment.reason
@@ -89,6 +104,8 @@
             outcome = await self._send(call, caller, service, assignment, progress)
             if self._record_outcome(call, upstream, outcome, progress):
                 return
+            if isinstance(outcome, MayHaveRun) and not outcome.silent:
+                await self._observe_end(call, upstream, progress)
             if not self._may_repeat(call, outcome, progress):
                 break
         await self._give_up(call, caller, progress, refused)
@@ -99,6 +116,8 @@
         """Record the outcome of a send; return True if the caller has its answer."""
         match outcome:
             case Delivered(status):
+                if 200 <= status < 300:
+                    self._record_good(call, progress)
                 first_s = progress.first_s or self._now_s()
                 first_ms = round((first_s - call.arrived_s) * 1000, 1)
                 self._log(
@@ -123,6 +142,7 @@
                 progress.runs += 1
                 progress.failure = outcome
                 progress.last_reason = f"status-{status}"
+        writing_s = progress.measure_writing_s(self._now_s())
         self._log(
             call,
             "attempt-failed",
@@ -131,16 +151,45 @@
             reason=progress.last_reason,
             timer_late_ms=progress.timer_late_ms,
             answering=progress.answering,
-            writing_ms=progress.measure_writing_ms(self._now_s()),
+            writing_ms=None if writing_s is None else round(writing_s * 1000),
         )
         return False
 
+    def _check_parts(self, progress: Progress) -> Refused | None:
+        """Return a refusal if engines are kept from a part of the prompt."""
+        wait_s = self._quarantine.find_wait_s(progress.part_keys)
+        if wait_s is None:
+            return None
+        return Refused("part-quarantined", wait_s, spread=True, final=True)
+
+    async def _observe_end(self, call: Call, upstream: Upstream, progress: Progress) -> None:
+        """Find out whether the upstream that cut an answer has ended, and under which parts."""
+        suspect = is_suspect(progress.measure_writing_s(self._now_s()))
+        keys = progress.part_keys if suspect else ()
+        if not keys and not call.route.repeatable:
+            # Nothing depends on the check, which takes a connection.
+            return
+        if not await self._end_observer.observe(upstream, call.head.request_id, keys):
+            return
+        self._placement.record_end(upstream)
+        if suspect:
+            progress.suspect_runs += 1
+        else:
+            progress.innocent_runs += 1
+
+    def _record_good(self, call: Call, progress: Progress) -> None:
+        """Record that an upstream has answered on the parts of the prompt."""
+        progress.parts_good = True
+        for key in self._quarantine.record_good(progress.part_keys):
+            log_event("part-cleared", request_id=call.head.request_id, part=key)
+            self._on_cleared(key)
+
     def _may_repeat(self, call: Call, outcome: Outcome, progress: Progress) -> bool:
         if isinstance(outcome, NotRun) and progress.runs == 0:
             return True
-        if not call.route.repeatable:
+        if not call.route.repeatable or progress.suspect_runs >= MAX_SUSPECT_RUNS:
             return False
-        return progress.runs < call.route.attempts
+        return progress.runs - progress.innocent_runs < call.route.attempts
 
     async def _give_up(
         self, call: Call, caller: Caller, progress: Progress, refused: Refused | None
@@ -178,7 +227,8 @@
                 wait_s = refused.retry_after_s * self._source.uniform(*RETRY_JITTER)
             case _:
                 wait_s = REFUSED_RETRY_S * self._source.uniform(*RETRY_JITTER)
-        wait_s = min(wait_s, left_s / 3)
+        if refused is None or not refused.final:
+            wait_s = min(wait_s, left_s / 3)
         self._log(call, "refused", progress, reason=progress.last_reason, retry_after_s=wait_s)
         headers = (("Retry-After", f"{wait_s:.3f}"),)
         await _send_whole(caller, 503, "", headers, progress.last_reason.encode())
@@ -193,8 +243,15 @@
         progress.begin_send(began_s)
         outcome: Outcome = NotRun("cancelled", arrived=False)
         connection: UpstreamConnection | None = None
+        begun = False
         try:
             connection = await self._pool.acquire(upstream, not call.route.repeatable, began_s)
+            if self._check_parts(progress) is not None:
+                # The part was quarantined while this call waited.
+                outcome = NotRun("part-quarantined", arrived=False)
+                return outcome
+            self._quarantine.begin(progress.part_keys)
+            begun = True
             if self._placement.notices.is_withdrawn(upstream.incarnation):
                 # Another call's answer has said so while this connection was opened.
                 connection.abort()
@@ -206,6 +263,8 @@
             silent = isinstance(error, ConnectTimedOut)
             outcome = NotRun(f"unreachable: {error}", arrived=False, silent=silent)
         finally:
+            if begun:
+                self._quarantine.finish(progress.part_keys)
             if connection is not None and not isinstance(outcome, Delivered | Failed):
                 connection.abort()
             duration_s = self._now_s() - began_s
@@ -242,8 +301,11 @@
         elif failed:
             self._moves.record_late_failure(*version)
 
-    def _count_running(self, call: Call, upstream: Upstream, progress: Progress) -> None:
-        """Count a running stream for the upstream's version once it has enough events."""
+    def _record_events(self, call: Call, upstream: Upstream, progress: Progress) -> None:
+        """Record what the events of a running stream tell of its parts and its version."""
+        writing_s = progress.measure_writing_s(self._now_s())
+        if not progress.parts_good and writing_s is not None and writing_s >= GOOD_WRITING_S:
+            self._record_good(call, progress)
         if progress.counted or not progress.timing.has_enough_events:
             return
         progress.counted = True
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -61,12 +61,14 @@
 class Refused:
     """Holds why no upstream is assigned; the call has not run.
 
-    `spread` is set if `retry_after_s` differs already between the callers refused for this reason.
+    `spread` is set if `retry_after_s` differs already between the callers refused for this reason,
+    `final` if no instance serves the call before that time, whatever time the caller has left.
     """
 
     reason: str
     retry_after_s: float
     spread: bool = False
+    final: bool = False
 
 
 class Placer:
@@ -260,6 +262,10 @@
             )
         return suspected
 
+    def record_end(self, upstream: Upstream) -> None:
+        """Suspend an upstream that has ended, so that no call finds its port closed."""
+        self.tracker.get(upstream.incarnation).record_unreachable(self._now_s())
+
     def _record_domain(
         self, call: Call, upstream: Upstream, outcome: Outcome, now_s: float
     ) -> tuple[Upstream, ...]:
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -15,10 +15,16 @@
     """Holds the attempts of a call; `arrivals` reached an upstream, `runs` may have run."""
 
     relay: EventRelay
+    # Keys of the prompt's parts in the quarantine.
+    part_keys: tuple[str, ...] = ()
     tried: set[str] = field(default_factory=set)
     sends: int = 0
     arrivals: int = 0
     runs: int = 0
+    # Runs that ended with their engines: those that were being answered, and those that may have
+    # been the cause.
+    innocent_runs: int = 0
+    suspect_runs: int = 0
     failure: Failed | None = None
     last_reason: str = ""
     # When the answer or first event of the current send came.
@@ -31,6 +37,8 @@
     sent_s: float = 0.0
     timing: StreamTiming = field(default_factory=StreamTiming)
     counted: bool = False
+    # Whether the current send has shown that the parts of the prompt are sound.
+    parts_good: bool = False
     # The wait for the current send's newest bytes.
     timeout: StallTolerantTimeout | None = None
 
@@ -48,11 +56,12 @@
         self.answering = False
         self.timing = StreamTiming()
         self.counted = False
+        self.parts_good = False
         self.timeout = None
 
-    def measure_writing_ms(self, now_s: float) -> int | None:
+    def measure_writing_s(self, now_s: float) -> float | None:
         """Return for how long the current send's answer is being written, or None before it is."""
-        return None if self.first_s is None else round((now_s - self.first_s) * 1000)
+        return None if self.first_s is None else now_s - self.first_s
 
     def measure(self, cached_prompt: bool) -> AnswerTimes:
         """Return the times of the current send."""
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -21,17 +21,26 @@
 from jayyoke.core.registry import UnknownPlugin
 from jayyoke.edge import log
 from jayyoke.edge.baseline import HOME_POLICY, find_ordering
+from jayyoke.edge.endobserver import EndObserver
 from jayyoke.edge.follow import PeerFollower, TableFollower
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
+from jayyoke.edge.partexchange import (
+    EVIDENCE_PATH,
+    MAX_MESSAGE_BYTES,
+    PartClient,
+    PartExchange,
+)
 from jayyoke.edge.placement import Placer
 from jayyoke.edge.pool import ConnectionPool
+from jayyoke.edge.quarantinerows import QuarantineRows
 from jayyoke.edge.relay import MAX_REQUEST_BYTES, RELAY_PATH, RelayClient, RelayServer
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.metrics import Metrics
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
@@ -108,6 +117,11 @@
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
+        self.quarantine = Quarantine(now_s, settings.instance, self.roster.list_alive)
+        self.quarantine_rows = QuarantineRows(self.quarantine, self.store, self.clock, now_s)
+        self.part_exchange = PartExchange(
+            self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
+        )
         self.forwarder = Forwarder(
             self.placement,
             self.moves,
@@ -116,6 +130,9 @@
             settings.bounds,
             now_s,
             random_source,
+            self.quarantine,
+            EndObserver(self.quarantine, now_s, self.quarantine_rows.mark_changed),
+            self.quarantine_rows.mark_changed,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(self.view, self.placement.load_exchange)
@@ -139,6 +156,14 @@
         self.metrics.add_gauge(
             "jayyoke_upstream_connections_opened", "Connections.", lambda: self.pool.opened
         )
+        self.metrics.add_gauge(
+            "jayyoke_suspected_parts", "Parts of prompts.", lambda: self.quarantine.suspected
+        )
+        self.metrics.add_gauge(
+            "jayyoke_quarantined_parts",
+            "Parts of prompts kept from engines.",
+            lambda: len(self.quarantine.list_quarantined()),
+        )
 
     @property
     def ready(self) -> bool:
@@ -179,6 +204,8 @@
             self.moves.run(),
             self.peers.run(),
             self.peers.run_relayed(),
+            self.part_exchange.run(),
+            self.quarantine_rows.run(),
         ]
         for table in (names.OPERATOR_TABLE, names.UPSTREAM_TABLE):
             follower = TableFollower(
@@ -268,8 +295,15 @@
 
 
 def build_relay_app(instance: Instance) -> web.Application:
-    """Return the application that other instances ask for the store's rows."""
-    app = web.Application(client_max_size=MAX_REQUEST_BYTES)
+    """Return the application that other instances ask for the store's rows, and tell of parts."""
+    app = web.Application(client_max_size=max(MAX_REQUEST_BYTES, MAX_MESSAGE_BYTES))
+
+    async def exchange(request: web.Request) -> web.Response:
+        try:
+            return web.Response(body=instance.part_exchange.answer(await request.read()))
+        except PeerProtocolError as error:
+            log_event("peer-unreadable", peer=request.remote, reason=str(error))
+            return web.Response(status=400)
 
     async def relay(request: web.Request) -> web.Response:
         try:
@@ -279,6 +313,7 @@
             return web.Response(status=400)
 
     app.router.add_post(RELAY_PATH, relay)
+    app.router.add_post(EVIDENCE_PATH, exchange)
     return app
 
 
--- a/standin/deadlyengine.py
+++ b/standin/deadlyengine.py
@@ -13,11 +13,14 @@
     format_stream_head,
 )
 
-EVENTS = 3
+DEFAULT_EVENTS = 3
 
 
 class DeadlyEngine:
-    """Answers streams; `ends` counts how often it ended, `received` what it got in all lives.
+    """Answers streams; `ends` counts how often it ended, `received` holds what it got in all lives.
+
+    `running` is the number of requests that it answers now, `events` the number of events of an
+    answer, `gap_s` the time between two of them.
 
     `is_deadly` tells whether a prompt, the value of its header, ends the engine, which is back at
     the same address after `down_s`. With `event_first` it ends within its answer and not before.
@@ -36,6 +39,9 @@
         self.name = name
         self.ends = 0
         self.received: list[ReceivedRequest] = []
+        self.running = 0
+        self.events = DEFAULT_EVENTS
+        self.gap_s = 0.0
         self.upstream = EntryUpstream(name, self._answer)
         self._is_deadly = is_deadly
         self._down_s = down_s
@@ -51,6 +57,13 @@
 
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         self.received.append(request)
+        self.running += 1
+        try:
+            await self._write(request, writer)
+        finally:
+            self.running -= 1
+
+    async def _write(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         writer.write(format_stream_head(request))
         await writer.drain()
         await asyncio.sleep(self._prefill_s)
@@ -61,8 +74,10 @@
                 await asyncio.sleep(0.01)
             self.end()
             return
-        for number in range(1, EVENTS + 1):
+        for number in range(int(request.get("last-event-id") or 0) + 1, self.events + 1):
             writer.write(format_chunk(format_event(number)))
+            await writer.drain()
+            await asyncio.sleep(self.gap_s)
         writer.write(format_chunk(b""))
         await writer.drain()
 
--- a/tests/entry_deadly_part_test.py
+++ b/tests/entry_deadly_part_test.py
@@ -4,13 +4,17 @@
 
 import asyncio
 
-from standin.deadlyengine import EVENTS, DeadlyEngine
+import aiohttp
+
+from standin.deadlyengine import DEFAULT_EVENTS, DeadlyEngine
+from standin.entryconfig import build_config, build_route
 from standin.entryupstream import format_event
+from standin.rowstore import Fault
 from tests.entryrig import Rig, RunningEntry, run_rig, wait_ready, wait_until
 
 SOUND = "c0ffee:500,5e5510:900"
 DEADLY = f"{SOUND},dead:60"
-WHOLE = b"".join(format_event(number) for number in range(1, EVENTS + 1))
+WHOLE = b"".join(format_event(number) for number in range(1, DEFAULT_EVENTS + 1))
 # The users count five ends, and then allow three more requests.
 ALLOWED_SENDS = 5 + 3
 BORN_MS = 1_700_000_000_000
@@ -30,6 +34,11 @@
         """Return how many requests with the part reached an engine."""
         return sum(engine.deadly_received for engine in self.engines)
 
+    @property
+    def received(self) -> int:
+        """Return how many requests reached an engine."""
+        return sum(len(engine.received) for engine in self.engines)
+
     @property
     def ends(self) -> int:
         """Return how often an engine ended."""
@@ -43,7 +52,7 @@
         head = {"Prefix-Hash": f"{prompt},{number:x}0:40", "Model": "m", "Token-Usage": "1500,80"}
         try:
             return await chosen.call(path, f"r{number}", **head)
-        except OSError:
+        except (OSError, aiohttp.ClientPayloadError):
             # The instance broke off an answer that it had begun.
             return 0, b"", {}
 
@@ -77,6 +86,11 @@
     return Fleet(rig, running, started)
 
 
+def list_quarantined(fleet: Fleet) -> list[list[str]]:
+    """Return the parts that each instance keeps from engines."""
+    return [entry.instance.quarantine.list_quarantined() for entry in fleet.entries]
+
+
 class TestDeadlyPart:
     """Tests what reaches the engines while requests with the part keep coming."""
 
@@ -112,3 +126,137 @@
             assert sound[-45:].count((200, WHOLE)) == 45
 
         run_rig(test)
+
+    def test_caller_that_comes_back_elsewhere_ends_no_engine(self):
+        """Guards against a repeat at another instance, and a caller that comes back to no end."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            await fleet.call(SOUND, entry=0)
+            assert (await fleet.call(DEADLY, entry=0))[0] == 502
+            assert fleet.ends == 2
+            await wait_until(lambda: all(list_quarantined(fleet)))
+            status, body, headers = await fleet.call(DEADLY, entry=1)
+            assert (status, body) == (503, b"part-quarantined")
+            assert float(headers["Retry-After"]) > 2.5
+            assert fleet.deadly_received == 2
+
+        run_rig(test)
+
+    def test_end_after_the_first_event_counts(self):
+        """Guards against engines that end just after they have begun to write."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig, event_first=True)
+            for _ in range(6):
+                await fleet.call(SOUND)
+            for _ in range(8):
+                await fleet.call(DEADLY)
+            assert fleet.deadly_received <= ALLOWED_SENDS
+            assert set(map(tuple, list_quarantined(fleet))) == {("desk/dead",)}
+
+        run_rig(test)
+
+    def test_requests_that_are_never_repeated_count_too(self):
+        """Guards against a part of a route whose streams cannot be resumed."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            for _ in range(6):
+                await fleet.call(SOUND)
+            for _ in range(12):
+                await fleet.call(DEADLY, path="/stream/x")
+            assert fleet.deadly_received <= ALLOWED_SENDS
+
+        run_rig(test)
+
+    def test_request_without_shared_parts_ends_two_engines_at_most(self):
+        """Guards against a request that ends as many engines as its route has attempts."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            status, _, _ = await fleet.call("c0ffee:500,dead:60", entry=0, path="/many/x")
+            assert status == 502
+            assert fleet.ends == 2
+
+        routes = [build_route("many", "stream", attempts=6, affinity=True, resumable=True)]
+        run_rig(test, build_config(routes=routes))
+
+
+class TestSoundParts:
+    """Tests what must not be refused."""
+
+    def test_engines_that_end_by_themselves_accuse_no_hot_part(self):
+        """Guards against a hot part that is refused since it was in each of many ends."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            calls: list[asyncio.Task] = []
+            for step in range(50):
+                if step % 10 == 5:
+                    for number in (0, 1):
+                        fleet.engines[(step + number) % 6].end()
+                calls += [asyncio.create_task(fleet.call(SOUND)) for _ in range(3)]
+                await asyncio.sleep(0.05)
+            found = await asyncio.gather(*calls)
+            assert sum(answer[1] == b"part-quarantined" for answer in found) == 0
+            assert list_quarantined(fleet) == [[], [], []]
+            assert fleet.ends == 10
+
+        run_rig(test)
+
+    def test_stream_that_was_being_written_goes_on(self):
+        """Guards against sound streams that end with the second engine lost under them."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            for engine in fleet.engines:
+                engine.gap_s, engine.events = 0.15, 12
+            call = asyncio.create_task(fleet.call(SOUND, entry=0))
+            for lost in range(2):
+                await wait_until(lambda lost=lost: fleet.received > lost)
+                await asyncio.sleep(0.12 + 0.45)
+                (running,) = (found for found in fleet.engines if found.running)
+                running.end()
+            status, body, _ = await call
+            assert (status, body) == (200, b"".join(format_event(n) for n in range(1, 13)))
+
+        run_rig(test)
+
+
+class TestRestart:
+    """Tests what outlasts instances."""
+
+    def test_restart_of_all_instances_keeps_the_part(self):
+        """Guards against engines that end again after a restart of the fleet."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig, entries=2)
+            await fleet.call(DEADLY, entry=0)
+            await wait_until(lambda: rig.store.list_keys("quarantine"))
+            await rig.stop_entries()
+            entry = await rig.add_entry("entry-9")
+            await wait_ready(entry, 6)
+            fleet.entries = [entry]
+            await wait_until(lambda: all(list_quarantined(fleet)))
+            assert (await fleet.call(DEADLY))[:2] == (503, b"part-quarantined")
+            assert fleet.deadly_received == 2
+
+        run_rig(test)
+
+    def test_new_instance_learns_from_others_while_the_store_is_away(self):
+        """Guards against an instance that has to see the ends itself."""
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig, entries=2)
+            await fleet.call(DEADLY, entry=0)
+            await wait_until(lambda: all(list_quarantined(fleet)))
+            seeds = tuple(entry.instance.settings.peer_address for entry in fleet.entries)
+            rig.store.fault = Fault.RESET
+            entry = await rig.add_entry("entry-9", seeds)
+            await wait_until(lambda: entry.instance.quarantine.list_quarantined())
+            await wait_ready(entry, 6)
+            fleet.entries = [entry]
+            assert (await fleet.call(DEADLY))[:2] == (503, b"part-quarantined")
+
+        run_rig(test)
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -56,6 +56,7 @@
         self._http = http
         self.upstreams: list[EntryUpstream] = []
         self._stop_functions: list = []
+        self._entry_stops: list = []
 
     async def add_upstream(
         self, name: str, script: Script, service: str = "desk", **row_fields: object
@@ -96,15 +97,21 @@
             instance.pool.close()
             await http.close()
 
-        self._stop_functions.append(stop)
+        self._entry_stops.append(stop)
         return RunningEntry(instance, f"http://127.0.0.1:{port}", self._http, peer_listener)
 
     def add_stop_function(self, stop: Callable[[], Awaitable[None]]) -> None:
-        """Call a function when the rig closes, after the instances that were added later."""
-        self._stop_functions.insert(0, stop)
+        """Call a function when the rig closes, after the instances have stopped."""
+        self._stop_functions.append(stop)
+
+    async def stop_entries(self) -> None:
+        """Stop all instances."""
+        while self._entry_stops:
+            await self._entry_stops.pop(0)()
 
     async def close(self) -> None:
         """Stop the instances, then the upstreams."""
+        await self.stop_entries()
         for stop in self._stop_functions:
             await stop()
         for upstream in self.upstreams:
