Move the observation of ended engines below both front doors

Cause: jayyoked needs the same check, and the entry's module could not be imported there. No decision changed.

--- a/jayyoke/edge/choose_test.py
+++ b/jayyoke/edge/choose_test.py
@@ -15,6 +15,7 @@
     find_former_home,
     find_home_key,
     has_free_slot,
+    list_shared_parts,
     rank_homes,
 )
 from jayyoke.platform.message import PromptPart
@@ -233,3 +234,14 @@
         """Guards against a slow upstream that gets as much as the others."""
         candidates = [build("slow", own=1, latency_s=0.4), build("fast", own=2, latency_s=0.05)]
         assert choose(candidates, "", 0, engine=False) == "fast"
+
+
+class TestSharedParts:
+    """Tests which parts of a prompt other requests may have."""
+
+    def test_last_part_is_never_shared(self):
+        """Guards against a quarantine of the part that belongs to one request alone."""
+        parts = [PromptPart(name, 10) for name in ("a", "b", "last")]
+        assert list_shared_parts(parts) == ["a", "b"]
+        assert list_shared_parts(parts[:1]) == []
+        assert list_shared_parts([]) == []
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -17,8 +17,8 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.answerrelay import AnswerRelay, find_silence_timeout_s
 from jayyoke.edge.call import Call, Caller
+from jayyoke.edge.choose import list_shared_parts
 from jayyoke.edge.connection import UpstreamConnection
-from jayyoke.edge.endobserver import EndObserver
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
@@ -27,6 +27,7 @@
 from jayyoke.edge.progress import Progress
 from jayyoke.edge.retrybudget import RetryBudget
 from jayyoke.edge.stream import EventRelay
+from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, build_part_keys, is_suspect
 from jayyoke.platform import names
@@ -75,7 +76,7 @@
     async def serve(self, call: Call, caller: Caller) -> None:
         """Answer a call; raise CallerGone or CancelledError if the caller leaves."""
         service = self._placement.draw_service(call)
-        part_keys = build_part_keys(service, [part.id for part in call.head.parts])
+        part_keys = build_part_keys(service, list_shared_parts(call.head.parts))
         progress = Progress(EventRelay(call.head.last_event), part_keys)
         budget = self._budgets.get(service)
         if budget is None:
--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -19,8 +19,8 @@
 from thrift.TSerialization import deserialize, serialize
 
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
-from jayyoke.edge.endobserver import log_quarantined
 from jayyoke.edge.log import log_event
+from jayyoke.edge.quarantinelog import log_quarantined
 from jayyoke.ops.quarantine import (
     KEPT_S,
     MAX_ENDS_PER_PART,
--- a/jayyoke/edge/quarantinerows.py
+++ b/jayyoke/edge/quarantinerows.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 from jayyoke.core.error import Conflict, StoreUnavailable
-from jayyoke.edge.endobserver import log_quarantined
 from jayyoke.edge.log import log_event
+from jayyoke.edge.quarantinelog import log_quarantined
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.ops.quarantine import (
     KEPT_S,
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -47,13 +47,13 @@
 MAX_KEY_CHARACTERS = 96
 
 
-def build_part_keys(service: str, parts: Sequence[str]) -> tuple[str, ...]:
+def build_part_keys(service: str, shared: Sequence[str]) -> tuple[str, ...]:
     """Return the keys of the parts of a prompt that other requests to a service may have too.
 
-    The last part belongs to the request alone. Ids come from callers, so long ones are hashed.
+    Ids come from callers, so long ones are hashed.
     """
     keys = []
-    for part in parts[:-1][-MAX_PARTS_PER_REQUEST:]:
+    for part in shared[-MAX_PARTS_PER_REQUEST:]:
         key = f"{service}/{part}"
         if len(key) > MAX_KEY_CHARACTERS:
             key = "sha256/" + hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -60,19 +60,13 @@
 class TestPartKeys:
     """Tests the names of parts."""
 
-    def test_last_part_is_never_accused(self):
-        """Guards against a quarantine of the part that belongs to one request alone."""
-        assert build_part_keys("pool", ["a", "b", "last"]) == ("pool/a", "pool/b")
-        assert build_part_keys("pool", ["last"]) == ()
-        assert build_part_keys("pool", []) == ()
-
     def test_services_are_judged_apart(self):
         """Guards against a part that is refused where another service answers on it."""
-        assert build_part_keys("pool", ["a", "z"]) != build_part_keys("desk", ["a", "z"])
+        assert build_part_keys("pool", ["a"]) != build_part_keys("desk", ["a"])
 
     def test_long_ids_have_bounded_keys(self):
         """Guards against callers whose ids fill the memory."""
-        long_keys = build_part_keys("pool", ["a" * 4000, "a" * 4001, "z"])
+        long_keys = build_part_keys("pool", ["a" * 4000, "a" * 4001])
         assert len(set(long_keys)) == 2
         assert all(len(key) <= MAX_KEY_CHARACTERS for key in long_keys)
         assert len(build_part_keys("pool", [str(n) for n in range(5000)])) < 100
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -17,28 +17,24 @@
 from aiohttp import web
 
 from jayyoke.core.entrysettings import EntrySettings
-from jayyoke.core.error import InvalidDocument, PeerProtocolError
+from jayyoke.core.error import InvalidDocument
 from jayyoke.core.registry import UnknownPlugin
 from jayyoke.edge import log
 from jayyoke.edge.baseline import HOME_POLICY, find_ordering
-from jayyoke.edge.endobserver import EndObserver
 from jayyoke.edge.follow import PeerFollower, TableFollower
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
-from jayyoke.edge.partexchange import (
-    EVIDENCE_PATH,
-    MAX_MESSAGE_BYTES,
-    PartClient,
-    PartExchange,
-)
+from jayyoke.edge.partexchange import PartClient, PartExchange
 from jayyoke.edge.placement import Placer
 from jayyoke.edge.pool import ConnectionPool
+from jayyoke.edge.quarantinelog import log_end
 from jayyoke.edge.quarantinerows import QuarantineRows
-from jayyoke.edge.relay import MAX_REQUEST_BYTES, RELAY_PATH, RelayClient, RelayServer
+from jayyoke.edge.relay import RelayClient, RelayServer
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import FleetView
+from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.platform import names
@@ -47,6 +43,7 @@
 from jayyoke.server.entrylistener import EntryListener
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
+from jayyoke.server.relayapp import build_relay_app
 from jayyoke.utils.boottime import read_boot_time_s
 from jayyoke.utils.task import cancel_tasks
 
@@ -131,7 +128,7 @@
             now_s,
             random_source,
             self.quarantine,
-            EndObserver(self.quarantine, now_s, self.quarantine_rows.mark_changed),
+            EndObserver(self.quarantine, now_s, self.record_end),
             self.quarantine_rows.mark_changed,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
@@ -179,6 +176,14 @@
         known = {*self.roster.list_peers(), *self.settings.seeds}
         return sorted(known - {self.settings.peer_address})
 
+    def record_end(self, end: ObservedEnd) -> None:
+        """Log the end of an engine and store the parts that are quarantined."""
+        log_end(self.quarantine, end)
+        quarantined = self.quarantine.list_quarantined()
+        for key in end.keys:
+            if key in quarantined:
+                self.quarantine_rows.mark_changed(key)
+
     def apply_settings(self, settings: EntrySettings) -> list[str]:
         """Apply new settings; return the names of those whose change needs a restart."""
         old = self.settings
@@ -240,7 +245,9 @@
             task.add_done_callback(_end_on_failure)
         await instance.listener.start(settings.caller_address)
         ready = await _listen(_build_ready_app(instance), settings.ready_address)
-        peers = await _listen(build_relay_app(instance), settings.peer_address)
+        peers = await _listen(
+            build_relay_app(instance.relay, instance.part_exchange), settings.peer_address
+        )
         host = settings.peer_address.rpartition(":")[0]
         metrics = await _listen(_build_metrics_app(instance), f"{host}:{options.metrics_port}")
         log_event("started", instance=settings.instance, domain=settings.domain)
@@ -294,29 +301,6 @@
     return app
 
 
-def build_relay_app(instance: Instance) -> web.Application:
-    """Return the application that other instances ask for the store's rows, and tell of parts."""
-    app = web.Application(client_max_size=max(MAX_REQUEST_BYTES, MAX_MESSAGE_BYTES))
-
-    async def exchange(request: web.Request) -> web.Response:
-        try:
-            return web.Response(body=instance.part_exchange.answer(await request.read()))
-        except PeerProtocolError as error:
-            log_event("peer-unreadable", peer=request.remote, reason=str(error))
-            return web.Response(status=400)
-
-    async def relay(request: web.Request) -> web.Response:
-        try:
-            return web.Response(body=await instance.relay.answer(await request.read()))
-        except PeerProtocolError as error:
-            log_event("peer-unreadable", peer=request.remote, reason=str(error))
-            return web.Response(status=400)
-
-    app.router.add_post(RELAY_PATH, relay)
-    app.router.add_post(EVIDENCE_PATH, exchange)
-    return app
-
-
 def _build_metrics_app(instance: Instance) -> web.Application:
     app = web.Application()
     add_metrics_route(app, instance.metrics)
--- a/tests/endobserver_test.py
+++ b/tests/endobserver_test.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from jayyoke.core.upstream import Upstream
-from jayyoke.edge.endobserver import EndObserver
+from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.utils.boottime import read_boot_time_s
 from standin.port import find_free_ports
@@ -17,11 +17,11 @@
 
 
 class Case:
-    """Holds an observer, its quarantine and the parts that it reported."""
+    """Holds an observer, its quarantine and the ends that it reported."""
 
     def __init__(self) -> None:
         self.quarantine = Quarantine(read_boot_time_s)
-        self.reported: list[str] = []
+        self.reported: list[ObservedEnd] = []
         self.observer = EndObserver(self.quarantine, read_boot_time_s, self.reported.append)
 
 
@@ -35,6 +35,7 @@
             case = Case()
             (port,) = find_free_ports(1)
             assert await case.observer.observe(build_upstream(port), "r1", ("p",))
+            assert [end.keys for end in case.reported] == [("p",)]
             assert [end.engine for end in case.quarantine.describe("p").ends] == ["e1@1"]
 
         asyncio.run(test())
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -11,8 +11,9 @@
 import aiohttp
 
 from jayyoke.core.entrysettings import Bounds, EntrySettings, StoreProfile
-from jayyoke.scripts.entry import Instance, build_relay_app
+from jayyoke.scripts.entry import Instance
 from jayyoke.server.listener import Listener
+from jayyoke.server.relayapp import build_relay_app
 from jayyoke.utils.task import cancel_tasks
 from standin.entryconfig import HOST, KEY, build_config
 from standin.entryupstream import EntryUpstream, Script
@@ -87,7 +88,7 @@
         instance = Instance(settings, http)
         tasks = instance.start_tasks()
         await instance.listener.start(settings.caller_address)
-        peer_listener = Listener(build_relay_app(instance))
+        peer_listener = Listener(build_relay_app(instance.relay, instance.part_exchange))
         await peer_listener.start(settings.peer_address)
 
         async def stop() -> None:
