Let no chance decide whether callers of paused upstreams are spread

Cause: the test asks that six callers get six different Retry-After, in milliseconds of half a second. Two of six share one in 1 of 33 runs; a whole run and 1 of 30 runs of the test alone failed ("5 == 6", values 0.543 to 0.671). The product is right, the check was wrong. Change: ten callers, of whom seven at least get times of their own, which chance misses in fewer than 1 of 100,000 runs. Callers that return together still fail it.

--- a/tests/entry_notices_test.py
+++ b/tests/entry_notices_test.py
@@ -170,7 +170,7 @@
             await entry.call("/unsafe/x", "r1")
             assert sum(len(upstream.received) for upstream in pausing) == 2
             returns = set()
-            for number in range(2, 8):
+            for number in range(2, 12):
                 began_s = time.monotonic()
                 status, body, headers = await entry.call(
                     "/unsafe/x", f"r{number}", Deadline_Ms="5000"
@@ -178,13 +178,14 @@
                 assert time.monotonic() - began_s < 0.3
                 assert (status, body) == (503, b"upstreams-pause")
                 returns.add(headers["Retry-After"])
-            assert len(returns) == 6
+            # Two of ten callers may share a millisecond of the half second by chance.
+            assert len(returns) >= 7
             assert all(float(text) > 0.3 for text in returns)
             assert sum(len(upstream.received) for upstream in pausing) == 2
             await asyncio.sleep(0.6)
             for upstream in pausing:
                 upstream.script = answer_whole
-            assert (await entry.call("/unsafe/x", "r9"))[0] == 200
+            assert (await entry.call("/unsafe/x", "r12"))[0] == 200
 
         run_rig(test)
 
