Keep chats from engines that end when they answer on their messages

What callers saw: on jayyoked a chat that ended its engine was sent to further engines, six in the test, and each caller that came back ended more. Change: the same decision, with the messages of a chat as parts; evidence goes to all connected instances of all domains and to new ones, rows of the table outlast a restart of all; two ends end a request's attempts; callers get the code part-quarantined with the time of the next trial. Parts with the same ends are told apart by requests with at most half of them, since a new class would be refused with its first deadly request.

--- a/bench/fuzz_answers.py
+++ b/bench/fuzz_answers.py
@@ -23,6 +23,7 @@
 from jayyoke.ops.limits import Limits
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placement
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.streamrelay import StreamRelay
 
 ENGINES = ("e0", "e1", "e2")
@@ -94,6 +95,14 @@
                 raise aiohttp.ClientPayloadError("cut")
 
 
+class LivingEngines:
+    """Replaces the observer of ends: no engine of the model ends."""
+
+    async def observe(self, upstream: Upstream, request_id: str, keys: tuple[str, ...]) -> bool:
+        """Return that the engine still runs."""
+        return False
+
+
 @dataclass(slots=True)
 class FakeResponse:
     """Replaces an aiohttp response."""
@@ -245,6 +254,9 @@
             clock=self.loop,
             moves=None,
             shadows=None,
+            chat_parts=SimpleNamespace(
+                quarantine=Quarantine(self.loop.now_s), observer=LivingEngines()
+            ),
         )
 
     @rule(
--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -21,14 +21,8 @@
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
 from jayyoke.edge.log import log_event
 from jayyoke.edge.quarantinelog import log_quarantined
-from jayyoke.ops.quarantine import (
-    KEPT_S,
-    MAX_ENDS_PER_PART,
-    MAX_KEY_CHARACTERS,
-    EngineEnd,
-    PartEvidence,
-    Quarantine,
-)
+from jayyoke.ops.partmessage import MAX_TOLD, build_part_message, read_part_message
+from jayyoke.ops.quarantine import PartEvidence, Quarantine
 from jayyoke.platform.body import read_body
 from jayyoke.utils.task import cancel_tasks
 from jayyoke.wire.gen import ttypes
@@ -46,10 +40,7 @@
 # A process that stood still for so long asks what it has missed.
 STALL_S = 1.0
 PEERS_AT_START = 2
-# About 10 KB with the longest keys and the most ends, usually under 1 KB.
-MAX_TOLD = 24
 MAX_MESSAGE_BYTES = 16 << 10
-MAX_ENGINE_CHARACTERS = 120
 
 Send = Callable[[str, bytes], Awaitable[bytes]]
 
@@ -185,39 +176,13 @@
 
 
 def encode_evidence(evidence: Iterable[PartEvidence], now_s: float) -> bytes:
-    """Return a message with evidence, whose times are sent as ages."""
-    parts = []
-    for found in evidence:
-        ends = [ttypes.EngineEnd(end.engine, _encode_age(end.at_s, now_s)) for end in found.ends]
-        good_age_ms = None if found.good_s is None else _encode_age(found.good_s, now_s)
-        parts.append(ttypes.KnownPart(found.key, ends, good_age_ms))
-    return serialize(ttypes.PartEvidence(parts))
+    """Return the bytes of a message with evidence."""
+    return serialize(build_part_message(evidence, now_s))
 
 
 def decode_evidence(message: bytes, now_s: float) -> list[PartEvidence]:
-    """Return a peer's evidence without odd entries; raise PeerProtocolError if it is unreadable."""
+    """Return a peer's evidence; raise PeerProtocolError if it is unreadable."""
     try:
-        parts = deserialize(ttypes.PartEvidence(), message).parts or ()
-        return [found for part in parts[:MAX_TOLD] if (found := _decode_part(part, now_s))]
+        return read_part_message(deserialize(ttypes.PartEvidence(), message), now_s)
     except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
         raise PeerProtocolError(f"unreadable evidence: {error!r}") from error
-
-
-def _encode_age(at_s: float, now_s: float) -> int:
-    return max(0, min(int(KEPT_S * 1000), int((now_s - at_s) * 1000)))
-
-
-def _decode_part(part: ttypes.KnownPart, now_s: float) -> PartEvidence | None:
-    if not part.key or len(part.key) > MAX_KEY_CHARACTERS:
-        return None
-    ends = []
-    for end in (part.ends or ())[:MAX_ENDS_PER_PART]:
-        if not end.engine or len(end.engine) > MAX_ENGINE_CHARACTERS or not _is_age(end.age_ms):
-            continue
-        ends.append(EngineEnd(end.engine, now_s - end.age_ms / 1000))
-    good_s = now_s - part.good_age_ms / 1000 if _is_age(part.good_age_ms) else None
-    return PartEvidence(part.key, tuple(ends), good_s)
-
-
-def _is_age(age_ms: int | None) -> bool:
-    return age_ms is not None and 0 <= age_ms <= KEPT_S * 1000
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -10,11 +10,11 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.edge.partexchange import (
     MAX_MESSAGE_BYTES,
-    MAX_TOLD,
     PartExchange,
     decode_evidence,
     encode_evidence,
 )
+from jayyoke.ops.partmessage import MAX_TOLD
 from jayyoke.ops.quarantine import (
     MAX_ENDS_PER_PART,
     MAX_KEY_CHARACTERS,
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -9,6 +9,7 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
 from jayyoke.ops.changelog import ChangeLog
+from jayyoke.ops.chatparts import ChatParts
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
 from jayyoke.ops.durablework import DurableWork
@@ -45,6 +46,7 @@
     durable_work: DurableWork
     domains: Domains
     halts: Halts
+    chat_parts: ChatParts
     engine_streams: EngineStreams = field(init=False)
     limits: Limits = field(init=False)
     metrics: Metrics = field(default_factory=Metrics)
--- /dev/null
+++ b/jayyoke/ops/partmessage.py
@@ -0,0 +1,54 @@
+"""Evidence about parts of prompts as instances send it to each other, with times as ages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from jayyoke.ops.quarantine import (
+    KEPT_S,
+    MAX_ENDS_PER_PART,
+    MAX_KEY_CHARACTERS,
+    EngineEnd,
+    PartEvidence,
+)
+from jayyoke.wire.gen import ttypes
+
+# About 10 KB with the longest keys and the most ends, usually under 1 KB.
+MAX_TOLD = 24
+MAX_ENGINE_CHARACTERS = 120
+
+
+def build_part_message(evidence: Iterable[PartEvidence], now_s: float) -> ttypes.PartEvidence:
+    """Return the message with evidence."""
+    parts = []
+    for found in evidence:
+        ends = [ttypes.EngineEnd(end.engine, _find_age_ms(end.at_s, now_s)) for end in found.ends]
+        good_age_ms = None if found.good_s is None else _find_age_ms(found.good_s, now_s)
+        parts.append(ttypes.KnownPart(found.key, ends, good_age_ms))
+    return ttypes.PartEvidence(parts)
+
+
+def read_part_message(message: ttypes.PartEvidence, now_s: float) -> list[PartEvidence]:
+    """Return a peer's evidence without its odd entries."""
+    parts = [_read_part(part, now_s) for part in (message.parts or ())[:MAX_TOLD]]
+    return [part for part in parts if part is not None]
+
+
+def _read_part(part: ttypes.KnownPart, now_s: float) -> PartEvidence | None:
+    if not part.key or len(part.key) > MAX_KEY_CHARACTERS:
+        return None
+    ends = []
+    for end in (part.ends or ())[:MAX_ENDS_PER_PART]:
+        if not end.engine or len(end.engine) > MAX_ENGINE_CHARACTERS or not _is_age(end.age_ms):
+            continue
+        ends.append(EngineEnd(end.engine, now_s - end.age_ms / 1000))
+    good_s = now_s - part.good_age_ms / 1000 if _is_age(part.good_age_ms) else None
+    return PartEvidence(part.key, tuple(ends), good_s)
+
+
+def _find_age_ms(at_s: float, now_s: float) -> int:
+    return max(0, min(int(KEPT_S * 1000), int((now_s - at_s) * 1000)))
+
+
+def _is_age(age_ms: int | None) -> bool:
+    return age_ms is not None and 0 <= age_ms <= KEPT_S * 1000
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -9,12 +9,16 @@
 Sound parts are in many ends too, since most requests have them. Three things keep them free: an
 answer after the end, a higher limit for parts that have had answers before, and that ends at the
 same moment, as in a loss of power, count once.
+
+Parts that were in the same ends cannot be told apart by them. A request with at most half of such a
+group is sent at once, one at a time: its answer clears its parts, and an end convicts them (group
+testing, Dorfman, 1943).
 """
 
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from reactivex import Observable
@@ -31,6 +35,8 @@
 SAME_CAUSE_S = 0.1
 # Instances notice one end at slightly different times; a restart takes longer.
 SAME_END_S = 1.0
+# How long a request waits for the trial of another one that tells parts apart.
+TRIAL_WAIT_S = 1.0
 # How long a part is held back, by the number of ends at or beyond its limit.
 HOLDS_S = (15.0, 120.0, 600.0, 3600.0)
 # The answer to a suspect has been written for less than this time.
@@ -73,6 +79,10 @@
     engine: str
     at_s: float
 
+    def matches(self, other: EngineEnd) -> bool:
+        """Tell whether two instances have seen one end."""
+        return self.engine == other.engine and abs(self.at_s - other.at_s) < SAME_END_S
+
 
 @dataclass(frozen=True, slots=True)
 class PartEvidence:
@@ -115,10 +125,16 @@
         beyond = self.strikes - limit
         return None if beyond < 0 else HOLDS_S[min(beyond, len(HOLDS_S) - 1)]
 
+    def has_same_ends(self, other: _Record) -> bool:
+        """Tell whether the ends do not tell this part from another one."""
+        if len(self.ends) != len(other.ends):
+            return False
+        return all(any(end.matches(known) for known in other.ends) for end in self.ends)
+
     def add(self, end: EngineEnd) -> bool:
         """Add an end; return False if it is known."""
         for index, known in enumerate(self.ends):
-            if known.engine != end.engine or abs(known.at_s - end.at_s) >= SAME_END_S:
+            if not known.matches(end):
                 continue
             if end.at_s < known.at_s:
                 self.ends[index] = end
@@ -174,10 +190,14 @@
         """Return after how many seconds a request with these parts may be sent, or None for now."""
         if not self._records:
             return None
-        found_s = []
+        held = {}
         for key in keys:
             record = self._records.get(key)
-            wait_s = None if record is None else self._find_part_wait_s(key, record)
+            if record is not None and record.hold_s is not None:
+                held[key] = record
+        found_s = []
+        for key, record in held.items():
+            wait_s = self._find_part_wait_s(key, record, held)
             if wait_s is not None:
                 found_s.append(wait_s)
         return max(found_s, default=None)
@@ -284,10 +304,13 @@
         if len(self._good_s) > MAX_GOOD:
             del self._good_s[next(iter(self._good_s))]
 
-    def _find_part_wait_s(self, key: str, record: _Record) -> float | None:
-        hold_s = record.hold_s
-        if hold_s is None:
-            return None
+    def _find_part_wait_s(
+        self, key: str, record: _Record, held: Mapping[str, _Record]
+    ) -> float | None:
+        """Return how long a request with the given held parts waits for one of them."""
+        hold_s = record.hold_s or 0.0
+        if self._tells_apart(record, held):
+            return TRIAL_WAIT_S if record.on_trial else None
         beyond_s = self._now_s() - record.last_end_s - hold_s
         if beyond_s < 0.0:
             return -beyond_s
@@ -295,6 +318,14 @@
             return hold_s
         return None
 
+    def _tells_apart(self, record: _Record, held: Mapping[str, _Record]) -> bool:
+        """Tell whether a request has at most half of the parts with the same ends."""
+        group = 0
+        for other in self._records.values():
+            group += other.hold_s is not None and other.has_same_ends(record)
+        present = sum(other.has_same_ends(record) for other in held.values())
+        return 2 * present <= group
+
     def _may_try(self, key: str, share: float) -> bool:
         """Tell whether this instance may try a part; their share of all instances grows."""
         ranked = rank(key, {self._instance, *self._list_instances()})
@@ -322,10 +353,4 @@
     """Tell whether this instance knows an answer or an end that another has not told."""
     if known.good_s is not None and (told.good_s is None or known.good_s > told.good_s):
         return any(end.at_s < known.good_s for end in told.ends) or told.good_s is None
-    for end in known.ends:
-        if not any(
-            end.engine == other.engine and abs(end.at_s - other.at_s) < SAME_END_S
-            for other in told.ends
-        ):
-            return True
-    return False
+    return any(not any(end.matches(other) for other in told.ends) for end in known.ends)
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -14,6 +14,7 @@
     NEW_PART_LIMIT,
     SAME_CAUSE_S,
     SUSPECT_WRITING_S,
+    TRIAL_WAIT_S,
     UNPROVEN_KEPT_S,
     EngineEnd,
     PartEvidence,
@@ -144,6 +145,56 @@
         assert set(case.quarantine.list_quarantined()) == {"p", "q"}
 
 
+class TestGroup:
+    """Tests parts that were in the same ends."""
+
+    def test_request_with_half_of_the_parts_is_sent_one_at_a_time(self):
+        """Guards against a class that is refused since its first request was deadly."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end("class", "session", "p")
+        quarantine = case.quarantine
+        assert quarantine.find_wait_s(["class", "other session", "p"]) is not None
+        assert quarantine.find_wait_s(["class", "session"]) is not None
+        assert quarantine.find_wait_s(["class", "other session"]) is None
+        quarantine.begin(["class"])
+        assert quarantine.find_wait_s(["class", "other session"]) == TRIAL_WAIT_S
+        quarantine.finish(["class"])
+        quarantine.record_good(["class"])
+        assert set(quarantine.list_quarantined()) == {"session", "p"}
+        assert quarantine.find_wait_s(["class"]) is None
+
+    def test_end_convicts_the_part_that_was_tried(self):
+        """Guards against a deadly part that is tried again and again beside a sound one."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end("session", "p")
+        assert case.quarantine.find_wait_s(["p"]) is None
+        case.end("p")
+        assert case.quarantine.find_wait_s(["p"]) == pytest.approx(HOLDS_S[1])
+        assert case.quarantine.find_wait_s(["p", "another session"]) is not None
+
+    @pytest.mark.parametrize("size", [2, 3, 8, 20])
+    def test_few_ends_find_the_part_among_many(self, size):
+        """Guards against one end for each sound part of a new prompt."""
+        case = Case()
+        parts = [f"p{number}" for number in range(size)]
+        for _ in range(NEW_PART_LIMIT):
+            case.end(*parts)
+        ends = 0
+        for start in range(size):
+            # Requests with one part each come in the order that is worst, the deadly one last.
+            if case.quarantine.find_wait_s([parts[start]]) is not None:
+                continue
+            if start == size - 1:
+                case.end(parts[start])
+                ends += 1
+                continue
+            case.quarantine.record_good([parts[start]])
+        assert ends <= 1
+        assert case.quarantine.list_quarantined() == [parts[-1]]
+
+
 class TestTrial:
     """Tests how a part is found sound again."""
 
--- a/jayyoke/edge/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -1,4 +1,4 @@
-"""Keeps the quarantined parts of prompts in the store, for the case that all instances restart.
+"""Keeps the quarantined parts of prompts on the platform, for a restart of all instances.
 
 An instance reads the rows once, when it starts. The instances that saw a part's ends write its row,
 and one that sees an answer on the part removes it.
@@ -10,13 +10,11 @@
 import hashlib
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
-from jayyoke.core.error import Conflict, StoreUnavailable
-from jayyoke.edge.log import log_event
-from jayyoke.edge.quarantinelog import log_quarantined
-from jayyoke.edge.storeclock import StoreClock
+from jayyoke.core.error import Conflict, PlatformError, StoreUnavailable
 from jayyoke.ops.quarantine import (
     KEPT_S,
     MAX_ENDS_PER_PART,
@@ -26,11 +24,9 @@
     Quarantine,
 )
 from jayyoke.platform.decode import MAX_NUMBER
-from jayyoke.platform.rowstore import RowStore
 from jayyoke.platform.table import Put, Row
 from jayyoke.utils.jsontext import parse_unique_json
 
-QUARANTINE_TABLE = "quarantine"
 MAX_ROW_BYTES = 4096
 FIRST_RETRY_S = 0.5
 MAX_RETRY_S = 8.0
@@ -38,9 +34,13 @@
 MAX_TRIES = 12
 
 
+class InvalidStoredPart(PlatformError):
+    """Reports a row that holds no part."""
+
+
 @dataclass(frozen=True, slots=True)
 class StoredPart:
-    """Holds a part's row; ends are pairs of an engine and a time of the store's steady clock."""
+    """Holds a part's row; ends are pairs of an engine and a time of the storage's clock."""
 
     key: str
     ends: tuple[tuple[str, int], ...]
@@ -51,20 +51,41 @@
         return max((at_ms for _, at_ms in self.ends), default=0)
 
 
+class PartStorage(Protocol):
+    """Holds the rows; calls raise StoreUnavailable or Conflict."""
+
+    async def read(self) -> Sequence[Row]:
+        """Return all rows."""
+        ...
+
+    async def write(self, put: Put) -> None:
+        """Write or remove a row."""
+        ...
+
+    def read_ms(self) -> int:
+        """Return the time of the clock that the rows use, as of the newest answer, or 0."""
+        ...
+
+
 class QuarantineRows:
-    """Reads and writes the rows of quarantined parts."""
+    """Reads and writes the rows of quarantined parts.
+
+    `on_read` is called with each part that is quarantined by a row, `on_problem` with each fault.
+    """
 
     def __init__(
         self,
         quarantine: Quarantine,
-        store: RowStore,
-        clock: StoreClock,
+        storage: PartStorage,
         now_s: Callable[[], float],
+        on_read: Callable[[str], None],
+        on_problem: Callable[[str], None],
     ):
         self._quarantine = quarantine
-        self._store = store
-        self._clock = clock
+        self._storage = storage
         self._now_s = now_s
+        self._on_read = on_read
+        self._on_problem = on_problem
         self._changed: dict[str, None] = {}
         self._wake = asyncio.Event()
 
@@ -92,48 +113,51 @@
                 return
             except (Conflict, StoreUnavailable) as error:
                 count += 1
-                log_event("quarantine-store-away", reason=str(error), tries=count)
+                self._on_problem(str(error))
             if count == tries:
                 return
             await asyncio.sleep(retry_s * random.uniform(0.7, 1.3))
             retry_s = min(MAX_RETRY_S, 2 * retry_s)
 
     async def _read(self) -> None:
-        page = await self._store.read(QUARANTINE_TABLE)
-        self._clock.update(page.now_ms, page.answered_s)
-        evidence = []
-        for row in page.rows:
-            part = decode_stored_part(row)
-            if part is None or page.now_ms - part.last_end_ms > KEPT_S * 1000:
-                await self._store.write(QUARANTINE_TABLE, [Put(row.key, None, row.version)])
+        rows = await self._storage.read()
+        now_ms, now_s = self._storage.read_ms(), self._now_s()
+        for row in rows:
+            part = self._decode(row)
+            if part is None or now_ms - part.last_end_ms > KEPT_S * 1000:
+                await self._storage.write(Put(row.key, None, row.version))
                 continue
             ends = []
             for engine, at_ms in part.ends:
-                age_s = max(0, page.now_ms - at_ms) / 1000
-                ends.append(EngineEnd(engine, page.answered_s - age_s))
-            evidence.append(PartEvidence(part.key, tuple(ends)))
-        for key in self._quarantine.merge(evidence):
-            log_quarantined(self._quarantine, key, source="store")
+                ends.append(EngineEnd(engine, now_s - max(0, now_ms - at_ms) / 1000))
+            for key in self._quarantine.merge([PartEvidence(part.key, tuple(ends))]):
+                self._on_read(key)
+
+    def _decode(self, row: Row) -> StoredPart | None:
+        try:
+            return decode_stored_part(row)
+        except InvalidStoredPart as error:
+            self._on_problem(str(error))
+            return None
 
     async def _write(self, key: str) -> None:
-        known = self._quarantine.describe(key)
         row_key = hashlib.sha256(key.encode()).hexdigest()[:40]
         if key not in self._quarantine.list_quarantined():
-            await self._store.write(QUARANTINE_TABLE, [Put(row_key, None, None)])
+            await self._storage.write(Put(row_key, None, None))
             return
-        if not self._clock.known:
-            # The times of the ends are those of the store's clock.
-            page = await self._store.read(QUARANTINE_TABLE)
-            self._clock.update(page.now_ms, page.answered_s)
-        now_ms = self._clock.read_ms()
-        now_s = self._now_s()
-        ends = [[end.engine, now_ms - int((now_s - end.at_s) * 1000)] for end in known.ends]
+        if not self._storage.read_ms():
+            # An answer tells the clock.
+            await self._storage.read()
+        now_ms, now_s = self._storage.read_ms(), self._now_s()
+        ends = []
+        for end in self._quarantine.describe(key).ends:
+            ends.append([end.engine, max(0, now_ms - int((now_s - end.at_s) * 1000))])
         value = json.dumps({"part": key, "ends": ends}).encode()
-        await self._store.write(QUARANTINE_TABLE, [Put(row_key, value, None)])
+        await self._storage.write(Put(row_key, value, None))
 
 
-def decode_stored_part(row: Row) -> StoredPart | None:
-    """Return a row's part, or None if the row is unusable."""
+def decode_stored_part(row: Row) -> StoredPart:
+    """Return a row's part; raise InvalidStoredPart."""
     try:
         body = parse_unique_json(row.value, MAX_ROW_BYTES)
         key = body["part"]
@@ -146,5 +170,4 @@
             ends.append((engine, int(at_ms)))
         return StoredPart(key, tuple(ends))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
-        log_event("row-unusable", finding=f"{QUARANTINE_TABLE}/{row.key}: {error!r}")
-        return None
+        raise InvalidStoredPart(f"{row.key[:80]!a}: {error!r}") from error
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -9,7 +9,7 @@
 import aiohttp
 from absl import logging
 
-from jayyoke.core.code import NO_ANSWER, refuse_maybe_run
+from jayyoke.core.code import NO_ANSWER, PART_QUARANTINED, refuse, refuse_maybe_run
 from jayyoke.core.error import (
     AnswerBroken,
     AnswerMismatched,
@@ -34,12 +34,16 @@
 from jayyoke.ops.orders import read_engine_state
 from jayyoke.ops.placement import Placement
 from jayyoke.ops.probe import hash_incarnation
+from jayyoke.ops.promptparts import find_part_keys
+from jayyoke.ops.quarantine import is_suspect
 from jayyoke.ops.sse import EventParser
 from jayyoke.utils.backoff import choose_backoff
 
 MAX_ATTEMPTS = 6
 # A second broken answer of the same engine is not due to a single connection.
 MAX_BREAKS_PER_ENGINE = 2
+# A request is not sent again after so many engines ended when they began to answer it.
+MAX_SUSPECT_ENDS = 2
 END_TIMEOUT_S = 0.5
 # The target for the time between tokens applies to 95 of 100 tokens; in a short answer a few may be
 # late.
@@ -72,6 +76,9 @@
         self._loop = asyncio.get_running_loop()
         self._excluded: tuple[str, ...] = ()
         self._breaks_by_engine: dict[str, int] = {}
+        self._suspect_ends = 0
+        self._part_keys: tuple[str, ...] | None = None
+        self._attempt_token_s: float | None = None
         self._late_tokens = 0
         self._first_token_s = 0.0
         self._last_token_s = 0.0
@@ -107,12 +114,14 @@
         try:
             while True:
                 if placement is None:
+                    self._check_parts()
                     placement = await self._place(attempt)
                 try:
-                    await self._attempt(placement, fresh)
+                    await self._attempt_once(placement, fresh)
                     return
                 except UpstreamError as error:
                     attempt += 1
+                    await self._observe_end(error, placement.upstream)
                     self._handle_failure(error, placement, attempt)
                     fresh = placement.upstream.name not in self._excluded
                     if fresh and isinstance(error, StreamCut):
@@ -128,6 +137,38 @@
             if placement is not None:
                 self._node.placer.release(self._request, placement)
 
+    def _check_parts(self) -> None:
+        """Raise Refusal if engines are kept from a message of the chat."""
+        quarantine = self._node.chat_parts.quarantine
+        if not quarantine.suspected:
+            return
+        wait_s = quarantine.find_wait_s(self._find_part_keys())
+        if wait_s is None:
+            return
+        detail = "engines end when they begin to answer on a message of this chat"
+        raise refuse(503, PART_QUARANTINED, detail, wait_s)
+
+    def _record_good(self) -> None:
+        """Record that an engine has answered on the messages of the chat."""
+        if self._node.chat_parts.quarantine.suspected:
+            self._node.chat_parts.record_good(self._find_part_keys())
+
+    def _find_part_keys(self) -> tuple[str, ...]:
+        if self._part_keys is None:
+            self._part_keys = find_part_keys(self._request)
+        return self._part_keys
+
+    async def _observe_end(self, error: UpstreamError, upstream: Upstream) -> None:
+        """Find out whether an engine that cut an answer has ended, and under which messages."""
+        if not isinstance(error, AnswerBroken):
+            return
+        first_s = self._attempt_token_s
+        suspect = is_suspect(None if first_s is None else self._loop.time() - first_s)
+        keys = self._find_part_keys() if suspect else ()
+        request_id = self._request.request_id
+        ended = await self._node.chat_parts.observer.observe(upstream, request_id, keys)
+        self._suspect_ends += ended and suspect
+
     async def _has_restarted(self, upstream: Upstream) -> bool:
         """Tell whether an engine that cut a stream has restarted cold, and report it if so.
 
@@ -173,10 +214,22 @@
         if upstream is not None:
             node.shadows.send(upstream, request)
 
+    async def _attempt_once(self, placement: Placement, fresh: bool) -> None:
+        """Make one attempt, and record for the parts of the prompt that it runs and ends."""
+        quarantine = self._node.chat_parts.quarantine
+        keys = self._find_part_keys() if quarantine.suspected else ()
+        quarantine.begin(keys)
+        try:
+            await self._attempt(placement, fresh)
+        finally:
+            quarantine.finish(keys)
+        self._record_good()
+
     async def _attempt(self, placement: Placement, fresh: bool) -> None:
         upstream = placement.upstream
         self._upstream = upstream
         self._answer_headers = {}
+        self._attempt_token_s = None
         began_s = self._loop.time()
         answer = await self._open(placement, fresh)
         headers = answer.headers
@@ -282,6 +335,8 @@
 
     def _record_token_time(self) -> None:
         now_s = self._loop.time()
+        if self._attempt_token_s is None:
+            self._attempt_token_s = now_s
         if self._first_token_s == 0.0:
             self._first_token_s = now_s
             since_s = self._node.clock.now_s() - self._request.arrival_s
@@ -309,6 +364,8 @@
                 self._node.engine_streams.report_unreachable(placement.upstream)
             if not needs_other_engine:
                 self._node.engine_streams.cancel(placement.upstream, self._request.request_id)
+        if self._suspect_ends >= MAX_SUSPECT_ENDS:
+            raise type(error)(f"{error}; engines end when they begin to answer") from error
         if attempt >= MAX_ATTEMPTS:
             raise type(error)(f"{error}; attempt {attempt} was the last") from error
         if not self._node.limits.retries.spend():
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -16,6 +16,7 @@
 from jayyoke.core.protocol import find_protocol
 from jayyoke.ops.cacheevents import CacheFollower
 from jayyoke.ops.changelog import ChangeLog
+from jayyoke.ops.chatparts import ChatParts
 from jayyoke.ops.decisionlog import count_dropped_lines
 from jayyoke.ops.dispatch import Dispatch
 from jayyoke.ops.domain import Domains
@@ -80,6 +81,7 @@
         durable_work=durable_work,
         domains=domains,
         halts=halts,
+        chat_parts=ChatParts(table, peers, clock),
     )
     node.moves = _build_moves(node, peers)
     node.moves.on_order = dispatch.steward.expect_restart
@@ -118,6 +120,7 @@
         node.prober.run(),
         node.durable_work.outbox.run(),
         node.moves.run(),
+        node.chat_parts.run(),
         send_loads(node, node.peers),
     ]
 
@@ -185,6 +188,11 @@
         lambda: node.change_log.configuration.version,
     )
     add_gauge("jayyoke_members", "Live members of the group.", lambda: len(peers.members()))
+    add_gauge(
+        "jayyoke_quarantined_parts",
+        "Messages of chats kept from engines.",
+        lambda: len(node.chat_parts.quarantine.list_quarantined()),
+    )
     add_gauge("jayyoke_peer_sent_bytes", "Bytes sent to peers.", peers.traffic.sent.total)
     add_gauge(
         "jayyoke_decision_lines_dropped", "Decision lines over the rate limit.", count_dropped_lines
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -26,10 +26,10 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.partexchange import PartClient, PartExchange
+from jayyoke.edge.partstorage import StorePartStorage
 from jayyoke.edge.placement import Placer
 from jayyoke.edge.pool import ConnectionPool
-from jayyoke.edge.quarantinelog import log_end
-from jayyoke.edge.quarantinerows import QuarantineRows
+from jayyoke.edge.quarantinelog import log_end, log_quarantined
 from jayyoke.edge.relay import RelayClient, RelayServer
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
@@ -37,6 +37,7 @@
 from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
+from jayyoke.ops.quarantinerows import QuarantineRows
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
@@ -115,7 +116,13 @@
         self.pool = ConnectionPool()
         self.metrics = Metrics()
         self.quarantine = Quarantine(now_s, settings.instance, self.roster.list_alive)
-        self.quarantine_rows = QuarantineRows(self.quarantine, self.store, self.clock, now_s)
+        self.quarantine_rows = QuarantineRows(
+            self.quarantine,
+            StorePartStorage(self.store, self.clock),
+            now_s,
+            lambda key: log_quarantined(self.quarantine, key, source="store"),
+            lambda reason: log_event("quarantine-rows", reason=reason),
+        )
         self.part_exchange = PartExchange(
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
--- a/tests/operator_fleet.py
+++ b/tests/operator_fleet.py
@@ -17,6 +17,7 @@
 from jayyoke.core.move import Move, MoveActive
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.changelog import ChangeLog
+from jayyoke.ops.chatparts import ChatParts
 from jayyoke.ops.digest import Digests
 from jayyoke.ops.domain import Domains
 from jayyoke.ops.halt import Halts
@@ -188,4 +189,5 @@
             durable_work=None,
             domains=Domains(change_log, peers, digests, clock),
             halts=Halts(change_log, peers, digests, clock),
+            chat_parts=ChatParts(self.table, peers, clock),
         )
--- a/tests/quarantinerows_test.py
+++ b/tests/quarantinerows_test.py
@@ -8,10 +8,15 @@
 import aiohttp
 import pytest
 
-from jayyoke.edge import quarantinerows
-from jayyoke.edge.quarantinerows import QUARANTINE_TABLE, QuarantineRows, decode_stored_part
+from jayyoke.edge.partstorage import QUARANTINE_TABLE, StorePartStorage
 from jayyoke.edge.storeclock import StoreClock
+from jayyoke.ops import quarantinerows
 from jayyoke.ops.quarantine import EngineEnd, Quarantine
+from jayyoke.ops.quarantinerows import (
+    InvalidStoredPart,
+    QuarantineRows,
+    decode_stored_part,
+)
 from jayyoke.platform.rowstore import RowStore
 from jayyoke.platform.table import Put, Row
 from jayyoke.utils.boottime import read_boot_time_s
@@ -26,7 +31,14 @@
         self.store = RowStore(http, server.address)
         self.clock = StoreClock(read_boot_time_s)
         self.quarantine = Quarantine(read_boot_time_s)
-        self.rows = QuarantineRows(self.quarantine, self.store, self.clock, read_boot_time_s)
+        self.problems: list[str] = []
+        self.rows = QuarantineRows(
+            self.quarantine,
+            StorePartStorage(self.store, self.clock),
+            read_boot_time_s,
+            lambda key: None,
+            self.problems.append,
+        )
         self.task = asyncio.create_task(self.rows.run())
 
     def quarantine_part(self, key: str) -> None:
@@ -121,6 +133,8 @@
 
         async def test(start) -> None:
             first = start()
+            # Its own read of the table is over.
+            await asyncio.sleep(0.2)
             old = json.dumps({"part": "p", "ends": [["e1", 0]]}).encode()
             rows = [Put("odd", b"{", None), Put("list", b"[]", None), Put("old", old, None)]
             await first.store.write(QUARANTINE_TABLE, rows)
@@ -132,6 +146,7 @@
 
             await wait_until(is_empty)
             assert second.quarantine.suspected == 0
+            assert len(second.problems) == 2
 
         run_case(test)
 
@@ -157,4 +172,5 @@
     )
     def test_odd_row_is_no_part(self, value):
         """Guards against a process that ends because of an odd row."""
-        assert decode_stored_part(Row("k", value, 1)) is None
+        with pytest.raises(InvalidStoredPart):
+            decode_stored_part(Row("k", value, 1))
