--- a/tests/demo_test.py
+++ b/tests/demo_test.py
@@ -21,12 +21,22 @@
     return Path(f"/proc/{pid}").exists()
 
 
+def restore_interrupt() -> None:
+    """Give SIGINT its default, since shells let the children of a background job ignore it."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 class TestInterrupt:
     @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
     def test_interrupted_demo_leaves_no_process(self, number):
         """Guards against instances and stand-ins that outlive an interrupted demo."""
         command = [sys.executable, "-m", "standin.demo"]
-        with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT) as demo:
+        with subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            preexec_fn=restore_interrupt,
+        ) as demo:
             for line in demo.stdout:
                 if b"instances are ready" in line:
                     break
