Treat a stream without length, chunks and events as broken off

What callers saw: an empty answer of status 200 where an engine ended in order before its first event. Such an answer would also have cleared the part on which the engine ended. Change: one without any event counts as broken, is resumed where the route allows it, and is no answer on its parts. Ruled out: streams that end inside an event, which were broken off before, and whole streams without length (tests for both). Measured: the third test failed before ((200, b'', 1) where the stream of the second upstream was due) and passes.

--- a/jayyoke/edge/answerrelay.py
+++ b/jayyoke/edge/answerrelay.py
@@ -122,6 +122,9 @@
             await caller.write(events)
         if relay.incomplete:
             return MayHaveRun("the stream ended within an event", silent=False)
+        if progress.first_s is None and not answer.framed:
+            # The end of an upstream looks like this too.
+            return MayHaveRun("the stream ended before its first event", silent=False)
         if relay.resumed_without_events:
             return MayHaveRun("the resumed stream brought no event", silent=False)
         if not caller.started:
--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -170,7 +170,8 @@
             if head.close or message.should_close:
                 self._not_reusable = True
             self.keep_alive_s = head.keep_alive_s
-            return Answer(message.code, message.reason, message.raw_headers, head, payload)
+            framed = message.chunked or "Content-Length" in message.headers
+            return Answer(message.code, message.reason, message.raw_headers, head, payload, framed)
         raise AnswerMismatched("the upstream answers other requests on this connection")
 
     def mark_idle(self, now_s: float) -> None:
@@ -212,9 +213,12 @@
 
 
 class Answer:
-    """Holds an upstream's status and headers, and the reader of its body."""
+    """Holds an upstream's status and headers, and the reader of its body.
 
-    __slots__ = ("body", "head", "raw_headers", "reason", "status")
+    A body that is not `framed` has neither a length nor chunks and ends with its connection.
+    """
+
+    __slots__ = ("body", "framed", "head", "raw_headers", "reason", "status")
 
     def __init__(
         self,
@@ -223,12 +227,14 @@
         raw_headers: tuple[tuple[bytes, bytes], ...],
         head: AnswerHead,
         body: StreamReader,
+        framed: bool = True,
     ):
         self.status = status
         self.reason = reason
         self.raw_headers = raw_headers
         self.head = head
         self.body = body
+        self.framed = framed
 
 
 def set_liveness_options(opened: socket.socket | None) -> None:
--- a/tests/entry_answers_test.py
+++ b/tests/entry_answers_test.py
@@ -136,6 +136,52 @@
         run_rig(test)
 
 
+class TestUnframedStreams:
+    """Tests streams with neither a length nor chunks, which end with their connection."""
+
+    def run(self, bodies: list[bytes], path: str) -> tuple[int, bytes, int]:
+        """Return status and body of a call, and its sends, given the bodies of the upstreams."""
+
+        async def answer_unframed(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            head = format_stream_head(request).replace(b"Transfer-Encoding: chunked\r\n", b"")
+            writer.write(head + bodies.pop(0))
+            await writer.drain()
+            writer.close()
+
+        found: list[tuple[int, bytes, int]] = []
+
+        async def test(rig: Rig) -> None:
+            upstreams = [await rig.add_upstream(f"u{n}", answer_unframed) for n in range(2)]
+            entry = await rig.add_entry()
+            await wait_ready(entry, 2)
+            try:
+                status, body, _ = await entry.call(path)
+            except aiohttp.ClientError:
+                status, body = 0, b""
+            found.append((status, body, sum(len(upstream.received) for upstream in upstreams)))
+
+        run_rig(test)
+        return found[0]
+
+    def test_end_of_the_connection_completes_a_stream(self):
+        """Guards against a whole stream that is run again or counts as broken off."""
+        body = format_event(1) + format_event(2)
+        assert self.run([body], "/resume/x") == (200, body, 1)
+
+    def test_stream_that_ends_within_an_event_goes_on_elsewhere(self):
+        """Guards against half an event, or a stream that ends as complete before its last one."""
+        rest = format_event(2) + format_event(3)
+        found = self.run([format_event(1) + format_event(2)[:9], rest], "/resume/x")
+        assert found == (200, format_event(1) + rest, 2)
+        assert self.run([format_event(1) + b"id: 2\nda"], "/stream/x")[0] == 0
+
+    def test_stream_without_an_event_is_broken(self):
+        """Guards against an engine that ends in order and so clears the part that ended it."""
+        body = format_event(1)
+        assert self.run([b"", body], "/resume/x") == (200, body, 2)
+        assert self.run([b""], "/stream/x")[0] == 502
+
+
 class TestInvalidAnswers:
     @pytest.mark.parametrize(
         "head",
