Let the soak end upstreams under a part of the prompt

Cause: no run of real processes played such parts beside kills, pauses and cuts of the store. Change: half of the seeds draw for some seconds a share of streams with the part; an upstream that answers one closes its port for 1.5 s and is back as another incarnation. A check asks for what the users ask: at most three requests later than 3 s after the fifth end, at instances that nothing disturbed. The steps of older seeds are unchanged.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,12 +17,21 @@
 DEADLINE_S = 1.5
 # Longer than the deadline, so that late answers are recorded too.
 ANSWER_TIMEOUT_S = 3.0
+SESSIONS = 6
+DEADLY_PART = "dead"
 DISCONNECT_SHARE = 0.04
 DISCONNECT_AFTER_S = 0.06
 MAX_PAUSE_S = 0.06
 RETRY_PAUSE_S = 0.1
 
 
+def build_prompt(sent: Sent, number: int) -> str:
+    """Return the parts of a prompt: one of all, one of a session, and one of the request."""
+    session = number % SESSIONS
+    deadly = f"{DEADLY_PART}:60," if sent.deadly else ""
+    return f"c0ffee:400,5e55{session}:800,{deadly}{sent.id.encode().hex()}:40"
+
+
 class SoakCaller:
     """Sends one request after the other to one instance."""
 
@@ -35,6 +44,8 @@
         self._count = 0
         self.lifetime = 0
         self.stopping = False
+        # The share of streams that have the deadly part in their prompts.
+        self.deadly_share = 0.0
 
     async def run(self) -> None:
         """Send requests until `stopping` is set; finish the last one."""
@@ -63,9 +74,12 @@
         self._count += 1
         now_s = time.monotonic()
         use_second_key = self._rng.random() < SECOND_KEY_SHARE
+        kind = self._rng.choice(KINDS)
+        deadly = self.deadly_share > 0.0 and self._rng.random() < self.deadly_share
         return Sent(
             id=f"{self._name}-{self._count}",
-            kind=self._rng.choice(KINDS),
+            kind=kind,
+            deadly=deadly and kind in ("stream", "resume"),
             instance=self._instance,
             lifetime=self.lifetime,
             key=SECOND_KEY if use_second_key else KEY,
@@ -79,6 +93,7 @@
             "Request-Id": sent.id,
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {sent.key}",
+            "Prefix-Hash": build_prompt(sent, self._count),
         }
         url = f"{self._url}/{sent.kind}/x"
         try:
--- a/soak/check.py
+++ b/soak/check.py
@@ -22,6 +22,11 @@
 # An answer that ends more than this after its deadline is late.
 DEADLINE_TOLERANCE_S = 0.5
 STOP_GRACE_S = 6.0
+# So many requests with a part may reach upstreams later than DEADLY_LAG_S (`contactMs`) after so
+# many upstreams have ended under it.
+DEADLY_ENDS = 5
+DEADLY_LAG_S = 3.0
+DEADLY_ALLOWED = 3
 # Allows for hold-ups of the runner itself.
 SLACK_S = 0.5
 
@@ -40,6 +45,7 @@
     checks = [check_answers, check_forwarding, check_at_most_once, check_processes, check_recovery]
     if timed:
         checks += [check_clean_phase, check_deadlines, check_keys, check_drains, check_stops]
+        checks.append(check_deadly_part)
     findings: list[Finding] = []
     for check in checks:
         findings.extend(check(record))
@@ -233,3 +239,23 @@
                 continue
             findings.append(Finding("stops", sent.id, f"{sent.kind} was cut: {sent.error}"))
     return findings
+
+
+def check_deadly_part(record: Record) -> list[Finding]:
+    """Check that a part under which upstreams ended reaches few more of them."""
+    if len(record.ends_s) < DEADLY_ENDS:
+        return []
+    from_s = sorted(record.ends_s)[DEADLY_ENDS - 1] + DEADLY_LAG_S
+    deadly = {sent.id: sent for sent in record.sent if sent.deadly}
+    late = []
+    for run in record.runs:
+        sent = deadly.get(run.id)
+        if sent is None or run.at_s <= from_s:
+            continue
+        if record.is_disturbed(sent.instance, run.at_s - DISTURBANCE_LAG_S, run.at_s):
+            continue
+        late.append(run.id)
+    if len(late) <= DEADLY_ALLOWED:
+        return []
+    detail = f"{len(late)} more requests reached upstreams; {len(record.ends_s)} ends"
+    return [Finding("deadly part", late[0], detail)]
--- a/soak/check_test.py
+++ b/soak/check_test.py
@@ -157,3 +157,37 @@
         record = build_record()
         record.deaths.append("entry-0 ended with 1")
         assert find_broken_promises(record) == {"processes live"}
+
+
+class TestDeadlyPart:
+    """Tests the check of requests with the part that ends upstreams."""
+
+    def build_record(self, ends: int, late: int) -> Record:
+        """Return a record with some ends at 100 s and deadly requests that arrive at 104 s."""
+        record = build_record()
+        record.ends_s = [100.0] * ends
+        for number in range(late):
+            sent = build_sent("resume", 10 + number, sent_s=104.0, deadly=True, status=502)
+            record.sent.append(sent)
+            record.runs.append(build_run(sent))
+        return record
+
+    def list_promises(self, record: Record) -> set[str]:
+        """Return the broken promises that concern the part."""
+        found = {finding.promise for finding in check_record(record, timed=True)}
+        return found & {"deadly part"}
+
+    def test_too_many_requests_after_the_fifth_end_are_found(self):
+        """Guards against a soak that does not see a part that goes on ending upstreams."""
+        assert self.list_promises(self.build_record(5, 4)) == {"deadly part"}
+
+    def test_three_requests_and_fewer_ends_are_allowed(self):
+        """Guards against a check that is stricter than the users' rule."""
+        assert self.list_promises(self.build_record(5, 3)) == set()
+        assert self.list_promises(self.build_record(4, 10)) == set()
+
+    def test_instance_that_was_disturbed_is_excused(self):
+        """Guards against findings at instances that could not learn of the ends."""
+        record = self.build_record(5, 4)
+        record.disturbances.append(Disturbance(0, 101.0, 103.0, "pause"))
+        assert self.list_promises(record) == set()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,6 +29,7 @@
 # A process that has not ended by then is killed.
 STOP_TIMEOUT_S = STOP_GRACE_S + 4.0
 SERVICE = "desk"
+DEADLY_DOWN_S = 1.5
 MAX_JITTER_S = 0.3
 
 
@@ -89,13 +90,18 @@
         self._seed = seed
         self.store = RowStoreServer()
         self.proxies: dict[str, Proxy] = {}
-        self._proxy_servers: list[asyncio.Server] = []
+        self._proxy_servers: dict[str, asyncio.Server] = {}
         self.instances = [
             InstanceProcess(number, size.domains[number % len(size.domains)], folder)
             for number in range(size.instances)
         ]
         self._domains = size.domains
-        self.upstreams = [SoakUpstream(f"u{number}", record) for number in range(size.upstreams)]
+        self.upstreams = [
+            SoakUpstream(f"u{number}", record, self._end_upstream)
+            for number in range(size.upstreams)
+        ]
+        self._restarts: dict[int, asyncio.Task[None]] = {}
+        self._link_ports: dict[str, int] = {}
         self._generations = [0] * size.upstreams
         self._config_version = 1
         self._second_key_present = False
@@ -155,9 +161,9 @@
 
     async def close(self) -> None:
         """Stop the callers and processes of this run, then the stand-ins."""
-        await cancel_tasks(self._caller_tasks)
+        await cancel_tasks([*self._caller_tasks, *self._restarts.values()])
         await asyncio.gather(*(self._stop_process(instance) for instance in self.instances))
-        for server in self._proxy_servers:
+        for server in self._proxy_servers.values():
             server.close()
         for upstream in self.upstreams:
             await upstream.server.close()
@@ -241,6 +247,11 @@
                 self.store.put("op", f"evacuate/{domain}", {})
                 await asyncio.sleep(for_s)
                 self.store.drop("op", f"evacuate/{domain}")
+            case plan.DeadlyPart(share, for_s):
+                disturbed = ()
+                self._set_deadly_share(share)
+                await asyncio.sleep(for_s)
+                self._set_deadly_share(0.0)
         self._record_disturbances(disturbed, began_s, type(fault).__name__)
 
     def end_faults(self) -> None:
@@ -257,6 +268,11 @@
         for instance in self.instances:
             instance.signal(signal.SIGCONT)
 
+    def _set_deadly_share(self, share: float) -> None:
+        for instance in self.instances:
+            for caller in instance.callers:
+                caller.deadly_share = share
+
     def _record_disturbances(
         self, disturbed: tuple[int | None, ...], began_s: float, what: str
     ) -> None:
@@ -265,11 +281,15 @@
             self._record.disturbances.append(Disturbance(instance, began_s, ended_s, what))
 
     async def _open_link(self, name: str, target: str) -> str:
-        port = find_free_ports(1)[0]
-        proxy = self.proxies[name] = Proxy(target, self._seed)
-        self._proxy_servers.append(await proxy.serve(f"127.0.0.1:{port}"))
+        port = self._link_ports[name] = find_free_ports(1)[0]
+        self.proxies[name] = Proxy(target, self._seed)
+        await self._listen(name)
         return f"127.0.0.1:{port}"
 
+    async def _listen(self, name: str) -> None:
+        address = f"127.0.0.1:{self._link_ports[name]}"
+        self._proxy_servers[name] = await self.proxies[name].serve(address)
+
     def _write_config(self) -> None:
         teams = [{"name": "yard", "apiKeys": [KEY], "prio": 1}]
         if self._second_key_present:
@@ -278,7 +298,7 @@
 
     def _write_upstream(self, number: int, state: str) -> None:
         upstream = self.upstreams[number]
-        port = self._find_link_port(f"upstream-{number}")
+        port = self._link_ports[f"upstream-{number}"]
         row = upstream.server.describe(
             SERVICE,
             address=f"127.0.0.1:{port}",
@@ -288,9 +308,25 @@
         )
         self.store.put("servers", upstream.name, row)
 
-    def _find_link_port(self, link: str) -> int:
-        index = list(self.proxies).index(link)
-        return self._proxy_servers[index].sockets[0].getsockname()[1]
+    def _end_upstream(self, upstream: SoakUpstream) -> None:
+        """End an upstream as a crash of its process does; it is back later, another incarnation."""
+        number = self.upstreams.index(upstream)
+        running = self._restarts.get(number)
+        if running is not None and not running.done():
+            return
+        self._record.ends_s.append(time.monotonic())
+        self._restarts[number] = asyncio.create_task(self._restart_upstream(number))
+
+    async def _restart_upstream(self, number: int) -> None:
+        link = f"upstream-{number}"
+        began_s = time.monotonic()
+        self._proxy_servers[link].close()
+        self.proxies[link].drop_connections()
+        await asyncio.sleep(DEADLY_DOWN_S)
+        await self._listen(link)
+        self._generations[number] += 1
+        self._write_upstream(number, "ready")
+        self._record_disturbances((NO_INSTANCE,), began_s, "end of an upstream")
 
     async def _pause(self, instance: InstanceProcess, for_s: float) -> None:
         instance.signal(signal.SIGSTOP)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,7 @@
 # Some faults are repeated in a short series.
 SERIES_PROBABILITY = 0.3
 SERIES_GAP_S = 0.4
+DEADLY_PROBABILITY = 0.5
 
 
 class Mode(enum.Enum):
@@ -152,6 +153,14 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlyPart:
+    """Makes this share of the streams have a part that ends the upstream which answers them."""
+
+    share: float
+    for_s: float
+
+
 Fault = (
     StoreAway
     | StoreCut
@@ -168,6 +177,7 @@
     | UpstreamLeaves
     | ToggleKey
     | Evacuate
+    | DeadlyPart
 )
 
 
@@ -198,6 +208,11 @@
         repeats = rng.randint(2, 4) if rng.random() < SERIES_PROBABILITY else 1
         for number in range(repeats):
             steps.append(Step(at_s + number * SERIES_GAP_S * rng.uniform(0.5, 1.5), fault))
+    # A source of its own leaves the other steps of a seed as they were before this fault was added.
+    deadly_rng = random.Random(f"{seed} deadly part")
+    if deadly_rng.random() < DEADLY_PROBABILITY:
+        fault = DeadlyPart(deadly_rng.uniform(0.02, 0.2), deadly_rng.uniform(0.4, 0.8) * faults_s)
+        steps.append(Step(deadly_rng.uniform(0.5, faults_s / 4), fault))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -29,6 +29,8 @@
     complete: bool = False
     left: bool = False
     error: str = ""
+    # Whether its prompt has the part that ends upstreams.
+    deadly: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,8 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     key_changes: list[KeyChange] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
+    # When upstreams ended under a request with the deadly part.
+    ends_s: list[float] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
     deaths: list[str] = field(default_factory=list)
     clean_from_s: float = float("inf")
--- a/soak/run.py
+++ b/soak/run.py
@@ -85,6 +85,8 @@
         for name in ("disturbances", "key_changes", "leavings", "stops", "runs", "sent"):
             for item in getattr(record, name):
                 out.write(json.dumps({name: asdict(item)}, default=_encode_value) + "\n")
+        for at_s in record.ends_s:
+            out.write(json.dumps({"ends_s": at_s}) + "\n")
         for finding in findings:
             out.write(json.dumps({"finding": asdict(finding)}) + "\n")
 
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
+from soak.caller import DEADLY_PART
 from soak.plan import Mode
 from soak.record import Record, Run
 from standin.entryupstream import (
@@ -33,10 +35,11 @@
 class SoakUpstream:
     """Serves one address; `name` changes when another upstream takes over the address."""
 
-    def __init__(self, name: str, record: Record):
+    def __init__(self, name: str, record: Record, on_deadly: Callable[[SoakUpstream], None]):
         self.name = name
         self.mode = Mode.WELL
         self._record = record
+        self._on_deadly = on_deadly
         self.server = EntryUpstream(name, self._answer)
 
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
@@ -82,6 +85,11 @@
         last_id = request.get("last-event-id")
         first = int(last_id) + 1 if last_id.isdigit() else 0
         writer.write(format_stream_head(request))
+        if f",{DEADLY_PART}:" in request.get("prefix-hash"):
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+            self._on_deadly(self)
+            return
         for number in range(first, EVENT_COUNT):
             if mode is Mode.CUTS and number == EVENT_COUNT // 2:
                 return
--- a/standin/proxy.py
+++ b/standin/proxy.py
@@ -58,8 +58,11 @@
         self._rules[source] = rules
         if rules.silence_old_only:
             self.generation += 1
-        if not rules.drop_connections and not rules.refuse:
-            return
+        if rules.drop_connections or rules.refuse:
+            self.drop_connections(source)
+
+    def drop_connections(self, source: str = "") -> None:
+        """Close the open connections whose source begins so."""
         for writer, source_address in list(self._writers.items()):
             if source_address.startswith(source):
                 writer.close()
