Let operators see and clear messages that are kept from engines

Cause: a quarantine ends by its trials alone, the last of which are an hour apart; an operator who has mended an engine knows better. Change: `jayyoke quarantine list` and `clear`, with routes of the operators' interface; a clearance reaches all instances like an answer.

--- a/jayyoke/scripts/tool.py
+++ b/jayyoke/scripts/tool.py
@@ -10,7 +10,7 @@
 
 from jayyoke.core.error import InvalidDocument
 from jayyoke.parser.configuration import format_document, parse_configuration
-from jayyoke.scripts import domain, move
+from jayyoke.scripts import domain, move, quarantine
 from jayyoke.scripts.client import Client
 from jayyoke.scripts.session import (
     EXIT_CODES,
@@ -42,6 +42,7 @@
 )
 app.add_typer(domain.app, name="domain")
 app.add_typer(move.app, name="version")
+app.add_typer(quarantine.app, name="quarantine")
 app.command("moves")(move.show_moves)
 
 
--- a/jayyoke/server/operator.py
+++ b/jayyoke/server/operator.py
@@ -18,6 +18,7 @@
     format_operator_problem,
     read_json,
 )
+from jayyoke.server.quarantine import QuarantineRoutes
 from jayyoke.server.status import collect_status, find_unconfirmed, serve_status
 from jayyoke.server.watch import Watch
 
@@ -46,6 +47,7 @@
         app.router.add_post("/v1/domains/{name}/{action:out|back}", self._set_domain)
         app.router.add_get("/v1/watch", self._watch.serve)
         MoveRoutes(self._node).add(app)
+        QuarantineRoutes(self._node.chat_parts).add(app)
         app.on_shutdown.append(self._close)
         serve_status(self._node)
         return app
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -14,6 +14,7 @@
 from typer.testing import CliRunner, Result
 
 from jayyoke.ops.changelog import ChangeLog
+from jayyoke.ops.quarantine import EngineEnd
 from jayyoke.scripts import daemon, tool
 from standin.fleet import EXAMPLES
 from tests.operator_fleet import KEY, FakeMoves, FakeTable, OperatorFleet
@@ -60,6 +61,8 @@
             "version start",
             "moves",
             "watch",
+            "quarantine list",
+            "quarantine clear",
         ],
     )
     def test_help_explains_every_command(self, command, snapshot):
@@ -236,6 +239,27 @@
         assert run_tool(fleet, "domain", "list").output == snapshot
 
 
+class TestQuarantine:
+    """Tests the messages that are kept from engines, as operators see them."""
+
+    def test_parts_are_listed_and_cleared(self, fleet, snapshot):
+        """Guards against an operator who cannot see or end a quarantine."""
+        quarantine = fleet.nodes[0].chat_parts.quarantine
+        for number, at_s in enumerate((-2.0, -1.0)):
+            quarantine.record_end(["pool/abc"], EngineEnd(f"e{number}", at_s))
+        assert run_tool(fleet, "quarantine", "list").output == snapshot
+        assert run_tool(fleet, "quarantine", "clear", "pool/abc").output == snapshot
+        assert run_tool(fleet, "quarantine", "clear", "pool/abc").output == snapshot
+        assert quarantine.list_quarantined() == []
+
+    @pytest.mark.parametrize("part", ["", "k" * 5000])
+    def test_part_that_cannot_be_is_refused(self, fleet, part):
+        """Guards against a clearance that does nothing and says so to nobody."""
+        result = run_tool(fleet, "quarantine", "clear", part)
+        assert result.exit_code == 1
+        assert "part is not a text" in result.output
+
+
 class TestMove:
     START = ("version", "start", "jayyoke-pool", "v2", "--deadline", "10m")
 
