Check for an end only where something depends on it

Cause: a stream that was being written was resumed only after the check of its engine's port, up to 0.15 s later where the host is silent, and a chat whose engine was silent waited for it too. Change: the check is left out for such streams while attempts are left, and after silence. Measured: the tests of both front doors pass.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -167,7 +167,7 @@
         """Find out whether the upstream that cut an answer has ended, and under which parts."""
         suspect = is_suspect(progress.measure_writing_s(self._now_s()))
         keys = progress.part_keys if suspect else ()
-        if not keys and not call.route.repeatable:
+        if not keys and not (call.route.repeatable and (suspect or self._is_spent(call, progress))):
             # Nothing depends on the check, which takes a connection.
             return
         if not await self._end_observer.observe(upstream, call.head.request_id, keys):
@@ -190,7 +190,11 @@
             return True
         if not call.route.repeatable or progress.suspect_runs >= MAX_SUSPECT_RUNS:
             return False
-        return progress.runs - progress.innocent_runs < call.route.attempts
+        return not self._is_spent(call, progress)
+
+    def _is_spent(self, call: Call, progress: Progress) -> bool:
+        """Tell whether a call has used its attempts, of which lost engines take none."""
+        return progress.runs - progress.innocent_runs >= call.route.attempts
 
     async def _give_up(
         self, call: Call, caller: Caller, progress: Progress, refused: Refused | None
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -160,7 +160,8 @@
 
     async def _observe_end(self, error: UpstreamError, upstream: Upstream) -> None:
         """Find out whether an engine that cut an answer has ended, and under which messages."""
-        if not isinstance(error, AnswerBroken):
+        if not isinstance(error, AnswerBroken) or isinstance(error.__context__, TimeoutError):
+            # A silent engine has cut nothing.
             return
         first_s = self._attempt_token_s
         suspect = is_suspect(None if first_s is None else self._loop.time() - first_s)
