Count an end once, however late a message about it was read

What callers would have seen: requests with a sound new part refused for 15 s after one engine had ended. Cause, found while reading: evidence is sent with ages, so an instance that stood still for seconds and then read a message placed the end that much later; more than a second apart it counted as a second end, and two ends quarantine a new part at all instances. Change: ends of one incarnation are one end for 30 s, longer than instances stand still; `jayyoked` names the incarnation where the answer did.

--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -33,8 +33,8 @@
 # Ends closer together have one cause, such as the loss of a rack. A repeated request needs longer
 # to reach its first token at the next engine.
 SAME_CAUSE_S = 0.1
-# Instances notice one end at slightly different times; a restart takes longer.
-SAME_END_S = 1.0
+# Messages give ages, so one that a peer read late, after it had stood still, gives a later time.
+SAME_END_S = 30.0
 # How long a request waits for the trial of another one that tells parts apart.
 TRIAL_WAIT_S = 1.0
 # How long a part is held back, by the number of ends at or beyond its limit.
@@ -74,13 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineEnd:
-    """Holds when an engine ended; `engine` is its incarnation."""
+    """Holds when an engine ended; `engine` is its incarnation, or its name if that is not known."""
 
     engine: str
     at_s: float
 
     def matches(self, other: EngineEnd) -> bool:
-        """Tell whether two instances have seen one end."""
+        """Tell whether both are one end, which two instances have seen."""
         return self.engine == other.engine and abs(self.at_s - other.at_s) < SAME_END_S
 
 
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 
 import aiohttp
 from absl import logging
@@ -167,6 +168,9 @@
         suspect = is_suspect(None if first_s is None else self._loop.time() - first_s)
         keys = self._find_part_keys() if suspect else ()
         request_id = self._request.request_id
+        served = self._answer_headers.get("X-Engine-Incarnation", "")
+        if served:
+            upstream = replace(upstream, incarnation=f"{upstream.name}@{served}")
         ended = await self._node.chat_parts.observer.observe(upstream, request_id, keys)
         self._suspect_ends += ended and suspect
 
--- a/tests/deadly_message_test.py
+++ b/tests/deadly_message_test.py
@@ -31,6 +31,12 @@
         if DEADLY not in body["messages"]:
             return await super()._run_script(request, body, steps)
         self.deadly_received += 1
+        headers = {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            "X-Engine-Incarnation": f"life-{self.deadly_received}",
+            "Content-Type": "text/event-stream",
+        }
+        await web.StreamResponse(headers=headers).prepare(request)
         for site in list(self._runner.sites):
             await site.stop()
         self._restarting = asyncio.create_task(self._restart())
