Name what does not count against a call's attempts, and ends with causes of their own

Cause: read as a newcomer would, three words were pictures and not terms. Change: names, one comment, one sentence of a page; no decision. Measured: linter and the tests of the quarantine pass.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -176,7 +176,7 @@
         if suspect:
             progress.suspect_runs += 1
         else:
-            progress.innocent_runs += 1
+            progress.uncounted_runs += 1
 
     def _record_good(self, call: Call, progress: Progress) -> None:
         """Record that an upstream has answered on the parts of the prompt."""
@@ -194,7 +194,7 @@
 
     def _is_spent(self, call: Call, progress: Progress) -> bool:
         """Tell whether a call has used its attempts, of which lost engines take none."""
-        return progress.runs - progress.innocent_runs >= call.route.attempts
+        return progress.runs - progress.uncounted_runs >= call.route.attempts
 
     async def _give_up(
         self, call: Call, caller: Caller, progress: Progress, refused: Refused | None
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -21,9 +21,9 @@
     sends: int = 0
     arrivals: int = 0
     runs: int = 0
-    # Runs that ended with their engines: those that were being answered, and those that may have
-    # been the cause.
-    innocent_runs: int = 0
+    # Runs that ended with their engines: those that were being answered, which take none of the
+    # call's attempts, and those that may have been the cause.
+    uncounted_runs: int = 0
     suspect_runs: int = 0
     failure: Failed | None = None
     last_reason: str = ""
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -11,8 +11,8 @@
 same moment, as in a loss of power, count once.
 
 Parts that were in the same ends cannot be told apart by them. A request with at most half of such a
-group is sent at once, one at a time: its answer clears its parts, and an end convicts them (group
-testing, Dorfman, 1943).
+group is sent at once, one at a time: its answer clears its parts, and an end tells them from the
+others (group testing, Dorfman, 1943).
 """
 
 from __future__ import annotations
@@ -107,7 +107,7 @@
         return max((end.at_s for end in self.ends), default=float("-inf"))
 
     @property
-    def strikes(self) -> int:
+    def separate_ends(self) -> int:
         """Return the number of ends that have causes of their own."""
         count = 0
         previous_s = float("-inf")
@@ -122,7 +122,7 @@
     def hold_s(self) -> float | None:
         """Return how long the part is held back after its last end, or None if it is not."""
         limit = NEW_PART_LIMIT if self.good_s is None else KNOWN_PART_LIMIT
-        beyond = self.strikes - limit
+        beyond = self.separate_ends - limit
         return None if beyond < 0 else HOLDS_S[min(beyond, len(HOLDS_S) - 1)]
 
     def has_same_ends(self, other: _Record) -> bool:
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -173,7 +173,7 @@
         assert set(quarantine.list_quarantined()) == {"session", "p"}
         assert quarantine.find_wait_s(["class"]) is None
 
-    def test_end_convicts_the_part_that_was_tried(self):
+    def test_end_of_a_trial_tells_the_part_from_the_others(self):
         """Guards against a deadly part that is tried again and again beside a sound one."""
         case = Case()
         for _ in range(NEW_PART_LIMIT):
