Close the accepted connection in the test of an engine that lives

Cause: the whole run warned of a connection that was collected after its loop had closed. Change: the server closes it.

--- a/tests/endobserver_test.py
+++ b/tests/endobserver_test.py
@@ -45,7 +45,9 @@
 
         async def test() -> None:
             case = Case()
-            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            server = await asyncio.start_server(
+                lambda reader, writer: writer.close(), "127.0.0.1", 0
+            )
             port = server.sockets[0].getsockname()[1]
             assert not await case.observer.observe(build_upstream(port), "r1", ("p",))
             assert case.quarantine.suspected == 0
