--- a/review/rig.py
+++ b/review/rig.py
@@ -371,6 +371,10 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
     async def play() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends what the case has started also if the case itself is ended.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             rig = Rig(record, Path(scratch))
             await rig.store.start()
@@ -386,7 +390,7 @@
 
     try:
         held = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"the case could not run: {error!r}")
         record.write()
         print(f"could not run: {error!r}", file=sys.stderr)
