--- a/jayyoke/edge/answerrelay.py
+++ b/jayyoke/edge/answerrelay.py
@@ -97,7 +97,7 @@
         while not answer.body.at_eof():
             left_s = call.deadline_s - self._now_s()
             limit_s = left_s
-            if call.route.resumable and progress.runs + 1 < call.route.attempts:
+            if call.route.resumable and relay.resumable and progress.runs + 1 < call.route.attempts:
                 # Bytes without a whole event do not show that the run makes progress.
                 silence_timeout_s = pause_s
                 if progress.first_s is None:
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -190,6 +190,8 @@
             return True
         if not call.route.repeatable or progress.suspect_runs >= MAX_SUSPECT_RUNS:
             return False
+        if not progress.relay.resumable:
+            return False
         return not self._is_spent(call, progress)
 
     def _is_spent(self, call: Call, progress: Progress) -> bool:
--- a/jayyoke/edge/stream.py
+++ b/jayyoke/edge/stream.py
@@ -7,20 +7,36 @@
 from jayyoke.core.error import AnswerBroken
 
 MAX_EVENT_BYTES = 1 << 20
-_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,15})\r?(?:\n|$)")
+# An id travels in a header of a resumption, whose size upstreams limit.
+MAX_ID_DIGITS = 256
+_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,%d})\r?(?:\n|$)" % MAX_ID_DIGITS)
 
 
 class EventRelay:
-    """Splits an upstream's bytes into events; `last_id` is that of the last event passed on."""
+    """Splits an upstream's bytes into events, and drops those that were passed on before.
 
-    __slots__ = ("_run_start_count", "_tail", "count", "last_id")
+    `last_id` is the id after which another run has to go on: that of the last event passed on, or
+    the caller's. `count` is the number of events passed on, without comments.
+    """
 
-    def __init__(self, last_id: int | None):
+    __slots__ = ("_last_number", "_run_start_count", "_tail", "_unnumbered", "count", "last_id")
+
+    def __init__(self, last_id: bytes | None):
         self.last_id = last_id
         self.count = 0
+        self._last_number = _parse_number(last_id)
+        self._unnumbered = False
         self._run_start_count = 0
         self._tail = b""
 
+    @property
+    def resumable(self) -> bool:
+        """Tell whether another run can continue the stream without repeating an event.
+
+        After an event without a numeric id, an upstream cannot be told where to go on.
+        """
+        return not self._unnumbered
+
     @property
     def incomplete(self) -> bool:
         """Tell whether the bytes so far end within an event."""
@@ -44,8 +60,8 @@
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete new events.
 
-        Raise AnswerBroken if one is too large, or if one of a resumed run has no id, since nothing
-        shows then that it belongs to the stream.
+        Raise AnswerBroken if one is too large, or if one of a resumed run has no numeric id, since
+        nothing shows then that it belongs to the stream.
         """
         data = self._tail + chunk
         end = data.rfind(b"\n\n") + 2
@@ -62,15 +78,22 @@
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
         if found is None:
-            if not self.resumed:
-                return True
-            if event.startswith(b":"):
-                return False
-            raise AnswerBroken("an event of a resumed stream has no id")
+            return self._is_new_unnumbered(event)
         number = int(found.group(1))
-        if self.last_id is not None and number <= self.last_id:
+        if self._last_number is not None and number <= self._last_number:
             return False
-        self.last_id = number
+        self.last_id = found.group(1)
+        self._last_number = number
+        self._unnumbered = False
+        self.count += 1
+        return True
+
+    def _is_new_unnumbered(self, event: bytes) -> bool:
+        if event.startswith(b":"):
+            return not self.resumed
+        if self.resumed:
+            raise AnswerBroken("an event of a resumed stream has no numeric id")
+        self._unnumbered = True
         self.count += 1
         return True
 
@@ -78,3 +101,9 @@
         if len(tail) > MAX_EVENT_BYTES:
             raise AnswerBroken("an event exceeds the size limit")
         self._tail = tail
+
+
+def _parse_number(event_id: bytes | None) -> int | None:
+    if event_id is None or not event_id.isdigit() or len(event_id) > MAX_ID_DIGITS:
+        return None
+    return int(event_id)
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -39,7 +39,7 @@
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
-    last_event: int | None
+    last_event: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +91,7 @@
         parts=_decode_parts(values.get(names.PROMPT_PARTS, b"")),
         prompt_tokens=prompt,
         output_tokens=output,
-        last_event=_decode_integer(values.get(names.LAST_EVENT)),
+        last_event=values.get(names.LAST_EVENT, b"").strip() or None,
     )
 
 
@@ -142,7 +142,7 @@
     deadline_s: float,
     upstream: str,
     team: str | None,
-    last_event: int | None,
+    last_event: bytes | None,
     fetch_from: str = "",
 ) -> bytes:
     """Return the bytes of a request for one upstream; the target is forwarded unchanged.
@@ -164,7 +164,7 @@
     if fetch_from:
         lines.append(b"%s: %s" % (names.SEND_FETCH, fetch_from.encode("latin-1")))
     if last_event is not None:
-        lines.append(b"%s: %d" % (names.SEND_LAST_EVENT, last_event))
+        lines.append(b"%s: %s" % (names.SEND_LAST_EVENT, last_event))
     if body is not None:
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -55,7 +55,7 @@
         assert b"Authorization: Bearer key" in encode(team=None)
 
     def test_resumption_and_fetch_are_added(self):
-        lines = encode(last_event=7, fetch_from="10.0.0.2:80")
+        lines = encode(last_event=b"7", fetch_from="10.0.0.2:80")
         assert b"Last-Event-Id: 7" in lines
         assert b"Kv-Fetch: 10.0.0.2:80" in lines
 
--- a/tests/entry_faulty_test.py
+++ b/tests/entry_faulty_test.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-import aiohttp
 import pytest
 
 from standin.entryupstream import (
@@ -17,6 +16,7 @@
     format_stream_head,
 )
 from tests.entryrig import Rig, reset_connection, run_rig, wait_ready
+from tests.streams import read_stream
 
 REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 MISDIRECTED = "HTTP/1.1 421 Misdirected Request\r\n{id}Content-Length: 0\r\n\r\n"
@@ -186,26 +186,6 @@
         run_rig(test)
 
 
-async def read_stream(entry) -> tuple[bytes, bool]:
-    """Return what a caller of the resumable route receives, and whether it ended as complete."""
-    received = b""
-    headers = {
-        "Host": "calls.example",
-        "Request-Id": "r1",
-        "Deadline-Ms": "2500",
-        "Authorization": "Bearer key-of-the-yard",
-    }
-    async with aiohttp.ClientSession() as http:
-        try:
-            async with http.post(f"{entry.url}/resume/x", headers=headers, data=b"b") as answer:
-                assert answer.status == 200
-                async for part in answer.content.iter_any():
-                    received += part
-        except aiohttp.ClientError:
-            return received, False
-    return received, True
-
-
 class TestCutHead:
     """Tests an upstream that closes its connection, without a reset, within an answer's head."""
 
