Keep a silent send until another upstream has begun to answer

Cause: after a silence the instance first ended the running send and then looked for another upstream. If there was none, or it was full, broke off, failed or was silent too, or the retry budget was used up, the answer was lost though its upstream would have gone on. The same held before an answer's head and first event, and for whole answers of safe routes.

Ruled out: the stop (the same streams are cut without it, 5.4 s before its deadline) and the engine (it goes on where it is not cut).

Change: a silent send goes on beside the next one until that one has begun to answer; whichever goes on first serves the caller (edge/takeover.py). A full upstream is asked again. Attempts and the retry budget bound it as before. What a send measures moves from Progress to Send, and sending from forward.py to sender.py. New log lines tell a silence and why no other upstream took over.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -3,39 +3,27 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 from jayyoke.core.entrysettings import Bounds
-from jayyoke.core.error import (
-    AnswerBroken,
-    AnswerMismatched,
-    ConnectFailed,
-    ConnectTimedOut,
-    PathLost,
-)
-from jayyoke.core.upstream import Upstream
-from jayyoke.edge.answerrelay import AnswerRelay, find_silence_timeout_s
+from jayyoke.edge.answerrelay import AnswerRelay
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.choose import list_shared_parts
-from jayyoke.edge.connection import UpstreamConnection
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
-from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Assignment, Placer, Refused
+from jayyoke.edge.outcome import CANCELLED, Delivered, MayHaveRun, NotRun, Outcome
+from jayyoke.edge.placement import Placer, Refused
 from jayyoke.edge.pool import ConnectionPool
 from jayyoke.edge.progress import Progress
 from jayyoke.edge.retrybudget import RetryBudget
+from jayyoke.edge.send import Send
+from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
 from jayyoke.edge.stream import EventRelay
+from jayyoke.edge.takeover import TakenOver, Takeover, find_silence_timeout_s
 from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, build_part_keys, is_suspect
-from jayyoke.platform import names
-from jayyoke.platform.message import decode_notice, encode_request
-from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
-# With less time left an upstream cannot answer any more.
-MIN_TIME_S = 0.02
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
@@ -61,7 +49,6 @@
     ):
         self._placement = placement
         self._moves = moves
-        self._pool = pool
         self._metrics = metrics
         self._bounds = bounds
         self._now_s = now_s
@@ -69,7 +56,9 @@
         self._quarantine = quarantine
         self._end_observer = end_observer
         self._on_cleared = on_cleared
-        self._relay = AnswerRelay(now_s, self._record_events)
+        self._sender = Sender(placement, moves, pool, quarantine, now_s)
+        self._takeover = Takeover(placement, self._sender, quarantine, now_s)
+        self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_s = now_s()
 
@@ -77,82 +66,92 @@
         """Answer a call; raise CallerGone or CancelledError if the caller leaves."""
         service = self._placement.draw_service(call)
         part_keys = build_part_keys(service, list_shared_parts(call.head.parts))
-        progress = Progress(EventRelay(call.head.last_event), part_keys)
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(self._bounds, self._started_s)
             self._budgets[service] = budget
         budget.add_request(self._now_s())
+        progress = Progress(service, EventRelay(call.head.last_event), budget, part_keys)
+        try:
+            await self._serve(call, caller, progress)
+        finally:
+            replacement = progress.take_replacement()
+            if replacement is not None:
+                self._sender.finish(call, replacement, CANCELLED, progress)
+
+    async def _serve(self, call: Call, caller: Caller, progress: Progress) -> None:
         refused: Refused | None = None
         while True:
-            if call.deadline_s - self._now_s() <= MIN_TIME_S:
-                progress.last_reason = "out-of-time"
-                break
-            refused = self._check_parts(progress)
-            if refused is not None:
-                progress.last_reason = refused.reason
-                break
-            assignment = await self._placement.assign(call, service, progress.tried, caller.started)
-            if isinstance(assignment, Refused):
-                progress.last_reason = progress.last_reason or assignment.reason
-                refused = assignment
-                break
-            upstream = assignment.upstream
-            if progress.arrivals and not budget.spend(self._now_s(), self._placement.instances):
-                self._placement.release(service, upstream)
-                progress.last_reason = f"{progress.last_reason},no-retry-budget"
-                break
-            outcome = await self._send(call, caller, service, assignment, progress)
-            if self._record_outcome(call, upstream, outcome, progress):
+            send = progress.take_replacement()
+            if send is None:
+                found = await self._begin_send(call, caller, progress)
+                if not isinstance(found, Send):
+                    refused = found
+                    break
+                send = found
+            outcome = await self._run(call, caller, send, progress)
+            if self._record_outcome(call, send, outcome, progress):
                 return
             if isinstance(outcome, MayHaveRun) and not outcome.silent:
-                await self._observe_end(call, upstream, progress)
-            if not self._may_repeat(call, outcome, progress):
+                await self._observe_end(call, send, progress)
+            if progress.replacement is None and not self._may_repeat(call, outcome, progress):
                 break
         await self._give_up(call, caller, progress, refused)
 
-    def _record_outcome(
-        self, call: Call, upstream: Upstream, outcome: Outcome, progress: Progress
-    ) -> bool:
+    async def _begin_send(
+        self, call: Call, caller: Caller, progress: Progress
+    ) -> Send | Refused | None:
+        """Assign an upstream; return why there is none, or None if it is the call's own limit."""
+        if call.deadline_s - self._now_s() <= MIN_TIME_S:
+            progress.last_reason = "out-of-time"
+            return None
+        refused = self._check_parts(progress)
+        if refused is not None:
+            progress.last_reason = refused.reason
+            return refused
+        assignment = await self._placement.assign(
+            call, progress.service, progress.tried, caller.started
+        )
+        if isinstance(assignment, Refused):
+            progress.last_reason = progress.last_reason or assignment.reason
+            return assignment
+        now_s = self._now_s()
+        if progress.arrivals and not progress.budget.spend(now_s, self._placement.instances):
+            self._placement.release(progress.service, assignment.upstream)
+            progress.last_reason = f"{progress.last_reason},no-retry-budget"
+            return None
+        return progress.begin_send(assignment, now_s)
+
+    def _record_outcome(self, call: Call, send: Send, outcome: Outcome, progress: Progress) -> bool:
         """Record the outcome of a send; return True if the caller has its answer."""
-        match outcome:
-            case Delivered(status):
-                if 200 <= status < 300:
-                    self._record_good(call, progress)
-                first_s = progress.first_s or self._now_s()
-                first_ms = round((first_s - call.arrived_s) * 1000, 1)
-                self._log(
-                    call,
-                    "answered",
-                    progress,
-                    upstream=upstream.name,
-                    status=status,
-                    first_ms=first_ms,
-                    reported_load=progress.reported_load,
-                )
-                return True
-            case NotRun(reason, arrived):
-                progress.arrivals += arrived
-                progress.last_reason = reason
-            case MayHaveRun(reason):
-                progress.arrivals += 1
-                progress.runs += 1
-                progress.last_reason = reason
-            case Failed(status):
-                progress.arrivals += 1
-                progress.runs += 1
-                progress.failure = outcome
-                progress.last_reason = f"status-{status}"
-        writing_s = progress.measure_writing_s(self._now_s())
+        upstream = send.upstream
+        if isinstance(outcome, Delivered):
+            if 200 <= outcome.status < 300:
+                self._record_good(call, send, progress)
+            first_s = send.first_s or self._now_s()
+            self._log(
+                call,
+                "answered",
+                progress,
+                upstream=upstream.name,
+                status=outcome.status,
+                first_ms=round((first_s - call.arrived_s) * 1000, 1),
+                reported_load=send.reported_load,
+            )
+            return True
+        progress.record(outcome)
+        writing_s = send.measure_writing_s(self._now_s())
+        replacement = progress.replacement
         self._log(
             call,
             "attempt-failed",
             progress,
             upstream=upstream.name,
             reason=progress.last_reason,
-            timer_late_ms=progress.timer_late_ms,
-            answering=progress.answering,
+            timer_late_ms=send.timer_late_ms,
+            answering=send.answering,
             writing_ms=None if writing_s is None else round(writing_s * 1000),
+            taken_over_by=None if replacement is None else replacement.upstream.name,
         )
         return False
 
@@ -163,9 +162,10 @@
             return None
         return Refused("part-quarantined", wait_s, spread=True, final=True)
 
-    async def _observe_end(self, call: Call, upstream: Upstream, progress: Progress) -> None:
+    async def _observe_end(self, call: Call, send: Send, progress: Progress) -> None:
         """Find out whether the upstream that cut an answer has ended, and under which parts."""
-        suspect = is_suspect(progress.measure_writing_s(self._now_s()))
+        upstream = send.upstream
+        suspect = is_suspect(send.measure_writing_s(self._now_s()))
         keys = progress.part_keys if suspect else ()
         if not keys and not (call.route.repeatable and (suspect or self._is_spent(call, progress))):
             # Nothing depends on the check, which takes a connection.
@@ -178,9 +178,9 @@
         else:
             progress.uncounted_runs += 1
 
-    def _record_good(self, call: Call, progress: Progress) -> None:
+    def _record_good(self, call: Call, send: Send, progress: Progress) -> None:
         """Record that an upstream has answered on the parts of the prompt."""
-        progress.parts_good = True
+        send.parts_good = True
         for key in self._quarantine.record_good(progress.part_keys):
             log_event("part-cleared", request_id=call.head.request_id, part=key)
             self._on_cleared(key)
@@ -240,138 +240,54 @@
         headers = (("Retry-After", f"{wait_s:.3f}"),)
         await _send_whole(caller, 503, "", headers, progress.last_reason.encode())
 
-    async def _send(
-        self, call: Call, caller: Caller, service: str, assignment: Assignment, progress: Progress
-    ) -> Outcome:
-        """Send a call to one upstream and relay its answer."""
-        upstream = assignment.upstream
-        progress.tried.add(upstream.incarnation)
-        began_s = self._now_s()
-        progress.begin_send(began_s)
-        outcome: Outcome = NotRun("cancelled", arrived=False)
-        connection: UpstreamConnection | None = None
-        begun = False
+    async def _run(self, call: Call, caller: Caller, send: Send, progress: Progress) -> Outcome:
+        """Take a send to its end: send the request unless that is done, and relay the answer."""
+        outcome: Outcome = CANCELLED
         try:
-            connection = await self._pool.acquire(upstream, not call.route.repeatable, began_s)
-            if self._check_parts(progress) is not None:
-                # The part was quarantined while this call waited.
-                outcome = NotRun("part-quarantined", arrived=False)
-                return outcome
-            self._quarantine.begin(progress.part_keys)
-            begun = True
-            if self._placement.notices.is_withdrawn(upstream.incarnation):
-                # Another call's answer has said so while this connection was opened.
-                connection.abort()
-                connection = None
-                outcome = NotRun("withdrawn", arrived=False)
-                return outcome
-            outcome = await self._exchange(call, caller, connection, assignment, progress)
-        except ConnectFailed as error:
-            silent = isinstance(error, ConnectTimedOut)
-            outcome = NotRun(f"unreachable: {error}", arrived=False, silent=silent)
+            outcome = await self._exchange(call, caller, send, progress)
+        except TakenOver:
+            outcome = MayHaveRun("no answer in time", silent=True)
+        except SEND_ERRORS as error:
+            outcome = describe_error(error)
         finally:
-            if begun:
-                self._quarantine.finish(progress.part_keys)
-            if connection is not None and not isinstance(outcome, Delivered | Failed):
-                connection.abort()
-            duration_s = self._now_s() - began_s
-            self._placement.release(service, upstream, progress.answering, duration_s)
-            times = progress.measure(call.route.prefix_affinity)
-            suspected = self._placement.record_outcome(
-                call, service, upstream, outcome, times.latency_s
-            )
-            for found in suspected:
-                self._pool.drop(found)
-            self._count_for_version(call, upstream, outcome, progress)
-        if self._placement.notices.is_leaving(upstream.incarnation):
-            self._pool.drop(upstream)
-            if connection is not None:
-                connection.abort()
-        elif connection is not None and isinstance(outcome, Delivered | Failed):
-            self._pool.release(upstream, connection, self._now_s())
-        if isinstance(outcome, MayHaveRun):
-            self._pool.drop(upstream)
+            self._sender.finish(call, send, outcome, progress)
         return outcome
 
-    def _count_for_version(
-        self, call: Call, upstream: Upstream, outcome: Outcome, progress: Progress
-    ) -> None:
-        """Count an ended send for the upstream's version, unless it was counted while it ran."""
-        if isinstance(outcome, NotRun):
-            return
-        failed = not isinstance(outcome, Delivered)
-        version = (upstream.service, call.route.name, upstream.version)
-        if not progress.counted:
-            self._moves.record_answer(
-                *version, failed, progress.measure(call.route.prefix_affinity)
+    async def _exchange(
+        self, call: Call, caller: Caller, send: Send, progress: Progress
+    ) -> Outcome:
+        if send.answer is None:
+            outcome: Outcome | None = await self._sender.start(call, send, progress)
+            if outcome is not None:
+                return outcome
+            connection = send.connection
+            assert connection is not None
+            answer = await self._takeover.wait(
+                call,
+                caller,
+                send,
+                progress,
+                lambda: connection.receive(call.head.request_id),
+                find_silence_timeout_s(call),
             )
-        elif failed:
-            self._moves.record_late_failure(*version)
+            outcome = self._sender.record_head(call, send, answer)
+            if outcome is not None:
+                return outcome
+        assert send.answer is not None
+        return await self._relay.relay(call, caller, send.answer, send, progress)
 
-    def _record_events(self, call: Call, upstream: Upstream, progress: Progress) -> None:
+    def _record_events(self, call: Call, send: Send, progress: Progress) -> None:
         """Record what the events of a running stream tell of its parts and its version."""
-        writing_s = progress.measure_writing_s(self._now_s())
-        if not progress.parts_good and writing_s is not None and writing_s >= GOOD_WRITING_S:
-            self._record_good(call, progress)
-        if progress.counted or not progress.timing.has_enough_events:
+        writing_s = send.measure_writing_s(self._now_s())
+        if not send.parts_good and writing_s is not None and writing_s >= GOOD_WRITING_S:
+            self._record_good(call, send, progress)
+        if send.counted or not send.timing.has_enough_events:
             return
-        progress.counted = True
-        times = progress.measure(call.route.prefix_affinity)
+        send.counted = True
+        upstream = send.upstream
+        times = send.measure(call.route.prefix_affinity)
         self._moves.record_answer(upstream.service, call.route.name, upstream.version, False, times)
 
-    async def _exchange(
-        self,
-        call: Call,
-        caller: Caller,
-        connection: UpstreamConnection,
-        assignment: Assignment,
-        progress: Progress,
-    ) -> Outcome:
-        left_s = call.deadline_s - self._now_s()
-        if left_s <= MIN_TIME_S:
-            return NotRun("out-of-time", arrived=False)
-        data = encode_request(
-            call.method,
-            call.target,
-            call.raw_headers,
-            call.body,
-            deadline_s=left_s,
-            upstream=assignment.upstream.name,
-            team=call.team,
-            last_event=progress.relay.last_id,
-            fetch_from=assignment.fetch_from,
-        )
-        connection.send(call.method, data)
-        progress.timeout = StallTolerantTimeout(find_silence_timeout_s(call, progress, left_s))
-        try:
-            async with progress.timeout:
-                answer = await connection.receive(call.head.request_id)
-            self._placement.record_answer_head(assignment.upstream, answer.head)
-            self._placement.record_notice(
-                call,
-                assignment.upstream,
-                decode_notice(answer.status, answer.raw_headers, time.time()),
-            )
-            progress.answering = True
-            if answer.head.load is not None:
-                progress.reported_load = answer.head.load.running + answer.head.load.waiting
-            if answer.status == 421:
-                return NotRun("misdirected", arrived=True, misdirected=True)
-            if answer.head.not_run:
-                return NotRun(f"not-executed-{answer.status}", arrived=True)
-            if 200 <= answer.status < 300 and not answer.head.genuine:
-                return MayHaveRun("the answer is not the upstream's own", silent=False)
-            if answer.status in names.NOT_RUN_STATUSES and not call.route.repeatable:
-                # The status would tell the caller what the upstream has not said.
-                return MayHaveRun(f"status {answer.status} of a request that may have run", False)
-            return await self._relay.relay(call, caller, answer, assignment.upstream, progress)
-        except TimeoutError:
-            return MayHaveRun("no answer in time", silent=True)
-        except PathLost as error:
-            return MayHaveRun(str(error), silent=True, path_lost=True)
-        except (AnswerBroken, AnswerMismatched) as error:
-            return MayHaveRun(str(error), silent=False)
-
     def _log(self, call: Call, event: str, progress: Progress, **fields: object) -> None:
         took_s = self._now_s() - call.arrived_s
         if event != "attempt-failed":
--- a/jayyoke/edge/outcome.py
+++ b/jayyoke/edge/outcome.py
@@ -50,3 +50,6 @@
 
 
 Outcome = Delivered | NotRun | MayHaveRun | Failed
+
+# The caller left, or another upstream's answer is used.
+CANCELLED = NotRun("cancelled", arrived=False)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -252,20 +252,29 @@
             case Failed():
                 suspended = self._count_failure(service, upstream)
         if suspended:
-            log_event(
-                "upstream-suspended",
-                request_id=call.head.request_id,
-                upstream=upstream.name,
-                reason=str(outcome)[:200],
-                failure_rate=round(stats.failure_rate, 2),
-                hold_s=stats.suspension_s,
-            )
+            self._log_suspension(call, upstream, str(outcome)[:200])
         return suspected
 
+    def record_silence(self, call: Call, upstream: Upstream) -> None:
+        """Suspend an upstream that is silent, so that other calls avoid it."""
+        if self.tracker.get(upstream.incarnation).record_unreachable(self._now_s()):
+            self._log_suspension(call, upstream, "silent")
+
     def record_end(self, upstream: Upstream) -> None:
         """Suspend an upstream that has ended, so that no call finds its port closed."""
         self.tracker.get(upstream.incarnation).record_unreachable(self._now_s())
 
+    def _log_suspension(self, call: Call, upstream: Upstream, reason: str) -> None:
+        stats = self.tracker.get(upstream.incarnation)
+        log_event(
+            "upstream-suspended",
+            request_id=call.head.request_id,
+            upstream=upstream.name,
+            reason=reason,
+            failure_rate=round(stats.failure_rate, 2),
+            hold_s=stats.suspension_s,
+        )
+
     def _record_domain(
         self, call: Call, upstream: Upstream, outcome: Outcome, now_s: float
     ) -> tuple[Upstream, ...]:
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -1,20 +1,23 @@
-"""Attempts of one call so far, and the measurements of its current send."""
+"""Attempts of one call so far."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from jayyoke.edge.answertimes import AnswerTimes, StreamTiming
-from jayyoke.edge.outcome import Failed
+from jayyoke.edge.outcome import Failed, MayHaveRun, NotRun, Outcome
+from jayyoke.edge.placement import Assignment
+from jayyoke.edge.retrybudget import RetryBudget
+from jayyoke.edge.send import Send
 from jayyoke.edge.stream import EventRelay
-from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 
 @dataclass(slots=True)
 class Progress:
     """Holds the attempts of a call; `arrivals` reached an upstream, `runs` may have run."""
 
+    service: str
     relay: EventRelay
+    budget: RetryBudget
     # Keys of the prompt's parts in the quarantine.
     part_keys: tuple[str, ...] = ()
     tried: set[str] = field(default_factory=set)
@@ -27,43 +30,32 @@
     suspect_runs: int = 0
     failure: Failed | None = None
     last_reason: str = ""
-    # When the answer or first event of the current send came.
-    first_s: float | None = None
-    # Requests that the current upstream reported with its answer.
-    reported_load: int | None = None
-    # Whether the current upstream has begun to answer.
-    answering: bool = False
-    # When the current send began, the timing of its events, and whether it was counted already.
-    sent_s: float = 0.0
-    timing: StreamTiming = field(default_factory=StreamTiming)
-    counted: bool = False
-    # Whether the current send has shown that the parts of the prompt are sound.
-    parts_good: bool = False
-    # The wait for the current send's newest bytes.
-    timeout: StallTolerantTimeout | None = None
+    # A send that another upstream has begun to answer, in place of one that is silent.
+    replacement: Send | None = None
 
-    @property
-    def timer_late_ms(self) -> int:
-        """Return how late the timer of the last wait was, since this process did not run."""
-        return 0 if self.timeout is None else round(self.timeout.stalled_s * 1000)
-
-    def begin_send(self, now_s: float) -> None:
-        """Count a send and reset the measurements of the one before."""
+    def begin_send(self, assignment: Assignment, now_s: float) -> Send:
+        """Count a send and return it."""
         self.sends += 1
-        self.sent_s = now_s
-        self.first_s = None
-        self.reported_load = None
-        self.answering = False
-        self.timing = StreamTiming()
-        self.counted = False
-        self.parts_good = False
-        self.timeout = None
-
-    def measure_writing_s(self, now_s: float) -> float | None:
-        """Return for how long the current send's answer is being written, or None before it is."""
-        return None if self.first_s is None else now_s - self.first_s
-
-    def measure(self, cached_prompt: bool) -> AnswerTimes:
-        """Return the times of the current send."""
-        latency_s = None if self.first_s is None else self.first_s - self.sent_s
-        return AnswerTimes(latency_s, self.timing.gap_s, cached_prompt)
+        self.tried.add(assignment.upstream.incarnation)
+        return Send(assignment, now_s)
+
+    def take_replacement(self) -> Send | None:
+        """Return the send that replaces the last one, if there is one, and forget it."""
+        replacement, self.replacement = self.replacement, None
+        return replacement
+
+    def record(self, outcome: Outcome) -> None:
+        """Count an outcome that did not serve the caller."""
+        match outcome:
+            case NotRun(reason, arrived):
+                self.arrivals += arrived
+                self.last_reason = reason
+            case MayHaveRun(reason):
+                self.arrivals += 1
+                self.runs += 1
+                self.last_reason = reason
+            case Failed(status):
+                self.arrivals += 1
+                self.runs += 1
+                self.failure = outcome
+                self.last_reason = f"status-{status}"
--- a/jayyoke/edge/stream.py
+++ b/jayyoke/edge/stream.py
@@ -103,6 +103,12 @@
         self._tail = tail
 
 
+def has_event(data: bytes) -> bool:
+    """Tell whether a stream that begins with these bytes has a whole event, other than comments."""
+    events = data.split(b"\n\n")[:-1]
+    return any(event and not event.startswith(b":") for event in events)
+
+
 def _parse_number(event_id: bytes | None) -> int | None:
     if event_id is None or not event_id.isdigit() or len(event_id) > MAX_ID_DIGITS:
         return None
--- /dev/null
+++ b/jayyoke/edge/takeover.py
@@ -0,0 +1,232 @@
+"""Lets another upstream take over a call whose upstream is silent.
+
+A silent upstream may be sound: it reads a long prompt, or has preempted the request for a while. So
+its send goes on until another upstream has begun to answer, and whichever answers first serves the
+caller. If no other upstream takes the call, the first one keeps it until the deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from jayyoke.core.route import RouteKind
+from jayyoke.edge.call import Call, Caller
+from jayyoke.edge.log import log_event
+from jayyoke.edge.outcome import CANCELLED, MayHaveRun, NotRun, Outcome
+from jayyoke.edge.placement import Placer, Refused
+from jayyoke.edge.progress import Progress
+from jayyoke.edge.send import Send
+from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
+from jayyoke.edge.stream import MAX_EVENT_BYTES, has_event
+from jayyoke.ops.quarantine import Quarantine
+from jayyoke.utils.stalltimeout import StallTolerantTimeout
+from jayyoke.utils.task import cancel_tasks
+
+# Another upstream is sent a repeatable request after this multiple of its objective without an
+# answer.
+SILENCE_TIMEOUT_FACTOR = 1.0
+MIN_SILENCE_TIMEOUT_S = 0.3
+# Time until other upstreams are asked again; it doubles each time.
+FIRST_RETRY_S = 0.3
+T = TypeVar("T")
+
+
+class TakenOver(Exception):
+    """Reports that another upstream has begun to answer; `Progress.replacement` holds its send."""
+
+
+class Takeover:
+    """Waits for upstreams, and sends a call to another one while the first is silent."""
+
+    def __init__(
+        self,
+        placement: Placer,
+        sender: Sender,
+        quarantine: Quarantine,
+        now_s: Callable[[], float],
+    ):
+        self._placement = placement
+        self._sender = sender
+        self._quarantine = quarantine
+        self._now_s = now_s
+
+    async def wait(
+        self,
+        call: Call,
+        caller: Caller,
+        send: Send,
+        progress: Progress,
+        read: Callable[[], Awaitable[T]],
+        silence_timeout_s: float,
+    ) -> T:
+        """Return what `read` returns, which must lose nothing if it is cancelled.
+
+        Raise TimeoutError at the call's deadline. If nothing is read within the timeout, other
+        upstreams are tried meanwhile; raise TakenOver once one of them has begun to answer.
+        """
+        left_s = call.deadline_s - self._now_s()
+        allowed = may_take_over(call, progress)
+        send.timeout = StallTolerantTimeout(min(left_s, silence_timeout_s) if allowed else left_s)
+        try:
+            async with send.timeout:
+                return await read()
+        except TimeoutError:
+            if not allowed or self._is_over(call):
+                raise
+        self._sender.record_silence(call, send)
+        log_event(
+            "upstream-silent",
+            request_id=call.head.request_id,
+            upstream=send.upstream.name,
+            events=progress.relay.count,
+            answering=send.answering,
+            timer_late_ms=send.timer_late_ms,
+        )
+        reading = asyncio.ensure_future(read())
+        try:
+            return await self._read_or_replace(call, caller, progress, reading)
+        finally:
+            await cancel_tasks([reading])
+
+    async def _read_or_replace(
+        self, call: Call, caller: Caller, progress: Progress, reading: asyncio.Future[T]
+    ) -> T:
+        retry_s = FIRST_RETRY_S
+        while True:
+            replacement = await self._open_beside(call, caller, progress, reading)
+            if replacement is not None:
+                progress.replacement = replacement
+                if reading.done():
+                    # The first upstream broke off meanwhile.
+                    return reading.result()
+                raise TakenOver
+            await self._wait_for(reading, min(retry_s, call.deadline_s - self._now_s()))
+            if reading.done():
+                return reading.result()
+            if self._is_over(call):
+                raise TimeoutError
+            retry_s *= 2
+
+    async def _open_beside(
+        self, call: Call, caller: Caller, progress: Progress, reading: asyncio.Future[T]
+    ) -> Send | None:
+        """Return a send that another upstream answers, or None if there is none in time.
+
+        If the first upstream goes on meanwhile, the other one is left again.
+        """
+        if not may_take_over(call, progress):
+            return None
+        opening = asyncio.ensure_future(self._open(call, caller, progress))
+        wanted = False
+        try:
+            await self._wait_for(reading, self._find_opening_limit_s(call, progress), opening)
+            if reading.done() and not has_result(reading):
+                await self._wait_for(opening, call.deadline_s - self._now_s())
+            wanted = not has_result(reading)
+        finally:
+            await cancel_tasks([opening])
+            replacement = None if opening.cancelled() else opening.result()
+            if replacement is not None and not wanted:
+                progress.runs += 1
+                self._sender.finish(call, replacement, CANCELLED, progress)
+        return replacement if wanted else None
+
+    async def _open(self, call: Call, caller: Caller, progress: Progress) -> Send | None:
+        """Send the call to another upstream; return the send once it is being answered."""
+        if self._quarantine.find_wait_s(progress.part_keys) is not None:
+            return self._give_up(call, "part-quarantined")
+        assignment = await self._placement.assign(
+            call, progress.service, progress.tried, caller.started
+        )
+        if isinstance(assignment, Refused):
+            return self._give_up(call, assignment.reason)
+        if not progress.budget.spend(self._now_s(), self._placement.instances):
+            self._placement.release(progress.service, assignment.upstream)
+            return self._give_up(call, "no-retry-budget")
+        send = progress.begin_send(assignment, self._now_s())
+        outcome: Outcome | None = CANCELLED
+        try:
+            outcome = await self._open_answer(call, caller, send, progress)
+        except SEND_ERRORS as error:
+            outcome = describe_error(error)
+        except asyncio.CancelledError:
+            # The upstream may have begun to work.
+            progress.runs += send.begun
+            raise
+        finally:
+            if outcome is not None:
+                self._sender.finish(call, send, outcome, progress)
+        if outcome is None:
+            return send
+        progress.record(outcome)
+        if isinstance(outcome, NotRun):
+            # It may have a place when other upstreams are asked again.
+            progress.tried.discard(send.upstream.incarnation)
+        return self._give_up(call, progress.last_reason)
+
+    async def _open_answer(
+        self, call: Call, caller: Caller, send: Send, progress: Progress
+    ) -> Outcome | None:
+        """Send the request and read the answer's beginning; return an outcome if it has none."""
+        outcome: Outcome | None = await self._sender.start(call, send, progress)
+        if outcome is not None:
+            return outcome
+        assert send.connection is not None
+        answer = await send.connection.receive(call.head.request_id)
+        outcome = self._sender.record_head(call, send, answer)
+        if outcome is not None:
+            return outcome
+        if answer.status >= 500:
+            return MayHaveRun(f"status-{answer.status}", silent=False)
+        if call.route.kind is not RouteKind.STREAM:
+            return None
+        if answer.status >= 300 and not caller.started:
+            return None
+        if caller.started and not (answer.status < 300 and answer.head.event_stream):
+            return MayHaveRun("the rest of the stream is no stream of events", silent=False)
+        while not has_event(send.first_bytes):
+            part = await answer.body.readany()
+            if not part or len(send.first_bytes) > MAX_EVENT_BYTES:
+                return MayHaveRun("the stream brought no event", silent=False)
+            send.first_bytes += part
+        return None
+
+    def _find_opening_limit_s(self, call: Call, progress: Progress) -> float:
+        left_s = call.deadline_s - self._now_s()
+        if progress.runs + 2 < call.route.attempts:
+            # A third upstream may take the call if the second one is silent too.
+            return min(left_s, find_silence_timeout_s(call))
+        return left_s
+
+    def _give_up(self, call: Call, reason: str) -> None:
+        log_event("not-taken-over", request_id=call.head.request_id, reason=reason)
+
+    def _is_over(self, call: Call) -> bool:
+        return call.deadline_s - self._now_s() <= MIN_TIME_S
+
+    async def _wait_for(
+        self, first: asyncio.Future[T], limit_s: float, *others: asyncio.Future[Send | None]
+    ) -> None:
+        """Wait until one of the futures is done, at most for `limit_s` seconds."""
+        await asyncio.wait(
+            {first, *others}, timeout=max(0.0, limit_s), return_when=asyncio.FIRST_COMPLETED
+        )
+
+
+def may_take_over(call: Call, progress: Progress) -> bool:
+    """Tell whether another upstream may run a call beside the one that is silent."""
+    if not call.route.repeatable or not progress.relay.resumable:
+        return False
+    return progress.runs + 1 < call.route.attempts
+
+
+def has_result(future: asyncio.Future[T]) -> bool:
+    """Tell whether a future has a result, and neither an exception nor a cancellation."""
+    return future.done() and not future.cancelled() and future.exception() is None
+
+
+def find_silence_timeout_s(call: Call) -> float:
+    """Return the seconds without an answer's head or first event after which another is asked."""
+    return max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_FACTOR * call.route.objective_s)
