Recognize a deadly part wherever it stands in a prompt of any length

Cause: only the last 64 shared parts of a prompt were evidence, and the deadly one was the first. Ruled out: ends that are not seen (each is logged), and answers that clear the part (no answered request has it).

Change: all parts of a request count at both front doors. Limits of the same kind behind it go too: 256 parts of the header, a second Prefix-Hash field that replaced the first, 24 parts in an answer to an instance that asks (the same newest ones each time), 1,024 suspects. Messages are cut by bytes, quarantined parts are told first and in turn, groups are compared once a request, suspects are forgotten many at once, and rows and log lines of one end are bounded. Tokens of a part that are digits but no number no longer cost the caller a 500.

One test is replaced: it asked for fewer than 100 parts of a request, to bound memory, which is the fault itself. In its place stand a bound on the parts of a request and one on what the quarantine then holds.

The new tests failed before, but for the part near the end of its prompt and for prompts of up to 64 parts.

--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -20,8 +20,14 @@
 
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
 from jayyoke.edge.log import log_event
-from jayyoke.edge.quarantinelog import log_quarantined
-from jayyoke.ops.partmessage import MAX_TOLD, build_part_message, read_part_message
+from jayyoke.edge.quarantinelog import MAX_LOGGED_PARTS, log_quarantined
+from jayyoke.ops.partmessage import (
+    MAX_TOLD,
+    build_part_message,
+    read_part_message,
+    split_evidence,
+    take_batch,
+)
 from jayyoke.ops.quarantine import PartEvidence, Quarantine
 from jayyoke.platform.body import read_body
 from jayyoke.utils.task import cancel_tasks
@@ -110,7 +116,8 @@
         """Merge a peer's evidence and return what the peer lacks; raise PeerProtocolError."""
         told = decode_evidence(message, self._now_s())
         self._merge(told, "peer")
-        return encode_evidence(self._quarantine.list_unknown_to(told, MAX_TOLD), self._now_s())
+        unknown = self._quarantine.list_unknown_to(told, MAX_TOLD)
+        return encode_evidence(take_batch(unknown), self._now_s())
 
     async def _ask_at_start(self) -> None:
         """Ask until one instance has answered, unless no other is known."""
@@ -141,12 +148,12 @@
         news, self._news = list(self._news), {}
         self._changed.clear()
         evidence = [self._quarantine.describe(key) for key in news]
-        for start in range(0, len(evidence), MAX_TOLD):
+        for batch in split_evidence(evidence):
             for peer in self._choose_peers(FANOUT):
-                self._start_exchange(peer, evidence[start : start + MAX_TOLD])
+                self._start_exchange(peer, batch)
 
     def _ask(self, count: int) -> None:
-        evidence = self._quarantine.list_evidence(MAX_TOLD)
+        evidence = take_batch(self._quarantine.list_evidence(MAX_TOLD))
         for peer in self._choose_peers(count):
             self._start_exchange(peer, evidence)
 
@@ -171,7 +178,8 @@
         return True
 
     def _merge(self, evidence: Iterable[PartEvidence], source: str) -> None:
-        for key in self._quarantine.merge(evidence):
+        quarantined = self._quarantine.merge(evidence)
+        for key in quarantined[:MAX_LOGGED_PARTS]:
             log_quarantined(self._quarantine, key, source=source)
 
 
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -14,7 +14,7 @@
     decode_evidence,
     encode_evidence,
 )
-from jayyoke.ops.partmessage import MAX_TOLD
+from jayyoke.ops.partmessage import MAX_TOLD, split_evidence, take_batch
 from jayyoke.ops.quarantine import (
     MAX_ENDS_PER_PART,
     MAX_KEY_CHARACTERS,
@@ -200,9 +200,15 @@
         ends = tuple(EngineEnd("e" * 40 + str(n), float(n)) for n in range(MAX_ENDS_PER_PART))
         told = [
             PartEvidence("k" * (MAX_KEY_CHARACTERS - 4) + f"{n:04}", ends, 1.0)
-            for n in range(MAX_TOLD)
+            for n in range(3 * MAX_TOLD)
         ]
-        assert len(encode_evidence(told, 100.0)) <= MAX_MESSAGE_BYTES
+        batches = list(split_evidence(told))
+        for batch in batches:
+            message = encode_evidence(batch, 100.0)
+            assert len(message) <= MAX_MESSAGE_BYTES
+            assert len(decode_evidence(message, 100.0)) == len(batch)
+        assert [found for batch in batches for found in batch] == told
+        assert take_batch(told) == batches[0]
 
     @pytest.mark.parametrize("message", [b"", b"\x00", b"{}", b"\xff" * 100, b"\x82" * 50])
     def test_unreadable_message_is_refused(self, message):
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -30,6 +30,7 @@
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.promptlocator import PromptLocator
+from jayyoke.edge.quarantinelog import MAX_LOGGED_PARTS
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.edge.waitqueue import WaitQueue
@@ -361,7 +362,8 @@
                 reason=choice.reason,
                 home_key=key,
                 shared_tokens=shared,
-                parts=list_shared_parts(call.head.parts),
+                parts=list_shared_parts(call.head.parts)[-MAX_LOGGED_PARTS:],
+                part_count=len(call.head.parts),
                 load=round(found.load, 1),
                 load_age_ms=None if found.load_age_s is None else round(found.load_age_s * 1000),
                 own=found.own,
--- a/jayyoke/edge/quarantinelog.py
+++ b/jayyoke/edge/quarantinelog.py
@@ -6,6 +6,9 @@
 from jayyoke.ops.endobserver import ObservedEnd
 from jayyoke.ops.quarantine import Quarantine
 
+# Of one end or one message; a prompt may have thousands of parts.
+MAX_LOGGED_PARTS = 32
+
 
 def log_end(quarantine: Quarantine, end: ObservedEnd) -> None:
     """Log that an engine ended, under which suspects, and what is quarantined by that."""
@@ -13,9 +16,11 @@
         "engine-ended",
         request_id=end.request_id,
         upstream=end.upstream.name,
-        suspect_parts=list(end.keys),
+        suspect_parts=list(end.keys[:MAX_LOGGED_PARTS]),
+        suspects=len(end.keys),
+        quarantined=len(end.quarantined),
     )
-    for key in end.quarantined:
+    for key in end.quarantined[:MAX_LOGGED_PARTS]:
         log_quarantined(quarantine, key, request_id=end.request_id, source="own")
 
 
--- a/jayyoke/ops/chatparts.py
+++ b/jayyoke/ops/chatparts.py
@@ -16,6 +16,9 @@
 from jayyoke.ops.quarantinerows import QuarantineRows
 from jayyoke.platform.table import Table
 
+# Of one end; a chat may have thousands of messages.
+MAX_LOGGED_PARTS = 32
+
 
 class ChatParts:
     """Holds the quarantine of one instance and the parts that feed it."""
@@ -51,11 +54,8 @@
             "engine %s ended; request %s was cut, suspect parts: %s",
             end.upstream.name,
             end.request_id,
-            ", ".join(end.keys) or "none",
+            ", ".join(end.keys[:MAX_LOGGED_PARTS]) or "none",
         )
-        for key in end.quarantined:
+        for key in end.quarantined[:MAX_LOGGED_PARTS]:
             logging.warning("part %s is kept from engines", key)
-        quarantined = self.quarantine.list_quarantined()
-        for key in end.keys:
-            if key in quarantined:
-                self._rows.mark_changed(key)
+        self._rows.record_end(end.keys)
--- a/jayyoke/ops/partmessage.py
+++ b/jayyoke/ops/partmessage.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from jayyoke.ops.quarantine import (
     KEPT_S,
@@ -13,9 +13,33 @@
 )
 from jayyoke.wire.gen import ttypes
 
-# About 10 KB with the longest keys and the most ends, usually under 1 KB.
-MAX_TOLD = 24
+MAX_TOLD = 256
+# Peers refuse messages over 16 KiB.
+MAX_BATCH_BYTES = 12 << 10
 MAX_ENGINE_CHARACTERS = 120
+# Encoded size of a part and an end, without their texts.
+PART_BYTES = 40
+END_BYTES = 24
+
+
+def split_evidence(evidence: Iterable[PartEvidence]) -> Iterator[list[PartEvidence]]:
+    """Yield the evidence in batches, each of which fits into a message."""
+    batch: list[PartEvidence] = []
+    size = 0
+    for found in evidence:
+        found_size = _estimate_bytes(found)
+        if batch and (size + found_size > MAX_BATCH_BYTES or len(batch) >= MAX_TOLD):
+            yield batch
+            batch, size = [], 0
+        batch.append(found)
+        size += found_size
+    if batch:
+        yield batch
+
+
+def take_batch(evidence: Iterable[PartEvidence]) -> list[PartEvidence]:
+    """Return the first part of the evidence that fits into a message."""
+    return next(split_evidence(evidence), [])
 
 
 def build_part_message(evidence: Iterable[PartEvidence], now_s: float) -> ttypes.PartEvidence:
@@ -52,3 +76,10 @@
 
 def _is_age(age_ms: int | None) -> bool:
     return age_ms is not None and 0 <= age_ms <= KEPT_S * 1000
+
+
+def _estimate_bytes(found: PartEvidence) -> int:
+    size = PART_BYTES + len(found.key.encode("utf-8", "replace"))
+    for end in found.ends:
+        size += END_BYTES + len(end.engine.encode("utf-8", "replace"))
+    return size
--- a/jayyoke/ops/partsharing.py
+++ b/jayyoke/ops/partsharing.py
@@ -9,8 +9,13 @@
 from jayyoke.core.clock import Clock
 from jayyoke.core.member import Member
 from jayyoke.core.peering import Peers
-from jayyoke.ops.partmessage import MAX_TOLD, build_part_message, read_part_message
-from jayyoke.ops.quarantine import PartEvidence, Quarantine
+from jayyoke.ops.partmessage import (
+    MAX_TOLD,
+    build_part_message,
+    read_part_message,
+    split_evidence,
+)
+from jayyoke.ops.quarantine import MAX_SUSPECTED, PartEvidence, Quarantine
 from jayyoke.wire.gen import ttypes
 
 # The ends and answers of this time go into one message.
@@ -62,7 +67,7 @@
         if not self._quarantine.suspected:
             return
         for member in new:
-            self._tell(member, self._quarantine.list_evidence(MAX_TOLD))
+            self._tell(member, self._quarantine.list_evidence(MAX_SUSPECTED))
 
     def _list_connected(self) -> list[Member]:
         found = []
@@ -72,9 +77,8 @@
 
     def _tell(self, member: Member, evidence: list[PartEvidence]) -> None:
         now_s = self._clock.now_s()
-        for start in range(0, len(evidence), MAX_TOLD):
-            message = build_part_message(evidence[start : start + MAX_TOLD], now_s)
-            self._peers.tell(member.name, message)
+        for batch in split_evidence(evidence):
+            self._peers.tell(member.name, build_part_message(batch, now_s))
 
     async def _on_evidence(self, sender: Member, message: ttypes.PartEvidence) -> None:
         told = read_part_message(message, self._clock.now_s())
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -18,7 +18,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterable, Mapping, Sequence
+import heapq
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from reactivex import Observable
@@ -46,10 +47,11 @@
 # A part is forgotten this long after its last end, and earlier if that led to no quarantine.
 KEPT_S = 86_400.0
 UNPROVEN_KEPT_S = 600.0
-MAX_SUSPECTED = 1024
+MAX_SUSPECTED = 8192
 MAX_ENDS_PER_PART = 8
-MAX_GOOD = 8192
-MAX_PARTS_PER_REQUEST = 64
+MAX_GOOD = 32768
+# Any part may be the cause, so none that fits into a request's header is left out.
+MAX_PARTS_PER_REQUEST = 8192
 MAX_KEY_CHARACTERS = 96
 
 
@@ -166,6 +168,7 @@
         self._records: dict[str, _Record] = {}
         self._good_s: dict[str, float] = {}
         self._changes: Subject[str] = Subject()
+        self._told_from = 0
 
     @property
     def changes(self) -> Observable[str]:
@@ -195,9 +198,10 @@
             record = self._records.get(key)
             if record is not None and record.hold_s is not None:
                 held[key] = record
+        telling = self._list_telling(held.values())
         found_s = []
         for key, record in held.items():
-            wait_s = self._find_part_wait_s(key, record, held)
+            wait_s = self._find_part_wait_s(key, record, telling)
             if wait_s is not None:
                 found_s.append(wait_s)
         return max(found_s, default=None)
@@ -245,9 +249,21 @@
         return PartEvidence(key, tuple(record.ends) if record else (), self._good_s.get(key))
 
     def list_evidence(self, limit: int) -> list[PartEvidence]:
-        """Return what is known of suspected parts, of those with the newest ends first."""
-        newest = sorted(self._records, key=lambda key: -self._records[key].last_end_s)
-        return [self.describe(key) for key in newest[:limit]]
+        """Return what is known of suspected parts: the quarantined ones and the newest others.
+
+        If there are too many quarantined ones, each call returns the next of them in turn.
+        """
+        held = self.list_quarantined()
+        if len(held) > limit:
+            first = self._told_from % len(held)
+            self._told_from = first + limit
+            held = (held[first:] + held[:first])[:limit]
+        chosen = set(held)
+        others = (key for key in self._records if key not in chosen)
+        newest = heapq.nlargest(
+            limit - len(held), others, key=lambda key: self._records[key].last_end_s
+        )
+        return [self.describe(key) for key in held + newest]
 
     def list_unknown_to(self, told: Iterable[PartEvidence], limit: int) -> list[PartEvidence]:
         """Return what another instance does not know, given what it has told."""
@@ -305,11 +321,11 @@
             del self._good_s[next(iter(self._good_s))]
 
     def _find_part_wait_s(
-        self, key: str, record: _Record, held: Mapping[str, _Record]
+        self, key: str, record: _Record, telling: Sequence[_Record]
     ) -> float | None:
-        """Return how long a request with the given held parts waits for one of them."""
+        """Return how long a request waits for a held part, given the groups that it tells apart."""
         hold_s = record.hold_s or 0.0
-        if self._tells_apart(record, held):
+        if any(found.has_same_ends(record) for found in telling):
             return TRIAL_WAIT_S if record.on_trial else None
         beyond_s = self._now_s() - record.last_end_s - hold_s
         if beyond_s < 0.0:
@@ -318,13 +334,24 @@
             return hold_s
         return None
 
-    def _tells_apart(self, record: _Record, held: Mapping[str, _Record]) -> bool:
-        """Tell whether a request has at most half of the parts with the same ends."""
-        group = 0
-        for other in self._records.values():
-            group += other.hold_s is not None and other.has_same_ends(record)
-        present = sum(other.has_same_ends(record) for other in held.values())
-        return 2 * present <= group
+    def _list_telling(self, held: Collection[_Record]) -> list[_Record]:
+        """Return a record of each group of parts with the same ends that a request tells apart.
+
+        That are the groups of which it has at most half, given its held parts.
+        """
+        groups: list[_Record] = []
+        telling = []
+        for record in held:
+            if any(found.has_same_ends(record) for found in groups):
+                continue
+            groups.append(record)
+            size = 0
+            for other in self._records.values():
+                size += other.has_same_ends(record) and other.hold_s is not None
+            present = sum(other.has_same_ends(record) for other in held)
+            if 2 * present <= size:
+                telling.append(record)
+        return telling
 
     def _may_try(self, key: str, share: float) -> bool:
         """Tell whether this instance may try a part; their share of all instances grows."""
@@ -341,12 +368,17 @@
 
     def _forget_excess(self) -> None:
         """Forget the parts with the fewest ends, which are the easiest to learn again."""
-        while len(self._records) > MAX_SUSPECTED:
-            records = self._records
-            weakest = min(
-                records, key=lambda key: (len(records[key].ends), records[key].last_end_s)
-            )
-            del records[weakest]
+        records = self._records
+        if len(records) <= MAX_SUSPECTED:
+            return
+        # Some more at once, since each search looks at all of them.
+        weakest = heapq.nsmallest(
+            MAX_SUSPECTED // 16,
+            records,
+            key=lambda key: (len(records[key].ends), records[key].last_end_s),
+        )
+        for key in weakest:
+            del records[key]
 
 
 def _adds_to(known: PartEvidence, told: PartEvidence) -> bool:
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -10,6 +10,7 @@
     KNOWN_PART_LIMIT,
     MAX_ENDS_PER_PART,
     MAX_KEY_CHARACTERS,
+    MAX_PARTS_PER_REQUEST,
     MAX_SUSPECTED,
     NEW_PART_LIMIT,
     SAME_CAUSE_S,
@@ -71,7 +72,21 @@
         long_keys = build_part_keys("pool", ["a" * 4000, "a" * 4001])
         assert len(set(long_keys)) == 2
         assert all(len(key) <= MAX_KEY_CHARACTERS for key in long_keys)
-        assert len(build_part_keys("pool", [str(n) for n in range(5000)])) < 100
+
+    def test_parts_of_a_request_are_bounded(self):
+        """Guards against a request whose parts fill the memory of an instance."""
+        parts = [str(number) for number in range(3 * MAX_PARTS_PER_REQUEST)]
+        keys = build_part_keys("pool", parts)
+        assert len(keys) <= MAX_PARTS_PER_REQUEST
+        case = Case()
+        case.end(*keys)
+        assert case.quarantine.suspected <= MAX_SUSPECTED
+
+    @pytest.mark.parametrize("count", [1, 64, 65, 256, 257, 4000])
+    def test_no_part_of_a_long_prompt_is_left_out(self, count):
+        """Guards against a deadly part that is in no evidence because of its place."""
+        parts = [str(number) for number in range(count)]
+        assert build_part_keys("pool", parts) == tuple(f"pool/{part}" for part in parts)
 
 
 class TestSuspects:
@@ -315,6 +330,49 @@
         assert case.quarantine.list_unknown_to(unknown.values(), 10) == []
 
 
+class TestLongPrompts:
+    """Tests prompts with thousands of parts."""
+
+    SOUND = tuple(f"part-{number}" for number in range(4000))
+
+    def test_deadly_part_among_sound_ones_is_found(self):
+        """Guards against a part that is not told from thousands of others."""
+        case = Case()
+        case.quarantine.record_good(self.SOUND)
+        for _ in range(2):
+            case.end(*self.SOUND[:2000], "deadly", *self.SOUND[2000:])
+            case.quarantine.record_good(self.SOUND)
+        assert case.quarantine.list_quarantined() == ["deadly"]
+        assert case.quarantine.find_wait_s(self.SOUND) is None
+        assert case.quarantine.find_wait_s([*self.SOUND, "deadly"]) is not None
+
+    def test_request_with_half_of_a_large_group_is_sent(self):
+        """Guards against parts of a first request that are all refused with the deadly one."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end(*self.SOUND)
+        assert case.quarantine.find_wait_s(self.SOUND) is not None
+        assert case.quarantine.find_wait_s(self.SOUND[:2000]) is None
+
+    def test_all_quarantined_parts_are_told_in_turn(self):
+        """Guards against an instance that never learns of the later parts of a long prompt."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end(*self.SOUND[:1000])
+        told: set[str] = set()
+        for _ in range(10):
+            told |= {found.key for found in case.quarantine.list_evidence(100)}
+        assert told == set(self.SOUND[:1000])
+
+    def test_quarantined_part_is_told_before_newer_suspects(self):
+        """Guards against a deadly part that other ends hide from an instance that asks."""
+        case = Case()
+        case.quarantine_part("deadly")
+        for _ in range(3):
+            case.end(*self.SOUND[:500], engine="e")
+        assert case.quarantine.list_evidence(10)[0].key == "deadly"
+
+
 class TestBounds:
     """Tests what callers can fill."""
 
--- a/jayyoke/ops/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -32,6 +32,10 @@
 MAX_RETRY_S = 8.0
 # A row that is not written by then may be one that the store does not accept.
 MAX_TRIES = 12
+# A prompt may have thousands of parts, and the store takes few writes a second.
+MAX_ROWS_PER_END = 64
+# With more changes than this, reading the rows first saves removals of rows that are not there.
+MAX_BLIND_CHANGES = 8
 
 
 class InvalidStoredPart(PlatformError):
@@ -94,16 +98,32 @@
         self._changed[key] = None
         self._wake.set()
 
+    def record_end(self, keys: Sequence[str]) -> None:
+        """Write the rows of those parts that an engine's end has quarantined."""
+        held = set(self._quarantine.list_quarantined())
+        quarantined = [key for key in keys if key in held]
+        for key in quarantined[:MAX_ROWS_PER_END]:
+            self.mark_changed(key)
+
     async def run(self) -> None:
         """Read the rows once and write those that change, until cancelled."""
         await self._retry(self._read)
         while True:
             await self._wake.wait()
             self._wake.clear()
+            if len(self._changed) > MAX_BLIND_CHANGES:
+                await self._retry(self._drop_needless_removals, MAX_TRIES)
             for key in list(self._changed):
                 del self._changed[key]
                 await self._retry(lambda key=key: self._write(key), MAX_TRIES)
 
+    async def _drop_needless_removals(self) -> None:
+        stored = {row.key for row in await self._storage.read()}
+        held = set(self._quarantine.list_quarantined())
+        for key in list(self._changed):
+            if key not in held and _build_row_key(key) not in stored:
+                del self._changed[key]
+
     async def _retry(self, call: Callable[[], Awaitable[None]], tries: int | None = None) -> None:
         retry_s = FIRST_RETRY_S
         count = 0
@@ -141,7 +161,7 @@
             return None
 
     async def _write(self, key: str) -> None:
-        row_key = hashlib.sha256(key.encode()).hexdigest()[:40]
+        row_key = _build_row_key(key)
         if key not in self._quarantine.list_quarantined():
             await self._storage.write(Put(row_key, None, None))
             return
@@ -156,6 +176,10 @@
         await self._storage.write(Put(row_key, value, None))
 
 
+def _build_row_key(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()[:40]
+
+
 def decode_stored_part(row: Row) -> StoredPart:
     """Return a row's part; raise InvalidStoredPart."""
     try:
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -13,8 +13,7 @@
 
 _SECONDS = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 RawHeaders = Iterable[tuple[bytes, bytes]]
-# More parts than the users' prompts have.
-MAX_PROMPT_PARTS = 256
+MAX_INTEGER_DIGITS = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +79,13 @@
 
 def decode_request(headers: RawHeaders) -> RequestHead:
     """Return the head of a caller's request; malformed values count as missing."""
-    values = {name.lower(): value for name, value in headers}
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        field = name.lower()
+        if field == names.PROMPT_PARTS and field in values:
+            # A list may be sent as several fields (RFC 9110, section 5.3).
+            value = values[field] + b"," + value
+        values[field] = value
     key = values.get(names.AUTHORIZATION, b"").decode("latin-1")
     prompt, output = _decode_token_counts(values.get(names.TOKEN_COUNTS, b""))
     deadline_ms = _decode_integer(values.get(names.DEADLINE))
@@ -196,7 +201,7 @@
 
 
 def _decode_integer(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit() or len(value) > 15:
+    if value is None or not value.isdigit() or len(value) > MAX_INTEGER_DIGITS:
         return None
     return int(value)
 
@@ -215,11 +220,12 @@
 
 
 def _decode_parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt, however many; the operator's limit bounds the header."""
     parts = []
-    for item in value.decode("latin-1").split(",")[:MAX_PROMPT_PARTS]:
-        name, _, tokens = item.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+    for item in value.split(b","):
+        name, _, tokens = item.strip().partition(b":")
+        if name and tokens.isdigit() and len(tokens) <= MAX_INTEGER_DIGITS:
+            parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
     return tuple(parts)
 
 
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -70,6 +70,26 @@
         assert head.parts == (PromptPart("a", 10), PromptPart("b", 20), PromptPart("c", 5))
         assert (head.deadline_s, head.prompt_tokens, head.output_tokens) == (1.5, 35, 80)
 
+    def test_all_parts_of_a_long_prompt_are_decoded(self):
+        """Guards against parts that nothing is known of since they come late in the prompt."""
+        value = b",".join(b"%x:1" % number for number in range(3000))
+        head = decode_request(((b"Prefix-Hash", value),))
+        assert [part.id for part in head.parts] == [f"{number:x}" for number in range(3000)]
+
+    def test_parts_in_several_fields_are_one_list(self):
+        head = decode_request(((b"Prefix-Hash", b"a:1,b:2"), (b"prefix-hash", b"c:3")))
+        assert [part.id for part in head.parts] == ["a", "b", "c"]
+
+    @pytest.mark.parametrize(
+        "tokens",
+        [b"", b"x", b"-1", b"\xb2", b"9" * 5000],
+        ids=["none", "letter", "sign", "superscript", "too-long"],
+    )
+    def test_part_with_malformed_tokens_is_left_out(self, tokens):
+        """Guards against a caller who gets 500 for digits that are no number."""
+        head = decode_request(((b"Prefix-Hash", b"a:1,b:" + tokens + b",c:3"),))
+        assert [part.id for part in head.parts] == ["a", "c"]
+
     @given(
         st.dictionaries(
             st.sampled_from(
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -186,10 +186,7 @@
     def record_end(self, end: ObservedEnd) -> None:
         """Log the end of an engine and store the parts that are quarantined."""
         log_end(self.quarantine, end)
-        quarantined = self.quarantine.list_quarantined()
-        for key in end.keys:
-            if key in quarantined:
-                self.quarantine_rows.mark_changed(key)
+        self.quarantine_rows.record_end(end.keys)
 
     def apply_settings(self, settings: EntrySettings) -> list[str]:
         """Apply new settings; return the names of those whose change needs a restart."""
--- a/tests/deadly_message_test.py
+++ b/tests/deadly_message_test.py
@@ -92,6 +92,20 @@
 
         run_engines(test)
 
+    @pytest.mark.parametrize("count", [70, 300])
+    def test_message_is_recognized_in_a_long_chat(self, count):
+        """Guards against a deadly message that is in no evidence because others follow it."""
+        chat = [{"role": "user", "content": f"message {number}"} for number in range(count)]
+
+        async def test(router: Router, engines: list[EndingEngine]) -> None:
+            await send_chat(router, SOUND, *chat)
+            for number in range(6):
+                with pytest.raises(openai.APIStatusError):
+                    await send_chat(router, SOUND, DEADLY, *chat, count=number)
+            assert sum(engine.deadly_received for engine in engines) == NEW_PART_LIMIT
+
+        run_engines(test)
+
     def test_sound_chats_beside_it_are_answered(self):
         """Guards against chats that are refused for the messages that they share."""
 
--- a/tests/entry_deadly_part_test.py
+++ b/tests/entry_deadly_part_test.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import aiohttp
+import pytest
 
 from standin.deadlyengine import DEFAULT_EVENTS, DeadlyEngine
 from standin.entryconfig import build_config, build_route
@@ -183,6 +184,59 @@
         run_rig(test, build_config(routes=routes))
 
 
+class TestLongPrompt:
+    """Tests a deadly part among many others."""
+
+    @pytest.mark.parametrize("count", [64, 65, 300, 1200])
+    @pytest.mark.parametrize("place", ["first", "middle", "last"])
+    def test_part_is_recognized_wherever_it_stands(self, count, place):
+        """Guards against a deadly part that is in no evidence because others come after it."""
+        sound = [f"{number:x}:4" for number in range(count)]
+        index = {"first": 0, "middle": count // 2, "last": count}[place]
+        deadly = [*sound[:index], "0,dead:4", *sound[index:]]
+        sound_prompt, deadly_prompt = ",".join(sound), ",".join(deadly)
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig)
+            for _ in range(6):
+                assert (await fleet.call(sound_prompt))[:2] == (200, WHOLE)
+            for _ in range(12):
+                await fleet.call(deadly_prompt)
+                await asyncio.sleep(0.05)
+            assert fleet.deadly_received <= ALLOWED_SENDS
+            await wait_until(lambda: all(list_quarantined(fleet)))
+            for _ in range(3):
+                await wait_until(lambda: all_up(fleet))
+                assert (await fleet.call(sound_prompt))[:2] == (200, WHOLE)
+
+        run_rig(test)
+
+    def test_new_instance_learns_which_part_of_a_long_prompt(self):
+        """Guards against a restarted instance that is told only of some suspects."""
+        prompt = ",".join(["dead:4", *(f"{number:x}:4" for number in range(900))])
+
+        async def test(rig: Rig) -> None:
+            fleet = await start_fleet(rig, entries=2)
+            await fleet.call(f"0:4,{prompt}", entry=0)
+            await wait_until(lambda: all("desk/dead" in found for found in list_quarantined(fleet)))
+            seeds = tuple(entry.instance.settings.peer_address for entry in fleet.entries)
+            rig.store.fault = Fault.RESET
+            entry = await rig.add_entry("entry-9", seeds)
+            await wait_until(lambda: "desk/dead" in entry.instance.quarantine.list_quarantined())
+
+        run_rig(test)
+
+
+def all_up(fleet: Fleet) -> bool:
+    """Tell whether all engines accept connections and no instance avoids one."""
+    for entry in fleet.entries:
+        tracker = entry.instance.placement.tracker
+        for upstream in entry.instance.view.upstreams.values():
+            if tracker.get(upstream.incarnation).is_suspended(entry.instance.forwarder._now_s()):
+                return False
+    return True
+
+
 class TestSoundParts:
     """Tests what must not be refused."""
 
