Bound what an entry instance makes of an upstream's endless bytes

An operator's report: a faulty worker's bytes that were no answer took the machine that had called it over its memory, and its other clients' requests with it. It could happen here: with 120 requests at such an upstream the process had 561 MB (tiny answers to other requests), 593 MB (the same after the own answer) and 367 MB (interim answers), where a machine has 300 MB.

Cause: bytes were counted for each answer, but a read of 256 KB holds thousands of tiny answers or chunks, of which the parser made objects before anything looked at them; incomplete events were bounded one by one.

Change: a connection reads 16 KB at once into a shared buffer and is broken off after five answers that nobody took; incomplete events of all streams together are bounded, as are bytes without a new event; bytes that are there already no longer outrun the deadline (40 streams of comments took 61 s).

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -18,7 +18,8 @@
 from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, PathLost
 from jayyoke.platform.message import AnswerHead, decode_answer
 
-READ_BUFFER_BYTES = 1 << 16
+# Of an answer that is not read; chunks of one byte take a hundred times as much memory.
+READ_BUFFER_BYTES = 16 << 10
 MAX_HEADER_BYTES = 32 << 10
 # Linux's number; the socket module does not name it in every version.
 _TCP_USER_TIMEOUT = 18
@@ -34,9 +35,15 @@
 MAX_HEAD_BYTES = 256 << 10
 # Late answers to earlier requests; more than these are a fault of the upstream.
 MAX_FOREIGN_ANSWERS = 4
+# The parser makes objects of answers of some 30 bytes and chunks of one, so it gets few at once.
+PARSED_BYTES = 16 << 10
 
 
-class UpstreamConnection(BaseProtocol):
+# Received bytes are parsed before the next read of any connection.
+_read_buffer = bytearray(PARSED_BYTES)
+
+
+class UpstreamConnection(BaseProtocol, asyncio.BufferedProtocol):
     """Carries one request at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -72,6 +79,14 @@
         super().connection_made(transport)
         set_liveness_options(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next bytes."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes in the buffer."""
+        self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer, or close the connection if no request is open."""
         if self._idle:
@@ -87,6 +102,9 @@
             self._break(f"the upstream's bytes are no answer: {error.message}")
             return
         for message in messages:
+            if len(self._answers) > MAX_FOREIGN_ANSWERS:
+                self._break("the upstream sends answers that belong to no request")
+                return
             self._answers.append(message)
             self._newest_payload = message[1]
         self._check_size(len(data), bool(messages))
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -23,10 +23,13 @@
 from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, build_part_keys, is_suspect
+from jayyoke.utils.heldbytes import HeldBytes
 
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
+# Incomplete events of all streams, in bytes.
+MAX_HELD_EVENT_BYTES = 32 << 20
 # A request is not sent again after so many engines ended when they began to answer it.
 MAX_SUSPECT_RUNS = 2
 
@@ -59,6 +62,7 @@
         self._sender = Sender(placement, moves, pool, quarantine, now_s)
         self._takeover = Takeover(placement, self._sender, quarantine, now_s)
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
+        self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_s = now_s()
 
@@ -71,10 +75,12 @@
             budget = RetryBudget(self._bounds, self._started_s)
             self._budgets[service] = budget
         budget.add_request(self._now_s())
-        progress = Progress(service, EventRelay(call.head.last_event), budget, part_keys)
+        relay = EventRelay(call.head.last_event, self._held_bytes)
+        progress = Progress(service, relay, budget, part_keys)
         try:
             await self._serve(call, caller, progress)
         finally:
+            relay.close()
             replacement = progress.take_replacement()
             if replacement is not None:
                 self._sender.finish(call, replacement, CANCELLED, progress)
--- a/jayyoke/edge/stream.py
+++ b/jayyoke/edge/stream.py
@@ -5,8 +5,13 @@
 import re
 
 from jayyoke.core.error import AnswerBroken
+from jayyoke.utils.heldbytes import HeldBytes
 
 MAX_EVENT_BYTES = 1 << 20
+# The limit of an event while all streams together hold too much.
+MAX_CROWDED_EVENT_BYTES = 32 << 10
+# Comments and repeated events between two new events; beyond it the answer counts as broken.
+MAX_BYTES_WITHOUT_EVENT = 1 << 20
 # An id travels in a header of a resumption, whose size upstreams limit.
 MAX_ID_DIGITS = 256
 _ID = re.compile(rb"(?:^|\n)id: ?(\d{1,%d})\r?(?:\n|$)" % MAX_ID_DIGITS)
@@ -16,18 +21,30 @@
     """Splits an upstream's bytes into events, and drops those that were passed on before.
 
     `last_id` is the id after which another run has to go on: that of the last event passed on, or
-    the caller's. `count` is the number of events passed on, without comments.
+    the caller's. `count` is the number of events passed on, without comments. `held` counts the
+    bytes of incomplete events over all streams; `close` frees those of this one.
     """
 
-    __slots__ = ("_last_number", "_run_start_count", "_tail", "_unnumbered", "count", "last_id")
-
-    def __init__(self, last_id: bytes | None):
+    __slots__ = (
+        "_held",
+        "_idle_bytes",
+        "_last_number",
+        "_run_start_count",
+        "_tail",
+        "_unnumbered",
+        "count",
+        "last_id",
+    )
+
+    def __init__(self, last_id: bytes | None, held: HeldBytes):
         self.last_id = last_id
+        self._held = held
         self.count = 0
         self._last_number = _parse_number(last_id)
         self._unnumbered = False
         self._run_start_count = 0
         self._tail = b""
+        self._idle_bytes = 0
 
     @property
     def resumable(self) -> bool:
@@ -55,14 +72,27 @@
     def restart(self) -> None:
         """Begin another run; an incomplete event of the run before is dropped."""
         self._run_start_count = self.count
-        self._tail = b""
+        self._idle_bytes = 0
+        self._replace_tail(b"")
+
+    def close(self) -> None:
+        """Drop an incomplete event."""
+        self._replace_tail(b"")
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete new events.
 
-        Raise AnswerBroken if one is too large, or if one of a resumed run has no numeric id, since
-        nothing shows then that it belongs to the stream.
+        Raise AnswerBroken if one is too large, if too many bytes bring no new one, or if one of a
+        resumed run has no numeric id, since nothing shows then that it belongs to the stream.
         """
+        count = self.count
+        events = self._take_events(chunk)
+        self._idle_bytes = 0 if self.count != count else self._idle_bytes + len(chunk)
+        if self._idle_bytes > MAX_BYTES_WITHOUT_EVENT:
+            raise AnswerBroken("the upstream sends bytes without a new event")
+        return events
+
+    def _take_events(self, chunk: bytes) -> bytes:
         data = self._tail + chunk
         end = data.rfind(b"\n\n") + 2
         if end == 1:
@@ -98,8 +128,13 @@
         return True
 
     def _keep_tail(self, tail: bytes) -> None:
-        if len(tail) > MAX_EVENT_BYTES:
+        self._replace_tail(tail)
+        limit = MAX_CROWDED_EVENT_BYTES if self._held.exceeded else MAX_EVENT_BYTES
+        if len(tail) > limit:
             raise AnswerBroken("an event exceeds the size limit")
+
+    def _replace_tail(self, tail: bytes) -> None:
+        self._held.change(len(tail) - len(self._tail))
         self._tail = tail
 
 
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -67,6 +67,9 @@
         upstreams are tried meanwhile; raise TakenOver once one of them has begun to answer.
         """
         left_s = call.deadline_s - self._now_s()
+        if left_s <= 0.0:
+            # Bytes that are there already do not wait for a timer.
+            raise TimeoutError
         allowed = may_take_over(call, progress)
         send.timeout = StallTolerantTimeout(min(left_s, silence_timeout_s) if allowed else left_s)
         try:
