Bound what jayyoked makes of an engine's endless bytes

With 40 chats at an engine that sends interim answers, or answers to nobody, without end, the process grew to 235 and 300 MB; reading an engine's state or a probe's answer without a length kept whatever came until the timeout.

Cause: aiohttp's client parses a whole read of 256 KB at once and queues each answer, and answer.json() has no limit.

--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -18,6 +18,8 @@
 from jayyoke.ops.deadline import DEADLINE_HEADER, format_deadline
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.platform.message import decode_notice
+from jayyoke.utils.connector import BoundedConnector
+from jayyoke.utils.heldbytes import HeldBytes
 from jayyoke.utils.sockets import build_socket_factory
 
 CONNECT_TIMEOUT_S = 1.0
@@ -32,7 +34,13 @@
 CANCEL_TIMEOUT_S = 1.0
 MAX_CANCEL_TASKS = 256
 MAX_ANSWER_BYTES = 16 << 20
+# Of all plain answers that are being read together, and of each one beyond that.
+MAX_HELD_ANSWER_BYTES = 64 << 20
+MAX_CROWDED_ANSWER_BYTES = 256 << 10
+# Of the incomplete events of all streams together.
+MAX_HELD_EVENT_BYTES = 32 << 20
 EVENT_STREAM = "text/event-stream"
+_held_answers = HeldBytes(MAX_HELD_ANSWER_BYTES)
 
 
 class EngineBusy(UpstreamError):
@@ -96,6 +104,7 @@
         self._http = http
         self._source = source
         self._clock = clock or SystemClock()
+        self.held_events = HeldBytes(MAX_HELD_EVENT_BYTES)
         self._notices = notices or UpstreamNotices(self._clock.now_s)
         self._fresh: aiohttp.ClientSession | None = None
         self._no_reuse_until_s: dict[str, float] = {}
@@ -190,7 +199,7 @@
             return self._http
         if self._fresh is None:
             factory = build_socket_factory(self._source)
-            connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=factory)
+            connector = BoundedConnector(limit=0, force_close=True, socket_factory=factory)
             self._fresh = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
             )
@@ -294,10 +303,15 @@
         raise AnswerMismatched(f"{upstream.name} answered for request {echoed_id!r:.140}")
     chunks = []
     size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            response.close()
-            raise AnswerBroken(f"{upstream.name}: the answer exceeds {MAX_ANSWER_BYTES} bytes")
-        chunks.append(chunk)
-    return Answer(response.status, response.content_type, b"".join(chunks))
+    try:
+        async for chunk in response.content.iter_any():
+            size += len(chunk)
+            _held_answers.change(len(chunk))
+            limit = MAX_CROWDED_ANSWER_BYTES if _held_answers.exceeded else MAX_ANSWER_BYTES
+            if size > limit:
+                response.close()
+                raise AnswerBroken(f"{upstream.name}: the answer exceeds {limit} bytes")
+            chunks.append(chunk)
+        return Answer(response.status, response.content_type, b"".join(chunks))
+    finally:
+        _held_answers.change(-size)
--- a/jayyoke/ops/orders.py
+++ b/jayyoke/ops/orders.py
@@ -9,9 +9,12 @@
 
 from jayyoke.core.error import UpstreamError
 from jayyoke.core.upstream import Upstream
+from jayyoke.utils.connector import read_limited
+from jayyoke.utils.jsontext import parse_json
 
 ORDER_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 1.0
+MAX_STATE_BYTES = 64 << 10
 
 
 class OrderRefused(UpstreamError):
@@ -40,7 +43,7 @@
         async with http.get(f"{upstream.url}/load", timeout=timeout) as answer:
             if answer.status != 200:
                 return None
-            return _parse_state(await answer.json(content_type=None))
+            return _parse_state(parse_json(await read_limited(answer, MAX_STATE_BYTES)))
     except (
         TimeoutError,
         aiohttp.ClientError,
--- a/jayyoke/ops/plainservice.py
+++ b/jayyoke/ops/plainservice.py
@@ -13,6 +13,7 @@
 from jayyoke.ops.decisionlog import log_decision
 from jayyoke.ops.forward import Answer, call_plain
 from jayyoke.ops.placement import Placer
+from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.sockets import build_socket_factory
 
 
@@ -44,7 +45,7 @@
     Connections start from the IP address `source`.
     """
     factory = build_socket_factory(source)
-    connector = aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=factory)
+    connector = BoundedConnector(limit=0, force_close=True, socket_factory=factory)
     # One caller's cookies must not reach a service with another caller's request.
     return aiohttp.ClientSession(
         connector=connector,
--- a/jayyoke/ops/probe.py
+++ b/jayyoke/ops/probe.py
@@ -17,6 +17,8 @@
 from jayyoke.ops.cacheevents import CacheFollower
 from jayyoke.ops.health import Health
 from jayyoke.ops.steward import Steward
+from jayyoke.utils.connector import read_limited
+from jayyoke.utils.jsontext import parse_json
 
 PROBE_INTERVAL_S = 2.5
 # Cache events may arrive 10 s late, so fetching them with every second probe, 5 s apart, suffices.
@@ -169,7 +171,7 @@
             ) as answer:
                 if answer.status != 200 or (answer.content_length or 0) > MAX_BODY_BYTES:
                     return None
-                body = await answer.json(content_type=None)
+                body = parse_json(await read_limited(answer, MAX_BODY_BYTES))
         except (TimeoutError, aiohttp.ClientError, ValueError, RecursionError):
             return None
         return body if isinstance(body, dict) else None
--- a/jayyoke/ops/sse.py
+++ b/jayyoke/ops/sse.py
@@ -9,9 +9,12 @@
 from typing import Any
 
 from jayyoke.core.error import AnswerBroken
+from jayyoke.utils.heldbytes import HeldBytes
 from jayyoke.utils.jsontext import parse_json
 
 MAX_FRAME_BYTES = 1 << 20
+# The limit of a frame while all answers together hold too much.
+MAX_CROWDED_FRAME_BYTES = 32 << 10
 # Limit of comments and other frames between two tokens; beyond it the answer counts as broken.
 MAX_BYTES_WITHOUT_TOKENS = 1 << 20
 DONE = b"data: [DONE]\n\n"
@@ -36,10 +39,12 @@
 
     A frame is an event or a comment; one with text counts as one token. Incomplete frames of a
     broken connection are dropped, and so are end marks and usage events, which the relay writes.
+    `held` counts the bytes of incomplete frames over all answers; `close` frees those of this one.
     """
 
     __slots__ = (
         "_error",
+        "_held",
         "_idle_bytes",
         "_resumed",
         "_tail",
@@ -50,7 +55,8 @@
         "usage",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldBytes | None = None) -> None:
+        self._held = held or HeldBytes(MAX_FRAME_BYTES)
         self.tokens = 0
         self.started = False
         self.finished = False
@@ -63,12 +69,16 @@
 
     def begin_connection(self) -> None:
         """Start parsing another connection that continues the same answer."""
-        self._tail = b""
+        self._replace_tail(b"")
         self._idle_bytes = 0
         self._resumed = self.started
         self.done = False
         self._error = False
 
+    def close(self) -> None:
+        """Drop an incomplete frame."""
+        self._replace_tail(b"")
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole frames to deliver, up to an error event, which sets `failed`.
 
@@ -124,9 +134,14 @@
         return self._error
 
     def _keep_incomplete(self, incomplete: bytes) -> None:
-        if len(incomplete) > MAX_FRAME_BYTES:
+        self._replace_tail(incomplete)
+        limit = MAX_CROWDED_FRAME_BYTES if self._held.exceeded else MAX_FRAME_BYTES
+        if len(incomplete) > limit:
             raise AnswerBroken("an event exceeds the size limit")
-        self._tail = incomplete
+
+    def _replace_tail(self, tail: bytes) -> None:
+        self._held.change(len(tail) - len(self._tail))
+        self._tail = tail
 
     def _accept_frame(self, frame: bytes) -> bool:
         """Count the tokens of a frame and tell whether it is sent to the caller."""
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -68,7 +68,7 @@
     """
 
     def __init__(self, node: Node, request: CallerRequest, send: Send):
-        self.parser = EventParser()
+        self.parser = EventParser(node.engine_streams.held_events)
         self.dispatched = False
         self.last_events = b""
         self._node = node
@@ -106,6 +106,7 @@
                 ) from refusal
             raise
         finally:
+            self.parser.close()
             self._record_metrics()
 
     async def _run_attempts(self) -> None:
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -23,6 +23,7 @@
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
 from jayyoke.server.operator import OperatorServer
+from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.sockets import build_socket_factory
 from jayyoke.utils.task import cancel_tasks
 
@@ -49,7 +50,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     factory = build_socket_factory(settings.source)
-    connector = aiohttp.TCPConnector(limit=0, socket_factory=factory)
+    connector = BoundedConnector(limit=0, socket_factory=factory)
     async with (
         _open_session(connector) as http,
         open_single_session(settings.source) as http_single,
--- a/standin/inprocessrouter.py
+++ b/standin/inprocessrouter.py
@@ -21,6 +21,7 @@
 from jayyoke.scripts.assembly import build_node
 from jayyoke.server.caller import CallerServer
 from jayyoke.server.listener import Listener
+from jayyoke.utils.connector import BoundedConnector
 from standin.scriptedengine import ScriptedEngine
 
 KEY = "test-key"
@@ -96,7 +97,7 @@
         b"key",
         "0" * 64,
     )
-    connector = aiohttp.TCPConnector(limit=0)
+    connector = BoundedConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as http:
         node = build_node(settings, http, http)
         node.placer = placer = StaticPlacer(upstreams)  # type: ignore[assignment]
