Wait for a silent engine if no other attempt may be made (jayyoked)

Cause: the silence ended the connection before it was known whether the rest could be asked for. Change: the relay, and no longer the HTTP client, decides how long a stream may be silent, and ends it only if another attempt may be made; else the stream waits until its deadline.

Not mended: a silent connection is still ended before the next attempt has succeeded (docs/incidents/cut-while-paused.md).

--- a/bench/fakeengines.py
+++ b/bench/fakeengines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -90,16 +91,23 @@
                 )
 
 
+class FakeContent:
+    """Replaces the reader of an answer's body."""
+
+    def __init__(self, body: bytes):
+        self._body = body
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield the body."""
+        yield self._body
+
+
 class FakeAnswer:
     """Holds the status and body of an answer."""
 
     def __init__(self, status: int, body: Any = None):
         self.status = status
-        self._body = body
-
-    async def json(self, content_type: str | None = None) -> Any:
-        """Return the body."""
-        return self._body
+        self.content = FakeContent(json.dumps(body).encode())
 
 
 class EngineClient:
--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -110,9 +110,8 @@
         self._no_reuse_until_s: dict[str, float] = {}
         self._cancel_tasks: set[asyncio.Task[None]] = set()
         self._url_cache: dict[str, URL] = {}
-        self._timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S
-        )
+        # Whoever reads the stream decides how long it may be silent.
+        self._timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
     async def open(
         self, upstream: Upstream, request: CallerRequest, delivered: int, fresh: bool
@@ -129,14 +128,15 @@
             headers["X-Resume-From"] = str(delivered)
         session = self._choose_session(upstream, fresh, now_s)
         try:
-            answer = await session.post(
-                self._get_url(upstream),
-                data=request.body,
-                headers=headers,
-                timeout=self._timeout,
-                # A redirect would send the request a second time.
-                allow_redirects=False,
-            )
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                answer = await session.post(
+                    self._get_url(upstream),
+                    data=request.body,
+                    headers=headers,
+                    timeout=self._timeout,
+                    # A redirect would send the request a second time.
+                    allow_redirects=False,
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ConnectFailed(f"{upstream.name}: {error}") from error
         except (TimeoutError, aiohttp.ClientError) as error:
--- a/jayyoke/ops/retrybudget.py
+++ b/jayyoke/ops/retrybudget.py
@@ -23,9 +23,14 @@
         """Count a caller's request."""
         self._balance = min(self._reserve, self._balance + self._share)
 
+    @property
+    def available(self) -> bool:
+        """Tell whether a retry can be taken now."""
+        return self._balance >= 1.0
+
     def spend(self) -> bool:
         """Take one retry, resumption or hedge; return False if the budget is used up."""
-        if self._balance < 1.0:
+        if not self.available:
             self.refused += 1
             return False
         self._balance -= 1.0
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -37,6 +37,7 @@
 from jayyoke.ops.probe import hash_incarnation
 from jayyoke.ops.promptparts import find_part_keys
 from jayyoke.ops.quarantine import is_suspect
+from jayyoke.ops.silence import read_unless_silent
 from jayyoke.ops.sse import EventParser
 from jayyoke.utils.backoff import choose_backoff
 
@@ -78,6 +79,7 @@
         self._excluded: tuple[str, ...] = ()
         self._breaks_by_engine: dict[str, int] = {}
         self._suspect_ends = 0
+        self._failed_attempts = 0
         self._part_keys: tuple[str, ...] | None = None
         self._attempt_token_s: float | None = None
         self._late_tokens = 0
@@ -112,19 +114,18 @@
     async def _run_attempts(self) -> None:
         placement: Placement | None = None
         fresh = False
-        attempt = 0
         try:
             while True:
                 if placement is None:
                     self._check_parts()
-                    placement = await self._place(attempt)
+                    placement = await self._place()
                 try:
                     await self._attempt_once(placement, fresh)
                     return
                 except UpstreamError as error:
-                    attempt += 1
+                    self._failed_attempts += 1
                     await self._observe_end(error, placement.upstream)
-                    self._handle_failure(error, placement, attempt)
+                    self._handle_failure(error, placement)
                     fresh = placement.upstream.name not in self._excluded
                     if fresh and isinstance(error, StreamCut):
                         fresh = not await self._has_restarted(placement.upstream)
@@ -178,8 +179,7 @@
     async def _has_restarted(self, upstream: Upstream) -> bool:
         """Tell whether an engine that cut a stream has restarted cold, and report it if so.
 
-        A restart cuts all streams of an engine. They were admitted while it was warm; resumed on
-        the same engine, they were 1.51 times its cold limit in the demo.
+        Its streams were admitted while it was warm, and would be too many for a cold engine.
         """
         served = self._answer_headers.get("X-Engine-Incarnation", "")
         if not served:
@@ -193,15 +193,15 @@
         self._node.engine_streams.report_unreachable(upstream)
         return True
 
-    async def _place(self, attempt: int) -> Placement:
+    async def _place(self) -> Placement:
         try:
             placement = await self._node.placer.place(self._request, exclude=self._excluded)
         except Refusal:
             if not self._excluded:
                 raise
             # Every engine failed once; one of them may work again after a pause.
-            pause_s = choose_backoff(attempt, BACKOFF_BASE_S, BACKOFF_MAX_S, random)  # type: ignore[arg-type]
-            await asyncio.sleep(pause_s)
+            attempts = self._failed_attempts
+            await asyncio.sleep(choose_backoff(attempts, BACKOFF_BASE_S, BACKOFF_MAX_S, random))  # type: ignore[arg-type]
             self._excluded = ()
             self._breaks_by_engine.clear()
             placement = await self._node.placer.place(self._request, exclude=())
@@ -244,9 +244,8 @@
         try:
             self.parser.begin_connection()
             await self._relay_events(answer)
-            seconds = (
-                (self._first_token_s or self._loop.time()) - began_s if not tokens_before else 0.0
-            )
+            first_s = self._first_token_s or self._loop.time()
+            seconds = 0.0 if tokens_before else first_s - began_s
             self._report(upstream, True, seconds)
         finally:
             # A connection may be reused only after the answer's regular end.
@@ -296,9 +295,7 @@
         content = answer.content
         while True:
             try:
-                chunk = await content.readany()
-            except aiohttp.SocketTimeoutError as error:
-                raise AnswerBroken("silent") from error
+                chunk = await read_unless_silent(content, self._may_attempt_again)
             except aiohttp.ClientError as error:
                 if parser.finished:
                     return
@@ -322,6 +319,11 @@
                 await self._await_end(content)
                 return
 
+    def _may_attempt_again(self) -> bool:
+        """Tell whether the rest of the answer may be asked for on another connection."""
+        retries = self._node.limits.retries
+        return self._failed_attempts + 1 < MAX_ATTEMPTS and retries.available
+
     async def _deliver(self, events: bytes) -> None:
         try:
             await self._send(events)
@@ -351,8 +353,9 @@
             self._late_tokens += 1
         self._last_token_s = now_s
 
-    def _handle_failure(self, error: UpstreamError, placement: Placement, attempt: int) -> None:
+    def _handle_failure(self, error: UpstreamError, placement: Placement) -> None:
         """Choose where the next attempt may go; raise the error if there is no next attempt."""
+        attempt = self._failed_attempts
         name = placement.upstream.name
         fault = type(error).__name__
         if isinstance(error, EngineRejected):
