Record the end of an engine that was to take over a call

Found on reading the change for silent sends: an engine that ended when it took over a call from a silent one was no evidence, so a deadly part could end engines unnoticed that way. Nor did two such ends keep a call from a third engine.

Change: sends that were opened beside a silent one and broke off are looked at like all others, and the limit of suspect runs holds for them.

Measured: the new case of tests/entry_silence_test.py failed before (no part was suspected) and passes now.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -14,7 +14,7 @@
 from jayyoke.edge.outcome import CANCELLED, Delivered, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.placement import Placer, Refused
 from jayyoke.edge.pool import ConnectionPool
-from jayyoke.edge.progress import Progress
+from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.retrybudget import RetryBudget
 from jayyoke.edge.send import Send
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
@@ -30,8 +30,6 @@
 RETRY_JITTER = (0.7, 1.5)
 # Incomplete events of all streams, in bytes.
 MAX_HELD_EVENT_BYTES = 32 << 20
-# A request is not sent again after so many engines ended when they began to answer it.
-MAX_SUSPECT_RUNS = 2
 
 
 class Forwarder:
@@ -60,7 +58,7 @@
         self._end_observer = end_observer
         self._on_cleared = on_cleared
         self._sender = Sender(placement, moves, pool, quarantine, now_s)
-        self._takeover = Takeover(placement, self._sender, quarantine, now_s)
+        self._takeover = Takeover(placement, self._sender, quarantine, now_s, self._observe_end)
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
         self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
         self._budgets: dict[str, RetryBudget] = {}
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -10,6 +10,9 @@
 from jayyoke.edge.send import Send
 from jayyoke.edge.stream import EventRelay
 
+# A request is not sent again after so many engines ended when they began to answer it.
+MAX_SUSPECT_RUNS = 2
+
 
 @dataclass(slots=True)
 class Progress:
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -16,7 +16,7 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.outcome import CANCELLED, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.placement import Placer, Refused
-from jayyoke.edge.progress import Progress
+from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.send import Send
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
 from jayyoke.edge.stream import MAX_EVENT_BYTES, has_event
@@ -38,7 +38,10 @@
 
 
 class Takeover:
-    """Waits for upstreams, and sends a call to another one while the first is silent."""
+    """Waits for upstreams, and sends a call to another one while the first is silent.
+
+    `on_broken` is called with sends to other upstreams that have broken off.
+    """
 
     def __init__(
         self,
@@ -46,11 +49,13 @@
         sender: Sender,
         quarantine: Quarantine,
         now_s: Callable[[], float],
+        on_broken: Callable[[Call, Send, Progress], Awaitable[None]],
     ):
         self._placement = placement
         self._sender = sender
         self._quarantine = quarantine
         self._now_s = now_s
+        self._on_broken = on_broken
 
     async def wait(
         self,
@@ -164,6 +169,8 @@
         if outcome is None:
             return send
         progress.record(outcome)
+        if isinstance(outcome, MayHaveRun) and not outcome.silent:
+            await self._on_broken(call, send, progress)
         if isinstance(outcome, NotRun):
             # It may have a place when other upstreams are asked again.
             progress.tried.discard(send.upstream.incarnation)
@@ -222,6 +229,8 @@
     """Tell whether another upstream may run a call beside the one that is silent."""
     if not call.route.repeatable or not progress.relay.resumable:
         return False
+    if progress.suspect_runs >= MAX_SUSPECT_RUNS:
+        return False
     return progress.runs + 1 < call.route.attempts
 
 
--- a/tests/entry_silence_test.py
+++ b/tests/entry_silence_test.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from standin.deadlyengine import DeadlyEngine
 from standin.entryconfig import build_config, build_route
 from standin.entryupstream import (
     EntryUpstream,
@@ -322,6 +323,27 @@
 
         run_rig(test)
 
+    def test_end_of_the_other_engine_is_evidence(self):
+        """Guards against a deadly part that is not noticed since its first engine was silent."""
+
+        async def test(rig: Rig) -> None:
+            suspected: list[str] = []
+
+            async def call(entry: RunningEntry):
+                entry.instance.quarantine.changes.subscribe(suspected.append)
+                return await read_stream(entry, Prefix_Hash="0:400,dead:60,1:40")
+
+            task, _ = await start_call(rig, write_stream(1, PAUSE_S), [], call)
+            engine = DeadlyEngine("u2", lambda prompt: True, down_s=5.0)
+            rig.add_stop_function(engine.close)
+            await engine.upstream.start()
+            rig.store.put("servers", "u2", engine.upstream.describe("desk"))
+            assert await task == (WHOLE, True)
+            assert engine.ends == 1
+            assert "desk/dead" in suspected
+
+        run_rig(test)
+
 
 class TestRandomPauses:
     """Tests many streams whose engines pause, refuse and break off at random."""
