--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -37,8 +37,6 @@
 MAX_FOREIGN_ANSWERS = 4
 # The parser makes objects of answers of some 30 bytes and chunks of one, so it gets few at once.
 PARSED_BYTES = 16 << 10
-
-
 # Received bytes are parsed before the next read of any connection.
 _read_buffer = bytearray(PARSED_BYTES)
 
