Read the change again: one name for a limit, tests by subject

What a newcomer stumbled over: two constants of one name for the parts that are logged of an end (now one, beside ObservedEnd), comments on read buffers that gave a guessed factor or no reason, a figure that a doc comment of the relay had lost, and a test that asserted nothing on connections with answers to no request (it counts connections now).

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -18,7 +18,7 @@
 from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, PathLost
 from jayyoke.platform.message import AnswerHead, decode_answer
 
-# Of an answer that is not read; chunks of one byte take a hundred times as much memory.
+# Unread bytes of an answer; chunks of one byte take many times as much memory.
 READ_BUFFER_BYTES = 16 << 10
 MAX_HEADER_BYTES = 32 << 10
 # Linux's number; the socket module does not name it in every version.
@@ -35,9 +35,9 @@
 MAX_HEAD_BYTES = 256 << 10
 # Late answers to earlier requests; more than these are a fault of the upstream.
 MAX_FOREIGN_ANSWERS = 4
-# The parser makes objects of answers of some 30 bytes and chunks of one, so it gets few at once.
+# Read and parsed at once: the parser makes an object of each tiny answer and chunk.
 PARSED_BYTES = 16 << 10
-# Received bytes are parsed before the next read of any connection.
+# All connections share it, since its bytes are parsed before the next read of any of them.
 _read_buffer = bytearray(PARSED_BYTES)
 
 
--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -20,7 +20,8 @@
 
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
 from jayyoke.edge.log import log_event
-from jayyoke.edge.quarantinelog import MAX_LOGGED_PARTS, log_quarantined
+from jayyoke.edge.quarantinelog import log_quarantined
+from jayyoke.ops.endobserver import MAX_LOGGED_PARTS
 from jayyoke.ops.partmessage import (
     MAX_TOLD,
     build_part_message,
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -30,10 +30,10 @@
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.promptlocator import PromptLocator
-from jayyoke.edge.quarantinelog import MAX_LOGGED_PARTS
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.edge.waitqueue import WaitQueue
+from jayyoke.ops.endobserver import MAX_LOGGED_PARTS
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.platform.message import AnswerHead
 
--- a/jayyoke/edge/quarantinelog.py
+++ b/jayyoke/edge/quarantinelog.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from jayyoke.edge.log import log_event
-from jayyoke.ops.endobserver import ObservedEnd
+from jayyoke.ops.endobserver import MAX_LOGGED_PARTS, ObservedEnd
 from jayyoke.ops.quarantine import Quarantine
 
-# Of one end or one message; a prompt may have thousands of parts.
-MAX_LOGGED_PARTS = 32
-
 
 def log_end(quarantine: Quarantine, end: ObservedEnd) -> None:
     """Log that an engine ended, under which suspects, and what is quarantined by that."""
--- a/jayyoke/ops/chatparts.py
+++ b/jayyoke/ops/chatparts.py
@@ -9,16 +9,13 @@
 
 from jayyoke.core.clock import Clock
 from jayyoke.core.peering import Peers
-from jayyoke.ops.endobserver import EndObserver, ObservedEnd
+from jayyoke.ops.endobserver import MAX_LOGGED_PARTS, EndObserver, ObservedEnd
 from jayyoke.ops.partsharing import PartSharing
 from jayyoke.ops.parttable import TablePartStorage
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import QuarantineRows
 from jayyoke.platform.table import Table
 
-# Of one end; a chat may have thousands of messages.
-MAX_LOGGED_PARTS = 32
-
 
 class ChatParts:
     """Holds the quarantine of one instance and the parts that feed it."""
--- a/jayyoke/ops/endobserver.py
+++ b/jayyoke/ops/endobserver.py
@@ -16,6 +16,8 @@
 
 # Requests that lose their answers within this time share one check.
 SHARED_S = 0.5
+# Parts that are logged of one end or one message; a prompt may have thousands.
+MAX_LOGGED_PARTS = 32
 
 
 @dataclass(frozen=True, slots=True)
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -105,7 +105,7 @@
     ends: list[EngineEnd] = field(default_factory=list)
     # Whether a trial request of this instance is running.
     on_trial: bool = False
-    # Whether other instances are told of the part.
+    # Whether other instances have been, or are to be, told of the part.
     told: bool = False
 
     @property
--- /dev/null
+++ b/jayyoke/ops/quarantine_long_test.py
@@ -0,0 +1,70 @@
+"""Tests of the quarantine with prompts of thousands of parts."""
+
+from __future__ import annotations
+
+from jayyoke.ops.quarantine import KNOWN_PART_LIMIT, MAX_KNOWN_TOLD, NEW_PART_LIMIT
+from jayyoke.ops.quarantine_test import Case
+
+
+class TestLongPrompts:
+    """Tests prompts with thousands of parts."""
+
+    SOUND = tuple(f"part-{number}" for number in range(4000))
+
+    def test_deadly_part_among_sound_ones_is_found(self):
+        """Guards against a part that is not told from thousands of others."""
+        case = Case()
+        case.quarantine.record_good(self.SOUND)
+        for _ in range(2):
+            case.end(*self.SOUND[:2000], "deadly", *self.SOUND[2000:])
+            case.quarantine.record_good(self.SOUND)
+        assert case.quarantine.list_quarantined() == ["deadly"]
+        assert case.quarantine.find_wait_s(self.SOUND) is None
+        assert case.quarantine.find_wait_s([*self.SOUND, "deadly"]) is not None
+
+    def test_request_with_half_of_a_large_group_is_sent(self):
+        """Guards against parts of a first request that are all refused with the deadly one."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end(*self.SOUND)
+        assert case.quarantine.find_wait_s(self.SOUND) is not None
+        assert case.quarantine.find_wait_s(self.SOUND[:2000]) is None
+
+    def test_few_parts_with_answers_are_told(self):
+        """Guards against instances that are busy with telling each other of sound parts."""
+        case = Case()
+        told: list[str] = []
+        case.quarantine.changes.subscribe(told.append)
+        case.quarantine.record_good(self.SOUND)
+        case.end("deadly", *self.SOUND)
+        assert told[0] == "deadly"
+        assert len(told) == 1 + MAX_KNOWN_TOLD
+        assert len(case.quarantine.list_evidence(8000)) == 1 + MAX_KNOWN_TOLD
+        case.quarantine.record_good(self.SOUND)
+        assert len(told) == 1 + 2 * MAX_KNOWN_TOLD
+
+    def test_part_with_answers_is_told_once_it_is_quarantined(self):
+        """Guards against a part that only one instance keeps from engines."""
+        case = Case()
+        case.quarantine.record_good(self.SOUND)
+        for _ in range(KNOWN_PART_LIMIT):
+            case.end(*self.SOUND)
+        assert len(case.quarantine.list_evidence(8000)) == len(self.SOUND)
+
+    def test_all_quarantined_parts_are_told_in_turn(self):
+        """Guards against an instance that never learns of the later parts of a long prompt."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end(*self.SOUND[:1000])
+        told: set[str] = set()
+        for _ in range(10):
+            told |= {found.key for found in case.quarantine.list_evidence(100)}
+        assert told == set(self.SOUND[:1000])
+
+    def test_quarantined_part_is_told_before_newer_suspects(self):
+        """Guards against a deadly part that other ends hide from an instance that asks."""
+        case = Case()
+        case.quarantine_part("deadly")
+        for _ in range(3):
+            case.end(*self.SOUND[:500], engine="e")
+        assert case.quarantine.list_evidence(10)[0].key == "deadly"
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -179,7 +179,8 @@
     async def _has_restarted(self, upstream: Upstream) -> bool:
         """Tell whether an engine that cut a stream has restarted cold, and report it if so.
 
-        Its streams were admitted while it was warm, and would be too many for a cold engine.
+        A restart cuts all streams of an engine. They were admitted while it was warm; resumed on
+        the same engine, they were 1.51 times its cold limit in the demo.
         """
         served = self._answer_headers.get("X-Engine-Incarnation", "")
         if not served:
--- a/jayyoke/utils/connector.py
+++ b/jayyoke/utils/connector.py
@@ -16,7 +16,7 @@
 PARSED_BYTES = 4 << 10
 # Interim answers and those to no request; more are a fault of the server.
 MAX_WAITING_ANSWERS = 4
-# Received bytes are parsed before the next read of any connection.
+# All connections share it, since its bytes are parsed before the next read of any of them.
 _read_buffer = bytearray(READ_BYTES)
 
 
--- a/jayyoke/utils/connector_test.py
+++ b/jayyoke/utils/connector_test.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -73,16 +74,30 @@
     def test_answers_to_no_request_close_the_connection(self):
         """Guards against thousands of answers that are kept for the next request."""
 
-        async def test(http: aiohttp.ClientSession, url: str) -> None:
-            try:
-                async with http.get(url) as answer:
-                    await answer.read()
-            except aiohttp.ClientError:
-                return
-            async with http.get(url) as answer:
-                pass
+        async def main() -> None:
+            ports = set()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                ports.add(writer.get_extra_info("peername")[1])
+                try:
+                    while await reader.readuntil(b"\r\n\r\n"):
+                        writer.write(ANSWERS)
+                        await writer.drain()
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    pass
+                finally:
+                    writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            async with server, aiohttp.ClientSession(connector=BoundedConnector()) as http:
+                for _ in range(3):
+                    with contextlib.suppress(aiohttp.ClientError):
+                        async with http.get(f"http://127.0.0.1:{port}/") as answer:
+                            await answer.read()
+            assert len(ports) == 3
 
-        run_client([ANSWERS], test)
+        asyncio.run(main())
 
 
 class TestReadLimited:
