Judge a request itself, not only the parts that others share

Cause: the last part of a prompt was in no evidence, since it belongs to the request alone. Its other parts are sound, so answers to other requests of the session clear them. Ruled out: a part that is not recognized, and the length of the hold.

Change: the last part is a key of its own kind.

One older test asked which keys are quarantined; it names the request's key too now, exactly.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -22,7 +22,8 @@
 from jayyoke.edge.takeover import TakenOver, Takeover, find_silence_timeout_s
 from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
-from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, build_part_keys, is_suspect
+from jayyoke.ops.partkeys import build_part_keys, build_request_key
+from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, is_suspect
 from jayyoke.utils.heldbytes import HeldBytes
 
 # Retry-After for requests that the upstreams refused: their queues last about as long.
@@ -67,7 +68,10 @@
     async def serve(self, call: Call, caller: Caller) -> None:
         """Answer a call; raise CallerGone or CancelledError if the caller leaves."""
         service = self._placement.draw_service(call)
-        part_keys = build_part_keys(service, list_shared_parts(call.head.parts))
+        parts = call.head.parts
+        part_keys = build_part_keys(service, list_shared_parts(parts))
+        if parts:
+            part_keys += (build_request_key(service, parts[-1].id),)
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(self._bounds, self._started_s)
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -14,10 +14,10 @@
     decode_evidence,
     encode_evidence,
 )
+from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
 from jayyoke.ops.partmessage import MAX_TOLD, split_evidence, take_batch
 from jayyoke.ops.quarantine import (
     MAX_ENDS_PER_PART,
-    MAX_KEY_CHARACTERS,
     EngineEnd,
     PartEvidence,
     Quarantine,
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -21,7 +21,7 @@
     service: str
     relay: EventRelay
     budget: RetryBudget
-    # Keys of the prompt's parts in the quarantine.
+    # Keys of the prompt's parts and of the request itself in the quarantine.
     part_keys: tuple[str, ...] = ()
     tried: set[str] = field(default_factory=set)
     sends: int = 0
--- a/jayyoke/ops/partmessage.py
+++ b/jayyoke/ops/partmessage.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable, Iterator
 
+from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
 from jayyoke.ops.quarantine import (
     KEPT_S,
     MAX_ENDS_PER_PART,
-    MAX_KEY_CHARACTERS,
     EngineEnd,
     PartEvidence,
 )
--- a/jayyoke/ops/promptparts.py
+++ b/jayyoke/ops/promptparts.py
@@ -5,7 +5,7 @@
 import json
 
 from jayyoke.core.request import CallerRequest
-from jayyoke.ops.quarantine import build_part_keys
+from jayyoke.ops.partkeys import build_part_keys
 from jayyoke.utils.jsontext import parse_json
 from jayyoke.utils.sha import hash_text
 
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -13,11 +13,13 @@
 Parts that were in the same ends cannot be told apart by them. A request with at most half of such a
 group is sent at once, one at a time: its answer clears its parts, and an end tells them from the
 others (group testing, Dorfman, 1943).
+
+A request that callers send again and again may end engines itself, while all its parts are sound.
+So what identifies it is judged like a part, but not together with them.
 """
 
 from __future__ import annotations
 
-import hashlib
 import heapq
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
@@ -25,6 +27,7 @@
 from reactivex import Observable
 from reactivex.subject import Subject
 
+from jayyoke.ops.partkeys import is_request_key
 from jayyoke.ops.rendezvous import rank
 
 # Ends after which a part is quarantined: one that has never had an answer, and one that has. A
@@ -50,27 +53,10 @@
 MAX_SUSPECTED = 8192
 MAX_ENDS_PER_PART = 8
 MAX_GOOD = 32768
-# Any part may be the cause, so none that fits into a request's header is left out.
-MAX_PARTS_PER_REQUEST = 8192
-MAX_KEY_CHARACTERS = 96
 # Parts with earlier answers of which an end is told to others; an answer mostly clears them soon.
 MAX_KNOWN_TOLD = 64
 
 
-def build_part_keys(service: str, shared: Sequence[str]) -> tuple[str, ...]:
-    """Return the keys of the parts of a prompt that other requests to a service may have too.
-
-    Ids come from callers, so long ones are hashed.
-    """
-    keys = []
-    for part in shared[-MAX_PARTS_PER_REQUEST:]:
-        key = f"{service}/{part}"
-        if len(key) > MAX_KEY_CHARACTERS:
-            key = "sha256/" + hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
-        keys.append(key)
-    return tuple(keys)
-
-
 def is_suspect(writing_s: float | None) -> bool:
     """Tell whether a request may have ended its engine, given how long it was being answered."""
     return writing_s is None or writing_s < SUSPECT_WRITING_S
@@ -204,7 +190,8 @@
             record = self._records.get(key)
             if record is not None and record.hold_s is not None:
                 held[key] = record
-        telling = self._list_telling(held.values())
+        held_parts = [record for key, record in held.items() if not is_request_key(key)]
+        telling = self._list_telling(held_parts)
         found_s = []
         for key, record in held.items():
             wait_s = self._find_part_wait_s(key, record, telling)
@@ -231,8 +218,10 @@
         now_s = self._now_s()
         cleared = []
         for key in keys:
-            self._remember_good(key, now_s)
             record = self._records.pop(key, None)
+            if record is not None or not is_request_key(key):
+                # Most requests are never seen again.
+                self._remember_good(key, now_s)
             if record is None:
                 continue
             if record.told:
@@ -340,7 +329,7 @@
     ) -> float | None:
         """Return how long a request waits for a held part, given the groups that it tells apart."""
         hold_s = record.hold_s or 0.0
-        if any(found.has_same_ends(record) for found in telling):
+        if not is_request_key(key) and any(found.has_same_ends(record) for found in telling):
             return TRIAL_WAIT_S if record.on_trial else None
         beyond_s = self._now_s() - record.last_end_s - hold_s
         if beyond_s < 0.0:
@@ -358,8 +347,9 @@
                 continue
             groups.append(record)
             size = 0
-            for other in self._records.values():
-                size += other.has_same_ends(record) and other.hold_s is not None
+            for key, other in self._records.items():
+                if not is_request_key(key) and other.has_same_ends(record):
+                    size += other.hold_s is not None
             present = sum(other.has_same_ends(record) for other in held)
             if 2 * present <= size:
                 telling.append(record)
--- a/jayyoke/ops/quarantine_long_test.py
+++ b/jayyoke/ops/quarantine_kinds_test.py
@@ -1,7 +1,13 @@
-"""Tests of the quarantine with prompts of thousands of parts."""
+"""Tests of the quarantine with prompts of thousands of parts, and with whole requests."""
 
 from __future__ import annotations
 
+from jayyoke.ops.partkeys import (
+    MAX_KEY_CHARACTERS,
+    build_part_keys,
+    build_request_key,
+    is_request_key,
+)
 from jayyoke.ops.quarantine import KNOWN_PART_LIMIT, MAX_KNOWN_TOLD, NEW_PART_LIMIT
 from jayyoke.ops.quarantine_test import Case
 
@@ -68,3 +74,43 @@
         for _ in range(3):
             case.end(*self.SOUND[:500], engine="e")
         assert case.quarantine.list_evidence(10)[0].key == "deadly"
+
+
+class TestRequests:
+    """Tests requests that end engines though all their parts are sound."""
+
+    REQUEST = build_request_key("pool", "last")
+
+    def test_request_is_told_from_parts(self):
+        """Guards against a part and a request of one name, and against long ids."""
+        (part,) = build_part_keys("pool", ["last"])
+        assert part != self.REQUEST
+        assert is_request_key(self.REQUEST)
+        assert not is_request_key(part)
+        long_request = build_request_key("pool", "x" * 5000)
+        assert is_request_key(long_request)
+        assert len(long_request) <= MAX_KEY_CHARACTERS
+
+    def test_request_is_held_while_its_parts_are_answered(self):
+        """Guards against ends that answers to other requests of the session make forgotten."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end("caller", "session", self.REQUEST)
+            case.quarantine.record_good(["caller", "session"])
+        assert case.quarantine.list_quarantined() == [self.REQUEST]
+        assert case.quarantine.find_wait_s(["caller", "session"]) is None
+        assert case.quarantine.find_wait_s(["caller", self.REQUEST]) is not None
+
+    def test_request_does_not_make_a_part_look_like_one_of_several(self):
+        """Guards against one more end by a request that is sent to tell them apart."""
+        case = Case()
+        for _ in range(NEW_PART_LIMIT):
+            case.end("deadly", self.REQUEST)
+        other = build_request_key("pool", "other")
+        assert case.quarantine.find_wait_s(["deadly", other]) is not None
+
+    def test_answers_to_requests_take_no_memory(self):
+        """Guards against parts that are forgotten for requests that never come again."""
+        case = Case()
+        case.quarantine.record_good([build_request_key("pool", str(n)) for n in range(100)])
+        assert case.quarantine.describe(build_request_key("pool", "0")).good_s is None
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -4,13 +4,12 @@
 
 import pytest
 
+from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS, MAX_PARTS_PER_REQUEST, build_part_keys
 from jayyoke.ops.quarantine import (
     HOLDS_S,
     KEPT_S,
     KNOWN_PART_LIMIT,
     MAX_ENDS_PER_PART,
-    MAX_KEY_CHARACTERS,
-    MAX_PARTS_PER_REQUEST,
     MAX_SUSPECTED,
     NEW_PART_LIMIT,
     SAME_CAUSE_S,
@@ -21,7 +20,6 @@
     EngineEnd,
     PartEvidence,
     Quarantine,
-    build_part_keys,
     is_suspect,
 )
 
--- a/jayyoke/ops/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -15,10 +15,10 @@
 from typing import Protocol
 
 from jayyoke.core.error import Conflict, PlatformError, StoreUnavailable
+from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
 from jayyoke.ops.quarantine import (
     KEPT_S,
     MAX_ENDS_PER_PART,
-    MAX_KEY_CHARACTERS,
     EngineEnd,
     PartEvidence,
     Quarantine,
--- a/tests/entry_deadly_part_test.py
+++ b/tests/entry_deadly_part_test.py
@@ -154,7 +154,8 @@
             for _ in range(8):
                 await fleet.call(DEADLY)
             assert fleet.deadly_received <= ALLOWED_SENDS
-            assert set(map(tuple, list_quarantined(fleet))) == {("desk/dead",)}
+            # The seventh request has ended two engines itself.
+            assert set(map(tuple, list_quarantined(fleet))) == {("desk/dead", "desk//70")}
 
         run_rig(test)
 
