Import the key limit of the quarantine from its new module (jayyoked)

jayyoked did not start: moved MAX_KEY_CHARACTERS from ops/quarantine.py to ops/partkeys.py, and server/quarantine.py still asked the old module for it.

The import names the new module.

--- a/jayyoke/server/quarantine.py
+++ b/jayyoke/server/quarantine.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from jayyoke.ops.chatparts import ChatParts
-from jayyoke.ops.quarantine import MAX_KEY_CHARACTERS
+from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
 from jayyoke.server.operatorproblem import OperatorProblem, read_json
 
 
