Bound the bodies that an instance holds together (both front doors)

Cause: one body was bounded, all together were not. A body is kept for as long as its call, and each send built a second whole copy of it.

A body that does not fit gets 503 bodies-full at once, not run, with a spread Retry-After; one without a length when it no longer fits. Large bodies are written after the head without a copy. A refusal to a caller that waits for 100 Continue now comes before the body and ends the connection, as the next bytes could be either.

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -37,6 +37,8 @@
 MAX_FOREIGN_ANSWERS = 4
 # Read and parsed at once: the parser makes an object of each tiny answer and chunk.
 PARSED_BYTES = 16 << 10
+# Bodies of up to this size are copied to be written together with the head, in one call.
+JOINED_BODY_BYTES = 64 << 10
 # All connections share it, since its bytes are parsed before the next read of any of them.
 _read_buffer = bytearray(PARSED_BYTES)
 
@@ -143,7 +145,7 @@
                 return
         payload.set_exception(kind(f"the answer was cut: {exc or 'closed'}"))
 
-    def send(self, method: str, data: bytes) -> None:
+    def send(self, method: str, head: bytes, body: bytes) -> None:
         """Write a complete request; raise ConnectFailed if the connection is closed already."""
         if self.transport is None or self.transport.is_closing():
             raise ConnectFailed("the connection was closed before the request was sent")
@@ -163,7 +165,12 @@
         self._newest_payload = None
         self._received = 0
         self._head_received = 0
-        self.transport.write(data)
+        if len(body) <= JOINED_BODY_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        # The transport copies what the upstream does not take at once.
+        self.transport.write(memoryview(body))
 
     async def receive(self, request_id: str) -> Answer:
         """Return the answer to the request sent last; raise AnswerBroken or AnswerMismatched.
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -22,7 +22,7 @@
 from jayyoke.edge.send import Send
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.platform import names
-from jayyoke.platform.message import decode_notice, encode_request
+from jayyoke.platform.message import decode_notice, encode_request_head
 
 # With less time left an upstream cannot answer any more.
 MIN_TIME_S = 0.02
@@ -62,18 +62,18 @@
         left_s = call.deadline_s - self._now_s()
         if left_s <= MIN_TIME_S:
             return NotRun("out-of-time", arrived=False)
-        data = encode_request(
+        head = encode_request_head(
             call.method,
             call.target,
             call.raw_headers,
-            call.body,
+            None if call.body is None else len(call.body),
             deadline_s=left_s,
             upstream=upstream.name,
             team=call.team,
             last_event=progress.relay.last_id,
             fetch_from=send.assignment.fetch_from,
         )
-        connection.send(call.method, data)
+        connection.send(call.method, head, call.body or b"")
         return None
 
     def record_head(self, call: Call, send: Send, answer: Answer) -> Outcome | None:
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -138,11 +138,11 @@
     return Notice(leaving, pause_s)
 
 
-def encode_request(
+def encode_request_head(
     method: str,
     target: bytes,
     headers: RawHeaders,
-    body: bytes | None,
+    body_bytes: int | None,
     *,
     deadline_s: float,
     upstream: str,
@@ -150,7 +150,7 @@
     last_event: bytes | None,
     fetch_from: str = "",
 ) -> bytes:
-    """Return the bytes of a request for one upstream; the target is forwarded unchanged.
+    """Return the head of a request for one upstream; the target is forwarded unchanged.
 
     `fetch_from` is the address of an engine that has the prompt in its cache. A team of None means
     that the configuration defines no teams; the caller's credentials are then forwarded.
@@ -170,9 +170,9 @@
         lines.append(b"%s: %s" % (names.SEND_FETCH, fetch_from.encode("latin-1")))
     if last_event is not None:
         lines.append(b"%s: %s" % (names.SEND_LAST_EVENT, last_event))
-    if body is not None:
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+    if body_bytes is not None:
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def select_answer_headers(headers: RawHeaders) -> list[tuple[str, str]]:
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -13,7 +13,7 @@
     decode_answer,
     decode_notice,
     decode_request,
-    encode_request,
+    encode_request_head,
     select_answer_headers,
 )
 
@@ -32,7 +32,7 @@
 
 def encode(**fields: object) -> list[bytes]:
     values = {"deadline_s": 1.2, "upstream": "u1", "team": "yard", "last_event": None} | fields
-    data = encode_request("POST", b"/a%2fb?", HEADERS, b"body", **values)
+    data = encode_request_head("POST", b"/a%2fb?", HEADERS, 4, **values)
     return data.split(b"\r\n")
 
 
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import random
 import re
 
 from absl import logging
@@ -15,16 +16,20 @@
 from jayyoke.core.error import Refusal, RunState
 from jayyoke.core.registry import find_plugin
 from jayyoke.core.request import CallerRequest
+from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
 from jayyoke.ops.decisionlog import log_refusal
 from jayyoke.ops.node import Node
 from jayyoke.plugins.late import fetch_reply
+from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat_key, format_body, parse_completion
 from jayyoke.server.problem import format_problem, make_request_id
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 MAX_BODY_BYTES = 4 << 20
 BODY_TIMEOUT_S = 10.0
+# Bodies are held until their requests end, which takes about as long.
+BODIES_FULL_RETRY_S = (0.3, 1.0)
 MAX_KEY_CHARACTERS = 512
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._~:/+=@-]{1,128}")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
@@ -38,6 +43,7 @@
         self._node = node
         self._body_timeout_s = body_timeout_s
         self._in_progress: set[tuple[str, str]] = set()
+        self._bodies = BodyBudget()
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
@@ -93,9 +99,10 @@
         node = self._node
         node.drain.enter()
         request_id = make_request_id()
+        held = HeldBody(self._bodies)
         try:
             request_id = _read_request_id(http_request) or request_id
-            request = await self._parse(http_request, request_id, chat)
+            request = await self._parse(http_request, request_id, chat, held)
             response = await self._run(request, http_request)
         except Refusal as refusal:
             response = self._refuse(refusal, request_id)
@@ -107,6 +114,7 @@
             refusal = Refusal(500, code.INTERNAL, "the router failed", RunState.UNKNOWN)
             response = self._refuse(refusal, request_id)
         finally:
+            held.release()
             node.drain.leave()
         if node.drain.draining and not response.prepared:
             response.force_close()
@@ -146,14 +154,16 @@
         metrics.count(metrics.requests, "", "refused")
         return format_problem(refusal, request_id)
 
-    async def _parse(self, http_request: web.Request, request_id: str, chat: bool) -> CallerRequest:
+    async def _parse(
+        self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
+    ) -> CallerRequest:
         team = self._authenticate(http_request)
         now_s = self._node.clock.now_s()
         idempotency_key = http_request.headers.get("Idempotency-Key", "")
         if idempotency_key and not _IDEMPOTENCY_KEY.fullmatch(idempotency_key):
             detail = "Idempotency-Key is not 1 to 255 visible ASCII characters"
             raise refuse(400, code.IDEMPOTENCY_KEY_INVALID, detail)
-        body = await self._read_body(http_request)
+        body = await self._read_body(http_request, held)
         fields = {}
         if chat:
             completion = parse_completion(body)
@@ -166,6 +176,9 @@
                 "include_usage": completion.include_usage,
             }
             body = format_body(completion, body, spec.model)
+            # The text may be longer than the caller's.
+            if not held.grow(len(body) - held.size_bytes):
+                raise _refuse_full_bodies()
         else:
             spec = self._find_class(http_request.match_info["class"], team, chat=False)
         within_s = parse_deadline(http_request.headers.get(DEADLINE_HEADER), spec.within_s)
@@ -185,19 +198,22 @@
             **fields,
         )
 
-    async def _read_body(self, http_request: web.Request) -> bytes:
-        if (http_request.content_length or 0) > MAX_BODY_BYTES:
-            raise _refuse_large_body()
-        if http_request.content.is_eof():
-            return await http_request.read()
+    async def _read_body(self, http_request: web.Request, held: HeldBody) -> bytes:
+        content = http_request.content
         try:
+            check_length(http_request.content_length, MAX_BODY_BYTES, held)
+            if content.is_eof():
+                return await read_body(content, MAX_BODY_BYTES, held)
             async with StallTolerantTimeout(self._body_timeout_s):
-                return await http_request.read()
+                return await read_body(content, MAX_BODY_BYTES, held)
         except TimeoutError:
             detail = f"the body did not arrive within {self._body_timeout_s:g} s"
             raise refuse(408, code.BODY_TIMEOUT, detail) from None
-        except web.HTTPRequestEntityTooLarge:
-            raise _refuse_large_body() from None
+        except BodyTooLarge:
+            detail = f"the body exceeds {MAX_BODY_BYTES} bytes"
+            raise refuse(413, code.BODY_TOO_LARGE, detail) from None
+        except BodiesFull:
+            raise _refuse_full_bodies() from None
         except web.RequestPayloadError as error:
             raise refuse(400, code.MALFORMED_REQUEST, "the body cannot be decoded") from error
 
@@ -229,8 +245,9 @@
     return given
 
 
-def _refuse_large_body() -> Refusal:
-    return refuse(413, code.BODY_TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
+def _refuse_full_bodies() -> Refusal:
+    detail = "the bodies of other requests take the memory for this one"
+    return refuse(503, code.BODIES_FULL, detail, random.uniform(*BODIES_FULL_RETRY_S))
 
 
 def _format_model(spec: ClassSpec) -> dict[str, object]:
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.entrysettings import Bounds
@@ -18,8 +18,16 @@
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
 from jayyoke.edge.view import FleetView
+from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.platform.message import RequestHead, decode_request
+from jayyoke.server.bodyreader import (
+    BodiesFull,
+    BodyTooLarge,
+    check_length,
+    discard_body,
+    read_body,
+)
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 MAX_BACKLOG = 512
@@ -34,6 +42,8 @@
 # Refused callers of an instance that stops reach another one over a new connection.
 STOPPING_RETRY_S = (0.01, 0.1)
 STOPPING = Rejected(503, "stopping")
+# Bodies are held until their calls end, which takes about as long.
+BODIES_FULL_RETRY_S = (0.3, 1.0)
 
 
 class _Connection(RequestHandler):
@@ -108,6 +118,7 @@
         self._server: asyncio.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._ending = False
+        self._bodies = BodyBudget()
         self.stop_window = StopWindow()
         self.draining = False
 
@@ -165,8 +176,9 @@
         task = asyncio.current_task()
         assert task is not None
         self._calls.add(task)
+        held = HeldBody(self._bodies)
         try:
-            return await self._serve(request, head, caller, arrived_s)
+            return await self._serve(request, head, caller, held, arrived_s)
         except asyncio.CancelledError:
             if self._ending and not caller.started:
                 task.uncancel()
@@ -179,12 +191,18 @@
             caller.abort()
             return caller.response or web.Response(status=502)
         finally:
+            held.release()
             self._calls.discard(task)
             assert isinstance(request.protocol, _Connection)
             request.protocol.note_answered()
 
     async def _serve(
-        self, request: web.BaseRequest, head: RequestHead, caller: _HttpCaller, arrived_s: float
+        self,
+        request: web.BaseRequest,
+        head: RequestHead,
+        caller: _HttpCaller,
+        held: HeldBody,
+        arrived_s: float,
     ) -> web.StreamResponse:
         path = request.raw_path.partition("?")[0]
         decision = admit(self._view, self._bounds, request.headers.get("Host", ""), path, head)
@@ -192,7 +210,8 @@
         limits = config.limits if config is not None else CallerLimits()
         body: bytes | Rejected | None = None
         if request.body_exists:
-            body = await _read_body(request, limits)
+            keep_in = None if isinstance(decision, Rejected) else held
+            body = await _read_body(request, limits, keep_in)
         if isinstance(body, Rejected):
             decision = body
         if isinstance(decision, Rejected):
@@ -274,6 +293,11 @@
         """Tell whether sending the answer has begun."""
         return self.response is not None
 
+    @property
+    def _may_leave_body_unsent(self) -> bool:
+        """Tell whether the next bytes may be the body or, if the caller drops it, a request."""
+        return _awaits_continue(self._request) and not self._request.content.is_eof()
+
     async def start(
         self, status: int, phrase: str, headers: tuple[tuple[str, str], ...], length: int | None
     ) -> None:
@@ -283,7 +307,7 @@
             response.headers.add(name, value)
         if length is not None:
             response.content_length = length
-        if self._listener.draining:
+        if self._listener.draining or self._may_leave_body_unsent:
             response.force_close()
         self.response = response
         try:
@@ -316,21 +340,30 @@
             transport.abort()
 
 
-async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes | Rejected:
-    """Return the whole body, or the rejection if it is too large or too slow."""
-    if request.headers.get("Expect", "").lower() == "100-continue" and request.transport:
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    content: StreamReader = request.content
-    parts = []
-    size = 0
+def _awaits_continue(request: web.BaseRequest) -> bool:
+    return request.headers.get("Expect", "").lower() == "100-continue"
+
+
+async def _read_body(
+    request: web.BaseRequest, limits: CallerLimits, held: HeldBody | None
+) -> bytes | Rejected | None:
+    """Return the whole body, or why the request is rejected.
+
+    Without `held` the body is read and not kept.
+    """
     try:
+        if held is not None:
+            check_length(request.content_length, limits.body_bytes, held)
+        if _awaits_continue(request) and request.transport:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         async with StallTolerantTimeout(BODY_TIMEOUT_S):
-            while not content.at_eof():
-                part = await content.readany()
-                size += len(part)
-                if size > limits.body_bytes:
-                    return Rejected(413, "body-too-large")
-                parts.append(part)
+            if held is None:
+                await discard_body(request.content, limits.body_bytes)
+                return None
+            return await read_body(request.content, limits.body_bytes, held)
+    except BodyTooLarge:
+        return Rejected(413, "body-too-large")
+    except BodiesFull:
+        return Rejected(503, "bodies-full", random.uniform(*BODIES_FULL_RETRY_S))
     except TimeoutError:
         return Rejected(408, "body-too-slow")
-    return b"".join(parts)
