Keep requests from versions that were not found good after the next order

Cause: the split of requests knew the newest order's version only and counted every other one as the old version. So did a version that was replaced before it was judged, an instance that started after the next order, the reference by which the next version is judged, and the usual times.

Change: find_set_aside names the versions of earlier orders that were not found good; they get no requests and are no reference. The status row keeps them for instances that start later; until it is there, the orders that an instance saw being replaced count. A version that has all requests already is not set aside, since its old upstreams may be gone before the row that says done. An order that goes back to the old version gets all requests.

--- a/jayyoke/core/route.py
+++ b/jayyoke/core/route.py
@@ -133,7 +133,8 @@
     """Reports the progress of an order; `started_ms` is a time of the store's steady clock.
 
     `order` is the revision of the order's row. While the move is active, `share` is the new
-    version's share of the requests.
+    version's share of the requests. `set_aside` are versions of earlier orders that were not found
+    good; they get no requests, although their upstreams may still be there.
     """
 
     service: str
@@ -143,3 +144,4 @@
     started_ms: int
     reason: str = ""
     share: float = 0.0
+    set_aside: tuple[str, ...] = ()
--- a/jayyoke/edge/canary.py
+++ b/jayyoke/edge/canary.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from jayyoke.core.entrysettings import Bounds
@@ -36,17 +36,20 @@
 # A version seen before its order gets no requests for this long, since orders and upstreams come on
 # two feeds.
 UNORDERED_HOLD_S = 2.0
+# Upstreams of a version that is set aside drain within seconds, so few are there at once.
+MAX_SET_ASIDE = 8
 
 
 @dataclass(frozen=True, slots=True)
 class Split:
     """Divides requests between versions: `share` of them go to `version`, the rest to others.
 
-    `version` is empty if no move is under way.
+    `version` is empty if no move is under way. Versions in `set_aside` get nothing.
     """
 
     version: str = ""
     share: float = 0.0
+    set_aside: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,23 +79,66 @@
     share: float = 0.0
 
 
-def split_versions(order: MoveOrder | None, status: MoveStatus | None, halted: bool) -> Split:
+def split_versions(
+    order: MoveOrder | None,
+    status: MoveStatus | None,
+    halted: bool,
+    earlier: Sequence[MoveOrder] = (),
+) -> Split:
     """Return the split in force; a move without a status row has not begun."""
+    set_aside = find_set_aside(order, status, earlier)
     if order is None:
         if status is not None and status.state is MoveState.ROLLED_BACK:
-            return Split(status.version, 0.0)
-        return Split()
+            return Split(status.version, 0.0, status.set_aside)
+        return Split(set_aside=set_aside)
     if status is None or status.order != order.revision:
-        return Split(order.version, 0.0)
+        return Split(order.version, 0.0, set_aside)
     match status.state:
         case MoveState.DONE:
-            return Split(order.version, 1.0)
+            return Split(order.version, 1.0, set_aside)
         case MoveState.ROLLED_BACK:
-            return Split(order.version, 0.0)
+            return Split(order.version, 0.0, set_aside)
         case MoveState.ACTIVE:
-            if halted:
-                return Split(order.version, 0.0)
-            return Split(order.version, status.share)
+            share = 0.0 if halted else status.share
+            return Split(order.version, share, set_aside)
+
+
+def find_set_aside(
+    order: MoveOrder | None, status: MoveStatus | None, earlier: Sequence[MoveOrder] = ()
+) -> tuple[str, ...]:
+    """Return the versions of earlier orders that were not found good, the newest last.
+
+    The status may still be that of an order before; `earlier` are the orders that this instance saw
+    being replaced.
+    """
+    versions: list[str] = []
+    if status is not None:
+        versions.extend(version for version in status.set_aside if version != status.version)
+        if _is_unproven(order, status):
+            versions.append(status.version)
+    for before in earlier:
+        # Nothing is known of how its move went.
+        if status is None or status.order < before.revision:
+            versions.append(before.version)
+    if order is not None:
+        versions = [version for version in versions if version != order.version]
+    return tuple(dict.fromkeys(versions))[-MAX_SET_ASIDE:]
+
+
+def _is_unproven(order: MoveOrder | None, status: MoveStatus) -> bool:
+    """Tell whether a move has not shown its version to be good, and will not."""
+    if status.state is MoveState.ROLLED_BACK:
+        return True
+    superseded = order is not None and status.order != order.revision
+    # With all requests it is done but for the last row, and its old upstreams may be gone.
+    return superseded and status.state is MoveState.ACTIVE and status.share < 1.0
+
+
+def drop_versions(
+    counts: Mapping[tuple[str, str], OutcomeCounts], versions: Collection[str]
+) -> dict[tuple[str, str], OutcomeCounts]:
+    """Return the counts of all other versions."""
+    return {key: value for key, value in counts.items() if key[0] not in versions}
 
 
 def decide_state(
@@ -160,16 +206,22 @@
     """Return the upstreams that a request may use; draw is uniform in [0, 1).
 
     While the new version has no upstreams, all requests go to the old ones, which still run; the
-    reverse holds only once the new version has its full share. Versions in `unordered` are used
-    only if there are no others.
+    reverse holds only once the new version has its full share, or if all others are set aside, as
+    after an order that goes back to the old version. Versions in `unordered` are used only if there
+    are no others.
     """
+    usable = upstreams
+    if split.set_aside:
+        usable = [found for found in upstreams if found.version not in split.set_aside]
     if not split.version:
-        known = [found for found in upstreams if found.version not in unordered]
-        return known or list(upstreams)
-    new = [found for found in upstreams if found.version == split.version]
-    old = [found for found in upstreams if found.version != split.version]
+        known = [found for found in usable if found.version not in unordered]
+        return known or list(usable)
+    new = [found for found in usable if found.version == split.version]
+    old = [found for found in usable if found.version != split.version]
     if split.share >= 1.0:
         return new or old
+    if split.share > 0.0 and not old and len(usable) < len(upstreams):
+        return new
     if split.share > 0.0 and draw < split.share and new:
         return new
     return old
--- a/jayyoke/edge/canary_test.py
+++ b/jayyoke/edge/canary_test.py
@@ -11,8 +11,11 @@
 from jayyoke.core.route import MoveOrder, MoveState, MoveStatus
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.canary import (
+    MAX_SET_ASIDE,
     Split,
     decide_state,
+    drop_versions,
+    find_set_aside,
     find_unordered_versions,
     select_upstreams,
     split_versions,
@@ -51,6 +54,72 @@
         assert split_versions(None, reverted, False) == Split("v2", 0.0)
 
 
+class TestSetAside:
+    """Tests versions of earlier orders whose upstreams are still there."""
+
+    NEXT = MoveOrder("desk", "v3", 12.0, 9)
+    REVERTED = MoveStatus("desk", "v2", MoveState.ROLLED_BACK, 7, 1000)
+
+    @pytest.mark.parametrize("state", [MoveState.ROLLED_BACK, MoveState.ACTIVE])
+    def test_version_not_found_good_gets_nothing_under_the_next_order(self, state):
+        """Guards against a bad version that counts as an old one once the next is ordered."""
+        status = replace(self.REVERTED, state=state)
+        assert split_versions(self.NEXT, status, False) == Split("v3", 0.0, ("v2",))
+        begun = MoveStatus(
+            "desk", "v3", MoveState.ACTIVE, 9, 2000, "", 0.04, find_set_aside(self.NEXT, status)
+        )
+        assert split_versions(self.NEXT, begun, False) == Split("v3", 0.04, ("v2",))
+
+    def test_good_version_becomes_the_old_one(self):
+        status = replace(self.REVERTED, state=MoveState.DONE)
+        assert find_set_aside(self.NEXT, status) == ()
+
+    @pytest.mark.parametrize("state", MoveState)
+    def test_earlier_versions_stay_set_aside(self, state):
+        """Guards against a bad version that comes back with the order after the next."""
+        status = MoveStatus("desk", "v3", state, 9, 2000, set_aside=("v2",))
+        found = find_set_aside(MoveOrder("desk", "v4", 12.0, 11), status)
+        assert found == (("v2",) if state is MoveState.DONE else ("v2", "v3"))
+        assert "v2" in find_set_aside(None, status)
+
+    def test_version_ordered_again_is_not_set_aside(self):
+        status = replace(self.REVERTED, version="v3", set_aside=("v2",))
+        assert find_set_aside(MoveOrder("desk", "v2", 12.0, 11), status) == ("v3",)
+
+    def test_version_with_all_requests_is_the_old_one(self):
+        """Guards against refusals where the next order comes before the row that says done."""
+        status = replace(self.REVERTED, state=MoveState.ACTIVE, share=1.0)
+        assert find_set_aside(self.NEXT, status) == ()
+
+    @pytest.mark.parametrize("known", [None, MoveStatus("desk", "v1", MoveState.DONE, 3, 0)])
+    def test_replaced_order_without_a_status_counts(self, known):
+        """Guards against requests to a version whose order lasted for less than a period."""
+        assert find_set_aside(self.NEXT, known, (ORDER,)) == ("v2",)
+
+    @pytest.mark.parametrize("state", MoveState)
+    def test_status_tells_more_than_the_replaced_order(self, state):
+        status = replace(self.REVERTED, state=state)
+        expected = () if state is MoveState.DONE else ("v2",)
+        assert find_set_aside(self.NEXT, status, (ORDER,)) == expected
+
+    def test_list_is_bounded(self):
+        many = tuple(f"v{number}" for number in range(20))
+        status = replace(self.REVERTED, set_aside=many)
+        found = find_set_aside(self.NEXT, status)
+        assert len(found) == MAX_SET_ASIDE
+        assert found[-1] == "v2"
+
+    def test_row_holds_the_versions(self):
+        """Guards against an instance that starts after the next order and knows of no other."""
+        status = replace(self.REVERTED, set_aside=("v0", "v1"))
+        assert decode_move_status(encode_move_status(status), "desk") == status
+
+    def test_answers_of_set_aside_versions_are_no_reference(self):
+        """Guards against a bad version that is found good beside another bad one."""
+        counts = GOOD | {("v0", "r"): OutcomeCounts(200, 150, 0)}
+        assert drop_versions(counts, ("v0",)) == GOOD
+
+
 class TestState:
     def test_new_order_becomes_active(self):
         assert decide_state(ORDER, None, 0, {}, 0, BOUNDS).state is MoveState.ACTIVE
@@ -167,3 +236,14 @@
         unordered = find_unordered_versions(both, seen_s, 100.0)
         assert select_upstreams(both, Split(), 0.5, unordered) == [self.OLD]
         assert find_unordered_versions(both, seen_s, 102.0) == frozenset()
+
+    @pytest.mark.parametrize("split", [Split("v3", 0.0, ("v2",)), Split("", 0.0, ("v2",))])
+    def test_set_aside_version_gets_nothing(self, split):
+        both = [self.OLD, self.NEW]
+        assert select_upstreams(both, split, 0.5, frozenset()) == [self.OLD]
+        assert select_upstreams([self.NEW], split, 0.5, frozenset()) == []
+
+    def test_order_back_to_the_old_version_serves_all(self):
+        """Guards against refusals when the operator goes back before a version was judged."""
+        split = Split("v1", 0.04, ("v2",))
+        assert select_upstreams([self.OLD, self.NEW], split, 0.9, frozenset()) == [self.OLD]
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -46,6 +46,8 @@
         share = 1.0
         if split.version:
             share = split.share if found.version == split.version else 1.0 - split.share
+        if found.version in split.set_aside:
+            share = 0.0
         if share <= 0.0 or found.domain in evacuated:
             excluded.add(found.incarnation)
     return frozenset(excluded)
--- a/jayyoke/edge/load_test.py
+++ b/jayyoke/edge/load_test.py
@@ -110,6 +110,7 @@
             (Split("v2", 0.0), (), {"n"}),
             (Split("v2", 0.1), (), set()),
             (Split("v2", 1.0), (), {"o"}),
+            (Split("v3", 0.1, ("v2",)), (), {"n"}),
             (Split(), ("b",), {"n"}),
         ],
     )
--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -18,7 +18,14 @@
 from jayyoke.core.move import OutcomeCounts
 from jayyoke.core.route import MoveOrder, MoveState, MoveStatus
 from jayyoke.edge.answertimes import AnswerTimes, MeanTimes
-from jayyoke.edge.canary import NextState, Split, decide_state, split_versions
+from jayyoke.edge.canary import (
+    NextState,
+    Split,
+    decide_state,
+    drop_versions,
+    find_set_aside,
+    split_versions,
+)
 from jayyoke.edge.log import log_event
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import FleetView
@@ -78,16 +85,16 @@
         if order is None and status is None:
             return Split()
         halted = order is not None and (service, order.revision) in self._halted
-        return split_versions(order, status, halted)
+        return split_versions(order, status, halted, self._view.earlier_orders.get(service, ()))
 
     def record_answer(
         self, service: str, route: str, version: str, failed: bool, times: AnswerTimes
     ) -> None:
         """Count an answer, which may have failed or be slow."""
-        order = self._view.orders.get(service)
+        split = self.find_split(service)
         mean_times = self._mean_times.setdefault((service, route), MeanTimes())
         slow = not failed and mean_times.is_exceeded(times)
-        if not failed and (order is None or version != order.version):
+        if not failed and version not in (split.version, *split.set_aside):
             mean_times.add(times)
         self._add(service, route, version, OutcomeCounts(1, int(failed), int(slow)))
 
@@ -155,7 +162,7 @@
         pool = self._pools.setdefault((order.service, order.revision), EvidencePool())
         pool.replace(self._source, own)
         await self._read_counts(order, prefix, pool)
-        counts = pool.total()
+        counts = drop_versions(pool.total(), self.find_split(order.service).set_aside)
         self._halt_if_bad(order, counts)
         page = await self._read_status()
         key = names.MOVE_PREFIX + order.service
@@ -226,6 +233,9 @@
             started_ms=store_ms if begins else status.started_ms,
             reason=next_state.reason,
             share=next_state.share,
+            set_aside=find_set_aside(
+                order, status, self._view.earlier_orders.get(order.service, ())
+            ),
         )
         put = Put(
             names.MOVE_PREFIX + order.service,
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -30,6 +30,8 @@
 MEMBER_TABLE = "members"
 # Removals remembered for peers; a peer that lacks older ones gets the whole table.
 MAX_REMOVALS = 500
+# A status row tells of the orders before these.
+MAX_EARLIER_ORDERS = 8
 TABLES = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE, names.STATUS_TABLE, MEMBER_TABLE)
 
 
@@ -145,6 +147,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self.domain_returned_s: dict[str, float] = {}
         self.orders: dict[str, MoveOrder] = {}
+        # Orders that another one has replaced, the newest last.
+        self.earlier_orders: dict[str, tuple[MoveOrder, ...]] = {}
         self.statuses: dict[str, MoveStatus] = {}
         self._lapse_grace = LapseGrace()
         self._changes: Subject[str] = Subject()
@@ -228,6 +232,10 @@
                 _log_unusable(error.finding, source)
         if orders != self.orders:
             log_event("orders", moves=sorted(map(str, orders.values())), source=source)
+        for service, before in self.orders.items():
+            if service in orders and orders[service].version != before.version:
+                earlier = self.earlier_orders.get(service, ())
+                self.earlier_orders[service] = (*earlier, before)[-MAX_EARLIER_ORDERS:]
         self.orders = orders
         prefix = names.EVACUATE_PREFIX
         evacuated = frozenset(key[len(prefix) :] for key in copy.rows if key.startswith(prefix))
--- a/jayyoke/platform/decode.py
+++ b/jayyoke/platform/decode.py
@@ -100,6 +100,12 @@
             raise self._build_error(name, "a list")
         return value
 
+    def texts(self, name: str) -> list[str]:
+        values = self.items(name)
+        if not all(isinstance(value, str) and _is_encodable(value) for value in values):
+            raise self._build_error(name, "a list of texts")
+        return values
+
     def has(self, name: str) -> bool:
         return self._object.get(name) is not None
 
@@ -287,12 +293,13 @@
         started_ms=int(fields.number("startedMs", 0)),
         reason=fields.text("reason", ""),
         share=min(1.0, fields.number("share", 0.0)),
+        set_aside=tuple(fields.texts("setAside")),
     )
 
 
 def encode_move_status(status: MoveStatus) -> bytes:
     """Return the value of a move's status row, which operators read."""
-    body = {
+    body: dict[str, object] = {
         "state": status.state.value,
         "to": status.version,
         "order": status.order,
@@ -300,4 +307,6 @@
         "reason": status.reason,
         "share": round(status.share, 4),
     }
+    if status.set_aside:
+        body["setAside"] = list(status.set_aside)
     return json.dumps(body).encode()
--- a/tests/entry_moves_test.py
+++ b/tests/entry_moves_test.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import pytest
+
 from standin.entryconfig import build_config
 from standin.entryupstream import ReceivedRequest, answer_whole, format_answer
 from tests.entryrig import Rig, RunningEntry, open_rig, wait_ready, wait_until
@@ -83,6 +85,43 @@
 
         run_move(fail_always, "reverted", check)
 
+    @pytest.mark.parametrize("judged", [True, False])
+    def test_version_not_found_good_gets_nothing_under_the_next_order(self, judged):
+        """Guards against a bad version that comes back, reverted or not, with the next order."""
+
+        async def main() -> None:
+            async with open_rig(build_config()) as rig:
+                await rig.add_upstream("old-1", answer_whole, version="v1")
+                entries = [await rig.add_entry("entry-1")]
+                await wait_ready(entries[0], 1)
+                order = {"backend": SERVICE, "to": "v2", "durationS": 30.0}
+                rig.store.put("op", f"rollout/{SERVICE}", order)
+                script = fail_always if judged else answer_whole
+                second = await rig.add_upstream("second-1", script, version="v2")
+                state = "reverted" if judged else "active"
+                await call_until(entries, lambda: read_move_state(rig) == state)
+                third = await rig.add_upstream("third-1", answer_whole, version="v3")
+                await wait_ready(entries[0], 3)
+                rig.store.put("op", f"rollout/{SERVICE}", order | {"to": "v3"})
+                await wait_until(lambda: entries[0].instance.view.orders[SERVICE].version == "v3")
+                before = len(second.received)
+                # A new instance knows of the second version by the row only.
+                entries.append(await rig.add_entry("entry-2"))
+                await wait_ready(entries[1], 3)
+                sent = 0
+                while len(third.received) < 3:
+                    calls = [
+                        entry.call("/unsafe/x", request_id=f"{entry.url}-{sent}-{number}")
+                        for entry in entries
+                        for number in range(3)
+                    ]
+                    await asyncio.gather(*calls)
+                    sent += len(calls)
+                assert len(second.received) == before
+                assert sent > 20
+
+        asyncio.run(main())
+
     def test_version_without_an_order_gets_no_request(self):
         """Guards against requests to a new version that no order allows yet."""
 
