Serve on the old version at once when an order goes back to it

Cause: a move begins up to a period after its order, and until then its version gets nothing. With the version of the order before set aside, none was left: an order back to the version that still runs refused all callers for about a second (before they went to the version that was to be left).

Change: after an order that was not done, the ordered version may serve alone while all others are set aside or gone, unless it was found bad itself.

--- a/jayyoke/edge/canary.py
+++ b/jayyoke/edge/canary.py
@@ -44,12 +44,14 @@
 class Split:
     """Divides requests between versions: `share` of them go to `version`, the rest to others.
 
-    `version` is empty if no move is under way. Versions in `set_aside` get nothing.
+    `version` is empty if no move is under way. Versions in `set_aside` get nothing. If
+    `may_serve_alone` is set, `version` gets all requests while all others are set aside or gone.
     """
 
     version: str = ""
     share: float = 0.0
     set_aside: tuple[str, ...] = ()
+    may_serve_alone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,16 +93,19 @@
         if status is not None and status.state is MoveState.ROLLED_BACK:
             return Split(status.version, 0.0, status.set_aside)
         return Split(set_aside=set_aside)
+    # An order after one that was not done may go back to the old version.
+    may_serve_alone = bool(set_aside)
     if status is None or status.order != order.revision:
-        return Split(order.version, 0.0, set_aside)
+        return Split(order.version, 0.0, set_aside, may_serve_alone)
     match status.state:
         case MoveState.DONE:
             return Split(order.version, 1.0, set_aside)
         case MoveState.ROLLED_BACK:
             return Split(order.version, 0.0, set_aside)
         case MoveState.ACTIVE:
-            share = 0.0 if halted else status.share
-            return Split(order.version, share, set_aside)
+            if halted:
+                return Split(order.version, 0.0, set_aside)
+            return Split(order.version, status.share, set_aside, may_serve_alone)
 
 
 def find_set_aside(
@@ -206,9 +211,8 @@
     """Return the upstreams that a request may use; draw is uniform in [0, 1).
 
     While the new version has no upstreams, all requests go to the old ones, which still run; the
-    reverse holds only once the new version has its full share, or if all others are set aside, as
-    after an order that goes back to the old version. Versions in `unordered` are used only if there
-    are no others.
+    reverse holds only once the new version has its full share, or if it may serve alone. Versions
+    in `unordered` are used only if there are no others.
     """
     usable = upstreams
     if split.set_aside:
@@ -220,7 +224,7 @@
     old = [found for found in usable if found.version != split.version]
     if split.share >= 1.0:
         return new or old
-    if split.share > 0.0 and not old and len(usable) < len(upstreams):
+    if split.may_serve_alone and not old:
         return new
     if split.share > 0.0 and draw < split.share and new:
         return new
--- a/jayyoke/edge/canary_test.py
+++ b/jayyoke/edge/canary_test.py
@@ -64,11 +64,11 @@
     def test_version_not_found_good_gets_nothing_under_the_next_order(self, state):
         """Guards against a bad version that counts as an old one once the next is ordered."""
         status = replace(self.REVERTED, state=state)
-        assert split_versions(self.NEXT, status, False) == Split("v3", 0.0, ("v2",))
+        assert split_versions(self.NEXT, status, False) == Split("v3", 0.0, ("v2",), True)
         begun = MoveStatus(
             "desk", "v3", MoveState.ACTIVE, 9, 2000, "", 0.04, find_set_aside(self.NEXT, status)
         )
-        assert split_versions(self.NEXT, begun, False) == Split("v3", 0.04, ("v2",))
+        assert split_versions(self.NEXT, begun, False) == Split("v3", 0.04, ("v2",), True)
 
     def test_good_version_becomes_the_old_one(self):
         status = replace(self.REVERTED, state=MoveState.DONE)
@@ -243,7 +243,28 @@
         assert select_upstreams(both, split, 0.5, frozenset()) == [self.OLD]
         assert select_upstreams([self.NEW], split, 0.5, frozenset()) == []
 
-    def test_order_back_to_the_old_version_serves_all(self):
-        """Guards against refusals when the operator goes back before a version was judged."""
-        split = Split("v1", 0.04, ("v2",))
-        assert select_upstreams([self.OLD, self.NEW], split, 0.9, frozenset()) == [self.OLD]
+    @pytest.mark.parametrize("begun", [False, True])
+    @pytest.mark.parametrize("state", [MoveState.ROLLED_BACK, MoveState.ACTIVE])
+    def test_order_back_to_the_old_version_serves_all(self, state, begun):
+        """Guards against refusals when the operator goes back to the version that still runs."""
+        back = MoveOrder("desk", "v1", 12.0, 9)
+        status = MoveStatus("desk", "v2", state, 7, 1000, share=0.04)
+        if begun:
+            active = MoveState.ACTIVE
+            status = MoveStatus("desk", "v1", active, 9, 2000, "", 0.04, ("v2",))
+        split = split_versions(back, status, False)
+        for upstreams in ([self.OLD, self.NEW], [self.OLD]):
+            assert select_upstreams(upstreams, split, 0.9, frozenset()) == [self.OLD]
+
+    def test_bad_version_never_serves_alone(self):
+        """Guards against a bad version that gets all requests since another one was bad before."""
+        third = build("third", "v3")
+        reverted = MoveStatus("desk", "v3", MoveState.ROLLED_BACK, 9, 2000, "", 0.0, ("v2",))
+        order = MoveOrder("desk", "v3", 12.0, 9)
+        active = replace(reverted, state=MoveState.ACTIVE, share=0.04)
+        for split in (
+            split_versions(order, reverted, False),
+            split_versions(None, reverted, False),
+            split_versions(order, active, halted=True),
+        ):
+            assert select_upstreams([self.NEW, third], split, 0.0, frozenset()) == []
--- a/tests/entry_moves_test.py
+++ b/tests/entry_moves_test.py
@@ -122,6 +122,31 @@
 
         asyncio.run(main())
 
+    def test_order_back_to_the_old_version_refuses_nobody(self):
+        """Guards against refusals until the move back has begun, which takes up to a period."""
+
+        async def main() -> None:
+            async with open_rig(build_config()) as rig:
+                await rig.add_upstream("old-1", answer_whole, version="v1")
+                entry = await rig.add_entry()
+                await wait_ready(entry, 1)
+                order = {"backend": SERVICE, "to": "v2", "durationS": 30.0}
+                rig.store.put("op", f"rollout/{SERVICE}", order)
+                new = await rig.add_upstream("new-1", answer_whole, version="v2")
+                await wait_ready(entry, 2)
+                await wait_until(lambda: read_move_state(rig) == "active")
+                rig.store.put("op", f"rollout/{SERVICE}", order | {"to": "v1"})
+                await wait_until(lambda: entry.instance.view.orders[SERVICE].version == "v1")
+                before = len(new.received)
+                statuses = []
+                for number in range(100):
+                    statuses.append((await entry.call("/unsafe/x", request_id=f"r{number}"))[0])
+                    await asyncio.sleep(CALL_INTERVAL_S)
+                assert statuses == [200] * 100
+                assert len(new.received) == before
+
+        asyncio.run(main())
+
     def test_version_without_an_order_gets_no_request(self):
         """Guards against requests to a new version that no order allows yet."""
 
