Tell others of the ends under a request once its call is over

Cause: since a request itself has a key, and each end told all instances of each request that it had cut. Most of these have a record until another engine has answered them, so every message and question among instances was answered with a full list, too.

Change: an instance tells of a request's first end when its call is over without an answer since; a quarantined request is told at once as before.

Three new tests; those of tests/entry_deadly_request_test.py pass.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -83,6 +83,7 @@
             await self._serve(call, caller, progress)
         finally:
             relay.close()
+            self._quarantine.tell_requests(part_keys)
             replacement = progress.take_replacement()
             if replacement is not None:
                 self._sender.finish(call, replacement, CANCELLED, progress)
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -211,8 +211,19 @@
         """Record that an engine ended under a suspect; return the parts quarantined by that."""
         known = [key for key in keys if key in self._good_s]
         untold = set(known[:-MAX_KNOWN_TOLD])
+        # Another engine mostly answers the request; if not, `tell_requests` follows.
+        untold.update(key for key in keys if is_request_key(key))
         return [key for key in keys if self._add_end(key, end, key not in untold)]
 
+    def tell_requests(self, keys: Iterable[str]) -> None:
+        """Tell others of the ends under a request whose call is over, unless it was answered."""
+        for key in keys:
+            record = self._records.get(key)
+            if record is None or record.told or not is_request_key(key):
+                continue
+            record.told = True
+            self._changes.on_next(key)
+
     def record_good(self, keys: Iterable[str]) -> list[str]:
         """Record an answer on these parts; return those that were quarantined until now."""
         now_s = self._now_s()
--- a/jayyoke/ops/quarantine_kinds_test.py
+++ b/jayyoke/ops/quarantine_kinds_test.py
@@ -114,3 +114,31 @@
         case = Case()
         case.quarantine.record_good([build_request_key("pool", str(n)) for n in range(100)])
         assert case.quarantine.describe(build_request_key("pool", "0")).good_s is None
+
+    def test_end_is_told_once_the_call_is_over(self):
+        """Guards against a crash of which all instances tell each other of every cut request."""
+        case = Case()
+        told: list[str] = []
+        case.quarantine.changes.subscribe(told.append)
+        case.end(self.REQUEST)
+        assert not told
+        assert not case.quarantine.list_evidence(10)
+        case.quarantine.tell_requests(["caller", self.REQUEST])
+        assert told == [self.REQUEST]
+        assert [found.key for found in case.quarantine.list_evidence(10)] == [self.REQUEST]
+
+    def test_end_before_an_answer_is_never_told(self):
+        case = Case()
+        told: list[str] = []
+        case.quarantine.changes.subscribe(told.append)
+        case.end(self.REQUEST)
+        case.quarantine.record_good([self.REQUEST])
+        case.quarantine.tell_requests([self.REQUEST])
+        assert not told
+
+    def test_quarantined_request_is_told_at_once(self):
+        case = Case()
+        told: list[str] = []
+        case.quarantine.changes.subscribe(told.append)
+        case.quarantine_part(self.REQUEST)
+        assert told == [self.REQUEST]
