Answer news of parts with few others (both front doors)

After a crash hundreds are suspected for some seconds, so each message and each question was answered with up to 256 of them.

Change: an answer holds 24 parts beyond those that it is about, and a question 24; an instance that knows none still gets a full message. Quarantined parts come first and in turn, as before.

The new test of edge/partexchange_test.py failed before (more than 25 parts) and passes now.

--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -23,6 +23,7 @@
 from jayyoke.edge.quarantinelog import log_quarantined
 from jayyoke.ops.endobserver import MAX_LOGGED_PARTS
 from jayyoke.ops.partmessage import (
+    MAX_ADDED,
     MAX_TOLD,
     build_part_message,
     read_part_message,
@@ -117,7 +118,8 @@
         """Merge a peer's evidence and return what the peer lacks; raise PeerProtocolError."""
         told = decode_evidence(message, self._now_s())
         self._merge(told, "peer")
-        unknown = self._quarantine.list_unknown_to(told, MAX_TOLD)
+        added = MAX_ADDED if told else MAX_TOLD
+        unknown = self._quarantine.list_unknown_to(told, MAX_TOLD, added)
         return encode_evidence(take_batch(unknown), self._now_s())
 
     async def _ask_at_start(self) -> None:
@@ -154,7 +156,7 @@
                 self._start_exchange(peer, batch)
 
     def _ask(self, count: int) -> None:
-        evidence = take_batch(self._quarantine.list_evidence(MAX_TOLD))
+        evidence = take_batch(self._quarantine.list_evidence(MAX_ADDED))
         for peer in self._choose_peers(count):
             self._start_exchange(peer, evidence)
 
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -15,7 +15,7 @@
     encode_evidence,
 )
 from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
-from jayyoke.ops.partmessage import MAX_TOLD, split_evidence, take_batch
+from jayyoke.ops.partmessage import MAX_ADDED, MAX_TOLD, split_evidence, take_batch
 from jayyoke.ops.quarantine import (
     MAX_ENDS_PER_PART,
     EngineEnd,
@@ -171,6 +171,22 @@
 
         run_fleet(3, test)
 
+    def test_answer_to_news_holds_few_other_parts(self):
+        """Guards against messages that each bring all suspects of a crash."""
+        fleet = Fleet(2)
+        for number in range(200):
+            fleet.end("i0", f"pool/{number}", "e")
+
+        def count(told: list[PartEvidence]) -> int:
+            now_s = read_boot_time_s()
+            answer = fleet.exchanges["i0"].answer(encode_evidence(told, now_s))
+            return len(decode_evidence(answer, now_s))
+
+        end = EngineEnd("other", read_boot_time_s() - 1.0)
+        assert count([PartEvidence("pool/new", (end,))]) <= MAX_ADDED + 1
+        # An instance that has just started asks for all that a message holds.
+        assert count([]) > 4 * MAX_ADDED
+
     def test_nothing_is_sent_without_suspects(self):
         """Guards against control traffic on calm days."""
 
--- a/jayyoke/ops/partmessage.py
+++ b/jayyoke/ops/partmessage.py
@@ -14,6 +14,9 @@
 from jayyoke.wire.gen import ttypes
 
 MAX_TOLD = 256
+# Parts in a question, and in an answer beyond those that it is about. After a crash an instance may
+# suspect hundreds, which would come with every message; an instance that knows none gets MAX_TOLD.
+MAX_ADDED = 24
 # Peers refuse messages over 16 KiB.
 MAX_BATCH_BYTES = 12 << 10
 MAX_ENGINE_CHARACTERS = 120
--- a/jayyoke/ops/partsharing.py
+++ b/jayyoke/ops/partsharing.py
@@ -10,6 +10,7 @@
 from jayyoke.core.member import Member
 from jayyoke.core.peering import Peers
 from jayyoke.ops.partmessage import (
+    MAX_ADDED,
     MAX_TOLD,
     build_part_message,
     read_part_message,
@@ -84,6 +85,6 @@
         told = read_part_message(message, self._clock.now_s())
         for key in self._quarantine.merge(told):
             logging.warning("part %s is kept from engines, as %s tells", key, sender.name)
-        unknown = self._quarantine.list_unknown_to(told, MAX_TOLD)
+        unknown = self._quarantine.list_unknown_to(told, MAX_TOLD, MAX_ADDED)
         if unknown:
             self._tell(sender, unknown)
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -273,15 +273,20 @@
         newest = heapq.nlargest(limit - len(held), others, key=lambda key: records[key].last_end_s)
         return [self.describe(key) for key in held + newest]
 
-    def list_unknown_to(self, told: Iterable[PartEvidence], limit: int) -> list[PartEvidence]:
-        """Return what another instance does not know, given what it has told."""
+    def list_unknown_to(
+        self, told: Iterable[PartEvidence], limit: int, added: int
+    ) -> list[PartEvidence]:
+        """Return what another instance does not know, given what it has told.
+
+        Of the parts that it has not told, at most `added` are looked at.
+        """
         by_key = {found.key: found for found in told}
         unknown = []
         for found in by_key.values():
             known = self.describe(found.key)
             if _adds_to(known, found):
                 unknown.append(known)
-        for known in self.list_evidence(limit):
+        for known in self.list_evidence(added):
             if known.key not in by_key:
                 unknown.append(known)
         return unknown[:limit]
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -322,10 +322,10 @@
         case.quarantine_part()
         case.quarantine.record_good(["good"])
         told = [PartEvidence("good", (EngineEnd("e9", case.clock.now_s - 5),))]
-        unknown = {found.key: found for found in case.quarantine.list_unknown_to(told, 10)}
+        unknown = {found.key: found for found in case.quarantine.list_unknown_to(told, 10, 10)}
         assert unknown["good"].good_s == case.clock.now_s
         assert len(unknown["p"].ends) == NEW_PART_LIMIT
-        assert case.quarantine.list_unknown_to(unknown.values(), 10) == []
+        assert case.quarantine.list_unknown_to(unknown.values(), 10, 10) == []
 
 
 class TestBounds:
