Read the change again: one module for a part's ends, one start of a process

No behaviour, bound or expectation is changed. The tests of jayyoke/ and those of parts, memory and bodies pass.

--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -30,7 +30,8 @@
     split_evidence,
     take_batch,
 )
-from jayyoke.ops.quarantine import PartEvidence, Quarantine
+from jayyoke.ops.partrecord import PartEvidence
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.platform.body import read_body
 from jayyoke.utils.task import cancel_tasks
 from jayyoke.wire.gen import ttypes
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -16,12 +16,8 @@
 )
 from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
 from jayyoke.ops.partmessage import MAX_ADDED, MAX_TOLD, split_evidence, take_batch
-from jayyoke.ops.quarantine import (
-    MAX_ENDS_PER_PART,
-    EngineEnd,
-    PartEvidence,
-    Quarantine,
-)
+from jayyoke.ops.partrecord import MAX_ENDS_PER_PART, EngineEnd, PartEvidence
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.utils.boottime import read_boot_time_s
 from jayyoke.utils.task import cancel_tasks
 
--- a/jayyoke/ops/endobserver.py
+++ b/jayyoke/ops/endobserver.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.quarantine import EngineEnd, Quarantine
+from jayyoke.ops.partrecord import EngineEnd
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.utils.port import refuses_connections
 
 # Requests that lose their answers within this time share one check.
--- a/jayyoke/ops/partmessage.py
+++ b/jayyoke/ops/partmessage.py
@@ -5,12 +5,8 @@
 from collections.abc import Iterable, Iterator
 
 from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
-from jayyoke.ops.quarantine import (
-    KEPT_S,
-    MAX_ENDS_PER_PART,
-    EngineEnd,
-    PartEvidence,
-)
+from jayyoke.ops.partrecord import MAX_ENDS_PER_PART, EngineEnd, PartEvidence
+from jayyoke.ops.quarantine import KEPT_S
 from jayyoke.wire.gen import ttypes
 
 MAX_TOLD = 256
--- a/jayyoke/ops/partsharing.py
+++ b/jayyoke/ops/partsharing.py
@@ -16,7 +16,8 @@
     read_part_message,
     split_evidence,
 )
-from jayyoke.ops.quarantine import MAX_SUSPECTED, PartEvidence, Quarantine
+from jayyoke.ops.partrecord import PartEvidence
+from jayyoke.ops.quarantine import MAX_SUSPECTED, Quarantine
 from jayyoke.wire.gen import ttypes
 
 # The ends and answers of this time go into one message.
--- a/jayyoke/ops/partsharing_test.py
+++ b/jayyoke/ops/partsharing_test.py
@@ -5,8 +5,9 @@
 import asyncio
 
 from jayyoke.core.member import Member
+from jayyoke.ops.partrecord import EngineEnd
 from jayyoke.ops.partsharing import PartSharing
-from jayyoke.ops.quarantine import EngineEnd, Quarantine
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.utils.boottime import read_boot_time_s
 from jayyoke.utils.task import cancel_tasks
 from jayyoke.wire.local import LocalHub
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -22,27 +22,16 @@
 
 import heapq
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, field
 
 from reactivex import Observable
 from reactivex.subject import Subject
 
 from jayyoke.ops.partkeys import is_request_key
+from jayyoke.ops.partrecord import EngineEnd, PartEvidence, PartRecord
 from jayyoke.ops.rendezvous import rank
 
-# Ends after which a part is quarantined: one that has never had an answer, and one that has. A
-# request is sent once more after an end, so two ends are the work of one request.
-NEW_PART_LIMIT = 2
-KNOWN_PART_LIMIT = 4
-# Ends closer together have one cause, such as the loss of a rack. A repeated request needs longer
-# to reach its first token at the next engine.
-SAME_CAUSE_S = 0.1
-# Messages give ages, so one that a peer read late, after it had stood still, gives a later time.
-SAME_END_S = 30.0
 # How long a request waits for the trial of another one that tells parts apart.
 TRIAL_WAIT_S = 1.0
-# How long a part is held back, by the number of ends at or beyond its limit.
-HOLDS_S = (15.0, 120.0, 600.0, 3600.0)
 # The answer to a suspect has been written for less than this time.
 SUSPECT_WRITING_S = 0.25
 # An answer that has been written for this time shows that its parts are sound.
@@ -51,7 +40,6 @@
 KEPT_S = 86_400.0
 UNPROVEN_KEPT_S = 600.0
 MAX_SUSPECTED = 8192
-MAX_ENDS_PER_PART = 8
 MAX_GOOD = 32768
 # Parts with earlier answers of which an end is told to others; an answer mostly clears them soon.
 MAX_KNOWN_TOLD = 64
@@ -62,86 +50,6 @@
     return writing_s is None or writing_s < SUSPECT_WRITING_S
 
 
-@dataclass(frozen=True, slots=True)
-class EngineEnd:
-    """Holds when an engine ended; `engine` is its incarnation, or its name if that is not known."""
-
-    engine: str
-    at_s: float
-
-    def matches(self, other: EngineEnd) -> bool:
-        """Tell whether both are one end, which two instances have seen."""
-        return self.engine == other.engine and abs(self.at_s - other.at_s) < SAME_END_S
-
-
-@dataclass(frozen=True, slots=True)
-class PartEvidence:
-    """Holds the ends under a part, and when it last had an answer, or None if that is not known."""
-
-    key: str
-    ends: tuple[EngineEnd, ...]
-    good_s: float | None = None
-
-
-@dataclass(slots=True)
-class _Record:
-    """Holds the ends under a part since its last answer, which was at `good_s`."""
-
-    good_s: float | None = None
-    ends: list[EngineEnd] = field(default_factory=list)
-    # Whether a trial request of this instance is running.
-    on_trial: bool = False
-    # Whether other instances have been, or are to be, told of the part.
-    told: bool = False
-
-    @property
-    def last_end_s(self) -> float:
-        return max((end.at_s for end in self.ends), default=float("-inf"))
-
-    @property
-    def separate_ends(self) -> int:
-        """Return the number of ends that have causes of their own."""
-        count = 0
-        previous_s = float("-inf")
-        for end in sorted(self.ends, key=lambda end: end.at_s):
-            if end.at_s - previous_s < SAME_CAUSE_S:
-                continue
-            count += 1
-            previous_s = end.at_s
-        return count
-
-    @property
-    def hold_s(self) -> float | None:
-        """Return how long the part is held back after its last end, or None if it is not."""
-        limit = NEW_PART_LIMIT if self.good_s is None else KNOWN_PART_LIMIT
-        if len(self.ends) < limit:
-            return None
-        beyond = self.separate_ends - limit
-        return None if beyond < 0 else HOLDS_S[min(beyond, len(HOLDS_S) - 1)]
-
-    def has_same_ends(self, other: _Record) -> bool:
-        """Tell whether the ends do not tell this part from another one."""
-        if len(self.ends) != len(other.ends):
-            return False
-        return all(any(end.matches(known) for known in other.ends) for end in self.ends)
-
-    def add(self, end: EngineEnd) -> bool:
-        """Add an end; return False if it is known."""
-        for index, known in enumerate(self.ends):
-            if not known.matches(end):
-                continue
-            if end.at_s < known.at_s:
-                self.ends[index] = end
-            return False
-        if len(self.ends) >= MAX_ENDS_PER_PART:
-            oldest = min(self.ends, key=lambda known: known.at_s)
-            if end.at_s <= oldest.at_s:
-                return False
-            self.ends.remove(oldest)
-        self.ends.append(end)
-        return True
-
-
 class Quarantine:
     """Holds the evidence about parts from this and other instances, in seconds of the given clock.
 
@@ -157,7 +65,7 @@
         self._now_s = now_s
         self._instance = instance
         self._list_instances = list_instances
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, PartRecord] = {}
         self._good_s: dict[str, float] = {}
         self._changes: Subject[str] = Subject()
         self._told_from = 0
@@ -309,7 +217,7 @@
             return False
         record = self._records.get(key)
         if record is None:
-            record = self._records[key] = _Record(good_s)
+            record = self._records[key] = PartRecord(good_s)
         held = record.hold_s is not None
         if not record.add(end):
             return False
@@ -341,7 +249,7 @@
             del self._good_s[next(iter(self._good_s))]
 
     def _find_part_wait_s(
-        self, key: str, record: _Record, telling: Sequence[_Record]
+        self, key: str, record: PartRecord, telling: Sequence[PartRecord]
     ) -> float | None:
         """Return how long a request waits for a held part, given the groups that it tells apart."""
         hold_s = record.hold_s or 0.0
@@ -354,9 +262,9 @@
             return hold_s
         return None
 
-    def _list_telling(self, held: Collection[_Record]) -> list[_Record]:
+    def _list_telling(self, held: Collection[PartRecord]) -> list[PartRecord]:
         """Return a record of each group with the same ends of which a request has at most half."""
-        groups: list[_Record] = []
+        groups: list[PartRecord] = []
         telling = []
         for record in held:
             if any(found.has_same_ends(record) for found in groups):
--- a/jayyoke/ops/quarantine_kinds_test.py
+++ b/jayyoke/ops/quarantine_kinds_test.py
@@ -8,7 +8,8 @@
     build_request_key,
     is_request_key,
 )
-from jayyoke.ops.quarantine import KNOWN_PART_LIMIT, MAX_KNOWN_TOLD, NEW_PART_LIMIT
+from jayyoke.ops.partrecord import KNOWN_PART_LIMIT, NEW_PART_LIMIT
+from jayyoke.ops.quarantine import MAX_KNOWN_TOLD
 from jayyoke.ops.quarantine_test import Case
 
 
--- a/jayyoke/ops/quarantine_test.py
+++ b/jayyoke/ops/quarantine_test.py
@@ -5,20 +5,22 @@
 import pytest
 
 from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS, MAX_PARTS_PER_REQUEST, build_part_keys
-from jayyoke.ops.quarantine import (
+from jayyoke.ops.partrecord import (
     HOLDS_S,
-    KEPT_S,
     KNOWN_PART_LIMIT,
     MAX_ENDS_PER_PART,
-    MAX_SUSPECTED,
     NEW_PART_LIMIT,
     SAME_CAUSE_S,
     SAME_END_S,
+    EngineEnd,
+    PartEvidence,
+)
+from jayyoke.ops.quarantine import (
+    KEPT_S,
+    MAX_SUSPECTED,
     SUSPECT_WRITING_S,
     TRIAL_WAIT_S,
     UNPROVEN_KEPT_S,
-    EngineEnd,
-    PartEvidence,
     Quarantine,
     is_suspect,
 )
--- a/jayyoke/ops/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -16,13 +16,8 @@
 
 from jayyoke.core.error import Conflict, PlatformError, StoreUnavailable
 from jayyoke.ops.partkeys import MAX_KEY_CHARACTERS
-from jayyoke.ops.quarantine import (
-    KEPT_S,
-    MAX_ENDS_PER_PART,
-    EngineEnd,
-    PartEvidence,
-    Quarantine,
-)
+from jayyoke.ops.partrecord import MAX_ENDS_PER_PART, EngineEnd, PartEvidence
+from jayyoke.ops.quarantine import KEPT_S, Quarantine
 from jayyoke.platform.decode import MAX_NUMBER
 from jayyoke.platform.table import Put, Row
 from jayyoke.utils.jsontext import parse_unique_json
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -210,8 +210,8 @@
         limits = config.limits if config is not None else CallerLimits()
         body: bytes | Rejected | None = None
         if request.body_exists:
-            keep_in = None if isinstance(decision, Rejected) else held
-            body = await _read_body(request, limits, keep_in)
+            holder = None if isinstance(decision, Rejected) else held
+            body = await _read_body(request, limits, holder)
         if isinstance(body, Rejected):
             decision = body
         if isinstance(decision, Rejected):
--- a/tests/deadly_message_test.py
+++ b/tests/deadly_message_test.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from jayyoke.core.code import ANSWER_BROKEN, PART_QUARANTINED
-from jayyoke.ops.quarantine import HOLDS_S, NEW_PART_LIMIT
+from jayyoke.ops.partrecord import HOLDS_S, NEW_PART_LIMIT
 from standin.inprocessrouter import KEY, Router, run_router
 from standin.scriptedengine import ScriptedEngine
 
--- a/tests/entry_bodies_test.py
+++ b/tests/entry_bodies_test.py
@@ -11,8 +11,7 @@
 import aiohttp
 import pytest
 
-from standin.entryconfig import HOST, KEY, build_config, build_route, format_settings
-from standin.entryprocess import start_entry
+from standin.entryconfig import HOST, KEY, build_config, build_route
 from standin.entryupstream import (
     EntryUpstream,
     ReceivedRequest,
@@ -21,8 +20,7 @@
     format_event,
     format_stream_head,
 )
-from standin.port import find_free_ports
-from tests.entry_memory_test import MACHINE_BYTES, read_peak_bytes, wait_until_serving
+from tests.entry_memory_test import MACHINE_BYTES, open_process, read_peak_bytes
 from tests.entryrig import open_rig
 
 # What the users' operators allow for one body, and more than an instance may hold of them.
@@ -30,7 +28,7 @@
 LARGE_CALLS = 60
 SMALL_BODY = bytes(24_000)
 SMALL_CALLS = 20
-# Bodies of 64 MB fit at once, besides one that ends its call meanwhile.
+# 64 MiB hold 16 of them, and small bodies take a part of that.
 MIN_SERVED = 12
 PART_BYTES = 512 << 10
 EVENTS = 30
@@ -101,8 +99,8 @@
 
 
 @asynccontextmanager
-async def open_process(tmp_path: Path, upstream: EntryUpstream):
-    """Yield a process that serves, with the caller and the port of its callers."""
+async def open_instance(tmp_path: Path, upstream: EntryUpstream):
+    """Yield the process of an instance before an engine, and its caller."""
     config = build_config(
         routes=[
             build_route("stream", "stream", timeoutMs=9000),
@@ -116,19 +114,8 @@
         rig.upstreams.append(upstream)
         rig.store.put("servers", upstream.name, upstream.describe("desk", slots=400))
         await rig.add_upstream("u2", answer_whole, "sound", slots=400)
-        ports = find_free_ports(4)
-        settings = tmp_path / "boot.toml"
-        text = format_settings("entry-1", "zone-a", rig.store.address, ports, [], 6.0)
-        settings.write_text(text, encoding="utf-8")
-        process = await start_entry(settings, ports[3], stdout=asyncio.subprocess.DEVNULL)
-        try:
-            async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
-                await wait_until_serving(http, ports)
-                yield process, BodyCaller(http, ports[0])
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+        async with open_process(tmp_path, rig) as (process, http, port):
+            yield process, BodyCaller(http, port)
 
 
 Build = Callable[[], EntryUpstream]
@@ -173,7 +160,7 @@
         upstream = build()
 
         async def main() -> None:
-            async with open_process(tmp_path, upstream) as (process, caller):
+            async with open_instance(tmp_path, upstream) as (process, caller):
                 large = [call(caller, number) for number in range(LARGE_CALLS)]
                 small = [caller.call(f"s{number}", SMALL_BODY) for number in range(SMALL_CALLS)]
                 answers = await asyncio.gather(*large, *small)
--- a/tests/entry_memory_test.py
+++ b/tests/entry_memory_test.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import aiohttp
@@ -21,7 +22,7 @@
     format_stream_head,
 )
 from standin.port import find_free_ports
-from tests.entryrig import open_rig
+from tests.entryrig import Rig, open_rig
 
 # The memory of the smallest machine that the users describe.
 MACHINE_BYTES = 300 << 20
@@ -79,8 +80,8 @@
     return int(found.group(1)) << 10
 
 
-async def call(http: aiohttp.ClientSession, url: str, request_id: str) -> int | None:
-    """Return the status of an answer, or None if it was cut."""
+async def call(http: aiohttp.ClientSession, url: str, request_id: str) -> tuple[int | None, bytes]:
+    """Return the status of an answer, None if it was cut, and its body if it is no success."""
     headers = {
         "Host": HOST,
         "Request-Id": request_id,
@@ -89,11 +90,31 @@
     }
     try:
         async with http.post(url, data=b"x", headers=headers) as answer:
+            if answer.status != 200:
+                return answer.status, await answer.read()
             async for _ in answer.content.iter_any():
                 pass
-            return answer.status
+            return answer.status, b""
     except aiohttp.ClientError:
-        return None
+        return None, b""
+
+
+@asynccontextmanager
+async def open_process(tmp_path: Path, rig: Rig):
+    """Yield a process that serves, an HTTP client and the port for callers."""
+    ports = find_free_ports(4)
+    settings = tmp_path / "boot.toml"
+    text = format_settings("entry-1", "zone-a", rig.store.address, ports, [], 6.0)
+    settings.write_text(text, encoding="utf-8")
+    process = await start_entry(settings, ports[3], stdout=asyncio.subprocess.DEVNULL)
+    try:
+        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as http:
+            await wait_until_serving(http, ports[0])
+            yield process, http, ports[0]
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
 
 
 class TestFaultyUpstream:
@@ -114,40 +135,27 @@
             async with open_rig(build_config(routes=routes, backends=services)) as rig:
                 await rig.add_upstream("u1", send_endlessly(*FAULTS[name]), slots=400)
                 await rig.add_upstream("u2", answer_whole, "sound", slots=400)
-                ports = find_free_ports(4)
-                settings = tmp_path / "boot.toml"
-                text = format_settings("entry-1", "zone-a", rig.store.address, ports, [], 6.0)
-                settings.write_text(text, encoding="utf-8")
-                process = await start_entry(settings, ports[3], stdout=asyncio.subprocess.DEVNULL)
-                try:
-                    async with aiohttp.ClientSession(
-                        connector=aiohttp.TCPConnector(limit=0)
-                    ) as http:
-                        await wait_until_serving(http, ports)
-                        base = f"http://127.0.0.1:{ports[0]}"
-                        faulty = [call(http, f"{base}/{path}/x", f"f{n}") for n in range(CALLS)]
-                        sound = [call(http, f"{base}/sound/x", f"s{n}") for n in range(SOUND_CALLS)]
-                        found = await asyncio.gather(*faulty, *sound)
-                    assert found[CALLS:] == [200] * SOUND_CALLS
+                async with open_process(tmp_path, rig) as (process, http, port):
+                    base = f"http://127.0.0.1:{port}"
+                    faulty = [call(http, f"{base}/{path}/x", f"f{n}") for n in range(CALLS)]
+                    sound = [call(http, f"{base}/sound/x", f"s{n}") for n in range(SOUND_CALLS)]
+                    found = await asyncio.gather(*faulty, *sound)
+                    assert found[CALLS:] == [(200, b"")] * SOUND_CALLS
                     assert process.returncode is None
                     assert read_peak_bytes(process) < MACHINE_BYTES
-                finally:
-                    if process.returncode is None:
-                        process.kill()
-                    await process.wait()
 
         asyncio.run(main())
 
 
-async def wait_until_serving(http: aiohttp.ClientSession, ports: list[int]) -> None:
+async def wait_until_serving(http: aiohttp.ClientSession, port: int) -> None:
     """Wait until an instance answers for the sound service."""
     async with asyncio.timeout(20):
         number = 0
         while True:
             number += 1
             try:
-                url = f"http://127.0.0.1:{ports[0]}/sound/x"
-                if await call(http, url, f"w{number}") == 200:
+                url = f"http://127.0.0.1:{port}/sound/x"
+                if (await call(http, url, f"w{number}"))[0] == 200:
                     return
             except OSError:
                 pass
--- a/tests/quarantinerows_test.py
+++ b/tests/quarantinerows_test.py
@@ -11,7 +11,8 @@
 from jayyoke.edge.partstorage import QUARANTINE_TABLE, StorePartStorage
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.ops import quarantinerows
-from jayyoke.ops.quarantine import EngineEnd, Quarantine
+from jayyoke.ops.partrecord import EngineEnd
+from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import (
     InvalidStoredPart,
     QuarantineRows,
--- a/tests/tool_test.py
+++ b/tests/tool_test.py
@@ -14,7 +14,7 @@
 from typer.testing import CliRunner, Result
 
 from jayyoke.ops.changelog import ChangeLog
-from jayyoke.ops.quarantine import EngineEnd
+from jayyoke.ops.partrecord import EngineEnd
 from jayyoke.scripts import daemon, tool
 from standin.fleet import EXAMPLES
 from tests.operator_fleet import KEY, FakeMoves, FakeTable, OperatorFleet
