Let a request begin after SIGTERM only if its deadline lies before the end

Cause: StopWindow let requests that are repeatable, and all streams, begin by a forecast (1.5 times the longest recent duration of their route; within the balancer's window without any), asked once when the body was whole. A body that takes seconds moves that moment late into the grace, engines slow down, and nothing bounds what the forecast gets wrong. A call that waited for a place when SIGTERM came was not asked again.

Change: one decision, the deadline, for every kind of request, asked by the forwarder before it looks for an upstream and again when it has one. Deadlines count from the head, so a late body moves nothing. What may not begin is refused with 503 (not run) and a Retry-After of 10 to 100 ms; its caller reaches another instance over a new connection. A call that has run once goes on.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -24,11 +24,14 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.partkeys import build_part_keys, build_request_key
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, is_suspect
+from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.utils.heldbytes import HeldBytes
 
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
+# Refused callers of an instance that stops reach another one over a new connection.
+STOPPING_RETRY_S = (0.01, 0.1)
 # Incomplete events of all streams, in bytes.
 MAX_HELD_EVENT_BYTES = 32 << 20
 
@@ -48,6 +51,7 @@
         quarantine: Quarantine,
         end_observer: EndObserver,
         on_cleared: Callable[[str], None],
+        stop_window: StopWindow,
     ):
         self._placement = placement
         self._moves = moves
@@ -58,6 +62,7 @@
         self._quarantine = quarantine
         self._end_observer = end_observer
         self._on_cleared = on_cleared
+        self._stop_window = stop_window
         self._sender = Sender(placement, moves, pool, quarantine, now_s)
         self._takeover = Takeover(placement, self._sender, quarantine, now_s, self._observe_end)
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
@@ -114,7 +119,7 @@
         if call.deadline_s - self._now_s() <= MIN_TIME_S:
             progress.last_reason = "out-of-time"
             return None
-        refused = self._check_parts(progress)
+        refused = self._check_stop(call, progress) or self._check_parts(progress)
         if refused is not None:
             progress.last_reason = refused.reason
             return refused
@@ -124,6 +129,12 @@
         if isinstance(assignment, Refused):
             progress.last_reason = progress.last_reason or assignment.reason
             return assignment
+        refused = self._check_stop(call, progress)
+        if refused is not None:
+            # The stop has begun while the call waited for a place.
+            self._placement.release(progress.service, assignment.upstream)
+            progress.last_reason = refused.reason
+            return refused
         now_s = self._now_s()
         if progress.arrivals and not progress.budget.spend(now_s, self._placement.instances):
             self._placement.release(progress.service, assignment.upstream)
@@ -164,6 +175,12 @@
         )
         return False
 
+    def _check_stop(self, call: Call, progress: Progress) -> Refused | None:
+        """Return a refusal if the process may end before a call that has not run yet."""
+        if progress.runs or self._stop_window.may_begin(call.deadline_s):
+            return None
+        return Refused("stopping", self._source.uniform(*STOPPING_RETRY_S), spread=True)
+
     def _check_parts(self, progress: Progress) -> Refused | None:
         """Return a refusal if engines are kept from a part of the prompt."""
         wait_s = self._quarantine.find_wait_s(progress.part_keys)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -38,6 +38,7 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import QuarantineRows
+from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
@@ -126,6 +127,7 @@
         self.part_exchange = PartExchange(
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
+        self.stop_window = StopWindow()
         self.forwarder = Forwarder(
             self.placement,
             self.moves,
@@ -137,6 +139,7 @@
             self.quarantine,
             EndObserver(self.quarantine, now_s, self.record_end),
             self.quarantine_rows.mark_changed,
+            self.stop_window,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(self.view, self.placement.load_exchange)
@@ -276,7 +279,7 @@
     log_event("draining", busy=instance.listener.busy)
     balanced_s = min(READINESS_DELAY_S, bounds.stop_grace_s / 2)
     end_s = began_s + bounds.stop_grace_s - KILL_SLACK_S
-    instance.listener.stop_window.begin(end_s, began_s + balanced_s)
+    instance.stop_window.begin(end_s)
     await asyncio.sleep(balanced_s)
     instance.listener.stop()
     while read_boot_time_s() < end_s:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -123,8 +123,7 @@
     async def _run(self, request: CallerRequest, http_request: web.Request) -> web.StreamResponse:
         """Wait for admission, then let the plug-in of the class answer."""
         node = self._node
-        # Drains last longer than the longest deadline, so no estimate of the time is needed.
-        if request.deadline_s > node.drain.window.end_s:
+        if not node.drain.window.may_begin(request.deadline_s):
             raise refuse(503, code.STOPPING, "this instance stops before the request's deadline")
         request_key = (request.team.name, request.request_id)
         if request_key in self._in_progress:
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -6,20 +6,18 @@
 import contextlib
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.entrysettings import Bounds
-from jayyoke.core.route import CallerLimits, RouteKind
+from jayyoke.core.route import CallerLimits
 from jayyoke.edge.access import Admitted, Rejected, admit
 from jayyoke.edge.call import Call, CallerGone
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
-from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.platform.message import RequestHead, decode_request
 from jayyoke.server.bodyreader import (
     BodiesFull,
@@ -39,9 +37,6 @@
 ANSWER_SLACK_S = 0.02
 # Time to write the answers to requests that the end of the process cuts off.
 END_CALLS_S = 0.05
-# Refused callers of an instance that stops reach another one over a new connection.
-STOPPING_RETRY_S = (0.01, 0.1)
-STOPPING = Rejected(503, "stopping")
 # Bodies are held until their calls end, which takes about as long.
 BODIES_FULL_RETRY_S = (0.3, 1.0)
 
@@ -119,7 +114,6 @@
         self._calls: set[asyncio.Task[None]] = set()
         self._ending = False
         self._bodies = BodyBudget()
-        self.stop_window = StopWindow()
         self.draining = False
 
     @property
@@ -218,18 +212,8 @@
             return await self._reject(head, caller, decision)
         assert not isinstance(body, Rejected)
         call = self._build_call(request, head, body, decision, arrived_s)
-        now_s = self._now_s()
-        route = call.route
-        if not self.stop_window.may_begin(
-            route.name, call.deadline_s, route.kind is RouteKind.UNSAFE, now_s
-        ):
-            retry_after_s = random.uniform(*STOPPING_RETRY_S)
-            return await self._reject(head, caller, replace(STOPPING, retry_after_s=retry_after_s))
         await self._forwarder.serve(call, caller)
         assert caller.response is not None
-        if caller.response.status < 300:
-            now_s = self._now_s()
-            self.stop_window.record_duration(route.name, now_s - arrived_s, now_s)
         return caller.response
 
     def _build_call(
--- /dev/null
+++ b/tests/entry_stop_streams_test.py
@@ -0,0 +1,114 @@
+"""Tests streams that reach an entry instance around its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standin.entryupstream import (
+    ReceivedRequest,
+    format_chunk,
+    format_event,
+    format_stream_head,
+)
+from tests.stoppingentry import RawAnswer, StoppingEntry, open_stopping
+
+EVENTS = 10
+
+
+async def write_stream(
+    request: ReceivedRequest, writer: asyncio.StreamWriter, took_s: float
+) -> None:
+    """Answer with a stream that lasts for some seconds."""
+    writer.write(format_stream_head(request))
+    for number in range(1, EVENTS + 1):
+        writer.write(format_chunk(format_event(number)))
+        await writer.drain()
+        await asyncio.sleep(took_s / EVENTS)
+    writer.write(format_chunk(b""))
+    await writer.drain()
+
+
+def build_script(took_s: float):
+    """Return a script whose first stream is quick, and the later ones last `took_s` seconds."""
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        await write_stream(request, writer, 0.2 if request.id == "quick" else took_s)
+
+    return script
+
+
+def check_whole_or_refused(entry: StoppingEntry, request_id: str, answer: RawAnswer) -> None:
+    """Check that a request was served, or refused before it was passed on."""
+    if answer.status == 503:
+        assert not entry.is_passed_on(request_id)
+    else:
+        assert answer.status == 200
+    assert answer.whole
+
+
+class TestStream:
+    """Tests streams that must not run twice and may outlast the grace of 4 s."""
+
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_stream_whose_body_comes_late_is_whole_or_not_passed_on(self, tmp_path, chunked):
+        """Guards against streams that begin late in the grace, since earlier ones were quick.
+
+        Their heads come just before SIGTERM, their last bytes 2.3 s after it.
+        """
+
+        async def main() -> None:
+            async with open_stopping(tmp_path, build_script(2.0)) as entry:
+                assert (await entry.call("quick")).whole
+                names = [f"r{number}" for number in range(8)]
+                calls = [
+                    asyncio.create_task(entry.call(name, body_after_s=2.6, chunked=chunked))
+                    for name in names
+                ]
+                await asyncio.sleep(0.3)
+                entry.stop()
+                answers = await asyncio.gather(*calls)
+                await entry.wait()
+                for name, answer in zip(names, answers, strict=True):
+                    check_whole_or_refused(entry, name, answer)
+
+        asyncio.run(main())
+
+    def test_stream_of_a_new_caller_is_whole_or_not_passed_on(self, tmp_path):
+        """Guards against streams of callers whom the balancer still sends, cut after some seconds.
+
+        One that ends by its deadline is served.
+        """
+
+        async def main() -> None:
+            async with open_stopping(tmp_path, build_script(3.4)) as entry:
+                assert (await entry.call("quick")).whole
+                entry.stop()
+                await asyncio.sleep(0.3)
+                long = asyncio.create_task(entry.call("long"))
+                short = asyncio.create_task(entry.call("quick", deadline_ms=2500))
+                check_whole_or_refused(entry, "long", await long)
+                assert (await short).status == 200
+                assert (await short).whole
+                await entry.wait()
+
+        asyncio.run(main())
+
+    def test_stream_that_waits_for_a_place_is_whole_or_not_passed_on(self, tmp_path):
+        """Guards against streams that wait for a place when SIGTERM comes, and begin after it."""
+
+        async def main() -> None:
+            async with open_stopping(
+                tmp_path, build_script(3.7), slots=1, objective_ms=4000
+            ) as entry:
+                quick = asyncio.create_task(entry.call("quick", body_after_s=0.0))
+                await asyncio.sleep(0.05)
+                waiting = asyncio.create_task(entry.call("waits"))
+                await asyncio.sleep(0.05)
+                entry.stop()
+                assert (await quick).whole
+                check_whole_or_refused(entry, "waits", await waiting)
+                await entry.wait()
+
+        asyncio.run(main())
--- a/tests/entry_stop_test.py
+++ b/tests/entry_stop_test.py
@@ -30,9 +30,8 @@
             upstream = await rig.add_upstream("u1", answer_whole)
             entry = await rig.add_entry()
             await wait_ready(entry, 1)
-            listener = entry.instance.listener
-            listener.draining = True
-            listener.stop_window.begin(read_boot_time_s() + 1.0)
+            entry.instance.listener.draining = True
+            entry.instance.stop_window.begin(read_boot_time_s() + 1.0)
             status, body, headers = await entry.call("/unsafe/x", Deadline_Ms="2500")
             assert (status, body) == (503, b"stopping")
             assert headers["Connection"] == "close"
@@ -42,18 +41,19 @@
 
         run_rig(test)
 
-    def test_repeatable_request_is_served_if_those_like_it_would_end(self):
-        """Guards against refusing every request while the instance stops."""
+    def test_repeatable_request_needs_its_whole_time_too(self):
+        """Guards against a forecast that lets requests begin which are cut off at the end."""
 
         async def test(rig: Rig) -> None:
-            await rig.add_upstream("u1", answer_whole)
+            upstream = await rig.add_upstream("u1", answer_whole)
             entry = await rig.add_entry()
             await wait_ready(entry, 1)
-            listener = entry.instance.listener
-            listener.stop_window.begin(read_boot_time_s() + 1.0)
-            assert (await entry.call("/safe/x"))[0] == 503
-            listener.stop_window.record_duration("safe", 0.1, read_boot_time_s())
             assert (await entry.call("/safe/x"))[0] == 200
+            entry.instance.stop_window.begin(read_boot_time_s() + 1.0)
+            assert (await entry.call("/safe/x"))[0] == 503
+            assert (await entry.call("/stream/x"))[0] == 503
+            assert len(upstream.received) == 1
+            assert (await entry.call("/safe/x", Deadline_Ms="800"))[0] == 200
 
         run_rig(test)
 
