Begin no request once the last one in progress has been awaited

Callers who connected 2.6 s after SIGTERM, as the instance stopped to listen, got a status and a part of their streams, and an orderly close 0.2 s later.

Cause: asyncio makes the protocol of an accepted connection some turns of the loop later. An instance with nothing in progress found `busy` 0 in the turn in which it stopped to listen, and took the drain for done. The connections turned up while the background tasks ended; their requests lay within the grace, were passed on, and the close of the listener cut them.

Evidence: real processes, 8 connections opened from 2.6005 to 2.6045 s after SIGTERM, streams of 1.5 s. The log had `drained busy=0` 20 ms before the first `placed`.

Why it works: every request that may still be passed on is on a connection that counts as busy when the drain ends; whatever turns up later is refused.

--- a/jayyoke/ops/stopwindow.py
+++ b/jayyoke/ops/stopwindow.py
@@ -39,6 +39,10 @@
         self._end_s = end_s
         self._balanced_until_s = balanced_until_s
 
+    def close(self) -> None:
+        """Let no more requests begin."""
+        self.begin(-math.inf)
+
     def record_duration(self, kind: str, took_s: float, now_s: float) -> None:
         """Record how long a request of a kind took until its answer had ended."""
         if took_s >= self._find_longest_s(kind, now_s):
--- a/jayyoke/ops/stopwindow_test.py
+++ b/jayyoke/ops/stopwindow_test.py
@@ -42,6 +42,13 @@
         assert window.may_begin("r", 120.0, False, 104.0)
         assert not window.may_begin("r", 120.0, False, 105.3)
 
+    def test_nothing_begins_once_the_window_is_closed(self):
+        """Guards against requests that reach an upstream after the last one has been awaited."""
+        window = build(0.1)
+        window.close()
+        assert not window.may_begin("r", 100.5, False, 100.0)
+        assert not window.may_begin("r", 100.5, True, 100.0)
+
     def test_longest_time_fades(self):
         """Guards against one slow request that decides for the rest of the day."""
         window = StopWindow()
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -284,6 +284,8 @@
         if instance.listener.busy == 0:
             break
         await asyncio.sleep(DRAIN_POLL_S)
+    # Connections accepted last may bring requests that are not counted yet.
+    instance.listener.stop_window.close()
     log_event("drained", busy=instance.listener.busy)
     if instance.listener.busy:
         await instance.listener.end_calls()
