--- a/jayyoke/ops/stopwindow.py
+++ b/jayyoke/ops/stopwindow.py
@@ -28,6 +28,10 @@
         """Begin the stop."""
         self._end_s = end_s
 
+    def close(self) -> None:
+        """Let no more requests begin."""
+        self.begin(-math.inf)
+
     def may_begin(self, deadline_s: float) -> bool:
         """Tell whether a request may begin that ends at its deadline at the latest."""
         return deadline_s <= self._end_s
--- a/jayyoke/ops/stopwindow_test.py
+++ b/jayyoke/ops/stopwindow_test.py
@@ -15,6 +15,13 @@
     def test_everything_begins_while_no_stop_has_begun(self):
         assert StopWindow().may_begin(1e9)
 
+    def test_nothing_begins_once_the_window_is_closed(self):
+        """Guards against requests that reach an upstream after the last one has been awaited."""
+        window = StopWindow()
+        window.begin(END_S)
+        window.close()
+        assert not window.may_begin(100.5)
+
     def test_request_needs_its_whole_time(self):
         """Guards against a request that is cut off without an answer at the end of the grace."""
         window = StopWindow()
