End the process only once the answers are out (entry)

Cause: an answer counted as done once it was written. What the system had not taken lay in the process's own buffer (up to 64 KB a connection) and was dropped as the event loop ended; `drained` knew only of requests. A connection that was closed with unread input was reset, with all that the system had not sent.

Closed connections with unsent bytes are kept as duplicates whose sending side is shut down and whose input is discarded. Callers' connections are closed before the background tasks are cancelled, which may take a while. The drain is a module of its own and needs no Instance.

--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -42,6 +42,7 @@
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
+from jayyoke.scripts.drain import drain
 from jayyoke.server.entrylistener import EntryListener
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
@@ -55,11 +56,6 @@
 _RELOADABLE_SETTINGS = ("seeds", "first_start")
 # The same as in deploy/system.toml; outside the platform's port range for peers.
 METRICS_PORT = 9109
-# The load balancer probes once a second and removes an instance after two failed probes.
-READINESS_DELAY_S = 2.6
-# Requests that still run this long before the platform kills the process are aborted.
-KILL_SLACK_S = 0.5
-DRAIN_POLL_S = 0.05
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
@@ -259,11 +255,11 @@
         metrics = await _listen(_build_metrics_app(instance), f"{host}:{options.metrics_port}")
         log_event("started", instance=settings.instance, domain=settings.domain)
         await stop.wait()
-        await _drain(instance)
+        await drain(instance.listener, instance.stop_window, instance.settings.bounds.stop_grace_s)
+        await instance.listener.close()
         for task in tasks:
             task.remove_done_callback(_end_on_failure)
         await cancel_tasks(tasks)
-        await instance.listener.close()
         instance.pool.close()
         await ready.close()
         await peers.close()
@@ -271,29 +267,6 @@
     log_event("stopped", instance=settings.instance)
 
 
-async def _drain(instance: Instance) -> None:
-    """Let the load balancer remove this instance, then wait for the requests in progress."""
-    began_s = read_boot_time_s()
-    bounds = instance.settings.bounds
-    instance.listener.draining = True
-    log_event("draining", busy=instance.listener.busy)
-    balanced_s = min(READINESS_DELAY_S, bounds.stop_grace_s / 2)
-    end_s = began_s + bounds.stop_grace_s - KILL_SLACK_S
-    instance.stop_window.begin(end_s)
-    await asyncio.sleep(balanced_s)
-    instance.listener.stop()
-    while read_boot_time_s() < end_s:
-        instance.listener.close_idle()
-        if instance.listener.busy == 0:
-            break
-        await asyncio.sleep(DRAIN_POLL_S)
-    # Connections accepted last may bring requests that are not counted yet.
-    instance.stop_window.close()
-    log_event("drained", busy=instance.listener.busy)
-    if instance.listener.busy:
-        await instance.listener.end_calls()
-
-
 async def _listen(app: web.Application, address: str) -> Listener:
     listener = Listener(app)
     await listener.start(address)
--- /dev/null
+++ b/jayyoke/server/callerconnection.py
@@ -0,0 +1,99 @@
+"""One caller's connection to an entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from jayyoke.core.route import CallerLimits
+from jayyoke.edge.log import log_event
+from jayyoke.server.closingsockets import count_unsent_bytes
+
+# Connections stay open this long past the idle limit, so that one reused at the limit still works.
+IDLE_SLACK_S = 2.0
+
+
+class CallerConnection(RequestHandler):
+    """Bounds how long a caller may take to send a request's head, and counts what is not done.
+
+    `on_closing` is called with the transport of a connection that is closed in order.
+    """
+
+    __slots__ = ("_answered", "_head_timeout_s", "_head_timer", "_on_closing", "_opened")
+
+    def __init__(
+        self,
+        server: web.Server,
+        limits: CallerLimits,
+        on_closing: Callable[[asyncio.BaseTransport], None],
+    ):
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=limits.idle_timeout_s + IDLE_SLACK_S,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            auto_decompress=False,
+        )
+        self._head_timeout_s = limits.header_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._answered = 0
+        self._on_closing = on_closing
+        # The base class forgets its transport before the last bytes are written.
+        self._opened: asyncio.Transport | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request has begun to arrive and is not answered yet."""
+        return self._request_count > self._answered or self._head_timer is not None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers the caller has not acknowledged."""
+        if self._opened is None:
+            return 0
+        opened = self._opened.get_extra_info("socket")
+        return self._opened.get_write_buffer_size() + count_unsent_bytes(opened)
+
+    def note_answered(self) -> None:
+        """Count a request whose answer has been written."""
+        self._answered += 1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read requests."""
+        super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        self._opened = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data and start the time limit of an unfinished head."""
+        requests_before = self._request_count
+        super().data_received(data)
+        if self._request_count > requests_before or self._current_request is not None:
+            self._cancel_head_timer()
+            return
+        if data and self._head_timer is None:
+            self._head_timer = self._loop.call_later(self._head_timeout_s, self._close_slow_head)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the request in progress; `exc` is None if the connection was closed in order."""
+        self._cancel_head_timer()
+        if exc is None and self._opened is not None:
+            self._on_closing(self._opened)
+        self._opened = None
+        super().connection_lost(exc)
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _close_slow_head(self) -> None:
+        self._head_timer = None
+        if self._current_request is None and not self._messages:
+            log_event("head-too-slow", limit_s=self._head_timeout_s)
+            self.force_close()
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import CallerLimits
@@ -26,11 +25,11 @@
     discard_body,
     read_body,
 )
+from jayyoke.server.callerconnection import CallerConnection
+from jayyoke.server.closingsockets import ClosingSockets
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 MAX_BACKLOG = 512
-# Connections stay open this long past the idle limit, so that one reused at the limit still works.
-IDLE_SLACK_S = 2.0
 # Time limit of a body, counted once its head has been read.
 BODY_TIMEOUT_S = 10.0
 # Calls end this long before the deadline, so that the answer reaches the caller in time.
@@ -41,60 +40,6 @@
 BODIES_FULL_RETRY_S = (0.3, 1.0)
 
 
-class _Connection(RequestHandler):
-    """Bounds how long a caller may take to send a request's head."""
-
-    __slots__ = ("_answered", "_head_timeout_s", "_head_timer")
-
-    def __init__(self, server: web.Server, limits: CallerLimits):
-        super().__init__(
-            server,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_s + IDLE_SLACK_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
-        self._head_timeout_s = limits.header_timeout_s
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._answered = 0
-
-    @property
-    def busy(self) -> bool:
-        """Tell whether a request has begun to arrive and is not answered yet."""
-        return self._request_count > self._answered or self._head_timer is not None
-
-    def note_answered(self) -> None:
-        """Count a request whose answer has been written."""
-        self._answered += 1
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received data and start the time limit of an unfinished head."""
-        requests_before = self._request_count
-        super().data_received(data)
-        if self._request_count > requests_before or self._current_request is not None:
-            self._cancel_head_timer()
-            return
-        if data and self._head_timer is None:
-            self._head_timer = self._loop.call_later(self._head_timeout_s, self._close_slow_head)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self._cancel_head_timer()
-        super().connection_lost(exc)
-
-    def _cancel_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _close_slow_head(self) -> None:
-        self._head_timer = None
-        if self._current_request is None and not self._messages:
-            log_event("head-too-slow", limit_s=self._head_timeout_s)
-            self.force_close()
-
-
 class EntryListener:
     """Serves callers on one address."""
 
@@ -114,6 +59,7 @@
         self._calls: set[asyncio.Task[None]] = set()
         self._ending = False
         self._bodies = BodyBudget()
+        self._closing = ClosingSockets()
         self.draining = False
 
     @property
@@ -140,8 +86,20 @@
         """Return how many connections have a request that is not answered yet."""
         return sum(connection.busy for connection in self._web.connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers the callers have not acknowledged."""
+        open_bytes = sum(connection.unsent_bytes for connection in self._web.connections)
+        return open_bytes + self._closing.unsent_bytes
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether every request has its answer, and every answer is out."""
+        return self.busy == 0 and self.unsent_bytes == 0
+
     def close_idle(self) -> None:
-        """Close connections that carry no request."""
+        """Close connections that carry no request; the bytes of their answers are still sent."""
+        self._closing.sweep()
         for connection in list(self._web.connections):
             # The base class does not report a parsed request whose task has not started yet.
             if not connection.busy:
@@ -158,10 +116,16 @@
         """Cancel the requests in progress and close every connection."""
         self.stop()
         await self._web.shutdown(0.1)
+        self._closing.close()
 
-    def _build_connection(self) -> _Connection:
+    def _build_connection(self) -> CallerConnection:
         config = self._view.config
-        return _Connection(self._web, config.limits if config is not None else CallerLimits())
+        limits = config.limits if config is not None else CallerLimits()
+        return CallerConnection(self._web, limits, self._keep_closing)
+
+    def _keep_closing(self, transport: asyncio.BaseTransport) -> None:
+        if self.draining:
+            self._closing.keep(transport)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._now_s()
@@ -187,7 +151,7 @@
         finally:
             held.release()
             self._calls.discard(task)
-            assert isinstance(request.protocol, _Connection)
+            assert isinstance(request.protocol, CallerConnection)
             request.protocol.note_answered()
 
     async def _serve(
--- a/tests/entry_stop_accept_test.py
+++ b/tests/entry_stop_accept_test.py
@@ -5,10 +5,8 @@
 import asyncio
 import socket
 import time
-from dataclasses import replace
 
-from jayyoke.core.entrysettings import Bounds
-from jayyoke.scripts import entry as entry_script
+from jayyoke.scripts.drain import drain
 from standin.entryconfig import HOST, KEY
 from standin.entryupstream import ReceivedRequest, format_answer
 from tests.entryrig import Rig, RunningEntry, run_rig, wait_ready
@@ -37,7 +35,7 @@
 
 async def stop(entry: RunningEntry) -> None:
     """Stop an instance as its process does after SIGTERM."""
-    await entry_script._drain(entry.instance)
+    await drain(entry.instance.listener, entry.instance.stop_window, GRACE_S)
     await asyncio.sleep(TASKS_END_S)
     await entry.instance.listener.close()
 
@@ -68,9 +66,6 @@
             upstream = await rig.add_upstream("u1", slow)
             entry = await rig.add_entry()
             await wait_ready(entry, 1)
-            entry.instance.settings = replace(
-                entry.instance.settings, bounds=Bounds(stop_grace_s=GRACE_S)
-            )
             port = entry.instance.listener.port
             clients: list[socket.socket] = []
             asyncio.get_running_loop().call_later(
