Tell a call that the stop ended from a caller that left, and 'not run' from 'may have run'

A request that the end of the process cut off was logged as `caller-left`, though its caller had not left, and its answer was always 504, also if no upstream had got it: such a caller may send it again, and a client of a mutation doesn't after 504.

Cause: the listener had one way out for every cancelled request.

Change: a request has a stage (receiving, waiting, sent, answering). The stop logs `ended-by-stop` with it; requests that were not passed on get 503 `stopping` with a Retry-After, others 504 as before.

The test of lines that wait for a slow reader waited for more lines than there are; it ends now.

--- a/jayyoke/edge/call.py
+++ b/jayyoke/edge/call.py
@@ -42,6 +42,10 @@
         """Tell whether the head of the answer was sent."""
         ...
 
+    def note_sent(self) -> None:
+        """Record that the call was sent to an upstream, and so may have run."""
+        ...
+
     async def start(
         self, status: int, phrase: str, headers: tuple[tuple[str, str], ...], length: int | None
     ) -> None:
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -24,14 +24,12 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.partkeys import build_part_keys, build_request_key
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, is_suspect
-from jayyoke.ops.stopwindow import StopWindow
+from jayyoke.ops.stopwindow import STOPPING_RETRY_S, StopWindow
 from jayyoke.utils.heldbytes import HeldBytes
 
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
-# Refused callers of an instance that stops reach another one over a new connection.
-STOPPING_RETRY_S = (0.01, 0.1)
 # Incomplete events of all streams, in bytes.
 MAX_HELD_EVENT_BYTES = 32 << 20
 
@@ -286,6 +284,7 @@
             outcome: Outcome | None = await self._sender.start(call, send, progress)
             if outcome is not None:
                 return outcome
+            caller.note_sent()
             connection = send.connection
             assert connection is not None
             answer = await self._takeover.wait(
--- a/jayyoke/edge/log_test.py
+++ b/jayyoke/edge/log_test.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import select
 
 from jayyoke.edge.log import BURST_LINES, MAX_WAITING_LINES, EventLog
 
@@ -59,7 +60,7 @@
             log.write("ended-by-stop", request_id=f"r{number}", text="x" * 2000)
         assert log.dropped == 2
         received = b""
-        for _ in range(MAX_WAITING_LINES):
+        while select.select((reader,), (), (), 0.0)[0]:
             received += os.read(reader, 1 << 20)
             log.flush(0.0)
         events = [json.loads(line) for line in received.splitlines()]
--- a/jayyoke/ops/stopwindow.py
+++ b/jayyoke/ops/stopwindow.py
@@ -10,6 +10,9 @@
 
 import math
 
+# Refused callers of an instance that stops reach another one over a new connection.
+STOPPING_RETRY_S = (0.01, 0.1)
+
 
 class StopWindow:
     """Holds when every request must have ended; times are in seconds."""
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from enum import Enum
 
 from aiohttp import web
 
@@ -17,6 +18,7 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
+from jayyoke.ops.stopwindow import STOPPING_RETRY_S
 from jayyoke.platform.message import RequestHead, decode_request
 from jayyoke.server.bodyreader import (
     BodiesFull,
@@ -106,7 +108,7 @@
                 connection.force_close()
 
     async def end_calls(self) -> None:
-        """Answer the requests that have no answer yet: they may have run, and get none now."""
+        """Answer the requests that have no answer yet, and cut the answers that have begun."""
         self._ending = True
         for call in list(self._calls):
             call.cancel()
@@ -115,6 +117,7 @@
     async def close(self) -> None:
         """Cancel the requests in progress and close every connection."""
         self.stop()
+        self._ending = True
         await self._web.shutdown(0.1)
         self._closing.close()
 
@@ -138,11 +141,20 @@
         try:
             return await self._serve(request, head, caller, held, arrived_s)
         except asyncio.CancelledError:
-            if self._ending and not caller.started:
-                task.uncancel()
-                with contextlib.suppress(CallerGone):
-                    return await self._reject(head, caller, Rejected(504, "stopped"))
-            log_event("caller-left", request_id=head.request_id, started=caller.started)
+            if not self._ending:
+                log_event("caller-left", request_id=head.request_id, started=caller.started)
+                raise
+            log_event(
+                "ended-by-stop",
+                request_id=head.request_id,
+                stage=caller.stage.value,
+                took_ms=round((self._now_s() - arrived_s) * 1000, 1),
+            )
+            if caller.started:
+                raise
+            task.uncancel()
+            with contextlib.suppress(CallerGone):
+                return await self._answer_stopped(head, caller)
             raise
         except CallerGone:
             log_event("caller-left", request_id=head.request_id, started=caller.started)
@@ -175,6 +187,7 @@
         if isinstance(decision, Rejected):
             return await self._reject(head, caller, decision)
         assert not isinstance(body, Rejected)
+        caller.note_received()
         call = self._build_call(request, head, body, decision, arrived_s)
         await self._forwarder.serve(call, caller)
         assert caller.response is not None
@@ -205,6 +218,13 @@
             config_version=admitted.config_version,
         )
 
+    async def _answer_stopped(self, head: RequestHead, caller: _HttpCaller) -> web.StreamResponse:
+        """Answer a request that the end of the process cuts off before its answer has begun."""
+        if caller.stage is _Stage.SENT:
+            return await self._reject(head, caller, Rejected(504, "stopped"))
+        retry_after_s = random.uniform(*STOPPING_RETRY_S)
+        return await self._reject(head, caller, Rejected(503, "stopping", retry_after_s))
+
     async def _reject(
         self, head: RequestHead, caller: _HttpCaller, decision: Rejected
     ) -> web.StreamResponse:
@@ -226,15 +246,25 @@
         return caller.response
 
 
+class _Stage(Enum):
+    """How far a request has come."""
+
+    RECEIVING = "receiving"
+    WAITING = "waiting"
+    SENT = "sent"
+    ANSWERING = "answering"
+
+
 class _HttpCaller:
     """Writes one answer to the caller's connection."""
 
-    __slots__ = ("_listener", "_request", "response")
+    __slots__ = ("_listener", "_request", "response", "stage")
 
     def __init__(self, request: web.BaseRequest, listener: EntryListener):
         self._request = request
         self._listener = listener
         self.response: web.StreamResponse | None = None
+        self.stage = _Stage.RECEIVING
 
     @property
     def started(self) -> bool:
@@ -246,6 +276,15 @@
         """Tell whether the next bytes may be the body or, if the caller drops it, a request."""
         return _awaits_continue(self._request) and not self._request.content.is_eof()
 
+    def note_received(self) -> None:
+        """Record that the request is whole."""
+        self.stage = _Stage.WAITING
+
+    def note_sent(self) -> None:
+        """Record that the request was sent to an upstream, and so may have run."""
+        if not self.started:
+            self.stage = _Stage.SENT
+
     async def start(
         self, status: int, phrase: str, headers: tuple[tuple[str, str], ...], length: int | None
     ) -> None:
@@ -258,6 +297,7 @@
         if self._listener.draining or self._may_leave_body_unsent:
             response.force_close()
         self.response = response
+        self.stage = _Stage.ANSWERING
         try:
             await response.prepare(self._request)
         except ConnectionError as error:
--- a/tests/entry_stop_test.py
+++ b/tests/entry_stop_test.py
@@ -16,6 +16,7 @@
 from standin.entryupstream import ReceivedRequest, answer_whole, format_answer
 from standin.port import find_free_ports
 from tests.entryrig import Rig, open_rig, run_rig, wait_ready, wait_until
+from tests.stoppingentry import format_head
 
 GRACE_S = 4.0
 
@@ -81,6 +82,57 @@
 
         run_rig(test)
 
+    def test_request_that_waits_for_a_place_has_not_run(self, capfd):
+        """Guards against 504 for a request that was not passed on and may be sent again."""
+
+        async def hang(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        async def test(rig: Rig) -> None:
+            upstream = await rig.add_upstream("u1", hang, slots=1)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
+            first = asyncio.create_task(entry.call("/unsafe/x"))
+            await wait_until(lambda: upstream.received)
+            waiting = asyncio.create_task(entry.call("/unsafe/x", "waits"))
+            await wait_until(lambda: entry.instance.listener.busy == 2)
+            await asyncio.sleep(0.05)
+            await entry.instance.listener.end_calls()
+            status, body, headers = await waiting
+            assert (status, body) == (503, b"stopping")
+            assert 0 < float(headers["Retry-After"]) < 0.2
+            assert (await first)[0] == 504
+
+        run_rig(test)
+        assert read_stages(capfd) == {"r1": "sent", "waits": "waiting"}
+
+    def test_request_whose_body_is_not_whole_has_not_run(self, capfd):
+        """Guards against a connection that ends without an answer while a body arrives."""
+
+        async def test(rig: Rig) -> None:
+            entry = await rig.add_entry()
+            await rig.add_upstream("u1", answer_whole)
+            await wait_ready(entry, 1)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", entry.instance.listener.port
+            )
+            writer.write(format_head("/unsafe/x", "slow", 2500, "Content-Length: 9") + b"the")
+            await wait_until(lambda: entry.instance.listener.busy == 1)
+            await asyncio.sleep(0.05)
+            await entry.instance.listener.end_calls()
+            assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
+            writer.close()
+
+        run_rig(test)
+        assert read_stages(capfd) == {"slow": "receiving"}
+
+
+def read_stages(capfd: pytest.CaptureFixture[str]) -> dict[str, str]:
+    """Return from the log how far each request had come that the stop ended."""
+    lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    ended = [line for line in lines if line["event"] == "ended-by-stop"]
+    return {line["request_id"]: line["stage"] for line in ended}
+
 
 class TestPlannedStop:
     """Tests a planned stop of a real process while callers keep their connections busy."""
