Let the soak stop instances in calm while slow callers use them

The soak had stopped instances only among other faults, with requests of at most 1.5 s whose bodies come at once; its check of stops looked at requests of the last half second before SIGTERM, and at none in runs with a fault at that time. Streams that begin late in the grace weren't played.

A new check is the users' rule LOST for requests that were passed on; "sent" is the last byte of the body.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,6 +12,7 @@
 from standin.entryconfig import HOST, KEY
 
 KINDS = ("safe", "unsafe", "stream", "resume")
+STREAM_KINDS = ("stream", "resume", "long")
 SECOND_KEY = "key-of-the-second"
 SECOND_KEY_SHARE = 0.2
 DEADLINE_S = 1.5
--- a/soak/check.py
+++ b/soak/check.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from soak.caller import KINDS, SECOND_KEY
-from soak.record import Record, Run, Sent
+from soak.caller import KINDS, SECOND_KEY, STREAM_KINDS
+from soak.record import Record, Run, Sent, Stop
 from soak.upstream import EVENT_COUNT, build_body
 from standin.entryupstream import format_event
 
@@ -22,6 +22,12 @@
 # An answer that ends more than this after its deadline is late.
 DEADLINE_TOLERANCE_S = 0.5
 STOP_GRACE_S = 6.0
+# Instances end a request this long before its deadline.
+EARLY_END_S = 0.05
+# A request that was sent this soon after SIGTERM may be cut if an upstream is still at work on it
+# in the last sixth of the grace.
+SENT_EARLY_S = 3.0
+LATE_GRACE_SHARE = 5 / 6
 # So many requests with a part may reach upstreams later than DEADLY_LAG_S (`contactMs`) after so
 # many upstreams have ended under it.
 DEADLY_ENDS = 5
@@ -45,7 +51,7 @@
     checks = [check_answers, check_forwarding, check_at_most_once, check_processes, check_recovery]
     if timed:
         checks += [check_clean_phase, check_deadlines, check_keys, check_drains, check_stops]
-        checks.append(check_deadly_part)
+        checks += [check_deadly_part, check_losses]
     findings: list[Finding] = []
     for check in checks:
         findings.extend(check(record))
@@ -68,11 +74,11 @@
         if sent.status != 200:
             continue
         executed_by = [run.upstream for run in runs[sent.id] if run.ran]
-        if sent.kind in ("stream", "resume"):
+        if sent.kind in STREAM_KINDS:
             expected = b"".join(format_event(number) for number in range(EVENT_COUNT))
             matches = sent.body == expected if sent.complete else expected.startswith(sent.body)
         else:
-            answers = [build_body(sent.id, name) for name in executed_by]
+            answers = [build_body(sent.id, name, big=sent.kind == "big") for name in executed_by]
             matches = sent.body in answers if sent.complete else True
         if not matches or not executed_by:
             findings.append(
@@ -110,7 +116,7 @@
     findings = []
     for sent in record.sent:
         ran = [run for run in runs[sent.id] if run.ran]
-        at_most_once = sent.kind in ("unsafe", "stream")
+        at_most_once = sent.kind in ("unsafe", "stream", "long")
         if at_most_once and len(ran) > 1:
             names = [run.upstream for run in ran]
             findings.append(Finding("runs once", sent.id, f"{sent.kind} ran at {names}"))
@@ -138,7 +144,7 @@
     """Check that every request of the clean phase is served."""
     findings = []
     for sent in record.sent:
-        if sent.sent_s < record.clean_from_s or sent.left:
+        if not record.clean_from_s <= sent.sent_s < record.clean_until_s or sent.left:
             continue
         if sent.status == 200 and sent.complete:
             continue
@@ -158,7 +164,9 @@
     instances = {sent.instance for sent in record.sent}
     unserved = {(instance, kind) for instance in instances for kind in KINDS}
     for sent in record.sent:
-        if sent.sent_s >= record.clean_from_s and sent.status == 200 and sent.complete:
+        if not record.clean_from_s <= sent.sent_s < record.clean_until_s:
+            continue
+        if sent.status == 200 and sent.complete:
             unserved.discard((sent.instance, sent.kind))
     return sorted(unserved)
 
@@ -234,6 +242,9 @@
         for sent in record.sent:
             if (sent.instance, sent.lifetime) != (stop.instance, stop.lifetime) or sent.left:
                 continue
+            if sent.kind not in KINDS:
+                # check_losses tells which of the requests that last may be cut.
+                continue
             # Later requests may arrive while the instance closes an idle connection.
             if not stop.began_s - SLACK_S < sent.sent_s < stop.began_s or sent.complete:
                 continue
@@ -241,6 +252,34 @@
     return findings
 
 
+def check_losses(record: Record) -> list[Finding]:
+    """Check that requests that were passed on around a stop get their whole answer."""
+    runs = group_runs_by_request(record)
+    findings = []
+    for stop in record.stops:
+        for sent in record.sent:
+            if (sent.instance, sent.lifetime) != (stop.instance, stop.lifetime) or sent.left:
+                continue
+            ran = [run for run in runs[sent.id] if run.ran]
+            if sent.complete or not ran or sent.ended_s < stop.began_s:
+                continue
+            if not record.is_undisturbed(sent.sent_s - DISTURBANCE_LAG_S, sent.ended_s):
+                continue
+            if sent.ended_s >= sent.deadline_s - EARLY_END_S or _may_cut(sent, ran, stop):
+                continue
+            detail = f"{sent.kind} {sent.ended_s - stop.began_s:.2f} s after SIGTERM: {sent.error}"
+            findings.append(Finding("loses nothing", sent.id, detail))
+    return findings
+
+
+def _may_cut(sent: Sent, ran: list[Run], stop: Stop) -> bool:
+    """Tell whether an upstream was at work late in the grace on a request that was sent early."""
+    if max(sent.sent_s, sent.whole_s) > stop.began_s + SENT_EARLY_S:
+        return False
+    at_work_until_s = min(sent.ended_s, max(run.ended_s for run in ran))
+    return at_work_until_s >= stop.began_s + LATE_GRACE_SHARE * STOP_GRACE_S
+
+
 def check_deadly_part(record: Record) -> list[Finding]:
     """Check that a part under which upstreams ended reaches few more of them."""
     if len(record.ends_s) < DEADLY_ENDS:
--- a/soak/check_test.py
+++ b/soak/check_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.caller import KINDS, SECOND_KEY
+from soak.caller import KINDS, SECOND_KEY, STREAM_KINDS
 from soak.check import check_record
 from soak.record import Disturbance, KeyChange, Leaving, Record, Run, Sent, Stop
 from soak.upstream import EVENT_COUNT, build_body
@@ -16,7 +16,7 @@
 
 def build_sent(kind: str, number: int = 0, **changes: object) -> Sent:
     name = f"{kind}-{number}"
-    body = STREAM if kind in ("stream", "resume") else build_body(name, "u0")
+    body = STREAM if kind in STREAM_KINDS else build_body(name, "u0")
     fields = {
         "id": name,
         "kind": kind,
@@ -159,6 +159,46 @@
         assert find_broken_promises(record) == {"processes live"}
 
 
+class TestLosses:
+    """Tests the check of requests that were passed on around a stop."""
+
+    def list_promises(self, run_ended_s: float = 1e9, **changes: object) -> set[str]:
+        """Return the broken promises after a stop from 100.0 to 105.6 s that cuts one stream."""
+        fields = {
+            "sent_s": 102.0,
+            "whole_s": 102.5,
+            "deadline_s": 110.0,
+            "ended_s": 105.5,
+            "complete": False,
+            "body": b"",
+        }
+        sent = build_sent("long", **(fields | changes))
+        record = build_record()
+        record.clean_until_s = 100.0
+        record.sent = [sent]
+        record.runs = [build_run(sent, ended_s=run_ended_s)]
+        record.stops.append(Stop(0, 1, 100.0, 105.6, 0))
+        return {finding.promise for finding in check_record(record, timed=True)} - {"recovers"}
+
+    def test_request_whose_body_ended_late_is_found(self):
+        """Guards against a soak that does not see streams that begin too late to end."""
+        assert self.list_promises(whole_s=103.1) == {"loses nothing"}
+
+    def test_answer_that_the_upstream_had_ended_is_found(self):
+        """Guards against a soak that excuses answers that are still in buffers."""
+        assert self.list_promises(run_ended_s=104.9) == {"loses nothing"}
+
+    def test_cut_before_the_last_sixth_is_found(self):
+        """Guards against a soak that excuses every cut of a stop."""
+        assert self.list_promises(ended_s=104.9) == {"loses nothing"}
+
+    def test_what_the_rule_allows_is_no_finding(self):
+        """Guards against a check that is stricter than the users' rule."""
+        assert self.list_promises() == set()
+        assert self.list_promises(whole_s=103.1, deadline_s=105.5) == set()
+        assert self.list_promises(whole_s=103.1, complete=True, body=STREAM) == set()
+
+
 class TestDeadlyPart:
     """Tests the check of requests with the part that ends upstreams."""
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,6 +16,7 @@
 from soak.check import STOP_GRACE_S
 from soak.plan import Mode, Size, Trouble
 from soak.record import NO_INSTANCE, Disturbance, KeyChange, Leaving, Record, Stop
+from soak.slowcaller import build_soak_routes
 from soak.upstream import SoakUpstream
 from standin.entryconfig import KEY, build_config, format_settings
 from standin.entryprocess import start_entry
@@ -294,7 +295,8 @@
         teams = [{"name": "yard", "apiKeys": [KEY], "prio": 1}]
         if self._second_key_present:
             teams.append({"name": "second", "apiKeys": [SECOND_KEY], "prio": 2})
-        self.store.put("op", "config", build_config(self._config_version, tenants=teams))
+        config = build_config(self._config_version, tenants=teams, routes=build_soak_routes())
+        self.store.put("op", "config", config)
 
     def _write_upstream(self, number: int, state: str) -> None:
         upstream = self.upstreams[number]
--- a/soak/record.py
+++ b/soak/record.py
@@ -11,6 +11,7 @@
 class Sent:
     """Holds one request of a caller; times are in seconds of the runner's monotonic clock.
 
+    `whole_s` is when the last byte of its body was sent, 0 if that was not recorded.
     `status` is 0 if no complete response head arrived. `complete` says that the whole answer
     arrived, `left` that the caller disconnected on purpose. `lifetime` counts the processes that
     were started for the instance.
@@ -24,6 +25,7 @@
     sent_s: float
     deadline_s: float
     ended_s: float = 0.0
+    whole_s: float = 0.0
     status: int = 0
     body: bytes = b""
     complete: bool = False
@@ -33,9 +35,12 @@
     deadly: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Run:
-    """Holds one request as an upstream received it; `ran` is False if the upstream refused it."""
+    """Holds one request as an upstream received it; `ran` is False if the upstream refused it.
+
+    `ended_s` is when the upstream had made its whole answer, or infinity.
+    """
 
     id: str
     upstream: str
@@ -46,6 +51,7 @@
     credentials: str
     expected: str
     ran: bool
+    ended_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +108,7 @@
     stops: list[Stop] = field(default_factory=list)
     deaths: list[str] = field(default_factory=list)
     clean_from_s: float = float("inf")
+    clean_until_s: float = float("inf")
 
     def is_disturbed(self, instance: int, begin_s: float, end_s: float) -> bool:
         """Tell whether an instance was disturbed between two times."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import json
+import random
 import time
 from dataclasses import asdict
 from pathlib import Path
 
 from jayyoke.utils.task import cancel_tasks
+from soak.calmstop import stop_in_calm
 from soak.check import Finding, check_record, list_unserved
 from soak.fleet import SoakFleet
 from soak.plan import DEFAULT_FAULTS_S, Size, Step, draw_plan
@@ -29,7 +31,10 @@
 async def run_seed(
     seed: int, folder: Path, size: Size, faults_s: float = DEFAULT_FAULTS_S, *, timed: bool = True
 ) -> list[Finding]:
-    """Run a seed and return its findings; write the record to `folder`, which must exist."""
+    """Run a seed and return its findings; write the record to `folder`, which must exist.
+
+    Without `timed` nothing is stopped in calm, since what may be cut then depends on time.
+    """
     steps = draw_plan(seed, size, faults_s)
     record = Record()
     fleet = SoakFleet(size, record, folder, seed)
@@ -44,6 +49,9 @@
         await asyncio.sleep(MIN_CLEAN_S)
         while list_unserved(record) and time.monotonic() < record.clean_from_s + MAX_CLEAN_S:
             await asyncio.sleep(POLL_INTERVAL_S)
+        record.clean_until_s = time.monotonic()
+        if timed:
+            await stop_in_calm(fleet, record, random.Random(f"{seed} stops"))
         await fleet.stop_callers()
     finally:
         await cancel_tasks([watch])
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from soak.caller import DEADLY_PART
+from soak.caller import DEADLY_PART, STREAM_KINDS
 from soak.plan import Mode
 from soak.record import Record, Run
 from standin.entryupstream import (
@@ -19,6 +19,10 @@
 )
 
 EVENT_COUNT = 6
+# Streams of the kind `long` slow down to this while an instance stops.
+SLOW_EVENT_GAP_S = 0.8
+# More than the buffers between an upstream and a slow reader hold.
+BIG_BYTES = 1 << 20
 EVENT_GAP_S = 0.02
 SERVICE_TIME_S = 0.005
 SLOW_SERVICE_TIME_S = 0.5
@@ -27,9 +31,10 @@
 IDLE_TIMEOUT_S = 0.05
 
 
-def build_body(request_id: str, upstream: str) -> bytes:
+def build_body(request_id: str, upstream: str, *, big: bool = False) -> bytes:
     """Return the body of an upstream's answer to a request."""
-    return f"answer to {request_id} by {upstream}".encode()
+    body = f"answer to {request_id} by {upstream}".encode()
+    return body.ljust(BIG_BYTES, b".") if big else body
 
 
 class SoakUpstream:
@@ -38,6 +43,7 @@
     def __init__(self, name: str, record: Record, on_deadly: Callable[[SoakUpstream], None]):
         self.name = name
         self.mode = Mode.WELL
+        self.long_event_gap_s = EVENT_GAP_S
         self._record = record
         self._on_deadly = on_deadly
         self.server = EntryUpstream(name, self._answer)
@@ -46,7 +52,7 @@
         mode, name = self.mode, self.name
         misdirected = request.get("expect-worker") not in ("", name)
         refuses = misdirected or mode is Mode.REFUSES
-        self._record_run(request, name, ran=not refuses)
+        run = self._record_run(request, name, ran=not refuses)
         if refuses:
             status = "421 Misdirected Request" if misdirected else "503 Service Unavailable"
             writer.write(format_answer(request, b"", status, Not_Executed="1"))
@@ -67,10 +73,12 @@
                 await asyncio.sleep(SLOW_SERVICE_TIME_S)
             case _:
                 await asyncio.sleep(SERVICE_TIME_S)
-        if "/stream/" in request.line or "/resume/" in request.line:
+        if any(f"/{kind}/" in request.line for kind in STREAM_KINDS):
             await self._send_stream(request, writer, mode)
+            run.ended_s = time.monotonic()
         else:
-            body = build_body(request.id, name)
+            body = build_body(request.id, name, big="/big/" in request.line)
+            run.ended_s = time.monotonic()
             answer = format_answer(request, body)
             writer.write(answer[: len(answer) // 2] if mode is Mode.CUTS else answer)
             await writer.drain()
@@ -95,13 +103,12 @@
                 return
             writer.write(format_chunk(format_event(number)))
             await writer.drain()
-            await asyncio.sleep(
-                SLOW_SERVICE_TIME_S / EVENT_COUNT if mode is Mode.SLOW else EVENT_GAP_S
-            )
+            gap_s = self.long_event_gap_s if "/long/" in request.line else EVENT_GAP_S
+            await asyncio.sleep(SLOW_SERVICE_TIME_S / EVENT_COUNT if mode is Mode.SLOW else gap_s)
         writer.write(format_chunk(b""))
         await writer.drain()
 
-    def _record_run(self, request: ReceivedRequest, name: str, *, ran: bool) -> None:
+    def _record_run(self, request: ReceivedRequest, name: str, *, ran: bool) -> Run:
         run = Run(
             id=request.id,
             upstream=name,
@@ -114,3 +121,4 @@
             ran=ran,
         )
         self._record.runs.append(run)
+        return run
--- a/standin/entryconfig.py
+++ b/standin/entryconfig.py
@@ -11,15 +11,9 @@
 
 def build_config(version: int = 1, **changes: object) -> dict[str, object]:
     """Return a configuration with one route of each kind, all to the service `desk`."""
-    routes = [
-        build_route("safe", "safe", attempts=2),
-        build_route("unsafe", "unsafe", attempts=1),
-        build_route("stream", "stream", attempts=1, affinity=True),
-        build_route("resume", "stream", attempts=2, affinity=True, resumable=True),
-    ]
     config: dict[str, object] = {
         "version": version,
-        "routes": routes,
+        "routes": build_routes(),
         "backends": [{"name": "desk", "healthPath": "/healthz", "maxConns": 96}],
         "limits": {
             "maxHeaderBytes": 16384,
@@ -32,6 +26,16 @@
     return config | changes
 
 
+def build_routes() -> list[dict[str, object]]:
+    """Return one route of each kind."""
+    return [
+        build_route("safe", "safe", attempts=2),
+        build_route("unsafe", "unsafe", attempts=1),
+        build_route("stream", "stream", attempts=1, affinity=True),
+        build_route("resume", "stream", attempts=2, affinity=True, resumable=True),
+    ]
+
+
 def build_route(name: str, kind: str, **fields: object) -> dict[str, object]:
     """Return a route to the service `desk` with the path prefix /NAME/."""
     route: dict[str, object] = {
