--- a/soak/calmstop.py
+++ b/soak/calmstop.py
@@ -7,7 +7,7 @@
 import signal
 import time
 
-from jayyoke.scripts.entry import READINESS_DELAY_S
+from jayyoke.scripts.drain import READINESS_DELAY_S
 from soak.check import STOP_GRACE_S
 from soak.fleet import InstanceProcess, SoakFleet
 from soak.record import Record, Stop
