Block signals once a stop has ended, so that none ends the process (entry)

Cause: the end of the event loop sets the handlers of SIGTERM, SIGINT and SIGHUP back to the default, which ends the process; it lives on for 0.15 s and more. Nothing was in progress by then, so no request was lost.

Blocked signals wait, and end with the process.

--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -59,6 +59,7 @@
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,6 +265,8 @@
         await ready.close()
         await peers.close()
         await metrics.close()
+    # The end of the event loop sets the handlers back to those that end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     log_event("stopped", instance=settings.instance)
 
 
