End the process without the interpreter's teardown (entry)

Cause: after the event loop has ended, the interpreter frees its modules and objects.

Change: the process exits at once. The log is written without buffers of the interpreter's, and nothing registers functions for the exit. An error still ends it with a traceback. No test: its verdict would depend on speed.

--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -356,6 +356,8 @@
         sys.exit(EXIT_USAGE)
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(run_instance(path, text, settings, options))
+    # The interpreter would spend a good part of the grace on freeing its objects.
+    os._exit(0)
 
 
 def run_command() -> None:
