Answer a request that waits behind another on its connection while stopping

Cause: while the instance drains, every answer closes its connection, whatever has been read from it already.

The answer now closes the connection only if no other request waits; the last one does. A request that is sent after the head of an answer that announces the close still gets none, as HTTP has it.

--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -246,6 +246,15 @@
         """Tell whether the next bytes may be the body or, if the caller drops it, a request."""
         return _awaits_continue(self._request) and not self._request.content.is_eof()
 
+    @property
+    def _is_last(self) -> bool:
+        """Tell whether the connection is to be closed after this answer."""
+        if self._may_leave_body_unsent:
+            return True
+        connection = self._request.protocol
+        assert isinstance(connection, CallerConnection)
+        return self._listener.draining and not connection.has_next
+
     async def start(
         self, status: int, phrase: str, headers: tuple[tuple[str, str], ...], length: int | None
     ) -> None:
@@ -255,7 +264,7 @@
             response.headers.add(name, value)
         if length is not None:
             response.content_length = length
-        if self._listener.draining or self._may_leave_body_unsent:
+        if self._is_last:
             response.force_close()
         self.response = response
         try:
