Block signals once a stop has ended (jayyoked)

The same cause as in the entry process: the end of the event loop sets the handlers of SIGTERM and SIGINT back, so a SIGTERM that comes again ends the process with code -15 after a stop without loss.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -72,6 +72,8 @@
             await node.shadows.close()
         await node.engine_streams.close()
         await cancel_tasks(tasks)
+    # The end of the event loop sets the handlers back to those that end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT))
 
 
 def _tune_garbage_collector() -> None:
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -9,6 +9,7 @@
 from standin.fleet import TEAM_KEYS, run_fleet
 
 TOKENS = 400
+SIGNAL_INTERVAL_S = 0.002
 
 
 class TestDrain:
@@ -36,6 +37,20 @@
         asyncio.run(run())
 
 
+    def test_signals_that_come_again_do_not_end_it(self):
+        """Guards against a stop that ends by a signal, once the event loop handles none."""
+
+        async def run() -> int | None:
+            async with run_fleet(DEPLOYMENTS["ballenticket"]) as fleet:
+                instance = fleet.instances[0]
+                while instance.child.poll() is None:
+                    instance.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(SIGNAL_INTERVAL_S)
+                return await instance.wait()
+
+        assert asyncio.run(run()) == 0
+
+
 async def wait_until_unready(fleet, instance) -> bool:
     """Return True once /readyz answers 503; raise ClientError if the instance has stopped."""
     while True:
