--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -59,6 +59,9 @@
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
+# Time for the log's reader to take the last lines of the process.
+LOG_FLUSH_S = 0.05
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,6 +267,8 @@
         await ready.close()
         await peers.close()
         await metrics.close()
+    # The end of the event loop sets the handlers back to those that end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     log_event("stopped", instance=settings.instance)
 
 
@@ -353,6 +358,9 @@
         sys.exit(EXIT_USAGE)
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(run_instance(path, text, settings, options))
+    log.flush_log(LOG_FLUSH_S)
+    # The interpreter would spend a good part of the grace on freeing its objects.
+    os._exit(0)
 
 
 def run_command() -> None:
