Serve callers whom the balancer sends back while an instance stops

But until the balancer has noticed the stop (2.6 s) a refused caller comes back to the same instance and is refused again, as the log of a stopped instance shows.

Change: within the balancer's window a request that may run twice or changes nothing begins at once. What such a stream can lose is bounded: it has 4.9 s, and is cut only while its engine is still at work at the end of the grace, which the rule doesn't count for requests sent within 3 s after SIGTERM. Refused callers are told to return when the window is over.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from jayyoke.core.entrysettings import Bounds
+from jayyoke.core.route import RouteKind
 from jayyoke.edge.answerrelay import AnswerRelay
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.choose import list_shared_parts
@@ -175,9 +176,12 @@
 
     def _check_stop(self, call: Call, progress: Progress) -> Refused | None:
         """Return a refusal if the process may end before a call that has not run yet."""
-        if progress.runs or self._stop_window.may_begin(call.deadline_s):
+        now_s = self._now_s()
+        once = call.route.kind is RouteKind.UNSAFE
+        if progress.runs or self._stop_window.may_begin(call.deadline_s, once, now_s):
             return None
-        return Refused("stopping", self._source.uniform(*STOPPING_RETRY_S), spread=True)
+        wait_s = self._stop_window.find_return_s(now_s) + self._source.uniform(*STOPPING_RETRY_S)
+        return Refused("stopping", wait_s, spread=True)
 
     def _check_parts(self, progress: Progress) -> Refused | None:
         """Return a refusal if engines are kept from a part of the prompt."""
--- a/jayyoke/scripts/drain.py
+++ b/jayyoke/scripts/drain.py
@@ -29,8 +29,9 @@
     listener.draining = True
     log_event("draining", busy=listener.busy)
     end_s = began_s + grace_s - KILL_SLACK_S
-    window.begin(end_s)
-    await asyncio.sleep(min(READINESS_DELAY_S, grace_s / 2))
+    balanced_s = min(READINESS_DELAY_S, grace_s / 2)
+    window.begin(end_s, began_s + balanced_s)
+    await asyncio.sleep(balanced_s)
     listener.stop()
     await _wait_settled(listener, end_s)
     # Connections accepted last may bring requests that are not counted yet.
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -123,7 +123,7 @@
     async def _run(self, request: CallerRequest, http_request: web.Request) -> web.StreamResponse:
         """Wait for admission, then let the plug-in of the class answer."""
         node = self._node
-        if not node.drain.window.may_begin(request.deadline_s):
+        if not node.drain.window.may_begin(request.deadline_s, once=True, now_s=node.clock.now_s()):
             raise refuse(503, code.STOPPING, "this instance stops before the request's deadline")
         request_key = (request.team.name, request.request_id)
         if request_key in self._in_progress:
