Connect in time in the soak's stop of an idle instance

The burst came from aiohttp sessions, which were too late by some milliseconds: of 16 idle stops on none passed a request on. It now comes from plain connections, half a millisecond apart, and streams are slow there too.

--- a/soak/calmstop.py
+++ b/soak/calmstop.py
@@ -11,7 +11,7 @@
 from soak.check import STOP_GRACE_S
 from soak.fleet import InstanceProcess, SoakFleet
 from soak.record import Record, Stop
-from soak.slowcaller import Pace, SlowCaller
+from soak.slowcaller import SlowCaller
 from soak.upstream import SLOW_EVENT_GAP_S
 
 STOPPED_SHARE = 0.5
@@ -21,9 +21,10 @@
 # An instance that nobody uses gets a burst of connections as it stops to listen.
 IDLE_SHARE = 0.5
 BURST_CONNECTIONS = 10
-BURST_DELAY_S = (-0.006, 0.001)
-# The deadline lies within the grace.
-BURST_PACE = Pace("long", deadline_s=2.0)
+BURST_DELAY_S = (-0.001, 0.001)
+BURST_INTERVAL_S = 0.0005
+# It lies within the grace.
+BURST_DEADLINE_S = 2.0
 # A process that has not ended by then is killed.
 KILL_AFTER_S = STOP_GRACE_S + 4.0
 EXTRA_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
@@ -36,35 +37,36 @@
     stops = []
     for instance in rng.sample(fleet.instances, count):
         slow_rng = random.Random(rng.random())
-        url = f"http://127.0.0.1:{instance.ports[0]}"
-        caller = SlowCaller(
-            f"s{instance.number}", instance.number, instance.lifetime, url, record, slow_rng
-        )
+        name, port = f"s{instance.number}", instance.ports[0]
+        caller = SlowCaller(name, instance.number, instance.lifetime, port, record, slow_rng)
         stop = _stop_idle if rng.random() < IDLE_SHARE else _stop_busy
-        stops.append(stop(fleet, instance, caller, record, rng))
-    await asyncio.gather(*stops)
+        stops.append(stop(instance, caller, record, rng))
+    await asyncio.gather(_slow_down(fleet), *stops)
+
+
+async def _slow_down(fleet: SoakFleet) -> None:
+    """Let streams slow down as the instances get SIGTERM."""
+    await asyncio.sleep(BEFORE_S)
+    for upstream in fleet.upstreams:
+        upstream.long_event_gap_s = SLOW_EVENT_GAP_S
 
 
 async def _stop_busy(
-    fleet: SoakFleet,
     instance: InstanceProcess,
     caller: SlowCaller,
     record: Record,
     rng: random.Random,
 ) -> None:
-    """Stop an instance whose streams slow down at that moment."""
+    """Stop an instance that slow callers use until it has ended."""
     stopped = asyncio.Event()
     calls = [asyncio.create_task(caller.run_until(stopped)) for _ in range(SLOW_CALLERS)]
     await asyncio.sleep(BEFORE_S)
-    for upstream in fleet.upstreams:
-        upstream.long_event_gap_s = SLOW_EVENT_GAP_S
     await _terminate(instance, record, rng)
     stopped.set()
     await asyncio.gather(*calls)
 
 
 async def _stop_idle(
-    fleet: SoakFleet,
     instance: InstanceProcess,
     caller: SlowCaller,
     record: Record,
@@ -77,8 +79,11 @@
     began_s = time.monotonic()
     stopping = asyncio.create_task(_terminate(instance, record, rng))
     burst_s = began_s + READINESS_DELAY_S + rng.uniform(*BURST_DELAY_S)
-    await asyncio.sleep(burst_s - time.monotonic())
-    calls = (caller.call(BURST_PACE) for _ in range(BURST_CONNECTIONS))
+    calls = []
+    for number in range(BURST_CONNECTIONS):
+        at_s = burst_s + number * BURST_INTERVAL_S
+        await asyncio.sleep(at_s - time.monotonic())
+        calls.append(asyncio.create_task(caller.call_at_once(BURST_DEADLINE_S)))
     await asyncio.gather(stopping, *calls)
 
 
--- a/soak/slowcaller.py
+++ b/soak/slowcaller.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
+import io
 import random
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from dataclasses import dataclass
 
 import aiohttp
@@ -14,6 +16,7 @@
 from soak.record import Record, Sent
 from standin.entryconfig import HOST, KEY, build_route, build_routes
 
+HOST_ADDRESS = "127.0.0.1"
 # Longer than the grace, so that no deadline ends a request before the stop does.
 SLOW_DEADLINE_S = 8.0
 ANSWER_TIMEOUT_S = SLOW_DEADLINE_S + 2.0
@@ -31,7 +34,6 @@
     kind: str
     body_s: float = 0.0
     read_pause_s: float = 0.0
-    deadline_s: float = SLOW_DEADLINE_S
 
 
 def build_soak_routes() -> list[dict[str, object]]:
@@ -60,12 +62,12 @@
     """Sends requests to one lifetime of one instance, each over a new connection."""
 
     def __init__(
-        self, name: str, instance: int, lifetime: int, url: str, record: Record, rng: random.Random
+        self, name: str, instance: int, lifetime: int, port: int, record: Record, rng: random.Random
     ):
         self._name = name
         self._instance = instance
         self._lifetime = lifetime
-        self._url = url
+        self._port = port
         self._record = record
         self._rng = rng
         self._count = 0
@@ -78,39 +80,47 @@
 
     async def call(self, pace: Pace) -> None:
         """Send a request and record what came of it."""
+        sent = self._add_sent(pace.kind, SLOW_DEADLINE_S)
+        await self._finish(sent, self._exchange(sent, pace))
+
+    async def call_at_once(self, deadline_s: float) -> None:
+        """Connect and send a request in one packet."""
+        sent = self._add_sent("long", deadline_s)
+        await self._finish(sent, self._exchange_at_once(sent))
+
+    def _add_sent(self, kind: str, deadline_s: float) -> Sent:
         self._count += 1
         now_s = time.monotonic()
         sent = Sent(
             id=f"{self._name}-{self._count}",
-            kind=pace.kind,
+            kind=kind,
             instance=self._instance,
             lifetime=self._lifetime,
             key=KEY,
             sent_s=now_s,
-            deadline_s=now_s + pace.deadline_s,
+            deadline_s=now_s + deadline_s,
         )
         self._record.sent.append(sent)
+        return sent
+
+    async def _finish(self, sent: Sent, exchange: Coroutine[None, None, None]) -> None:
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                await self._exchange(sent, pace)
-        except (aiohttp.ClientError, TimeoutError) as error:
+                await exchange
+        except (aiohttp.ClientError, http.client.HTTPException, OSError) as error:
             sent.error = f"{type(error).__name__}: {error}"
         sent.ended_s = time.monotonic()
 
     async def _exchange(self, sent: Sent, pace: Pace) -> None:
-        headers = {
-            "Host": HOST,
-            "Request-Id": sent.id,
-            "Deadline-Ms": str(int(pace.deadline_s * 1000)),
-            "Authorization": f"Bearer {sent.key}",
-        }
+        headers = _build_headers(sent)
         if self._rng.random() < 0.5:
             headers["Content-Length"] = str(len(sent.id))
         connector = aiohttp.TCPConnector(socket_factory=_open_narrow_socket)
         body = _send_slowly(sent, pace.body_s)
+        url = f"http://{HOST_ADDRESS}:{self._port}/{sent.kind}/x"
         async with (
-            aiohttp.ClientSession(connector=connector, read_bufsize=READ_BYTES) as http,
-            http.post(f"{self._url}/{sent.kind}/x", headers=headers, data=body) as response,
+            aiohttp.ClientSession(connector=connector, read_bufsize=READ_BYTES) as session,
+            session.post(url, headers=headers, data=body) as response,
         ):
             sent.status = response.status
             await asyncio.sleep(pace.read_pause_s)
@@ -120,6 +130,43 @@
                     await asyncio.sleep(READ_INTERVAL_S)
             sent.complete = True
 
+    async def _exchange_at_once(self, sent: Sent) -> None:
+        reader, writer = await asyncio.open_connection(HOST_ADDRESS, self._port)
+        headers = _build_headers(sent) | {"Connection": "close"}
+        lines = [f"POST /{sent.kind}/x HTTP/1.1", f"Content-Length: {len(sent.id)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n" + sent.id).encode())
+        sent.whole_s = time.monotonic()
+        try:
+            received = await reader.read()
+        finally:
+            writer.close()
+        response = http.client.HTTPResponse(_Received(received))  # type: ignore[arg-type]
+        response.begin()
+        sent.status = response.status
+        sent.body = response.read()
+        sent.complete = True
+
+
+class _Received:
+    """Lets the parser of the standard library read bytes as if from a socket."""
+
+    def __init__(self, received: bytes):
+        self._received = received
+
+    def makefile(self, _mode: str) -> io.BytesIO:
+        """Return a file of the bytes."""
+        return io.BytesIO(self._received)
+
+
+def _build_headers(sent: Sent) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "Request-Id": sent.id,
+        "Deadline-Ms": str(int((sent.deadline_s - sent.sent_s) * 1000)),
+        "Authorization": f"Bearer {sent.key}",
+    }
+
 
 async def _send_slowly(sent: Sent, body_s: float) -> AsyncIterator[bytes]:
     """Yield the body of a request in pieces and record when the last one is due."""
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -36,7 +36,6 @@
 
         asyncio.run(run())
 
-
     def test_signals_that_come_again_do_not_end_it(self):
         """Guards against a stop that ends by a signal, once the event loop handles none."""
 
