--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -59,6 +59,8 @@
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
+# Time for the log's reader to take the last lines of the process.
+LOG_FLUSH_S = 0.05
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -356,6 +358,7 @@
         sys.exit(EXIT_USAGE)
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(run_instance(path, text, settings, options))
+    log.flush_log(LOG_FLUSH_S)
     # The interpreter would spend a good part of the grace on freeing its objects.
     os._exit(0)
 
