Reset the connection of an HTTP/1.0 caller whose stream ends early (entry)

Cause: such answers have no chunks and end with the connection. The stop closes it in order, and asyncio's abort() closes a socket without unread input in order too, so both look like the end of the stream.

An unfinished answer to HTTP/1.0 now ends with a reset (SO_LINGER 0); answers to HTTP/1.1 show by their chunks that they are not whole, and keep the bytes that are on their way.

--- a/jayyoke/server/callerconnection.py
+++ b/jayyoke/server/callerconnection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 from aiohttp import web
@@ -68,6 +70,14 @@
         """Count a request whose answer has been written."""
         self._answered += 1
 
+    def reset(self) -> None:
+        """Close the connection with a reset, which drops bytes that are not sent."""
+        opened, self._opened = self._opened, None
+        if opened is not None:
+            linger = struct.pack("ii", 1, 0)
+            opened.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            opened.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read requests."""
         super().connection_made(transport)
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import CallerLimits
@@ -151,6 +151,7 @@
                 took_ms=round((self._now_s() - arrived_s) * 1000, 1),
             )
             if caller.started:
+                caller.cut()
                 raise
             task.uncancel()
             with contextlib.suppress(CallerGone):
@@ -330,8 +331,17 @@
         except ConnectionError as error:
             raise CallerGone(str(error)) from error
 
+    def cut(self) -> None:
+        """End an unfinished answer, so that it does not look whole."""
+        if self._request.version < HttpVersion11:
+            # Its answers have no chunks, so an orderly close would end them.
+            connection = self._request.protocol
+            assert isinstance(connection, CallerConnection)
+            connection.reset()
+
     def abort(self) -> None:
         """Close the connection, so that an unfinished answer does not look whole."""
+        self.cut()
         transport = self._request.transport
         if transport is not None:
             transport.abort()
