End a replacement whose call the first upstream goes on with

Cause: while the task that opened another upstream was being ended, the first upstream could go on. Its bytes were then relayed, and the replacement stayed in the call's progress; a second silence overwrote it, and its place at the upstream was never freed.

That this was the cause of that failure is suspected from the values (the lost send had begun to be answered), not shown.

Evidence: takeover_test fails on the code before: nothing is ended, and the replacement is kept.

--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -105,6 +105,10 @@
         retry_s = FIRST_RETRY_S
         while True:
             replacement = await self._open_beside(call, caller, progress, reading)
+            if replacement is not None and has_result(reading):
+                # The first upstream has gone on since the other one was chosen.
+                self._leave(call, replacement, progress)
+                return reading.result()
             if replacement is not None:
                 progress.replacement = replacement
                 if reading.done():
@@ -138,10 +142,14 @@
             await cancel_tasks([opening])
             replacement = None if opening.cancelled() else opening.result()
             if replacement is not None and not wanted:
-                progress.runs += 1
-                self._sender.finish(call, replacement, CANCELLED, progress)
+                self._leave(call, replacement, progress)
         return replacement if wanted else None
 
+    def _leave(self, call: Call, replacement: Send, progress: Progress) -> None:
+        """End a send that is answered but not needed."""
+        progress.runs += 1
+        self._sender.finish(call, replacement, CANCELLED, progress)
+
     async def _open(self, call: Call, caller: Caller, progress: Progress) -> Send | None:
         """Send the call to another upstream; return the send once it is being answered."""
         if self._quarantine.find_wait_s(progress.part_keys) is not None:
