Log the requests of jayyoked that end without a whole answer

A stream that ended with an error event left no line: the refusal was sent as an event and only counted.

Trial on (drain timeout of 2 s, a stream of 30 s): the log ends with 'placement' and '1 requests still run after the drain timeout', without the id.

Each such request now has a line with its id: stream-cut with code and reason, caller-left and unanswered with the stage (body, queue, call).

--- a/jayyoke/ops/decisionlog.py
+++ b/jayyoke/ops/decisionlog.py
@@ -53,12 +53,12 @@
         }
         self._write_line(line, level)
 
-    def write_refusal(self, request_id: str, refusal: Refusal) -> None:
+    def write_refusal(self, request_id: str, refusal: Refusal, event: str = "refusal") -> None:
         """Write why a request was refused or failed unless the rate is exceeded."""
         if not self._allow(logging.INFO):
             return
         line = {
-            "event": "refusal",
+            "event": event,
             "request_id": request_id,
             "status": refusal.status,
             "code": refusal.code,
@@ -67,6 +67,13 @@
         }
         self._write_line(line, logging.INFO)
 
+    def write_end(self, event: str, request_id: str, stage: str) -> None:
+        """Write how far a request without an answer came unless the rate is exceeded."""
+        if not self._allow(logging.INFO):
+            return
+        line = {"event": event, "request_id": request_id, "stage": stage}
+        self._write_line(line, logging.INFO)
+
     def _allow(self, level: int) -> bool:
         if level > logging.get_verbosity():
             return False
@@ -97,9 +104,14 @@
     _log.write(request, upstream, reason, passed_over, event, level)
 
 
-def log_refusal(request_id: str, refusal: Refusal) -> None:
+def log_refusal(request_id: str, refusal: Refusal, event: str = "refusal") -> None:
     """Write the line of one refused or failed request to the log of this process."""
-    _log.write_refusal(request_id, refusal)
+    _log.write_refusal(request_id, refusal, event)
+
+
+def log_end(event: str, request_id: str, stage: str) -> None:
+    """Write the line of a request that ended without an answer to the log of this process."""
+    _log.write_end(event, request_id, stage)
 
 
 def count_dropped_lines() -> int:
--- a/jayyoke/ops/requestdrain.py
+++ b/jayyoke/ops/requestdrain.py
@@ -3,31 +3,62 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 
 from jayyoke.ops.stopwindow import StopWindow
 
 
+class Stage(enum.Enum):
+    """How far a request has come."""
+
+    BODY = "body"
+    QUEUE = "queue"
+    CALL = "call"
+
+
+class RunningRequest:
+    """Describes a request in progress."""
+
+    __slots__ = ("request_id", "stage")
+
+    def __init__(self, request_id: str):
+        self.request_id = request_id
+        self.stage = Stage.BODY
+
+
 class RequestDrain:
-    """Counts the requests in progress of one instance."""
+    """Holds the requests in progress of one instance."""
 
-    __slots__ = ("_idle", "draining", "running", "window")
+    __slots__ = ("_idle", "_requests", "draining", "window")
 
     def __init__(self) -> None:
         self.draining = False
-        self.running = 0
         self.window = StopWindow()
+        self._requests: dict[RunningRequest, None] = {}
         self._idle = asyncio.Event()
         self._idle.set()
 
-    def enter(self) -> None:
-        """Count a request that begins."""
-        self.running += 1
+    @property
+    def running(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self._requests)
+
+    @property
+    def requests(self) -> tuple[RunningRequest, ...]:
+        """Return the requests in progress, oldest first."""
+        return tuple(self._requests)
+
+    def enter(self, request_id: str) -> RunningRequest:
+        """Count a request that begins; return its description."""
+        running = RunningRequest(request_id)
+        self._requests[running] = None
         self._idle.clear()
+        return running
 
-    def leave(self) -> None:
+    def leave(self, running: RunningRequest) -> None:
         """Count a request that ended."""
-        self.running -= 1
-        if self.running == 0:
+        del self._requests[running]
+        if not self._requests:
             self._idle.set()
 
     async def wait(self, timeout_s: float) -> bool:
--- a/jayyoke/plugins/chat.py
+++ b/jayyoke/plugins/chat.py
@@ -17,6 +17,7 @@
 from jayyoke.core.error import Refusal, UpstreamError
 from jayyoke.core.registry import register
 from jayyoke.core.request import CallerRequest
+from jayyoke.ops.decisionlog import log_refusal
 from jayyoke.ops.forward import EngineRejected
 from jayyoke.ops.node import Node
 from jayyoke.ops.sse import DONE
@@ -68,6 +69,7 @@
     except Refusal as refusal:
         if not response.prepared:
             raise
+        log_refusal(request.request_id, refusal, "stream-cut")
         await _end_broken_stream(response, http_request, refusal)
     return response
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -15,6 +15,7 @@
 
 from jayyoke.core import registry
 from jayyoke.core.error import InvalidDocument
+from jayyoke.ops.decisionlog import log_end
 from jayyoke.ops.node import Node
 from jayyoke.ops.plainservice import open_single_session
 from jayyoke.parser.settings import Settings, parse_settings
@@ -96,6 +97,8 @@
     callers.stop()
     if not await node.drain.wait(DRAIN_TIMEOUT_S):
         logging.warning("%d requests still run after the drain timeout", node.drain.running)
+        for running in node.drain.requests:
+            log_end("unanswered", running.request_id, running.stage.value)
 
 
 async def _listen(app: web.Application, address: str) -> Listener:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -18,8 +18,9 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
-from jayyoke.ops.decisionlog import log_refusal
+from jayyoke.ops.decisionlog import log_end, log_refusal
 from jayyoke.ops.node import Node
+from jayyoke.ops.requestdrain import RunningRequest, Stage
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat_key, format_body, parse_completion
@@ -97,17 +98,18 @@
 
     async def _serve(self, http_request: web.Request, chat: bool) -> web.StreamResponse:
         node = self._node
-        node.drain.enter()
         request_id = make_request_id()
+        running = node.drain.enter(request_id)
         held = HeldBody(self._bodies)
         try:
-            request_id = _read_request_id(http_request) or request_id
+            running.request_id = request_id = _read_request_id(http_request) or request_id
             request = await self._parse(http_request, request_id, chat, held)
-            response = await self._run(request, http_request)
+            response = await self._run(request, http_request, running)
         except Refusal as refusal:
             response = self._refuse(refusal, request_id)
         except (ConnectionError, asyncio.CancelledError):
             node.metrics.count(node.metrics.requests, "", "caller-gone")
+            log_end("caller-left", request_id, running.stage.value)
             raise
         except Exception:
             logging.exception("request %s failed", request_id)
@@ -115,12 +117,14 @@
             response = self._refuse(refusal, request_id)
         finally:
             held.release()
-            node.drain.leave()
+            node.drain.leave(running)
         if node.drain.draining and not response.prepared:
             response.force_close()
         return response
 
-    async def _run(self, request: CallerRequest, http_request: web.Request) -> web.StreamResponse:
+    async def _run(
+        self, request: CallerRequest, http_request: web.Request, running: RunningRequest
+    ) -> web.StreamResponse:
         """Wait for admission, then let the plug-in of the class answer."""
         node = self._node
         # Drains last longer than the longest deadline, so no estimate of the time is needed.
@@ -133,7 +137,9 @@
             raise Refusal(409, code.REQUEST_ID_IN_USE, detail, RunState.UNKNOWN)
         self._in_progress.add(request_key)
         try:
+            running.stage = Stage.QUEUE
             ticket = await node.limits.admit(request)
+            running.stage = Stage.CALL
             try:
                 handle = find_plugin("class", request.class_spec.kind.value)
                 response = await handle(node, request, http_request)
