End jayyoked within a grace that is a setting, and answer what still runs

The drain waited up to 62 s, then up to 60 s more while aiohttp closed the connections, whatever the platform grants: a shorter grace ended in a kill, which cuts every request in progress and loses the log of it.

The setting stop_grace (70 s by default, so the window stays 62 s) names the time until the kill; 8 s or a quarter of it are kept for the end. Requests whose deadline lies behind the window are refused before they are passed on, as before. Those that still run at its end, begun before the signal, are logged (stopped, with id and stage) and answered: 503 stopping with 'not-run' while the body comes or admission is awaited, otherwise 504 or an error event with 'unknown'; late calls are recorded and acknowledged, lookups fall back on an earlier answer.

The tests fail on the code before, where the setting and the end of a drain don't exist. The doubles of a node in recorded_test.py and two fuzzers get the drain that plug-ins now use.

--- a/bench/fuzz_answers.py
+++ b/bench/fuzz_answers.py
@@ -24,6 +24,7 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.placement import Placement
 from jayyoke.ops.quarantine import Quarantine
+from jayyoke.ops.requestdrain import RequestDrain
 from jayyoke.ops.streamrelay import StreamRelay
 
 ENGINES = ("e0", "e1", "e2")
@@ -247,6 +248,7 @@
         streams.cancel = lambda upstream, request_id: None
         self.placer = FakePlacer()
         self.node = SimpleNamespace(
+            drain=RequestDrain(),
             placer=self.placer,
             engine_streams=streams,
             metrics=Metrics(),
--- a/bench/fuzz_outbox.py
+++ b/bench/fuzz_outbox.py
@@ -28,6 +28,7 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.outbox import Outbox
 from jayyoke.ops.reply import Replies
+from jayyoke.ops.requestdrain import RequestDrain
 from jayyoke.plugins.late import handle_late
 from jayyoke.plugins.tag import handle_tag
 from jayyoke.wire.local import LocalHub
@@ -53,7 +54,9 @@
         replies = Replies(table, model.objects, wall_s=model.loop.time)
         outbox = Outbox(table, table.commit, service, replies, peers, model.loop)
         durable_work = SimpleNamespace(outbox=outbox, replies=replies, service=service)
-        self.node = SimpleNamespace(durable_work=durable_work, clock=model.loop)
+        self.node = SimpleNamespace(
+            durable_work=durable_work, clock=model.loop, drain=RequestDrain()
+        )
         self.task = model.loop.create_task(outbox.run())
 
 
--- a/jayyoke/ops/requestdrain.py
+++ b/jayyoke/ops/requestdrain.py
@@ -1,10 +1,14 @@
-"""Graceful drain: counts running requests and waits until the last one ends."""
+"""Graceful drain: counts running requests, waits until the last one ends, and ends those left."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
+import math
+from types import TracebackType
 
+from jayyoke.core.code import NO_ANSWER, STOPPING, refuse, refuse_maybe_run
+from jayyoke.core.error import Refusal
 from jayyoke.ops.stopwindow import StopWindow
 
 
@@ -29,12 +33,14 @@
 class RequestDrain:
     """Holds the requests in progress of one instance."""
 
-    __slots__ = ("_idle", "_requests", "draining", "window")
+    __slots__ = ("_idle", "_limits", "_requests", "draining", "ended", "window")
 
     def __init__(self) -> None:
         self.draining = False
+        self.ended = False
         self.window = StopWindow()
         self._requests: dict[RunningRequest, None] = {}
+        self._limits: set[DrainLimit] = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -61,6 +67,27 @@
         if not self._requests:
             self._idle.set()
 
+    def limit(self, timeout_s: float | None = None, deadline_s: float = -math.inf) -> DrainLimit:
+        """Return a context that raises TimeoutError after a timeout and at the end of a drain.
+
+        It does so already when a drain begins that ends before `deadline_s`.
+        """
+        return DrainLimit(self._limits, timeout_s, deadline_s)
+
+    def begin(self, end_s: float) -> None:
+        """Begin to drain; the requests must have ended at `end_s`."""
+        self.draining = True
+        self.window.begin(end_s)
+        for limit in tuple(self._limits):
+            if limit.deadline_s > end_s:
+                limit.expire()
+
+    def end(self) -> None:
+        """End the requests that are still in progress."""
+        self.ended = True
+        for limit in tuple(self._limits):
+            limit.expire()
+
     async def wait(self, timeout_s: float) -> bool:
         """Wait until no request runs; return False if some still run after the timeout."""
         try:
@@ -69,3 +96,39 @@
         except TimeoutError:
             return False
         return True
+
+
+class DrainLimit:
+    """Works like asyncio.timeout, and may expire earlier."""
+
+    __slots__ = ("_limits", "_timeout", "deadline_s")
+
+    def __init__(self, limits: set[DrainLimit], timeout_s: float | None, deadline_s: float):
+        self.deadline_s = deadline_s
+        self._limits = limits
+        self._timeout = asyncio.timeout(timeout_s)
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._limits.add(self)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        self._limits.discard(self)
+        return await self._timeout.__aexit__(kind, error, trace)
+
+    def expire(self) -> None:
+        """Raise TimeoutError in the context."""
+        if not self._timeout.expired():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
+
+def refuse_stopped(may_have_run: bool) -> Refusal:
+    """Return the refusal of a request that cannot end before this instance does."""
+    if may_have_run:
+        return refuse_maybe_run(504, NO_ANSWER, "this instance stopped before the answer ended")
+    return refuse(503, STOPPING, "this instance stops before the request's deadline")
--- a/jayyoke/ops/streamrelay.py
+++ b/jayyoke/ops/streamrelay.py
@@ -37,6 +37,7 @@
 from jayyoke.ops.probe import hash_incarnation
 from jayyoke.ops.promptparts import find_part_keys
 from jayyoke.ops.quarantine import is_suspect
+from jayyoke.ops.requestdrain import refuse_stopped
 from jayyoke.ops.silence import read_unless_silent
 from jayyoke.ops.sse import EventParser
 from jayyoke.utils.backoff import choose_backoff
@@ -94,9 +95,12 @@
         After an error, `parser.started` tells whether the caller has received a part.
         """
         try:
-            async with asyncio.timeout(get_remaining_s(self._request, self._node.clock.now_s())):
+            left_s = get_remaining_s(self._request, self._node.clock.now_s())
+            async with self._node.drain.limit(left_s):
                 await self._run_attempts()
         except TimeoutError:
+            if self._node.drain.ended:
+                raise refuse_stopped(self.dispatched) from None
             if self.dispatched and self._upstream is not None:
                 self._report(self._upstream, False, 0.0)
             detail = "the answer did not end before the deadline"
--- a/jayyoke/parser/settings.py
+++ b/jayyoke/parser/settings.py
@@ -12,6 +12,9 @@
 from jayyoke.parser.section import Section
 
 MAX_SEEDS = 1000
+MIN_STOP_GRACE_S = 1.0
+MAX_STOP_GRACE_S = 3600.0
+DEFAULT_STOP_GRACE_S = 70.0
 LOG_LEVELS = ("debug", "info", "warning", "error")
 _ADDRESS_FORM = "IP number and port, such as 10.0.0.7:8080"
 _URL_FORM = "a URL such as http://10.0.0.5:7000"
@@ -40,6 +43,8 @@
     source_address: str = ""
     # Address to listen on for peers, where it differs from the advertised peer_address.
     peer_listen_address: str = ""
+    # Time between SIGTERM and the kill of the process.
+    stop_grace_s: float = DEFAULT_STOP_GRACE_S
 
     @property
     def source(self) -> str:
@@ -74,6 +79,9 @@
         log_level=section.choice("log_level", LOG_LEVELS, "info"),
         source_address=_read_source(section),
         peer_listen_address=_read_listener(section),
+        stop_grace_s=section.duration(
+            "stop_grace", DEFAULT_STOP_GRACE_S, MIN_STOP_GRACE_S, MAX_STOP_GRACE_S
+        ),
     )
     _check_distinct(section, settings)
     section.reject_unknown_keys()
--- a/jayyoke/plugins/late.py
+++ b/jayyoke/plugins/late.py
@@ -29,7 +29,10 @@
     call = asyncio.ensure_future(node.durable_work.outbox.call(entry))
     left_s = max(0.0, request.deadline_s - node.clock.now_s())
     try:
-        await asyncio.wait({call}, timeout=left_s)
+        async with node.drain.limit(left_s):
+            await asyncio.wait({call})
+    except TimeoutError:
+        pass
     except asyncio.CancelledError:
         call.cancel()
         raise
--- a/jayyoke/plugins/lookup.py
+++ b/jayyoke/plugins/lookup.py
@@ -13,6 +13,7 @@
 from jayyoke.ops.forward import Answer, call_plain
 from jayyoke.ops.hedge import call_hedged
 from jayyoke.ops.node import Node
+from jayyoke.ops.requestdrain import refuse_stopped
 
 __plugins__ = ("handle_lookup",)
 
@@ -24,7 +25,7 @@
     """Call the service, retry on other upstreams, and fall back on an earlier answer."""
     headers = {"X-Request-Id": request.request_id}
     try:
-        answer = await _call_repeatedly(node, request)
+        answer = await _call_until_stopped(node, request)
         node.durable_work.stale.store(request, answer)
     except Refusal:
         stale = node.durable_work.stale.find(request)
@@ -36,6 +37,14 @@
     return web.Response(status=answer.status, body=answer.body, headers=headers)
 
 
+async def _call_until_stopped(node: Node, request: CallerRequest) -> Answer:
+    try:
+        async with node.drain.limit():
+            return await _call_repeatedly(node, request)
+    except TimeoutError:
+        raise refuse_stopped(True) from None
+
+
 async def _call_repeatedly(node: Node, request: CallerRequest) -> Answer:
     """Return the first final answer within the deadline; raise Refusal."""
     tried: list[str] = []
--- a/jayyoke/plugins/tag.py
+++ b/jayyoke/plugins/tag.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from jayyoke.core.code import TAG_NOT_DURABLE, refuse_maybe_run
 from jayyoke.core.error import (
     Conflict,
     ConnectFailed,
@@ -32,7 +33,13 @@
     """Record the call, acknowledge it with its id and deliver it in the background."""
     entry = build_entry(request)
     # The recorded row needs its delivery task even if the caller disconnects.
-    await asyncio.shield(asyncio.ensure_future(_record(node, request, entry)))
+    recorded = asyncio.ensure_future(_record(node, request, entry))
+    try:
+        async with node.drain.limit():
+            await asyncio.shield(recorded)
+    except TimeoutError:
+        detail = "this instance stopped before the tag was recorded"
+        raise refuse_maybe_run(503, TAG_NOT_DURABLE, detail) from None
     headers = {"X-Request-Id": request.request_id}
     return web.json_response({"id": request.request_id}, status=202, headers=headers)
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -34,10 +34,13 @@
     "warning": logging.WARNING,
     "error": logging.ERROR,
 }
-# Longer than the longest deadline of the classes at present (30 s).
-DRAIN_TIMEOUT_S = 60.0
 # The load balancer probes readiness about once a second and must notice the drain first.
 READINESS_DELAY_S = 2.0
+# Time at the end of the grace for the last answers, for recorded work and to close connections.
+CLOSING_S = 8.0
+MAX_CLOSING_SHARE = 0.25
+# Requests that are ended at the end of a drain write short answers.
+END_TIMEOUT_S = 1.0
 # A running request holds some thousand objects, so collections at the default of 700 free nothing.
 GC_THRESHOLD = 20_000
 DURABLE_DRAIN_TIMEOUT_S = 3.0  # Another instance adopts what is left.
@@ -91,14 +94,19 @@
 async def _drain(node: Node, callers: Listener) -> None:
     """Finish the requests in progress; listen until the load balancer has noticed the drain."""
     logging.info("instance %s drains", node.settings.instance)
-    node.drain.draining = True
-    node.drain.window.begin(node.clock.now_s() + READINESS_DELAY_S + DRAIN_TIMEOUT_S)
-    await asyncio.sleep(READINESS_DELAY_S)
+    began_s = node.clock.now_s()
+    grace_s = node.settings.stop_grace_s
+    end_s = began_s + grace_s - min(CLOSING_S, MAX_CLOSING_SHARE * grace_s)
+    node.drain.begin(end_s)
+    await asyncio.sleep(min(READINESS_DELAY_S, grace_s / 2))
     callers.stop()
-    if not await node.drain.wait(DRAIN_TIMEOUT_S):
-        logging.warning("%d requests still run after the drain timeout", node.drain.running)
-        for running in node.drain.requests:
-            log_end("unanswered", running.request_id, running.stage.value)
+    if await node.drain.wait(end_s - node.clock.now_s()):
+        return
+    logging.warning("%d requests still run at the end of the drain", node.drain.running)
+    for running in node.drain.requests:
+        log_end("stopped", running.request_id, running.stage.value)
+    node.drain.end()
+    await node.drain.wait(min(END_TIMEOUT_S, began_s + grace_s - node.clock.now_s()))
 
 
 async def _listen(app: web.Application, address: str) -> Listener:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -20,7 +20,7 @@
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
 from jayyoke.ops.decisionlog import log_end, log_refusal
 from jayyoke.ops.node import Node
-from jayyoke.ops.requestdrain import RunningRequest, Stage
+from jayyoke.ops.requestdrain import RunningRequest, Stage, refuse_stopped
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat_key, format_body, parse_completion
@@ -103,13 +103,14 @@
         held = HeldBody(self._bodies)
         try:
             running.request_id = request_id = _read_request_id(http_request) or request_id
-            request = await self._parse(http_request, request_id, chat, held)
+            request = await self._parse_while_open(http_request, request_id, chat, held)
             response = await self._run(request, http_request, running)
         except Refusal as refusal:
             response = self._refuse(refusal, request_id)
         except (ConnectionError, asyncio.CancelledError):
             node.metrics.count(node.metrics.requests, "", "caller-gone")
-            log_end("caller-left", request_id, running.stage.value)
+            event = "unanswered" if node.drain.ended else "caller-left"
+            log_end(event, request_id, running.stage.value)
             raise
         except Exception:
             logging.exception("request %s failed", request_id)
@@ -129,7 +130,7 @@
         node = self._node
         # Drains last longer than the longest deadline, so no estimate of the time is needed.
         if request.deadline_s > node.drain.window.end_s:
-            raise refuse(503, code.STOPPING, "this instance stops before the request's deadline")
+            raise refuse_stopped(False)
         request_key = (request.team.name, request.request_id)
         if request_key in self._in_progress:
             # The request in progress may run at an upstream; this answer must not say otherwise.
@@ -160,6 +161,15 @@
         metrics.count(metrics.requests, "", "refused")
         return format_problem(refusal, request_id)
 
+    async def _parse_while_open(
+        self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
+    ) -> CallerRequest:
+        try:
+            async with self._node.drain.limit():
+                return await self._parse(http_request, request_id, chat, held)
+        except TimeoutError:
+            raise refuse_stopped(False) from None
+
     async def _parse(
         self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
     ) -> CallerRequest:
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -1,14 +1,23 @@
-"""Tests the graceful shutdown of a real daemon while a stream runs."""
+"""Tests the graceful shutdown of a real daemon while requests run."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import json
 import signal
 
+import aiohttp
+import yaml
+
 from standin.deployment import DEPLOYMENTS
-from standin.fleet import TEAM_KEYS, run_fleet
+from standin.fleet import TEAM_KEYS, Fleet, Process, run_fleet
+from standin.inprocessrouter import KEY, Router, run_router
+from standin.scriptedengine import ScriptedEngine
 
 TOKENS = 400
+GRACE_S = 6.0
+HEADERS = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
 
 
 class TestDrain:
@@ -18,12 +27,7 @@
         async def run() -> None:
             async with run_fleet(DEPLOYMENTS["ballenticket"]) as fleet:
                 instance = fleet.instances[0]
-                messages = [{"role": "user", "content": "long"}]
-                body = {"model": "draft", "messages": messages, "stream": True}
-                headers = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
-                url = f"{instance.url}/v1/chat/completions"
-                body["max_tokens"] = TOKENS
-                async with fleet.http.post(url, json=body, headers=headers) as answer:
+                async with fleet.http.post(**build_chat(instance, TOKENS)) as answer:
                     received = await answer.content.readany()
                     instance.send_signal(signal.SIGTERM)
                     assert await wait_until_unready(fleet, instance)
@@ -36,6 +40,101 @@
         asyncio.run(run())
 
 
+class TestEndOfDrain:
+    """Tests requests that are still in progress when a drain ends."""
+
+    def test_process_ends_within_its_grace_and_names_what_it_ends(self, tmp_path):
+        """Guards against a process that is killed in the middle of its drain.
+
+        A stream of half a minute runs when the instance gets SIGTERM with a grace of 6 s.
+        """
+
+        def set_grace(fleet: Fleet) -> None:
+            for instance in fleet.instances:
+                path = fleet.folder / f"{instance.name}.yaml"
+                settings = yaml.safe_load(path.read_text(encoding="utf-8"))
+                settings["stop_grace"] = f"{GRACE_S:g}s"
+                path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+
+        async def run() -> None:
+            async with run_fleet(
+                DEPLOYMENTS["ballenticket"], folder=tmp_path, prepare=set_grace
+            ) as fleet:
+                instance = fleet.instances[0]
+                call = build_chat(instance, 10 * TOKENS)
+                call["headers"] = HEADERS | {"X-Request-Id": "long-1"}
+                async with fleet.http.post(**call) as answer:
+                    received = await answer.content.readany()
+                    instance.send_signal(signal.SIGTERM)
+                    with contextlib.suppress(aiohttp.ClientPayloadError):
+                        while part := await answer.content.readany():
+                            received += part
+                error = json.loads(received.split(b"data: ")[-1])["error"]
+                assert (error["code"], error["run"]) == ("no-answer", "unknown")
+                assert await instance.wait(GRACE_S) == 0
+                text = instance.log.read_text(encoding="utf-8")
+                for event in ("stopped", "stream-cut"):
+                    assert f'"event": "{event}", "request_id": "long-1"' in text
+
+        asyncio.run(run())
+
+    def test_whole_answer_that_is_not_ready_becomes_a_problem(self):
+        """Guards against a connection that ends without an answer."""
+
+        async def run() -> None:
+            engine = ScriptedEngine("one", "2 wait")
+            async with run_router(engine) as router:
+                call = asyncio.create_task(send_chat(router))
+                await engine.called.wait()
+                router.node.drain.begin(router.node.clock.now_s() + 60.0)
+                router.node.drain.end()
+                assert await call == (504, "no-answer", "unknown")
+
+        asyncio.run(run())
+
+    def test_request_whose_body_still_comes_is_refused(self):
+        """Guards against a slow body that keeps its connection until that is cut."""
+
+        async def run() -> None:
+            engine = ScriptedEngine("one")
+            async with run_router(engine) as router:
+                more = asyncio.Event()
+
+                async def write_body():
+                    yield b"{"
+                    await more.wait()
+
+                call = asyncio.create_task(send_chat(router, data=write_body()))
+                while not router.node.drain.running:
+                    await asyncio.sleep(0.01)
+                router.node.drain.begin(router.node.clock.now_s() + 60.0)
+                router.node.drain.end()
+                assert await call == (503, "stopping", "not-run")
+                more.set()
+                assert not engine.ports
+
+        asyncio.run(run())
+
+
+async def send_chat(router: Router, **options) -> tuple[int, str, str]:
+    """Return status, code and run state of the answer to a chat that isn't streamed."""
+    if not options:
+        messages = [{"role": "user", "content": "weigh the bales"}]
+        options["json"] = {"model": "draft", "messages": messages, "max_tokens": 8}
+    headers = {"Authorization": f"Bearer {KEY}"}
+    url = f"{router.url}/v1/chat/completions"
+    async with router.http.post(url, headers=headers, **options) as answer:
+        body = await answer.json(content_type=None)
+        return answer.status, body.get("code", ""), answer.headers.get("Jayyoke-Run", "")
+
+
+def build_chat(instance: Process, tokens: int) -> dict:
+    """Return the arguments of a call that streams a chat."""
+    messages = [{"role": "user", "content": "long"}]
+    body = {"model": "draft", "messages": messages, "stream": True, "max_tokens": tokens}
+    return {"url": f"{instance.url}/v1/chat/completions", "json": body, "headers": HEADERS}
+
+
 async def wait_until_unready(fleet, instance) -> bool:
     """Return True once /readyz answers 503; raise ClientError if the instance has stopped."""
     while True:
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -30,6 +30,7 @@
 from jayyoke.ops.outbox import OWNER_LEASE_S, Outbox, OutboxEntry, build_entry, decode_entry
 from jayyoke.ops.placement import Placement
 from jayyoke.ops.reply import Replies, decode_reply
+from jayyoke.ops.requestdrain import RequestDrain
 from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
 from jayyoke.platform.table import Put
@@ -206,7 +207,7 @@
         async def work() -> None:
             service = FakeService(result)
             parts = SimpleNamespace(outbox=FailingOutbox(effect), service=service)
-            node = SimpleNamespace(durable_work=parts, clock=ManualClock())
+            node = SimpleNamespace(durable_work=parts, clock=ManualClock(), drain=RequestDrain())
             request = build_request(ClassKind.TAG, durable)
             if expected is None:
                 assert (await handle_tag(node, request, None)).status == 202
@@ -333,7 +334,7 @@
             clock = ManualClock()
             stale = StaleCache(clock)
             durable_work = SimpleNamespace(stale=stale)
-            node = SimpleNamespace(clock=clock, durable_work=durable_work)
+            node = SimpleNamespace(clock=clock, durable_work=durable_work, drain=RequestDrain())
             request = build_request(ClassKind.LOOKUP)
             stale.store(request, Answer(200, "text/plain", b"bale"))
 
