Refuse requests of jayyoked that wait for admission and can't end before a stop

The deadline was compared with the end of the stop once, before the wait for admission. A request that waited when SIGTERM came, with a deadline behind the end, was passed on later and cut off there. It is now refused when the stop begins: it has not run, and its caller goes to another instance.

On the code before the test fails with 200 where 503 stopping is due (the second of two requests with a deadline of 20 s, a stop of 10 s); one that has the time is still served.

--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -19,6 +19,7 @@
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
 from jayyoke.ops.decisionlog import log_end, log_refusal
+from jayyoke.ops.fairness import Ticket
 from jayyoke.ops.node import Node
 from jayyoke.ops.requestdrain import RunningRequest, Stage, refuse_stopped
 from jayyoke.plugins.late import fetch_reply
@@ -139,7 +140,7 @@
         self._in_progress.add(request_key)
         try:
             running.stage = Stage.QUEUE
-            ticket = await node.limits.admit(request)
+            ticket = await self._admit(request)
             running.stage = Stage.CALL
             try:
                 handle = find_plugin("class", request.class_spec.kind.value)
@@ -154,6 +155,14 @@
         node.metrics.count(node.metrics.requests, request.class_spec.name, "answered")
         return response
 
+    async def _admit(self, request: CallerRequest) -> Ticket:
+        node = self._node
+        try:
+            async with node.drain.limit(deadline_s=request.deadline_s):
+                return await node.limits.admit(request)
+        except TimeoutError:
+            raise refuse_stopped(False) from None
+
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         log_refusal(request_id, refusal)
         metrics = self._node.metrics
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -8,6 +8,7 @@
 import signal
 
 import aiohttp
+import pytest
 import yaml
 
 from standin.deployment import DEPLOYMENTS
@@ -116,6 +117,34 @@
         asyncio.run(run())
 
 
+class TestQueue:
+    """Tests requests that wait for admission when a drain begins."""
+
+    @pytest.mark.parametrize(
+        ("left_s", "expected"), [(10.0, (503, "stopping", "not-run")), (30.0, (200, "", ""))]
+    )
+    def test_request_without_the_time_to_end_is_not_passed_on(self, left_s, expected):
+        """Guards against a deadline that is compared only before the wait for admission."""
+
+        async def run() -> None:
+            engine = ScriptedEngine("one", "2 wait rest stop")
+            async with run_router(engine, within_s=20.0) as router:
+                router.node.limits.capacity = lambda service: 1.0
+                first = asyncio.create_task(send_chat(router))
+                await engine.called.wait()
+                second = asyncio.create_task(send_chat(router))
+                while router.node.drain.running < 2:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                router.node.drain.begin(router.node.clock.now_s() + left_s)
+                engine.continue_event.set()
+                assert (await first)[0] == 200
+                assert await second == expected
+                assert len(engine.ports) == (2 if expected[0] == 200 else 1)
+
+        asyncio.run(run())
+
+
 async def send_chat(router: Router, **options) -> tuple[int, str, str]:
     """Return status, code and run state of the answer to a chat that isn't streamed."""
     if not options:
