Send the rest of answers before jayyoked ends

An answer counted as sent once it lay in the buffers of the process and of the system. At the end of the drain the connections were closed and the event loop ended at once: up to 64 KB of each answer in the process's own buffer were lost, and input that nobody read any more (a next request, the rest of a body) made the system reset the connection and drop what it had not sent.

The listener now ends its connections in order: it waits until what was written has been sent, shuts down the sending side, and discards input until the peer has acknowledged everything, at most until shortly before the end of the grace. What is given up then is logged. Recorded work is awaited meanwhile, since no request begins after the drain.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -41,6 +41,8 @@
 MAX_CLOSING_SHARE = 0.25
 # Requests that are ended at the end of a drain write short answers.
 END_TIMEOUT_S = 1.0
+# Time at the end of the grace for the process to end.
+EXIT_SLACK_S = 0.5
 # A running request holds some thousand objects, so collections at the default of 700 free nothing.
 GC_THRESHOLD = 20_000
 DURABLE_DRAIN_TIMEOUT_S = 3.0  # Another instance adopts what is left.
@@ -68,9 +70,11 @@
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         node.peers.announce_leaving()
-        await _drain(node, callers)
-        await node.durable_work.drain(DURABLE_DRAIN_TIMEOUT_S)
-        await callers.close()
+        left_s = await _drain(node, callers)
+        await asyncio.gather(
+            callers.close(left_s),
+            node.durable_work.drain(min(DURABLE_DRAIN_TIMEOUT_S, left_s / 2)),
+        )
         await operators.close()
         if node.shadows is not None:
             await node.shadows.close()
@@ -91,8 +95,11 @@
     return aiohttp.ClientSession(connector=connector, auto_decompress=False, cookie_jar=jar)
 
 
-async def _drain(node: Node, callers: Listener) -> None:
-    """Finish the requests in progress; listen until the load balancer has noticed the drain."""
+async def _drain(node: Node, callers: Listener) -> float:
+    """Finish the requests in progress; return how long answers may still be sent, in seconds.
+
+    Listen until the load balancer has noticed the drain.
+    """
     logging.info("instance %s drains", node.settings.instance)
     began_s = node.clock.now_s()
     grace_s = node.settings.stop_grace_s
@@ -100,13 +107,13 @@
     node.drain.begin(end_s)
     await asyncio.sleep(min(READINESS_DELAY_S, grace_s / 2))
     callers.stop()
-    if await node.drain.wait(end_s - node.clock.now_s()):
-        return
-    logging.warning("%d requests still run at the end of the drain", node.drain.running)
-    for running in node.drain.requests:
-        log_end("stopped", running.request_id, running.stage.value)
-    node.drain.end()
-    await node.drain.wait(min(END_TIMEOUT_S, began_s + grace_s - node.clock.now_s()))
+    if not await node.drain.wait(end_s - node.clock.now_s()):
+        logging.warning("%d requests still run at the end of the drain", node.drain.running)
+        for running in node.drain.requests:
+            log_end("stopped", running.request_id, running.stage.value)
+        node.drain.end()
+        await node.drain.wait(min(END_TIMEOUT_S, began_s + grace_s - node.clock.now_s()))
+    return max(0.0, began_s + grace_s - EXIT_SLACK_S - node.clock.now_s())
 
 
 async def _listen(app: web.Application, address: str) -> Listener:
--- /dev/null
+++ b/jayyoke/server/closingsockets.py
@@ -0,0 +1,78 @@
+"""Keeps closed connections of a process that ends until their bytes have been sent."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+
+READ_BYTES = 64 << 10
+
+
+def count_unsent_bytes(opened: socket.socket | asyncio.trsock.TransportSocket) -> int:
+    """Return how many written bytes the peer has not acknowledged, or 0 if that is unknown."""
+    try:
+        found = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except (OSError, ValueError):
+        return 0
+    return max(0, struct.unpack("i", found)[0])
+
+
+class ClosingSockets:
+    """Holds duplicates of sockets whose connections are closed.
+
+    The system drops what it has not sent yet if a socket is closed with unread input, and what it
+    sends after the end of a process may be lost with the machine.
+    """
+
+    __slots__ = ("_sockets",)
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of all sockets are not sent yet."""
+        return sum(count_unsent_bytes(kept) for kept in self._sockets)
+
+    def keep(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket of a connection that is about to be closed, if bytes are unsent."""
+        opened = transport.get_extra_info("socket")
+        if opened is None or count_unsent_bytes(opened) == 0:
+            return
+        try:
+            kept = opened.dup()
+            kept.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        self._sockets.append(kept)
+
+    def sweep(self) -> None:
+        """Discard input, and close the sockets whose bytes have been sent."""
+        still_open = []
+        for kept in self._sockets:
+            if _discard_input(kept) and count_unsent_bytes(kept) > 0:
+                still_open.append(kept)
+                continue
+            kept.close()
+        self._sockets = still_open
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for kept in self._sockets:
+            kept.close()
+        self._sockets = []
+
+
+def _discard_input(kept: socket.socket) -> bool:
+    """Read what has arrived; return False if the connection has failed."""
+    try:
+        while kept.recv(READ_BYTES):
+            pass
+    except BlockingIOError:
+        pass
+    except OSError:
+        return False
+    return True
