Begin no request of jayyoked once the drain has ended

Open connections stay open until the listener closes them, up to 6 s after the last request in progress had been awaited. A request that came then was begun, and relied on the close to wait for it; recorded work of it was no longer awaited. It is refused as stopping now, before it is passed on.

The test fails on the code before: 200 where 503 stopping is due.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -113,6 +113,8 @@
             log_end("stopped", running.request_id, running.stage.value)
         node.drain.end()
         await node.drain.wait(min(END_TIMEOUT_S, began_s + grace_s - node.clock.now_s()))
+    # Open connections may bring requests until they are closed.
+    node.drain.window.close()
     return max(0.0, began_s + grace_s - EXIT_SLACK_S - node.clock.now_s())
 
 
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -6,11 +6,13 @@
 import contextlib
 import json
 import signal
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
 import yaml
 
+from jayyoke.scripts import daemon
 from standin.deployment import DEPLOYMENTS
 from standin.fleet import TEAM_KEYS, Fleet, Process, run_fleet
 from standin.inprocessrouter import KEY, Router, run_router
@@ -93,6 +95,19 @@
 
         asyncio.run(run())
 
+    def test_request_that_comes_after_the_drain_is_refused(self):
+        """Guards against a request on an open connection that begins while connections close."""
+
+        async def run() -> None:
+            engine = ScriptedEngine("one")
+            async with run_router(engine) as router:
+                listener = SimpleNamespace(stop=lambda: None)
+                assert await daemon._drain(router.node, listener) > 60.0
+                assert await send_chat(router) == (503, "stopping", "not-run")
+                assert not engine.ports
+
+        asyncio.run(run())
+
     def test_request_whose_body_still_comes_is_refused(self):
         """Guards against a slow body that keeps its connection until that is cut."""
 
