Keep jayyoked's lines on failures when ordinary lines fill its log

Lines on requests that failed have a rate of their own now. The test fails on the code before: no line for r-1 and r-2 after five placements at a limit of two.

--- a/jayyoke/ops/decisionlog.py
+++ b/jayyoke/ops/decisionlog.py
@@ -23,10 +23,15 @@
 
 
 class DecisionLog:
-    """Writes decisions up to a rate and reports how many lines were dropped."""
+    """Writes decisions up to a rate and reports how many lines were dropped.
+
+    Lines on requests that failed have a rate of their own, which ordinary lines can't use up.
+    """
 
     def __init__(self, lines_per_s: float = LINES_PER_S, burst: float = BURST_LINES):
-        self._bucket = TokenBucket(lines_per_s, burst, time.monotonic())
+        now_s = time.monotonic()
+        self._bucket = TokenBucket(lines_per_s, burst, now_s)
+        self._failure_bucket = TokenBucket(lines_per_s, burst, now_s)
         self.dropped = 0
         self._dropped_reported = 0
 
@@ -40,7 +45,8 @@
         level: int = logging.INFO,
     ) -> None:
         """Write the line of one decision unless the level is off or the rate is exceeded."""
-        if not self._allow(level):
+        ordinary = event == "placement"
+        if not self._allow(level, self._bucket if ordinary else self._failure_bucket):
             return
         line = {
             "event": event,
@@ -55,7 +61,7 @@
 
     def write_refusal(self, request_id: str, refusal: Refusal, event: str = "refusal") -> None:
         """Write why a request was refused or failed unless the rate is exceeded."""
-        if not self._allow(logging.INFO):
+        if not self._allow(logging.INFO, self._failure_bucket):
             return
         line = {
             "event": event,
@@ -69,15 +75,15 @@
 
     def write_end(self, event: str, request_id: str, stage: str) -> None:
         """Write how far a request without an answer came unless the rate is exceeded."""
-        if not self._allow(logging.INFO):
+        if not self._allow(logging.INFO, self._failure_bucket):
             return
         line = {"event": event, "request_id": request_id, "stage": stage}
         self._write_line(line, logging.INFO)
 
-    def _allow(self, level: int) -> bool:
+    def _allow(self, level: int, bucket: TokenBucket) -> bool:
         if level > logging.get_verbosity():
             return False
-        if not self._bucket.take(time.monotonic()):
+        if not bucket.take(time.monotonic()):
             self.dropped += 1
             return False
         return True
--- a/jayyoke/ops/limits_test.py
+++ b/jayyoke/ops/limits_test.py
@@ -155,3 +155,16 @@
         lines = [json.loads(record.getMessage()) for record in caplog.records]
         assert [(line["request_id"], line["reason"]) for line in lines] == [("r-1", "e1: silent")]
         assert log.dropped == 1
+
+    def test_lines_on_failures_survive_many_placements(self, caplog):
+        """Guards against an overload whose ordinary lines leave none for the requests it fails."""
+        logging.set_verbosity(logging.INFO)
+        log = DecisionLog(lines_per_s=0.0, burst=2.0)
+        refusal = Refusal(502, "answer-broken", "e1: silent", RunState.UNKNOWN)
+        with caplog.at_level("INFO", logger="absl"):
+            for _ in range(5):
+                log.write(build_request(), "engine-1", "remembered")
+            log.write_refusal("r-1", refusal)
+            log.write_end("caller-left", "r-2", "call")
+        lines = [json.loads(record.getMessage()) for record in caplog.records]
+        assert [line["request_id"] for line in lines[-2:]] == ["r-1", "r-2"]
