Decode the limit that an upstream names in its answers

Server-Limit is a decimal number of requests a second. Nothing uses it yet. What is no decimal number counts as not named; of several values the lowest counts; an answer with status 421 comes from another upstream and says nothing.

--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from jayyoke.platform import names
 
 _SECONDS = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+_RATE = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,30})?")
 RawHeaders = Iterable[tuple[bytes, bytes]]
 MAX_INTEGER_DIGITS = 15
 
@@ -120,22 +122,26 @@
 def decode_notice(status: int, headers: RawHeaders, unix_s: float) -> Notice:
     """Return what an answer says of its upstream; malformed values count as missing.
 
-    `unix_s` is the time now, for a pause that is given as a date (RFC 9110, section 10.2.3).
+    `unix_s` is the time now, for a pause that is given as a date (RFC 9110, section 10.2.3). The
+    lowest of several limits counts.
     """
     if status == 421:
         # Another upstream has answered.
         return NO_NOTICE
     leaving = False
     pause_s = None
+    limit_per_s = None
     for name, value in headers:
         match name.lower():
             case names.LEAVING:
                 leaving = leaving or value.strip() == b"1"
+            case names.LIMIT if _RATE.fullmatch(value.strip()):
+                limit_per_s = min(float(value), math.inf if limit_per_s is None else limit_per_s)
             case names.PAUSE if status == 503:
                 pause_s = _decode_pause(value.strip(), unix_s)
-    if not leaving and pause_s is None:
+    if not leaving and pause_s is None and limit_per_s is None:
         return NO_NOTICE
-    return Notice(leaving, pause_s)
+    return Notice(leaving, pause_s, limit_per_s)
 
 
 def encode_request_head(
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -159,14 +159,43 @@
             (200, ((b"Server-Leaving", b"0"),), NO_NOTICE),
             (200, ((b"Retry-After", b"2"),), NO_NOTICE),
             (421, ((b"Server-Leaving", b"1"),), NO_NOTICE),
+            (421, ((b"Server-Limit", b"1"),), NO_NOTICE),
         ],
     )
     def test_only_the_upstreams_own_word_counts(self, status, headers, notice):
         """Guards against the word of another upstream that has the address now."""
         assert decode_notice(status, headers, self.NOON_S) == notice
 
+    @pytest.mark.parametrize(
+        ("values", "limit_per_s"),
+        [
+            ((b"4.5",), 4.5),
+            ((b" 0 ",), 0.0),
+            ((b"0.1",), 0.1),
+            ((b"1000000",), 1e6),
+            ((b"7", b"3", b"5"), 3.0),
+            ((b"7", b"soon"), 7.0),
+            ((b"",), None),
+            ((b"-1",), None),
+            ((b"inf",), None),
+            ((b"nan",), None),
+            ((b"1e3",), None),
+            ((b"0x10",), None),
+            ((b"1,5",), None),
+            ((b"9" * 400,), None),
+            ((b"\xb2",), None),
+        ],
+    )
+    def test_limit_is_a_decimal_number(self, values, limit_per_s):
+        """Guards against a limit that is misread, and against an error at a malformed one."""
+        headers = [(b"server-limit", value) for value in values]
+        assert decode_notice(200, headers, self.NOON_S).limit_per_s == limit_per_s
+        assert decode_notice(503, headers, self.NOON_S).limit_per_s == limit_per_s
+
     @given(st.binary(max_size=40))
     def test_any_value_is_read_or_ignored(self, value):
         """Guards against an answer that ends its request with an error."""
+        limit_per_s = decode_notice(200, ((b"Server-Limit", value),), self.NOON_S).limit_per_s
+        assert limit_per_s is None or 0.0 <= limit_per_s < 1e15
         pause_s = decode_notice(503, ((b"Retry-After", value),), self.NOON_S).pause_s
         assert pause_s is None or pause_s >= 0.0
