Decide which instance may send to an upstream with a limit

A module without a network, for both front doors; nothing uses it yet. The limit is a sequence of slots on a common clock, which go to the instances in turn, and lapse after a second. Its tests show the sum over 1, 6, 64 and 195 instances, also while clocks, limits and lists of instances differ. A first form of it sent 34 requests in 4 s of 32 allowed while the limit changed every second, since each change let an instance begin at once; a new order now begins half a round later.

--- /dev/null
+++ b/jayyoke/ops/requestlimit.py
@@ -0,0 +1,279 @@
+"""Keeps the requests of all instances together to the limits that upstreams name.
+
+Designed for 6 to 195 instances in front of upstreams that take a few requests a second, so that
+each instance may send one only every few seconds. Shares of a rate would not do: the unspent
+tokens of many instances add up to a burst. Instead the limit is a sequence of slots on a clock
+that all instances read, one request each, which go to the instances in turn; rendezvous hashing
+gives their order for each upstream. A slot that is not used lapses. So at most
+`limit * (t + VALID_S) + 1` requests are sent in any `t` seconds, whichever instances have requests,
+and no messages are needed.
+
+Instances whose lists of instances differ keep the same mean; so do those whose clocks differ.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+
+from jayyoke.ops.rendezvous import rank
+
+# An unused slot lapses after this time.
+VALID_S = 1.0
+# Somebody must still ask an upstream, else the end of its limit would never be heard.
+MIN_RATE = 0.2
+# Higher limits are beyond what instances send.
+MAX_RATE = 1e5
+# A slot's time, computed from its number and back, may be that much earlier.
+ROUNDING_S = 1e-6
+# The list of instances is read again after this time.
+INSTANCES_AGE_S = 0.5
+# A peer's word counts as newer than a known one only by more than messages take, since each adds
+# its own delay to a word's time.
+NEWER_S = 0.05
+# The end of a limit is remembered for so long, against older words of peers.
+ENDED_KEPT_S = 60.0
+# Upstreams remembered; the oldest are forgotten first.
+MAX_KNOWN = 4096
+# A changed word is told to peers for this time, others by chance.
+NEWS_S = 3.0
+MAX_NEWS = 16
+MAX_REMINDERS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class LimitWord:
+    """Holds what an upstream said at a time of the own clock; None: it named no limit."""
+
+    upstream: str
+    limit_per_s: float | None
+    said_s: float
+
+
+@dataclass(slots=True)
+class _Known:
+    """Holds the newest word of an upstream and the slots that this instance has used.
+
+    Slots of this instance are numbered by their round, in which it comes `turn`-th of `instances`.
+    `used` is the last one that may not be used, `used_s` its time on the common clock. `stale` is
+    set if the slots have to be numbered again; `instances` is 0 before the first time.
+    """
+
+    word: LimitWord
+    changed_s: float
+    used_s: float
+    stale: bool = True
+    rate: float = 0.0
+    turn: int = 0
+    instances: int = 0
+    used: int = 0
+
+
+class RequestLimits:
+    """Holds the limits of upstreams by name or incarnation, and tells whether one may be sent to.
+
+    `now_s` is the own clock, `read_common_s` one that all instances read alike, both in seconds.
+    """
+
+    __slots__ = (
+        "_instance",
+        "_instances",
+        "_known",
+        "_list_instances",
+        "_listed_s",
+        "_now_s",
+        "_read_common_s",
+        "_return_s",
+        "_source",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        list_instances: Callable[[], Iterable[str]],
+        read_common_s: Callable[[], float],
+        now_s: Callable[[], float],
+        source: random.Random | None = None,
+    ):
+        self._instance = instance
+        self._list_instances = list_instances
+        self._read_common_s = read_common_s
+        self._now_s = now_s
+        self._source = source or random.Random()
+        self._known: dict[str, _Known] = {}
+        self._instances: frozenset[str] = frozenset((instance,))
+        self._listed_s = -math.inf
+        self._return_s: dict[str, float] = {}
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether no upstream is known to have named a limit, the usual case."""
+        return not self._known
+
+    @property
+    def limited(self) -> int:
+        """Return how many upstreams have a limit now."""
+        return sum(known.word.limit_per_s is not None for known in self._known.values())
+
+    def record(self, upstream: str, limit_per_s: float | None) -> bool:
+        """Record what an answer of the upstream says; return True if it is a change."""
+        if limit_per_s is None and upstream not in self._known:
+            return False
+        return self._record(LimitWord(upstream, limit_per_s, self._now_s()))
+
+    def merge(self, words: Iterable[LimitWord]) -> list[LimitWord]:
+        """Record the words of a peer that are newer than the known ones; return the changes."""
+        changes = []
+        for word in words:
+            known = self._known.get(word.upstream)
+            if known is not None and word.said_s <= known.word.said_s + NEWER_S:
+                continue
+            if self._record(word):
+                changes.append(word)
+        return changes
+
+    def find_limit(self, upstream: str) -> float | None:
+        """Return the limit of an upstream in requests a second, or None."""
+        known = self._known.get(upstream)
+        return None if known is None else known.word.limit_per_s
+
+    def may_send(self, upstream: str) -> bool:
+        """Tell whether this instance may send a request to an upstream now."""
+        return self.find_wait_s(upstream) <= 0.0
+
+    def find_wait_s(self, upstream: str) -> float:
+        """Return the time until this instance may send to an upstream, 0 if it may now."""
+        known = self._known.get(upstream)
+        if known is None or known.word.limit_per_s is None:
+            return 0.0
+        common_s = self._read_common_s()
+        self._update(known, common_s)
+        return max(0.0, _find_slot_s(known, _find_first(known, common_s)) - common_s)
+
+    def take(self, upstream: str) -> bool:
+        """Use a slot for one request; return False if the request must go elsewhere or wait."""
+        known = self._known.get(upstream)
+        if known is None or known.word.limit_per_s is None:
+            return True
+        common_s = self._read_common_s()
+        self._update(known, common_s)
+        first = _find_first(known, common_s)
+        slot_s = _find_slot_s(known, first)
+        if slot_s > common_s:
+            return False
+        known.used, known.used_s = first, slot_s
+        return True
+
+    def give_back(self, upstream: str) -> None:
+        """Free the slot of a request that was not sent."""
+        known = self._known.get(upstream)
+        if known is not None:
+            known.used -= 1
+            known.used_s = _find_slot_s(known, known.used)
+
+    def find_rate(self, upstreams: Iterable[str]) -> float:
+        """Return how many requests a second this instance may send to limited upstreams."""
+        limits = [self.find_limit(upstream) or 0.0 for upstream in upstreams]
+        return sum(limits) / len(self._read_instances())
+
+    def choose_return_s(
+        self, group: str, upstreams: Iterable[str], soonest_s: float, left_s: float
+    ) -> float:
+        """Return after how many seconds a refused caller of a group of upstreams should return.
+
+        Each caller gets a later time than the last one, at the rate at which slots come; a time
+        within `left_s` by chance if those are given to others.
+        """
+        now_s = self._now_s()
+        gap_s = 1.0 / max(MIN_RATE, self.find_rate(upstreams))
+        due_s = max(now_s + soonest_s, self._return_s.get(group, now_s) + gap_s)
+        if due_s - now_s > left_s:
+            return self._source.uniform(min(soonest_s, left_s), left_s)
+        self._return_s[group] = due_s
+        return due_s - now_s
+
+    def list_words(self) -> list[LimitWord]:
+        """Return words for a peer: the recent changes, and some others by chance."""
+        if not self._known:
+            return []
+        since_s = self._now_s() - NEWS_S
+        news, others = [], []
+        for known in self._known.values():
+            (news if known.changed_s >= since_s else others).append(known)
+        news.sort(key=lambda known: -known.changed_s)
+        others = self._source.sample(others, min(len(others), MAX_REMINDERS))
+        return [known.word for known in news[:MAX_NEWS] + others]
+
+    def retain(self, upstreams: Collection[str]) -> None:
+        """Forget the upstreams that are not among these, and limits that ended long ago."""
+        now_s = self._now_s()
+        for upstream, known in list(self._known.items()):
+            ended = known.word.limit_per_s is None and now_s - known.changed_s > ENDED_KEPT_S
+            if ended or upstream not in upstreams:
+                del self._known[upstream]
+
+    def _record(self, word: LimitWord) -> bool:
+        now_s = self._now_s()
+        known = self._known.get(word.upstream)
+        if known is not None and known.word.limit_per_s == word.limit_per_s:
+            known.word = word
+            return False
+        if known is None:
+            # Requests before the first word have used the slots until now.
+            known = _Known(word, now_s, self._read_common_s())
+            self._known[word.upstream] = known
+            while len(self._known) > MAX_KNOWN:
+                del self._known[next(iter(self._known))]
+        elif known.word.limit_per_s is None:
+            known.used_s = self._read_common_s()
+            known.instances = 0
+        known.word = word
+        known.changed_s = now_s
+        known.stale = True
+        return True
+
+    def _update(self, known: _Known, common_s: float) -> None:
+        """Count the slots again if the limit or the instances have changed."""
+        instances = self._read_instances()
+        if known.instances and known.used_s > common_s + known.instances / known.rate:
+            # The clock was set back.
+            known.used_s = common_s
+            known.stale = True
+        if not known.stale:
+            return
+        # With the new order the next slot comes half a round later on average. Without this gap
+        # limits that change often would double the rate.
+        gap_s = 0.5 * known.instances / known.rate if known.instances else 0.0
+        known.stale = False
+        known.rate = min(MAX_RATE, max(MIN_RATE, known.word.limit_per_s or 0.0))
+        known.instances = len(instances)
+        known.turn = rank(known.word.upstream, instances).index(self._instance)
+        known.used = _find_slot(known, known.used_s + gap_s + ROUNDING_S)
+
+    def _read_instances(self) -> frozenset[str]:
+        now_s = self._now_s()
+        if now_s - self._listed_s >= INSTANCES_AGE_S:
+            self._listed_s = now_s
+            instances = frozenset((self._instance, *self._list_instances()))
+            if instances != self._instances:
+                self._instances = instances
+                for known in self._known.values():
+                    known.stale = True
+        return self._instances
+
+
+def _find_slot(known: _Known, common_s: float) -> int:
+    """Return the number of this instance's last slot that begins by a time."""
+    return math.floor((common_s * known.rate - known.turn) / known.instances)
+
+
+def _find_slot_s(known: _Known, slot: int) -> float:
+    """Return when a slot of this instance begins."""
+    return (slot * known.instances + known.turn) / known.rate
+
+
+def _find_first(known: _Known, common_s: float) -> int:
+    """Return the number of the first slot that has neither been used nor lapsed."""
+    return max(known.used, _find_slot(known, common_s - VALID_S)) + 1
--- /dev/null
+++ b/jayyoke/ops/requestlimit_test.py
@@ -0,0 +1,273 @@
+"""Tests of the slots by which all instances together keep to an upstream's limit."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+
+import pytest
+
+from jayyoke.core.clock import ManualClock
+from jayyoke.ops.requestlimit import (
+    ENDED_KEPT_S,
+    MIN_RATE,
+    VALID_S,
+    LimitWord,
+    RequestLimits,
+)
+
+WINDOW_S = 4.0
+
+
+def build(
+    clock: ManualClock,
+    name: str = "i0",
+    instances: Callable[[], list[str]] = lambda: ["i0"],
+    offset_s: float = 0.0,
+) -> RequestLimits:
+    return RequestLimits(
+        name, instances, lambda: clock.now_s() + offset_s, clock.now_s, random.Random(1)
+    )
+
+
+def count_most(sent_s: list[float]) -> int:
+    """Return the most requests in a sliding window."""
+    most = first = 0
+    for last, at_s in enumerate(sent_s):
+        while sent_s[first] <= at_s - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class Fleet:
+    """Holds instances on one clock that send whenever they may, with some requests a second."""
+
+    def __init__(self, count: int, demand_per_s: float, skew_s: float = 0.0):
+        self.clock = ManualClock(1000.0)
+        self.source = random.Random(count)
+        self.names = [f"i{number}" for number in range(count)]
+        self.demand_per_s = demand_per_s
+        self.sent_s: list[float] = []
+        self.late_s = [-math.inf] * count
+        self.members = []
+        for number, name in enumerate(self.names):
+            offset_s = self.source.uniform(-skew_s, skew_s)
+            self.members.append(build(self.clock, name, self.list_for(number), offset_s))
+
+    def list_for(self, number: int) -> Callable[[], list[str]]:
+        """Return a function that lists the first instance until a time."""
+        return lambda: self.names[self.clock.now_s() >= self.late_s[number] > 0 :]
+
+    def record(self, limit_per_s: float | None) -> None:
+        for member in self.members:
+            member.record("u", limit_per_s)
+
+    def run(self, seconds: float, step_s: float = 0.01) -> None:
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+            for member in self.members:
+                wanted = self.source.random() < self.demand_per_s * step_s
+                if wanted and member.take("u"):
+                    self.sent_s.append(self.clock.now_s())
+
+
+class TestSum:
+    """Tests how many requests all instances together send."""
+
+    @pytest.mark.parametrize("count", [1, 6, 64, 195])
+    @pytest.mark.parametrize("limit_per_s", [0.5, 4.5, 40.0])
+    def test_of_all_instances_is_about_the_limit(self, count, limit_per_s):
+        """Guards against shares whose bursts or random phases add up beyond the limit."""
+        fleet = Fleet(count, 1000.0)
+        fleet.record(limit_per_s)
+        fleet.run(20.0)
+        assert count_most(fleet.sent_s) <= limit_per_s * (WINDOW_S + VALID_S) + 1
+        assert 0.8 * 20.0 * limit_per_s - 1 <= len(fleet.sent_s) <= 20.0 * limit_per_s + 1
+
+    @pytest.mark.parametrize("count", [6, 64])
+    def test_holds_after_a_time_without_requests(self, count):
+        """Guards against slots that are saved up while nobody sends."""
+        fleet = Fleet(count, 0.0)
+        fleet.record(4.5)
+        fleet.run(30.0, 0.1)
+        fleet.demand_per_s = 1000.0
+        fleet.run(8.0)
+        assert count_most(fleet.sent_s) <= 4.5 * (WINDOW_S + VALID_S) + 1
+
+    @pytest.mark.parametrize("count", [6, 64])
+    def test_holds_while_clocks_and_limits_differ(self, count):
+        """Guards against an excess while the limit changes and instances read other times."""
+        fleet = Fleet(count, 1000.0, skew_s=0.2)
+        for _ in range(20):
+            for member in fleet.members:
+                member.record("u", fleet.source.uniform(4.0, 5.0))
+            fleet.run(1.0)
+        assert count_most(fleet.sent_s) <= 6 * 4.5 + 5
+
+    @pytest.mark.parametrize("count", [6, 64])
+    def test_holds_while_instances_come_and_go(self, count):
+        """Guards against instances that each use the slots of two orders."""
+        fleet = Fleet(count, 1000.0)
+        fleet.late_s = [1003.0 + 4.0 * number / count for number in range(count)]
+        fleet.record(4.5)
+        fleet.run(12.0)
+        assert count_most(fleet.sent_s) <= 6 * 4.5 + 5
+
+    def test_of_a_limit_of_zero_is_a_rare_trial(self):
+        """Guards against an upstream that is never asked again, and against a stream of trials."""
+        fleet = Fleet(6, 1000.0)
+        fleet.record(0.0)
+        fleet.run(60.0)
+        assert 60.0 * MIN_RATE - 2 <= len(fleet.sent_s) <= 60.0 * MIN_RATE + 1
+        assert count_most(fleet.sent_s) <= 2
+
+    @pytest.mark.parametrize("limit_per_s", [1e6, 1e14])
+    def test_of_a_huge_limit_is_not_limited(self, limit_per_s):
+        """Guards against a limit beyond all traffic that costs work or requests."""
+        fleet = Fleet(195, 100.0)
+        fleet.record(limit_per_s)
+        fleet.clock.advance(0.1)
+        for _ in range(20):
+            for member in fleet.members:
+                assert member.take("u")
+            fleet.clock.advance(0.01)
+
+    def test_holds_while_the_clock_is_set(self):
+        """Guards against an upstream that is lost after the common clock has jumped back."""
+        clock = ManualClock(1000.0)
+        offsets_s = [0.0]
+        limits = RequestLimits(
+            "i0", lambda: ["i0"], lambda: clock.now_s() + offsets_s[0], clock.now_s
+        )
+        limits.record("u", 5.0)
+        for offset_s in (-900.0, 0.0, 1e9, -500.0):
+            offsets_s[0] = offset_s
+            sent = 0
+            for _ in range(400):
+                clock.advance(0.01)
+                sent += limits.take("u")
+            assert 15 <= sent <= 5 * (WINDOW_S + VALID_S) + 1
+
+
+class TestSlots:
+    """Tests the slots of one instance."""
+
+    def test_is_free_again_if_nothing_was_sent(self):
+        """Guards against a slot that is lost to a request that went elsewhere."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", 1.0)
+        assert not limits.take("u")
+        clock.advance(limits.find_wait_s("u") + 0.001)
+        assert limits.take("u")
+        assert not limits.take("u")
+        limits.give_back("u")
+        assert limits.take("u")
+
+    def test_wait_ends_with_a_slot(self):
+        """Guards against waiting calls that poll, or wake too late."""
+        clock = ManualClock(1000.0)
+        names = [f"i{number}" for number in range(64)]
+        limits = build(clock, "i7", lambda: names)
+        limits.record("u", 4.0)
+        for _ in range(5):
+            wait_s = limits.find_wait_s("u")
+            assert 0.0 < wait_s <= 16.0
+            clock.advance(wait_s - 0.001)
+            assert not limits.may_send("u")
+            clock.advance(0.002)
+            assert limits.take("u")
+
+    def test_upstreams_without_a_limit_are_free(self):
+        """Guards against a limit that holds for another upstream."""
+        limits = build(ManualClock(1000.0))
+        limits.record("u", 0.0)
+        assert limits.take("other")
+        assert limits.find_wait_s("other") == 0.0
+        assert limits.find_limit("other") is None
+
+
+class TestWords:
+    """Tests how limits begin, change and end."""
+
+    def test_answer_without_a_limit_ends_it(self):
+        """Guards against an upstream that is limited longer than it says so."""
+        limits = build(ManualClock(1000.0))
+        assert limits.empty
+        assert limits.record("u", 4.0)
+        assert not limits.record("u", 4.0)
+        assert limits.record("u", 5.0)
+        assert limits.limited == 1
+        assert limits.record("u", None)
+        assert not limits.record("u", None)
+        assert limits.limited == 0
+        assert limits.take("u")
+
+    def test_newest_word_wins(self):
+        """Guards against a peer's old word that ends a limit or brings it back."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", 4.0)
+        assert limits.merge([LimitWord("u", None, 999.0)]) == []
+        assert limits.find_limit("u") == 4.0
+        clock.advance(2.0)
+        ended = LimitWord("u", None, 1001.0)
+        assert limits.merge([ended]) == [ended]
+        assert limits.find_limit("u") is None
+        assert limits.merge([LimitWord("u", 4.0, 1000.5)]) == []
+        begun = LimitWord("u", 3.0, 1001.5)
+        assert limits.merge([begun, ended]) == [begun]
+        assert limits.find_limit("u") == 3.0
+
+    def test_word_that_goes_round_does_not_grow_newer(self):
+        """Guards against peers that repeat an old word until it is newer than the last one."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", None)
+        limits.record("u", 4.0)
+        clock.advance(0.1)
+        limits.record("u", None)
+        assert limits.merge([LimitWord("u", 4.0, 1000.12)]) == []
+
+    def test_ended_limits_and_gone_upstreams_are_forgotten(self):
+        """Guards against state that grows with every upstream that ever named a limit."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", 4.0)
+        limits.record("v", 4.0)
+        limits.record("u", None)
+        limits.retain({"u", "v"})
+        assert {word.upstream for word in limits.list_words()} == {"u", "v"}
+        clock.advance(ENDED_KEPT_S + 1.0)
+        limits.retain({"u", "v"})
+        assert [word.upstream for word in limits.list_words()] == ["v"]
+        limits.retain({"u"})
+        assert limits.empty
+
+    def test_changes_are_told_first(self):
+        """Guards against news that is lost among many limits."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        for number in range(100):
+            limits.record(f"u{number}", 4.0)
+        clock.advance(10.0)
+        limits.record("u50", None)
+        words = limits.list_words()
+        assert words[0] == LimitWord("u50", None, 1010.0)
+        assert len(words) <= 24
+
+
+class TestReturns:
+    """Tests when refused callers are told to return."""
+
+    def test_callers_are_spread_over_the_room(self):
+        """Guards against refused callers that return together and are refused together again."""
+        limits = build(ManualClock(1000.0))
+        limits.record("u", 2.0)
+        limits.record("v", 2.0)
+        returns_s = [limits.choose_return_s("s", ["u", "v"], 0.1, 5.0) for _ in range(40)]
+        assert returns_s[:4] == pytest.approx([0.25, 0.5, 0.75, 1.0])
+        assert all(0.1 <= at_s <= 5.0 for at_s in returns_s)
+        assert len(set(returns_s)) == 40
