Keep the requests of all instances to the limit that an upstream names (entry)

Callers saw nothing; engines in need got what they had always got. Cause: the header was not read, so requests went there as before. Now the answer's limit is recorded, and an upstream is a candidate only while this instance has a slot for it: for first sends, retries, takeovers, resumed streams and trials of a version alike, also if the limit is named while a connection is being opened. A slot is free again if nothing was sent. Calls go to other upstreams first, then wait for the next slot if it comes within their time to wait, else they are refused at once, each with a later Retry-After than the last. An upstream with a limit does not lower the mean load by which others are judged. A signed answer without the header ends the limit.

--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from jayyoke.core.route import ServiceProfile
 from jayyoke.core.upstream import Upstream
@@ -16,6 +16,7 @@
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import RequestLimits
 
 # Latency assumed of upstreams that have not answered yet.
 UNKNOWN_LATENCY_S = 0.05
@@ -33,6 +34,7 @@
         tracker: UpstreamTracker,
         domain_tracker: DomainTracker,
         notices: UpstreamNotices,
+        limits: RequestLimits,
         now_s: Callable[[], float],
         read_unix_s: Callable[[], float] = time.time,
     ):
@@ -41,6 +43,7 @@
         self._tracker = tracker
         self._domain_tracker = domain_tracker
         self._notices = notices
+        self._limits = limits
         self._now_s = now_s
         self._read_unix_s = read_unix_s
         self._estimators: dict[str, LoadEstimator] = {}
@@ -59,7 +62,10 @@
         staying: Sequence[Upstream] = live
         if not self._notices.empty:
             staying = [f for f in live if not self._notices.is_withdrawn(f.incarnation)]
-        allowed = select_upstreams(staying, split, draw, unordered)
+        allowed = self._drop_limited(select_upstreams(staying, split, draw, unordered))
+        if not allowed and not self._limits.empty and draw < split.share < 1.0:
+            # The upstreams of a version on trial are limited, so its share goes to the others.
+            allowed = self._drop_limited(select_upstreams(staying, split, 1.0, unordered))
         found = []
         for upstream in allowed:
             if upstream.incarnation in tried or not self._may_use(call, upstream):
@@ -104,7 +110,12 @@
         if not self._notices.empty:
             # All instances learn that an upstream leaves, since all its answers say so.
             excluded |= {name for name in stats_by_incarnation if self._notices.is_leaving(name)}
-        return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded)
+        limited: Collection[str] = ()
+        if not self._limits.empty:
+            limited = {
+                name for name in stats_by_incarnation if self._limits.find_limit(name) is not None
+            }
+        return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded, limited)
 
     def find_estimator(self, service: str) -> LoadEstimator:
         """Return the estimator of the loads of a service's upstreams."""
@@ -134,6 +145,12 @@
         )
         return now_s < until_s
 
+    def _drop_limited(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams whose limits have room for a request of this instance now."""
+        if self._limits.empty:
+            return upstreams
+        return [found for found in upstreams if self._limits.may_send(found.incarnation)]
+
     def _may_use(self, call: Call, upstream: Upstream) -> bool:
         """Tell whether the operators allow the call at an upstream's place."""
         view = self._view
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -126,7 +126,9 @@
             return assignment
         now_s = self._now_s()
         if progress.arrivals and not progress.budget.spend(now_s, self._placement.instances):
-            self._placement.release(progress.service, assignment.upstream)
+            self._placement.release(
+                progress.service, assignment.upstream, give_back=assignment.limited
+            )
             progress.last_reason = f"{progress.last_reason},no-retry-budget"
             return None
         return progress.begin_send(assignment, now_s)
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -76,6 +76,7 @@
         stats_by_incarnation: Mapping[str, UpstreamStats],
         now_s: float,
         excluded: Collection[str] = (),
+        limited: Collection[str] = (),
     ) -> Loads:
         """Return the loads of all live upstreams of the service, given their statistics.
 
@@ -83,7 +84,8 @@
         weight of the last report falls exponentially with its age, since the requests that it
         counted end. The rest is the mean load of the upstream, or of the service's upstreams where
         the upstream has few reports. Upstreams without a report are assumed to have no requests of
-        others. Those in `excluded` get no more requests from any instance.
+        others. Those in `excluded` get no more requests from any instance. Those in `limited` take
+        fewer than others, so they do not lower the mean by which the others are judged.
         """
         if not stats_by_incarnation:
             return NO_LOADS
@@ -102,4 +104,8 @@
                 expected = 0.0
             weight = math.exp(-max(0.0, now_s - stats.reported_at_s) / self.duration_s)
             loads[name] += weight * stats.other_requests + (1.0 - weight) * expected
-        return Loads(loads, sum(loads.values()) / len(loads))
+        mean = sum(loads.values()) / len(loads)
+        free = [load for name, load in loads.items() if name not in limited]
+        if limited and free:
+            mean = max(mean, sum(free) / len(free))
+        return Loads(loads, mean)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from jayyoke.core.entrysettings import Bounds
@@ -30,21 +30,19 @@
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.promptlocator import PromptLocator
+from jayyoke.edge.returns import Refused, ReturnTimes
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.edge.waitqueue import WaitQueue
 from jayyoke.ops.endobserver import MAX_LOGGED_PARTS
 from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.platform.message import AnswerHead
 
 # A call waits in the queue for at most these fractions of its objective and of its time left.
 WAIT_OBJECTIVE_FRACTION = 0.5
 WAIT_LEFT_FRACTION = 0.3
-# Upstreams and domains come back after seconds; the caller's time left limits this further.
-NO_UPSTREAM_RETRY_S = 2.0
 FULL_RETRY_S = 0.5
-# A call waits for the end of a pause only if it is about as short as the wait for a free slot.
-MAX_PAUSE_WAIT_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,24 +50,12 @@
     """Holds the upstream assigned to a call.
 
     `fetch_from` is the address of another engine that has the prompt in its cache, or empty.
+    `limited` is set if the call has taken a slot of the upstream's limit.
     """
 
     upstream: Upstream
     fetch_from: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Holds why no upstream is assigned; the call has not run.
-
-    `spread` is set if `retry_after_s` differs already between the callers refused for this reason,
-    `final` if no instance serves the call before that time, whatever time the caller has left.
-    """
-
-    reason: str
-    retry_after_s: float
-    spread: bool = False
-    final: bool = False
+    limited: bool = False
 
 
 class Placer:
@@ -86,6 +72,7 @@
         list_instances: Callable[[], Iterable[str]],
         baseline: Ordering | None = None,
         read_unix_s: Callable[[], float] = time.time,
+        read_common_s: Callable[[], float] | None = None,
     ):
         self._view = view
         self._moves = moves
@@ -103,9 +90,18 @@
         self.tracker = UpstreamTracker(now_s)
         self.notices = UpstreamNotices(now_s, source)
         self._domain_tracker = DomainTracker()
+        self.limits = RequestLimits(instance, list_instances, read_common_s or now_s, now_s, source)
         self._candidates = CandidateFinder(
-            view, moves, self.tracker, self._domain_tracker, self.notices, now_s, read_unix_s
+            view,
+            moves,
+            self.tracker,
+            self._domain_tracker,
+            self.notices,
+            self.limits,
+            now_s,
+            read_unix_s,
         )
+        self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
 
     @property
@@ -143,12 +139,11 @@
             loads = self._candidates.estimate_loads(service, now_s)
             candidates = self._candidates.list_candidates(call, service, tried, draw, loads)
             if not candidates:
-                left_s = min(wait_until_s - now_s, MAX_PAUSE_WAIT_S)
-                soonest_s = self._find_soonest_s(call, service, tried)
-                if soonest_s is None or soonest_s > left_s or queue.full:
-                    return self._refuse_without_upstream(call, service, tried)
+                wait = self._returns.find_wait(call, service, tried, len(queue))
+                if wait is None or wait.expected_s > wait_until_s - now_s or queue.full:
+                    return self._returns.refuse(call, service, tried)
                 waited = True
-                await queue.wait(call.rank, call.deadline_s, soonest_s)
+                await queue.wait(call.rank, call.deadline_s, wait.recheck_s, wait.recheck_s)
                 continue
             if waited or not queue.outranked(call.rank, call.deadline_s):
                 taken = self._assign(call, service, candidates, loads.mean)
@@ -161,19 +156,6 @@
                 return refused
             await queue.wait(call.rank, call.deadline_s, left_s)
 
-    def _find_soonest_s(self, call: Call, service: str, tried: Collection[str]) -> float | None:
-        """Return when the first upstream that pauses may be used again, in seconds, or None."""
-        allowed = (found.incarnation for found in self._candidates.list_allowed(call, service))
-        return self.notices.find_soonest_s(name for name in allowed if name not in tried)
-
-    def _refuse_without_upstream(self, call: Call, service: str, tried: Collection[str]) -> Refused:
-        """Refuse at once: waiting in the queue does not help, since upstreams come back later."""
-        soonest_s = self._find_soonest_s(call, service, ())
-        if soonest_s is not None:
-            return Refused("upstreams-pause", self.notices.choose_return_s(soonest_s), spread=True)
-        reason = "no-other-upstream" if tried else "no-upstream"
-        return Refused(reason, NO_UPSTREAM_RETRY_S)
-
     def estimate_load(self, service: str, upstream: Upstream) -> float:
         """Return an estimate of how many requests an upstream has now."""
         return self._candidates.estimate_loads(service, self._now_s()).find(upstream.incarnation)
@@ -184,8 +166,14 @@
         upstream: Upstream,
         answered: bool = False,
         duration_s: float | None = None,
+        give_back: bool = False,
     ) -> None:
-        """Free the slot of a request after `duration_s`; `answered` if its answer had begun."""
+        """Free the slot of a request after `duration_s`; `answered` if its answer had begun.
+
+        `give_back` is set if it had room within the upstream's limit and was not sent.
+        """
+        if give_back:
+            self.limits.give_back(upstream.incarnation)
         stats = self.tracker.get(upstream.incarnation)
         stats.in_flight = max(0, stats.in_flight - 1)
         if answered:
@@ -220,6 +208,17 @@
                 pause_s=notice.pause_s,
             )
 
+    def record_limit(self, call: Call, upstream: Upstream, limit_per_s: float | None) -> None:
+        """Record the limit that an upstream's own answer names, or that it names none."""
+        if self.limits.record(upstream.incarnation, limit_per_s):
+            log_event(
+                "upstream-limit",
+                request_id=call.head.request_id,
+                upstream=upstream.name,
+                limit_per_s=limit_per_s,
+                source="answer",
+            )
+
     def record_outcome(
         self,
         call: Call,
@@ -302,6 +301,7 @@
         live = {found.incarnation for found in self._view.upstreams.values()}
         self.tracker.retain(live)
         self._cold_limiter.retain(live)
+        self.limits.retain(live)
 
     def _record_peer_load(self, load: ReportedLoad) -> None:
         """Record a load reported to another instance, if the engine is known here."""
@@ -348,6 +348,9 @@
                 upstream.incarnation, profile.warm_up_rate, self._list_instances(), now_s
             ):
                 continue
+            limited = self.limits.find_limit(upstream.incarnation) is not None
+            if not self.limits.take(upstream.incarnation):
+                continue
             self.tracker.get(upstream.incarnation).in_flight += 1
             self._domain_tracker.record_probe(upstream.domain, now_s)
             fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
@@ -373,7 +376,7 @@
                 suspended=choice.suspended,
                 fetch_from=fetch_from,
             )
-            return Assignment(upstream, fetch_from)
+            return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
 
     def _find_fetch_address(
--- a/jayyoke/edge/send.py
+++ b/jayyoke/edge/send.py
@@ -33,6 +33,8 @@
     parts_good: bool = False
     # Whether the quarantine was notified that the send began.
     begun: bool = False
+    # Whether a byte of the request may have been sent.
+    dispatched: bool = False
     # Whether the upstream was suspended for its silence.
     silence_recorded: bool = False
     # The wait for the newest bytes.
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -62,6 +62,10 @@
         left_s = call.deadline_s - self._now_s()
         if left_s <= MIN_TIME_S:
             return NotRun("out-of-time", arrived=False)
+        limits = self._placement.limits
+        if not send.assignment.limited and not limits.take(upstream.incarnation):
+            # Another call's answer has named a limit while this connection was opened.
+            return NotRun("limited", arrived=False)
         head = encode_request_head(
             call.method,
             call.target,
@@ -73,6 +77,7 @@
             last_event=progress.relay.last_id,
             fetch_from=send.assignment.fetch_from,
         )
+        send.dispatched = True
         connection.send(call.method, head, call.body or b"")
         return None
 
@@ -82,6 +87,9 @@
         self._placement.record_answer_head(send.upstream, head)
         notice = decode_notice(answer.status, answer.raw_headers, time.time())
         self._placement.record_notice(call, send.upstream, notice)
+        if answer.status != 421 and (head.signed or notice.limit_per_s is not None):
+            # An answer of a proxy lacks the header too, which does not end the limit.
+            self._placement.record_limit(call, send.upstream, notice.limit_per_s)
         send.answer = answer
         if head.load is not None:
             send.reported_load = head.load.running + head.load.waiting
@@ -114,7 +122,13 @@
         if connection is not None and not answered:
             connection.abort()
         now_s = self._now_s()
-        self._placement.release(progress.service, upstream, send.answering, now_s - send.sent_s)
+        self._placement.release(
+            progress.service,
+            upstream,
+            send.answering,
+            now_s - send.sent_s,
+            send.assignment.limited and not send.dispatched,
+        )
         if not (send.silence_recorded and isinstance(outcome, MayHaveRun) and outcome.silent):
             latency_s = send.measure(call.route.prefix_affinity).latency_s
             suspected = self._placement.record_outcome(
--- a/jayyoke/edge/storeclock.py
+++ b/jayyoke/edge/storeclock.py
@@ -23,6 +23,10 @@
         """Record the clock in an answer that began to arrive at `answered_s` of the own clock."""
         self._offset_ms = store_ms - answered_s * 1000
 
+    def read_s(self) -> float:
+        """Return the estimate in seconds, or 0 before the first answer."""
+        return 0.0 if self._offset_ms is None else self._now_s() + self._offset_ms / 1000
+
     def read_ms(self) -> int:
         """Return the estimate in milliseconds, or 0 before the first answer."""
         if self._offset_ms is None:
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -152,7 +152,9 @@
         if isinstance(assignment, Refused):
             return self._give_up(call, assignment.reason)
         if not progress.budget.spend(self._now_s(), self._placement.instances):
-            self._placement.release(progress.service, assignment.upstream)
+            self._placement.release(
+                progress.service, assignment.upstream, give_back=assignment.limited
+            )
             return self._give_up(call, "no-retry-budget")
         send = progress.begin_send(assignment, self._now_s())
         outcome: Outcome | None = CANCELLED
--- a/jayyoke/edge/waitqueue.py
+++ b/jayyoke/edge/waitqueue.py
@@ -43,13 +43,15 @@
         first = self._first()
         return first is not None and (first.rank, first.deadline_s) < (rank, deadline_s)
 
-    async def wait(self, rank: int, deadline_s: float, timeout_s: float) -> None:
+    async def wait(
+        self, rank: int, deadline_s: float, timeout_s: float, recheck_s: float = RECHECK_S
+    ) -> None:
         """Return when a slot may be free for this request, or when it should check again."""
         loop = asyncio.get_running_loop()
         waiter = Waiter(rank, deadline_s, next(self._sequence_numbers), loop.create_future())
         heapq.heappush(self._waiters, waiter)
         try:
-            async with asyncio.timeout(min(timeout_s, RECHECK_S)):
+            async with asyncio.timeout(min(timeout_s, recheck_s)):
                 await waiter.woken
         except TimeoutError:
             return
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -112,6 +112,7 @@
             random_source,
             self.roster.list_alive,
             find_ordering(policy),
+            read_common_s=self.read_common_s,
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -168,12 +169,21 @@
             "Parts of prompts kept from engines.",
             lambda: len(self.quarantine.list_quarantined()),
         )
+        self.metrics.add_gauge(
+            "jayyoke_limited_upstreams",
+            "Upstreams that name a limit of requests a second.",
+            lambda: self.placement.limits.limited,
+        )
 
     @property
     def ready(self) -> bool:
         """Tell whether the load balancer may send new connections."""
         return self.view.config is not None and not self.listener.draining
 
+    def read_common_s(self) -> float:
+        """Return the time that all instances read alike, or the own one before it is known."""
+        return self.clock.read_s() if self.clock.known else read_boot_time_s()
+
     def read_config_age_s(self) -> float:
         """Return the age of the configuration in seconds, or -1 without one."""
         return -1.0 if self.view.config is None else self.view.config_age_s
