Tell peers of the limits that upstreams name (entry)

An instance behind few requests, or one that has just started, heard of a limit and of its end with its own next answer, seconds after the others. The words now travel in an optional field of the requests and answers for rows; the newest word wins, by the time it was said.

An older release skips the field.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -310,6 +310,14 @@
   3: list<i32> ages_ms
 }
 
+// Limits on requests a second that upstreams named in answers to an instance or to its peers; -1: the upstream named
+// none. Items at the same position of the lists belong together.
+struct HeardLimits {
+  1: list<string> incarnations
+  2: list<double> limits_per_s
+  3: list<i32> ages_ms
+}
+
 // Asks for the changes of the store's tables; known maps table names to the revisions that the sender has.
 struct FetchTables {
   1: map<string, i64> known
@@ -317,6 +325,7 @@
   2: optional i32 wait_ms
   // The loads that engines reported to the sender since its last request.
   3: optional HeardLoads loads
+  4: optional HeardLimits limits
 }
 
 struct RelayedRow {
@@ -342,6 +351,7 @@
   1: list<RelayedTable> tables
   // Recent loads that engines reported to the answering instance or that other instances sent to it.
   2: optional HeardLoads loads
+  3: optional HeardLimits limits
 }
 
 // An engine that ended while it began to answer on a part of a prompt.
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
+from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
 from jayyoke.edge.relay import LARGE_ROW_BYTES, RelayClient, RelayedTable
@@ -156,11 +157,13 @@
         source: random.Random,
         link_bytes_per_s: float,
         load_exchange: LoadExchange,
+        limit_exchange: LimitExchange,
     ):
         self._view = view
         self._store = store
         self._link_bytes_per_s = link_bytes_per_s
         self._load_exchange = load_exchange
+        self._limit_exchange = limit_exchange
         self._loads_sent_s = float("-inf")
         self._client = client
         self._roster = roster
@@ -201,13 +204,18 @@
                 await asyncio.sleep(CHECK_PERIOD_S)
 
     async def run(self) -> None:
-        """Ask random instances whenever the view is stale, until cancelled."""
+        """Ask random instances while the view is stale or limits are known, until cancelled."""
         while True:
             await asyncio.sleep(ASK_PERIOD_S * self._source.uniform(0.8, 1.2))
-            if not self.stale:
+            if self.stale:
+                count = PEERS_PER_ASK
+            elif self._roster.is_follower() and not self._limit_exchange.empty:
+                # The others of a domain hear of limits from its followers.
+                count = 1
+            else:
                 continue
             peers = self._list_peers()
-            asked = self._source.sample(peers, min(PEERS_PER_ASK, len(peers)))
+            asked = self._source.sample(peers, min(count, len(peers)))
             await asyncio.gather(*(self._ask(peer, 0.0) for peer in asked))
 
     async def _ask(self, peer: str, wait_s: float) -> bool:
@@ -221,11 +229,13 @@
             )
             self._loads_sent_s = began_s
         try:
-            answer = await self._client.fetch(peer, known, wait_s, loads)
+            limits = self._limit_exchange.list_words()
+            answer = await self._client.fetch(peer, known, wait_s, loads, limits)
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
             return False
         self._load_exchange.merge(answer.loads)
+        self._limit_exchange.merge(answer.limits)
         if wait_s:
             ages_s = [table.age_s for table in answer.tables if table.name in TABLES[:2]]
             confirmed_s = answer.answered_s - max(ages_s, default=math.inf)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -24,6 +24,7 @@
 )
 from jayyoke.edge.coldlimiter import ColdLimiter
 from jayyoke.edge.domain import DomainTracker
+from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.load import NO_LOADS
 from jayyoke.edge.loadexchange import LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
@@ -103,6 +104,7 @@
         )
         self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
+        self.limit_exchange = LimitExchange(self.limits)
 
     @property
     def view(self) -> FleetView:
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -1,4 +1,4 @@
-"""Relays the store's rows and the loads of engines between instances."""
+"""Relays the store's rows and what upstreams say of themselves between instances."""
 
 from __future__ import annotations
 
@@ -14,8 +14,10 @@
 from thrift.TSerialization import deserialize, serialize
 
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
+from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
 from jayyoke.edge.loadexchange import MAX_SHARED, MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.view import FleetView
+from jayyoke.ops.requestlimit import LimitWord
 from jayyoke.platform.body import read_body
 from jayyoke.platform.table import Row
 from jayyoke.wire.gen import ttypes
@@ -55,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswer:
-    """Holds a peer's answer: its tables and the recent loads that it knows.
+    """Holds a peer's answer: its tables, and the recent loads and the limits that it knows.
 
     `answered_s` is when the answer began to arrive; later changes are not in it. `size_bytes` is
     its transfer size.
@@ -63,12 +65,13 @@
 
     tables: list[RelayedTable]
     loads: list[ReportedLoad]
+    limits: list[LimitWord]
     answered_s: float
     size_bytes: int
 
 
 class RelayClient:
-    """Asks other instances for tables and loads."""
+    """Asks other instances for tables, loads and limits."""
 
     def __init__(self, http: aiohttp.ClientSession, now_s: Callable[[], float]):
         self._http = http
@@ -80,12 +83,13 @@
         known: Mapping[str, int],
         wait_s: float = 0.0,
         loads: Sequence[ReportedLoad] = (),
+        limits: Sequence[LimitWord] = (),
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
-        The peer waits up to `wait_s` for a change if it has none, and merges the given loads.
+        The peer waits up to `wait_s` for a change if it has none, and merges the loads and limits.
         """
-        request = encode_fetch_request(known, wait_s, loads, self._now_s())
+        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits)
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
             total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
@@ -104,14 +108,19 @@
 
 
 def encode_fetch_request(
-    known: Mapping[str, int], wait_s: float, loads: Sequence[ReportedLoad], now_s: float
+    known: Mapping[str, int],
+    wait_s: float,
+    loads: Sequence[ReportedLoad],
+    now_s: float,
+    limits: Sequence[LimitWord] = (),
 ) -> bytes:
-    """Return the request for changes since the known revisions, with loads for the peer."""
+    """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
         ttypes.FetchTables(
             known=dict(known),
             wait_ms=int(wait_s * 1000) or None,
             loads=_encode_loads(loads, now_s),
+            limits=encode_limits(limits, now_s),
         )
     )
 
@@ -124,9 +133,10 @@
         for table in answer.tables or ():
             found.append(_decode_table(table))
         loads = _decode_loads(answer.loads, answered_s)
+        limits = decode_limits(answer.limits, answered_s)
     except (zlib.error, TException, TProtocolException, EOFError, TypeError, ValueError) as error:
         raise PeerUnavailable(f"{peer} sent unreadable tables: {error!r}") from error
-    return PeerAnswer(found, loads, answered_s, len(body))
+    return PeerAnswer(found, loads, limits, answered_s, len(body))
 
 
 def _encode_loads(loads: Sequence[ReportedLoad], now_s: float) -> ttypes.HeardLoads | None:
@@ -190,9 +200,15 @@
 class RelayServer:
     """Answers requests of other instances from this instance's view."""
 
-    def __init__(self, view: FleetView, load_exchange: LoadExchange):
+    def __init__(
+        self,
+        view: FleetView,
+        load_exchange: LoadExchange,
+        limit_exchange: LimitExchange | None = None,
+    ):
         self._view = view
         self._load_exchange = load_exchange
+        self._limit_exchange = limit_exchange
         self._changed = asyncio.Event()
         # Many peers get the same large row, so it is compressed once.
         self._packed: dict[str, ttypes.RelayedRow] = {}
@@ -205,9 +221,12 @@
             known = {str(name): int(revision) for name, revision in (asked.known or {}).items()}
             wait_s = min(MAX_WAIT_S, max(0, asked.wait_ms or 0) / 1000)
             received = _decode_loads(asked.loads, self._view.now_s())
+            limits = decode_limits(asked.limits, self._view.now_s())
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
         self._load_exchange.merge(received)
+        if self._limit_exchange is not None:
+            self._limit_exchange.merge(limits)
         if wait_s and not self._has_changes(known):
             try:
                 async with asyncio.timeout(wait_s):
@@ -215,14 +234,17 @@
             except TimeoutError:
                 # Nothing changed; the answer confirms the peer's revisions.
                 pass
-        tables = self._build_tables(known)
-        if not wait_s:
-            return serialize(ttypes.FetchedTables(tables=tables))
         now_s = self._view.now_s()
+        answer = ttypes.FetchedTables(tables=self._build_tables(known))
+        if self._limit_exchange is not None:
+            answer.limits = encode_limits(self._limit_exchange.list_words(), now_s)
+        if not wait_s:
+            return serialize(answer)
         sent = {load.incarnation for load in received}
         recent = self._load_exchange.list_recent(now_s - MAX_SHARED_AGE_S)
         loads = [load for load in recent if load.incarnation not in sent]
-        return serialize(ttypes.FetchedTables(tables=tables, loads=_encode_loads(loads, now_s)))
+        answer.loads = _encode_loads(loads, now_s)
+        return serialize(answer)
 
     def _notify_waiting(self) -> None:
         self._changed.set()
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -110,7 +110,7 @@
             settings.instance,
             now_s,
             random_source,
-            self.roster.list_alive,
+            self.roster.list_sharing,
             find_ordering(policy),
             read_common_s=self.read_common_s,
         )
@@ -140,7 +140,9 @@
             self.quarantine_rows.mark_changed,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
-        self.relay = RelayServer(self.view, self.placement.load_exchange)
+        self.relay = RelayServer(
+            self.view, self.placement.load_exchange, self.placement.limit_exchange
+        )
         self.peers = PeerFollower(
             self.view,
             self.store,
@@ -150,6 +152,7 @@
             random_source,
             settings.link_bytes_per_s,
             self.placement.load_exchange,
+            self.placement.limit_exchange,
         )
         self.view.changes.subscribe(lambda _: self.drop_gone_upstreams())
         self.metrics.add_gauge(
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -3980,12 +3980,129 @@
         return not (self == other)
 
 
+class HeardLimits(object):
+    """
+    Attributes:
+     - incarnations
+     - limits_per_s
+     - ages_ms
+
+    """
+
+    __slots__ = (
+        'incarnations',
+        'limits_per_s',
+        'ages_ms',
+    )
+
+
+    def __init__(self, incarnations=None, limits_per_s=None, ages_ms=None,):
+        self.incarnations = incarnations
+        self.limits_per_s = limits_per_s
+        self.ages_ms = ages_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.incarnations = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.incarnations.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.limits_per_s = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readDouble()
+                        self.limits_per_s.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.ages_ms = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readI32()
+                        self.ages_ms.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeardLimits')
+        if self.incarnations is not None:
+            oprot.writeFieldBegin('incarnations', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.incarnations))
+            for iter172 in self.incarnations:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits_per_s is not None:
+            oprot.writeFieldBegin('limits_per_s', TType.LIST, 2)
+            oprot.writeListBegin(TType.DOUBLE, len(self.limits_per_s))
+            for iter173 in self.limits_per_s:
+                oprot.writeDouble(iter173)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.ages_ms))
+            for iter174 in self.ages_ms:
+                oprot.writeI32(iter174)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FetchTables(object):
     """
     Attributes:
      - known
      - wait_ms
      - loads
+     - limits
 
     """
 
@@ -3993,13 +4110,15 @@
         'known',
         'wait_ms',
         'loads',
+        'limits',
     )
 
 
-    def __init__(self, known=None, wait_ms=None, loads=None,):
+    def __init__(self, known=None, wait_ms=None, loads=None, limits=None,):
         self.known = known
         self.wait_ms = wait_ms
         self.loads = loads
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4013,11 +4132,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known = {}
-                    (_ktype155, _vtype156, _size154) = iprot.readMapBegin()
-                    for _i158 in range(_size154):
-                        _key159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val160 = iprot.readI64()
-                        self.known[_key159] = _val160
+                    (_ktype176, _vtype177, _size175) = iprot.readMapBegin()
+                    for _i179 in range(_size175):
+                        _key180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val181 = iprot.readI64()
+                        self.known[_key180] = _val181
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -4032,6 +4151,12 @@
                     self.loads.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.limits = HeardLimits()
+                    self.limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4045,9 +4170,9 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known))
-            for kiter161, viter162 in self.known.items():
-                oprot.writeString(kiter161.encode('utf-8') if sys.version_info[0] == 2 else kiter161)
-                oprot.writeI64(viter162)
+            for kiter182, viter183 in self.known.items():
+                oprot.writeString(kiter182.encode('utf-8') if sys.version_info[0] == 2 else kiter182)
+                oprot.writeI64(viter183)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
@@ -4058,6 +4183,10 @@
             oprot.writeFieldBegin('loads', TType.STRUCT, 3)
             self.loads.write(oprot)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.STRUCT, 4)
+            self.limits.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4244,11 +4373,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = RelayedRow()
-                        _elem168.read(iprot)
-                        self.rows.append(_elem168)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = RelayedRow()
+                        _elem189.read(iprot)
+                        self.rows.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4260,11 +4389,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = RelayedRow()
-                        _elem174.read(iprot)
-                        self.removed.append(_elem174)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = RelayedRow()
+                        _elem195.read(iprot)
+                        self.removed.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4293,8 +4422,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter175 in self.rows:
-                iter175.write(oprot)
+            for iter196 in self.rows:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.whole is not None:
@@ -4304,8 +4433,8 @@
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.removed))
-            for iter176 in self.removed:
-                iter176.write(oprot)
+            for iter197 in self.removed:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4338,18 +4467,21 @@
     Attributes:
      - tables
      - loads
+     - limits
 
     """
 
     __slots__ = (
         'tables',
         'loads',
+        'limits',
     )
 
 
-    def __init__(self, tables=None, loads=None,):
+    def __init__(self, tables=None, loads=None, limits=None,):
         self.tables = tables
         self.loads = loads
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4363,11 +4495,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = RelayedTable()
-                        _elem182.read(iprot)
-                        self.tables.append(_elem182)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = RelayedTable()
+                        _elem203.read(iprot)
+                        self.tables.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4377,6 +4509,12 @@
                     self.loads.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.limits = HeardLimits()
+                    self.limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4390,14 +4528,18 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter183 in self.tables:
-                iter183.write(oprot)
+            for iter204 in self.tables:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.STRUCT, 2)
             self.loads.write(oprot)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.STRUCT, 3)
+            self.limits.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4541,11 +4683,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = EngineEnd()
-                        _elem189.read(iprot)
-                        self.ends.append(_elem189)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = EngineEnd()
+                        _elem210.read(iprot)
+                        self.ends.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4571,8 +4713,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter190 in self.ends:
-                iter190.write(oprot)
+            for iter211 in self.ends:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.good_age_ms is not None:
@@ -4631,11 +4773,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = KnownPart()
-                        _elem196.read(iprot)
-                        self.parts.append(_elem196)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = KnownPart()
+                        _elem217.read(iprot)
+                        self.parts.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4652,8 +4794,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter197 in self.parts:
-                iter197.write(oprot)
+            for iter218 in self.parts:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4962,12 +5104,20 @@
     (2, TType.LIST, 'requests', (TType.I32, None, False), None, ),  # 2
     (3, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 3
 )
+all_structs.append(HeardLimits)
+HeardLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'incarnations', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'limits_per_s', (TType.DOUBLE, None, False), None, ),  # 2
+    (3, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 3
+)
 all_structs.append(FetchTables)
 FetchTables.thrift_spec = (
     None,  # 0
     (1, TType.MAP, 'known', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 1
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
     (3, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 3
+    (4, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 4
 )
 all_structs.append(RelayedRow)
 RelayedRow.thrift_spec = (
@@ -4992,6 +5142,7 @@
     None,  # 0
     (1, TType.LIST, 'tables', (TType.STRUCT, [RelayedTable, None], False), None, ),  # 1
     (2, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 2
+    (3, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 3
 )
 all_structs.append(EngineEnd)
 EngineEnd.thrift_spec = (
--- a/tests/entry_limits_test.py
+++ b/tests/entry_limits_test.py
@@ -126,3 +126,159 @@
             assert max(traffic.took_s) < 1.0
 
         run_rig(test)
+
+
+class TestWords:
+    """Tests how instances hear of the beginning and the end of a limit."""
+
+    def test_limit_ends_when_the_upstream_names_none(self):
+        """Guards against an upstream that is limited for good by one answer."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("2")
+            await rig.add_upstream("u1", upstream.answer)
+            entries = await add_entries(rig, 3, 1)
+            await Traffic(entries, 20.0).run(2.0)
+            assert all(entry.instance.placement.limits.limited == 1 for entry in entries)
+            upstream.limit = ""
+            await Traffic(entries, 20.0).run(4.0)
+            assert all(entry.instance.placement.limits.limited == 0 for entry in entries)
+            before = len(upstream.arrived_s)
+            after = Traffic(entries, 20.0)
+            await after.run(1.0)
+            assert after.count(200) == 20
+            assert len(upstream.arrived_s) == before + 20
+
+        run_rig(test)
+
+    def test_end_of_a_limit_of_zero_is_heard(self):
+        """Guards against an upstream that nobody asks again after it wanted no requests."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("0")
+            await rig.add_upstream("u1", upstream.answer)
+            entries = await add_entries(rig, 2, 1)
+            assert (await entries[0].call("/safe/x"))[0] == 200
+            upstream.limit = ""
+            async with asyncio.timeout(15):
+                while any(entry.instance.placement.limits.limited for entry in entries):
+                    await entries[1].call("/safe/x")
+                    await asyncio.sleep(0.05)
+            assert len(upstream.arrived_s) <= 4
+
+        run_rig(test)
+
+    def test_peers_hear_of_the_beginning_and_the_end(self):
+        """Guards against an instance that sends on, since it has got no answer itself."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("1000")
+            await rig.add_upstream("u1", upstream.answer)
+            entries = await add_entries(rig, 4, 1)
+            assert (await entries[0].call("/safe/x"))[0] == 200
+            limits = [entry.instance.placement.limits for entry in entries]
+            await wait_until(lambda: all(found.limited == 1 for found in limits), 3.0)
+            upstream.limit = ""
+            await asyncio.sleep(0.1)
+            assert (await entries[1].call("/safe/x"))[0] == 200
+            await wait_until(lambda: all(found.limited == 0 for found in limits), 3.0)
+            assert len(upstream.arrived_s) == 2
+
+        run_rig(test)
+
+    def test_started_instance_hears_of_limits(self):
+        """Guards against a burst from instances that start while an upstream is limited."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("1000")
+            await rig.add_upstream("u1", upstream.answer)
+            entries = await add_entries(rig, 3, 1)
+            assert (await entries[0].call("/safe/x"))[0] == 200
+            await asyncio.sleep(1.0)
+            late = await rig.add_entry("entry-late")
+            await wait_until(lambda: late.instance.placement.limits.limited == 1, 5.0)
+
+        run_rig(test)
+
+    @pytest.mark.parametrize("value", ["-1", "inf", "nan", "soon", "", "9" * 400])
+    def test_malformed_limit_is_none(self, value):
+        """Guards against an upstream that is taken out by a value that says nothing."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream(value)
+            await rig.add_upstream("u1", upstream.answer)
+            (entry,) = await add_entries(rig, 1, 1)
+            traffic = Traffic([entry], 50.0)
+            await traffic.run(0.5)
+            assert traffic.count(200) == 25
+            assert entry.instance.placement.limits.empty
+
+        run_rig(test)
+
+    @pytest.mark.parametrize(
+        ("status", "signed"), [("421 Misdirected Request", True), ("503 Unavailable", False)]
+    )
+    def test_answer_of_another_does_not_end_a_limit(self, status, signed):
+        """Guards against a limit that ends with an answer that is not the upstream's own."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("1000")
+            running = await rig.add_upstream("u1", upstream.answer)
+            (entry,) = await add_entries(rig, 1, 1)
+            assert (await entry.call("/safe/x"))[0] == 200
+
+            async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+                head = format_answer(request, b"", status, Not_Executed="1")
+                writer.write(head if signed else head.replace(b"Worker-Signature: sig\r\n", b""))
+                await writer.drain()
+
+            running.script = answer
+            assert (await entry.call("/unsafe/x"))[0] == 503
+            assert entry.instance.placement.limits.limited == 1
+
+        run_rig(test)
+
+
+class TestSlots:
+    """Tests which requests take a slot."""
+
+    def test_call_that_opens_a_connection_meanwhile_takes_one(self):
+        """Guards against requests that arrive after a limit because they were assigned before."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("")
+            await rig.add_upstream("u1", upstream.answer)
+            (entry,) = await add_entries(rig, 1, 1)
+            (known,) = entry.instance.view.upstreams.values()
+            pool, limits = entry.instance.pool, entry.instance.placement.limits
+            acquire = pool.acquire
+
+            async def acquire_late(*arguments):
+                connection = await acquire(*arguments)
+                limits.record(known.incarnation, 0.0)
+                return connection
+
+            pool.acquire = acquire_late
+            assert (await entry.call("/unsafe/x"))[0] == 503
+            assert not upstream.arrived_s
+
+        run_rig(test)
+
+    def test_request_that_is_not_sent_leaves_its_slot(self):
+        """Guards against slots that are lost to an upstream that cannot be reached."""
+
+        async def test(rig: Rig) -> None:
+            upstream = LimitedUpstream("0")
+            running = await rig.add_upstream("u1", upstream.answer)
+            (entry,) = await add_entries(rig, 1, 1)
+            (known,) = entry.instance.view.upstreams.values()
+            limits = entry.instance.placement.limits
+            assert (await entry.call("/safe/x"))[0] == 200
+            await running.close()
+            entry.instance.pool.drop(known)
+            await asyncio.sleep(limits.find_wait_s(known.incarnation) + 0.01)
+            assert limits.may_send(known.incarnation)
+            assert (await entry.call("/unsafe/x"))[0] == 503
+            assert limits.may_send(known.incarnation)
+
+        run_rig(test)
