Share a limit with all known instances before the store's clock is known

An instance that started while the store was away knew its peers' rows but no alive instance, and so took the whole of each limit, and of the other shared budgets.

--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -93,6 +93,10 @@
         """Return the names of instances that share the budgets, as of the last read."""
         return [found.name for found in self._find_alive()]
 
+    def list_sharing(self) -> list[str]:
+        """Return the alive instances, or all known ones before the store's clock is known."""
+        return self.list_alive() or [found.name for found in self.list_members()]
+
     def find_followers(self) -> list[Member]:
         """Return the instances of the own domain that follow the store for the others.
 
--- a/jayyoke/edge/roster_test.py
+++ b/jayyoke/edge/roster_test.py
@@ -16,11 +16,17 @@
 WIDE = 25e6
 
 
-def build(links: dict[str, float], own: str, now_s: Callable[[], float] = lambda: NOW_S) -> Roster:
+def build(
+    links: dict[str, float],
+    own: str,
+    now_s: Callable[[], float] = lambda: NOW_S,
+    clock_known: bool = True,
+) -> Roster:
     """Return an instance's roster once all rows of its domain are known."""
     view = FleetView(now_s)
     clock = StoreClock(now_s)
-    clock.update(50_000, NOW_S)
+    if clock_known:
+        clock.update(50_000, NOW_S)
     rows = []
     for name, link in links.items():
         row = {"domain": "a", "address": ADDRESS, "renewed_ms": 50_000, "link_bytes_per_s": link}
@@ -79,3 +85,9 @@
             source="store",
         )
         assert roster.list_alive() == ["i0"]
+
+    def test_instance_that_starts_meanwhile_takes_its_share(self):
+        """Guards against an instance that sends what a limit allows to all of them."""
+        links = {f"i{number}": NARROW for number in range(9)}
+        assert build(links, "i1", clock_known=False).list_sharing() == list(links)
+        assert build(links, "i1").list_sharing() == list(links)
