--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -111,8 +111,9 @@
             settings.instance,
             now_s,
             random_source,
-            self.roster.list_alive,
+            self.roster.list_sharing,
             find_ordering(policy),
+            read_common_s=self.read_common_s,
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -142,7 +143,9 @@
             self.stop_window,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
-        self.relay = RelayServer(self.view, self.placement.load_exchange)
+        self.relay = RelayServer(
+            self.view, self.placement.load_exchange, self.placement.limit_exchange
+        )
         self.peers = PeerFollower(
             self.view,
             self.store,
@@ -152,6 +155,7 @@
             random_source,
             settings.link_bytes_per_s,
             self.placement.load_exchange,
+            self.placement.limit_exchange,
         )
         self.view.changes.subscribe(lambda _: self.drop_gone_upstreams())
         self.metrics.add_gauge(
@@ -171,12 +175,21 @@
             "Parts of prompts kept from engines.",
             lambda: len(self.quarantine.list_quarantined()),
         )
+        self.metrics.add_gauge(
+            "jayyoke_limited_upstreams",
+            "Upstreams that name a limit of requests a second.",
+            lambda: self.placement.limits.limited,
+        )
 
     @property
     def ready(self) -> bool:
         """Tell whether the load balancer may send new connections."""
         return self.view.config is not None and not self.listener.draining
 
+    def read_common_s(self) -> float:
+        """Return the time that all instances read alike, or the own one before it is known."""
+        return self.clock.read_s() if self.clock.known else read_boot_time_s()
+
     def read_config_age_s(self) -> float:
         """Return the age of the configuration in seconds, or -1 without one."""
         return -1.0 if self.view.config is None else self.view.config_age_s
