--- a/jayyoke/ops/dispatch.py
+++ b/jayyoke/ops/dispatch.py
@@ -21,6 +21,7 @@
 from jayyoke.ops.owner import Owner
 from jayyoke.ops.placement import Placer
 from jayyoke.ops.policy import Policy
+from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.ops.steward import Steward
 from jayyoke.ops.stewardship import Directory
 from jayyoke.wire.gen.ttypes import Digest
@@ -44,6 +45,7 @@
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         seed: int | None = None,
         notices: UpstreamNotices | None = None,
+        request_limits: RequestLimits | None = None,
     ):
         self.loads = loads
         self._peers = peers
@@ -55,7 +57,16 @@
         self.home_domains = HomeDomains(clock, peers, self._count_engines, domains_out)
         gateway = Gateway(clock, peers, self.owner)
         self.placer = Placer(
-            clock, peers, self.owner, directory, policy, self.home_domains, gateway, sleep, notices
+            clock,
+            peers,
+            self.owner,
+            directory,
+            policy,
+            self.home_domains,
+            gateway,
+            sleep,
+            notices,
+            request_limits,
         )
         self._load_reporter = LoadReporter(self.steward.list_loads, loads.versions)
         self._limit_sums: dict[str, tuple[list[str], int, ServiceSpec, int]] = {}
--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -17,6 +17,7 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.deadline import DEADLINE_HEADER, format_deadline
 from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import RequestLimits, build_own_limits
 from jayyoke.platform.message import decode_notice
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.heldbytes import HeldBytes
@@ -55,6 +56,10 @@
         self.status = status
 
 
+class UpstreamLimited(ConnectFailed, EngineBusy):
+    """Reports that the limit of an upstream leaves no room for a request, which was not sent."""
+
+
 # A status that asks for a retry does not tell the request's outcome.
 _RETRYABLE_STATUSES = frozenset({408, 425, 429})
 
@@ -98,6 +103,7 @@
         clock: Clock | None = None,
         source: str = "",
         notices: UpstreamNotices | None = None,
+        request_limits: RequestLimits | None = None,
     ):
         self.observers: list[Callable[[AttemptOutcome], None]] = []
         self.unreachable_observers: list[Callable[[Upstream], None]] = []
@@ -106,6 +112,7 @@
         self._clock = clock or SystemClock()
         self.held_events = HeldBytes(MAX_HELD_EVENT_BYTES)
         self._notices = notices or UpstreamNotices(self._clock.now_s)
+        self._request_limits = request_limits or build_own_limits(self._clock.now_s)
         self._fresh: aiohttp.ClientSession | None = None
         self._no_reuse_until_s: dict[str, float] = {}
         self._cancel_tasks: set[asyncio.Task[None]] = set()
@@ -127,6 +134,7 @@
         if delivered:
             headers["X-Resume-From"] = str(delivered)
         session = self._choose_session(upstream, fresh, now_s)
+        limited = _take_slot(self._request_limits, upstream)
         try:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 answer = await session.post(
@@ -138,10 +146,12 @@
                     allow_redirects=False,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            if limited:
+                self._request_limits.give_back(upstream.name)
             raise ConnectFailed(f"{upstream.name}: {error}") from error
         except (TimeoutError, aiohttp.ClientError) as error:
             raise AnswerBroken(f"{upstream.name}: {type(error).__name__}") from error
-        record_notice(self._notices, upstream, request, answer)
+        record_notice(self._notices, self._request_limits, upstream, request, answer)
         _check_head(answer, upstream, request)
         return answer
 
@@ -239,18 +249,32 @@
     raise AnswerMismatched(f"{upstream.name} answered for no request")
 
 
+def _take_slot(request_limits: RequestLimits, upstream: Upstream) -> bool:
+    """Tell whether a request that is sent now uses a slot; raise UpstreamLimited without one."""
+    if not request_limits.take(upstream.name):
+        raise UpstreamLimited(f"{upstream.name} takes no more requests now")
+    return request_limits.find_limit(upstream.name) is not None
+
+
 def record_notice(
     notices: UpstreamNotices,
+    request_limits: RequestLimits,
     upstream: Upstream,
     request: CallerRequest,
     answer: aiohttp.ClientResponse,
 ) -> None:
     """Record what an answer says of its upstream, unless it answers another request."""
-    if answer.headers.get("X-Request-Id", request.request_id) != request.request_id:
+    echoed_id = answer.headers.get("X-Request-Id")
+    if echoed_id not in (None, request.request_id):
         return
     notice = decode_notice(answer.status, answer.raw_headers, time.time())
     if notices.record(upstream.name, notice):
         logging.info("upstream %s: %s", upstream.name, notice)
+    limit_per_s = notice.limit_per_s
+    # An answer of a proxy lacks the header too, which does not end the limit.
+    own = echoed_id is not None and answer.status != 421
+    if (own or limit_per_s is not None) and request_limits.record(upstream.name, limit_per_s):
+        logging.info("upstream %s takes %s requests/s", upstream.name, limit_per_s)
 
 
 async def call_plain(
@@ -259,6 +283,7 @@
     request: CallerRequest,
     timeout_s: float,
     notices: UpstreamNotices,
+    request_limits: RequestLimits,
 ) -> Answer:
     """Return the answer of a plain service.
 
@@ -276,6 +301,7 @@
     if request.idempotency_key:
         headers["Idempotency-Key"] = request.idempotency_key
     timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    limited = _take_slot(request_limits, upstream)
     try:
         # Following a redirect would repeat a request that may not be repeatable.
         async with http.request(
@@ -286,9 +312,11 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            record_notice(notices, upstream, request, response)
+            record_notice(notices, request_limits, upstream, request, response)
             return await _read_answer(response, upstream, request)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        if limited:
+            request_limits.give_back(upstream.name)
         raise ConnectFailed(f"{upstream.name}: {error}") from error
     except (TimeoutError, aiohttp.ClientError) as error:
         raise AnswerBroken(f"{upstream.name}: {type(error).__name__}") from error
--- a/jayyoke/ops/health.py
+++ b/jayyoke/ops/health.py
@@ -17,6 +17,7 @@
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.ops.loads import Loads
 from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.ops.upstreamlist import format_upstreams, hash_upstreams, parse_upstreams
 from jayyoke.ops.versions import EngineVersions
 from jayyoke.platform.listing import Listing, Snapshot
@@ -43,8 +44,10 @@
         loads: Loads,
         find_service: Callable[[str], ServiceSpec | None],
         peers: Peers | None = None,
+        request_limits: RequestLimits | None = None,
     ):
         self.notices = UpstreamNotices(clock.now_s)
+        self._request_limits = request_limits
         self._listing = listing
         self._clock = clock
         self._loads = loads
@@ -227,6 +230,8 @@
         self._candidate_cache.clear()
         live = {found.name for found in listed if found.state is UpstreamState.LIVE}
         self.notices.update_listed(live)
+        if self._request_limits is not None:
+            self._request_limits.retain(self._listed)
 
     def _determine_state(self, listed: Upstream) -> UpstreamState:
         if listed.state is not UpstreamState.LIVE:
--- a/jayyoke/ops/membership.py
+++ b/jayyoke/ops/membership.py
@@ -85,6 +85,10 @@
             view.member for view in self._views.values() if view.state in _REACHABLE_STATES
         )
 
+    def list_known(self) -> list[str]:
+        """Return the names of all instances of any domain that may send requests."""
+        return [self._me.name, *self._candidates()]
+
     def reachable_domains(self) -> frozenset[str]:
         """Return the domains with a live or suspect instance, the own one included."""
         if self._domains is None:
--- a/jayyoke/ops/node.py
+++ b/jayyoke/ops/node.py
@@ -66,7 +66,8 @@
         return self.started
 
     def __post_init__(self) -> None:
+        request_limits = None if self.placer is None else self.placer.request_limits
         self.engine_streams = EngineStreams(
-            self.http, self.clock, self.settings.source, self.health.notices
+            self.http, self.clock, self.settings.source, self.health.notices, request_limits
         )
         self.limits = Limits(self.clock)
--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -25,6 +26,7 @@
 from jayyoke.ops.owner import STEWARD_UNREACHABLE, Choice, Owner, parse_placed
 from jayyoke.ops.policy import Policy
 from jayyoke.ops.rendezvous import choose
+from jayyoke.ops.requestlimit import MIN_RATE, RequestLimits, build_own_limits
 from jayyoke.ops.stewardship import Directory, Stewardship
 from jayyoke.wire.gen.ttypes import Abandoned, Ask, Holding, Holdings, Observed, Release
 
@@ -45,6 +47,9 @@
 OVERLOAD_FIRST_PAUSE_S = 0.025
 OVERLOAD_MAX_PAUSE_S = 0.2
 RETRY_AFTER_S = 1.0
+MIN_SLOT_PAUSE_S = 0.005
+# Callers that are refused because of limits are spread over at most this time.
+MAX_LIMIT_RETRY_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +76,10 @@
         gateway: Gateway,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         notices: UpstreamNotices | None = None,
+        request_limits: RequestLimits | None = None,
     ):
         self.notices = notices or UpstreamNotices(clock.now_s)
+        self.request_limits = request_limits or build_own_limits(clock.now_s)
         self._clock = clock
         self._peers = peers
         self._owner = owner
@@ -87,6 +94,7 @@
         self._pending_releases: dict[str, list[str]] = {}
         self._plain_requests: dict[str, int] = {}
         self._plain_rotation = 0
+        self._waiting_for_slots: Counter[str] = Counter()
         self._owner_missed_s: dict[str, float] = {}
         self._incarnations: dict[str, int] = {}
         self._stewards: dict[str, str] = {}
@@ -98,25 +106,30 @@
         """Return a placement, ended by `release`; raise Refusal if no upstream may be used."""
         if not self.notices.empty:
             exclude = (*exclude, *self.notices.list_withdrawn(self._list_names(request)))
-        if not find_protocol(request.service.protocol).reports_load:
-            return self._place_plain(request, exclude)
         now_s = self._clock.now_s()
-        wait_s = min(OVERLOAD_WAIT_S, (request.deadline_s - now_s) * OVERLOAD_WAIT_SHARE)
+        until_s = now_s + min(OVERLOAD_WAIT_S, (request.deadline_s - now_s) * OVERLOAD_WAIT_SHARE)
+        if not find_protocol(request.service.protocol).reports_load:
+            return await self._place_plain(request, exclude, until_s)
         pause_s = OVERLOAD_FIRST_PAUSE_S
         while True:
-            ask = self._build_ask(request, exclude)
+            full = self._list_full(request, exclude)
+            ask = self._build_ask(request, (*exclude, *full))
             choice = await self._choose(ask)
             upstream = self._directory.find(choice.upstream) if choice.upstream else None
-            if upstream is not None:
+            if upstream is not None and self.request_limits.may_send(upstream.name):
                 reservations = self._reservations.setdefault(upstream.name, {})
                 reservations[ask.request_id] = request.work_tokens
                 passed_over = choice.passed_over
                 return Placement(upstream, choice.reason, passed_over, ask.request_id)
             if choice.upstream:
                 self._pending_releases.setdefault(choice.upstream, []).append(ask.request_id)
+            if upstream is not None:
+                # Another request took the last slot of its limit meanwhile.
+                continue
             if choice.reason == NO_UPSTREAM:
-                raise self._refuse(request, NO_UPSTREAM)
-            if self._clock.now_s() + pause_s > now_s + wait_s:
+                await self._wait_for_slot(request, full, until_s)
+                continue
+            if self._clock.now_s() + pause_s > until_s:
                 raise self._refuse(request, OVERLOADED, choice)
             await self._sleep(pause_s)
             pause_s = min(OVERLOAD_MAX_PAUSE_S, pause_s * 1.5)
@@ -125,6 +138,8 @@
         """Return a placement on one engine, or None if it may get no more work."""
         if self.notices.is_withdrawn(upstream.name):
             return None
+        if not self.request_limits.may_send(upstream.name):
+            return None
         ask = self._build_ask(request, ())
         if not await self._owner.admit(self._peers.me.name, ask, upstream.name):
             return None
@@ -237,13 +252,22 @@
             return await self._owner.decide(me, ask)
         return parse_placed(placed)
 
-    def _place_plain(self, request: CallerRequest, exclude: tuple[str, ...]) -> Placement:
+    async def _place_plain(
+        self, request: CallerRequest, exclude: tuple[str, ...], until_s: float
+    ) -> Placement:
         service = request.service.name
-        names = self._owner.list_engines(service, exclude)
-        # Plain services have no stewards, so workers of other groups serve if this one has none.
-        names = names or self._owner.list_reachable(service, exclude)
-        if not names:
-            raise self._refuse(request, NO_UPSTREAM)
+        while True:
+            full = self._list_full(request, exclude)
+            unusable = (*exclude, *full)
+            names = self._owner.list_engines(service, unusable)
+            # Plain services have no stewards, so workers of other groups serve if this one has
+            # none.
+            names = names or self._owner.list_reachable(service, unusable)
+            if names:
+                return self._choose_plain(names)
+            await self._wait_for_slot(request, full, until_s)
+
+    def _choose_plain(self, names: list[str]) -> Placement:
         self._plain_rotation += 1
         start = self._plain_rotation % len(names)
         rotated = [*names[start:], *names[:start]]
@@ -253,6 +277,34 @@
         self._plain_requests[name] = self._plain_requests.get(name, 0) + 1
         return Placement(upstream, "least-loaded")
 
+    def _list_full(self, request: CallerRequest, exclude: tuple[str, ...]) -> list[str]:
+        """Return the upstreams whose limits alone leave no room for a request now."""
+        if self.request_limits.empty:
+            return []
+        full = []
+        for name in self._list_names(request):
+            if name not in exclude and not self.request_limits.may_send(name):
+                full.append(name)
+        return full
+
+    async def _wait_for_slot(self, request: CallerRequest, full: list[str], until_s: float) -> None:
+        """Wait until one of the upstreams may get a request; raise Refusal if that is too late."""
+        if not full:
+            raise self._refuse(request, NO_UPSTREAM)
+        limits = self.request_limits
+        service = request.service.name
+        soonest_s = min(limits.find_wait_s(name) for name in full)
+        behind_s = self._waiting_for_slots[service] / max(MIN_RATE, limits.find_rate(full))
+        if self._clock.now_s() + soonest_s + behind_s > until_s:
+            detail = f"no upstream of service {service!r} takes more requests now"
+            return_s = limits.choose_return_s(service, full, soonest_s, MAX_LIMIT_RETRY_S)
+            raise Refusal(503, OVERLOADED, detail, RunState.NOT_RUN, return_s)
+        self._waiting_for_slots[service] += 1
+        try:
+            await self._sleep(max(MIN_SLOT_PAUSE_S, soonest_s))
+        finally:
+            self._waiting_for_slots[service] -= 1
+
     def _list_names(self, request: CallerRequest) -> list[str]:
         return [found.name for found in self._directory.candidates(request.service.name)]
 
--- a/jayyoke/ops/plainservice.py
+++ b/jayyoke/ops/plainservice.py
@@ -62,6 +62,7 @@
         self._http = http
         self._placer = placer
         self._notices = placer.notices
+        self._request_limits = placer.request_limits
 
     async def place(self, request: CallerRequest, exclude: tuple[str, ...]) -> Upstream:
         """Return an upstream; raise Refusal if there is none."""
@@ -72,16 +73,21 @@
 
     async def send(self, upstream: Upstream, request: CallerRequest, timeout_s: float) -> Answer:
         """Send the request once; raise an UpstreamError as `call_plain` does."""
-        return await call_plain(self._http, upstream, request, timeout_s, self._notices)
+        return await self._call(upstream, request, timeout_s)
 
     async def lookup(self, request: CallerRequest, timeout_s: float) -> Answer | None:
         """Return the recorded answer of the request's key, or None; raise UpstreamError."""
         path = f"outcomes/{quote(request.idempotency_key, safe='')}"
         asked = replace(request, method="GET", path=path, query="", body=b"")
         upstream = await self.place(asked, ())
-        answer = await call_plain(self._http, upstream, asked, timeout_s, self._notices)
+        answer = await self._call(upstream, asked, timeout_s)
         if answer.status == 404:
             return None
         if not answer.final:
             raise AnswerBroken(f"{upstream.name} answered a lookup with {answer.status}")
         return answer
+
+    async def _call(self, upstream: Upstream, request: CallerRequest, timeout_s: float) -> Answer:
+        return await call_plain(
+            self._http, upstream, request, timeout_s, self._notices, self._request_limits
+        )
--- a/jayyoke/ops/requestlimit.py
+++ b/jayyoke/ops/requestlimit.py
@@ -264,6 +264,11 @@
         return self._instances
 
 
+def build_own_limits(now_s: Callable[[], float]) -> RequestLimits:
+    """Return limits that no other instance shares."""
+    return RequestLimits("", tuple, now_s, now_s)
+
+
 def _find_slot(known: _Known, common_s: float) -> int:
     """Return the number of this instance's last slot that begins by a time."""
     return math.floor((common_s * known.rate - known.turn) / known.instances)
--- a/jayyoke/plugins/lookup.py
+++ b/jayyoke/plugins/lookup.py
@@ -113,8 +113,14 @@
     tried.append(name)
     log_decision(request, name, placement.reason, placement.passed_over)
     try:
+        placer = node.placer
         answer = await call_plain(
-            node.http, placement.upstream, request, timeout_s, node.placer.notices
+            node.http,
+            placement.upstream,
+            request,
+            timeout_s,
+            placer.notices,
+            placer.request_limits,
         )
         if not answer.final:
             raise AnswerBroken(f"{name} answered {answer.status}")
--- a/jayyoke/scripts/assembly.py
+++ b/jayyoke/scripts/assembly.py
@@ -30,6 +30,7 @@
 from jayyoke.ops.node import Node
 from jayyoke.ops.probe import Prober, hash_incarnation
 from jayyoke.ops.replay import Replay
+from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.ops.shadow import Shadows
 from jayyoke.parser.settings import Settings
 from jayyoke.platform.listing import Listing
@@ -55,12 +56,27 @@
     domains = Domains(change_log, peers, peers.digests, clock)
     halts = Halts(change_log, peers, peers.digests, clock)
     loads = Loads(clock)
+    request_limits = RequestLimits(
+        settings.instance, peers.membership.list_known, time.time, clock.now_s
+    )
     health = Health(
-        listing, clock, loads, lambda name: change_log.configuration.services.get(name), peers
+        listing,
+        clock,
+        loads,
+        lambda name: change_log.configuration.services.get(name),
+        peers,
+        request_limits,
     )
     policy = registry.find_plugin("policy", settings.policy)()
     dispatch = Dispatch(
-        clock, peers, loads, health, policy, domains.domains_out, notices=health.notices
+        clock,
+        peers,
+        loads,
+        health,
+        policy,
+        domains.domains_out,
+        notices=health.notices,
+        request_limits=request_limits,
     )
     prober = Prober(
         http, clock, health, dispatch.steward, CacheFollower(peers, Replay(peers, clock))
@@ -193,6 +209,11 @@
         "Messages of chats kept from engines.",
         lambda: len(node.chat_parts.quarantine.list_quarantined()),
     )
+    add_gauge(
+        "jayyoke_limited_upstreams",
+        "Upstreams that have named a limit of requests.",
+        lambda: node.placer.request_limits.limited,
+    )
     add_gauge("jayyoke_peer_sent_bytes", "Bytes sent to peers.", peers.traffic.sent.total)
     add_gauge(
         "jayyoke_decision_lines_dropped", "Decision lines over the rate limit.", count_dropped_lines
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -21,7 +21,7 @@
     generate_token,
     write_event,
 )
-from standin.fault import LEAVING, add_fault_routes
+from standin.fault import add_fault_routes
 from standin.prefixcache import PrefixCache, hash_blocks, split_tokens
 
 KEEP_ALIVE_INTERVAL_S = 0.5
@@ -96,7 +96,7 @@
         self.arrivals.record(request, self.version, accepted)
         if not accepted:
             # Refused before the body is read, so the router may try another engine.
-            headers = LEAVING if self.leaving else None
+            headers = self.faults.list_notices(self.leaving)
             return web.json_response({"error": "not accepting work"}, status=503, headers=headers)
         body = await request.json()
         self.received += 1
@@ -136,7 +136,7 @@
             "X-Request-Id": request_id,
             "X-Engine-Incarnation": self.incarnation,
             "X-Engine-Version": self.version,
-        } | (LEAVING if self.leaving else {})
+        } | self.faults.list_notices(self.leaving)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
--- a/standin/fault.py
+++ b/standin/fault.py
@@ -36,6 +36,15 @@
     refuse: int = 0
     pause_s: float = 0.0
     leaves: bool = False
+    # Requests a second that answers name as the limit; negative names none.
+    limit_per_s: float = -1.0
+
+    def list_notices(self, leaves: bool = False) -> dict[str, str]:
+        """Return the headers by which an answer says something of its upstream."""
+        headers = dict(LEAVING) if leaves or self.leaves else {}
+        if self.limit_per_s >= 0:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        return headers
 
     async def apply_before(self) -> None:
         """Refuse or delay a call before it takes effect."""
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 
 from standin.arrivals import ArrivalLog
-from standin.fault import LEAVING, Faults, add_fault_routes
+from standin.fault import Faults, add_fault_routes
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
             headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
             if self.faults.pause_s:
                 headers["Retry-After"] = f"{self.faults.pause_s:g}"
-            return web.Response(status=503, headers=self._add_leaving(headers))
+            return web.Response(status=503, headers=headers | self.faults.list_notices())
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
         key = request.headers.get("Idempotency-Key") or request_id
@@ -126,7 +126,7 @@
         if self.faults.use_up("cross"):
             request_id = "another-request"
         headers = {"X-Request-Id": request_id, "Content-Type": "application/json"}
-        headers = self._add_leaving(headers)
+        headers |= self.faults.list_notices()
         if not self.faults.use_up("truncate"):
             return web.Response(status=outcome.status, body=outcome.body, headers=headers)
         headers["Content-Length"] = str(len(outcome.body))
@@ -136,9 +136,6 @@
         request.transport.close()
         return response
 
-    def _add_leaving(self, headers: dict[str, str]) -> dict[str, str]:
-        return headers | LEAVING if self.faults.leaves else headers
-
     async def _find_outcome(self, request: web.Request) -> web.Response:
         await self.faults.apply_before()
         if self.book_url:
--- a/standin/scriptedengine.py
+++ b/standin/scriptedengine.py
@@ -4,7 +4,8 @@
 sends half of an event; `break` aborts the connection; `end` ends the body without a finish event;
 `silent` sends nothing more and keeps the connection open; `mute` does so before the response head;
 `error` sends an error event; `crossed` answers with another request's id; `status:503` refuses, and
-`status:503:30` also asks for a pause of 30 s; `leaving` as the first step says so in the head;
+`status:503:30` also asks for a pause of 30 s; `leaving` as the first step says so in the head, and
+`limit:4` there names a limit of 4 requests a second;
 `comments` sends keep-alive comments; `usage` sends the usage numbers of this connection; `finish`
 sends the finish event and `stop` also the end mark; `wait` waits for `continue_event`; `restart`
 changes the incarnation, if the engine has one.
@@ -98,6 +99,8 @@
             headers["X-Engine-Incarnation"] = self.incarnation
         if steps[0] == "leaving":
             headers["Server-Leaving"] = "1"
+        if steps[0].startswith("limit:"):
+            headers["Server-Limit"] = steps[0][6:]
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         position = int(request.headers.get("X-Resume-From", "0"))
--- a/tests/faulty_upstream_test.py
+++ b/tests/faulty_upstream_test.py
@@ -14,6 +14,7 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.forward import call_plain
 from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import build_own_limits
 from standin.inprocessrouter import KEY, Router, build_test_configuration, run_router
 from standin.scriptedengine import ScriptedEngine
 
@@ -164,8 +165,10 @@
         idempotency_key="",
     )
     target = Upstream(upstream.name, "desk", "a", upstream.address)
+    now_s = SystemClock().now_s
+    notices, limits = UpstreamNotices(now_s), build_own_limits(now_s)
     async with aiohttp.ClientSession() as http:
-        return await call_plain(http, target, request, 5.0, UpstreamNotices(SystemClock().now_s))
+        return await call_plain(http, target, request, 5.0, notices, limits)
 
 
 def fail_with_text(request_id: str) -> bytes:
--- a/tests/notices_test.py
+++ b/tests/notices_test.py
@@ -18,6 +18,7 @@
 from jayyoke.ops.forward import call_plain
 from jayyoke.ops.notices import UNLISTED_S, UpstreamNotices
 from jayyoke.ops.placement_test import _Fleet, _request
+from jayyoke.ops.requestlimit import build_own_limits
 from jayyoke.ops.steward_test import SERVICE
 from standin.inprocessrouter import KEY, Router, run_router
 from standin.plain import PlainServer
@@ -135,8 +136,12 @@
                 upstream = Upstream("p1", "desk", "a", f"127.0.0.1:{server.port}")
                 spec = ClassSpec("check", ClassKind.LOOKUP, "desk", 9.0)
                 request = CallerRequest("r1", TeamSpec("t", ""), spec, SERVICE, 10.0, 19.0)
+                limits = build_own_limits(clock.now_s)
                 await test(
-                    plain, clock, notices, lambda: call_plain(http, upstream, request, 5.0, notices)
+                    plain,
+                    clock,
+                    notices,
+                    lambda: call_plain(http, upstream, request, 5.0, notices, limits),
                 )
 
         asyncio.run(main())
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -369,12 +369,12 @@
                 placed_upstreams.append(remaining[0])
                 return Placement(Upstream(remaining[0], "s", "d", ""), "static", ())
 
-            async def call(http, upstream, request, timeout_s, notices):
+            async def call(http, upstream, request, timeout_s, notices, request_limits):
                 await asyncio.sleep(1.0 if upstream.name == "u1" else 0.1)
                 return Answer(200, "text/plain", upstream.name.encode())
 
             monkeypatch.setattr(lookup, "call_plain", call)
-            placer = SimpleNamespace(place=place, notices=None)
+            placer = SimpleNamespace(place=place, notices=None, request_limits=None)
             placer.release = lambda _, placed: placed_upstreams.remove(placed.upstream.name)
             limits = Limits(loop)
             request = replace(build_request(ClassKind.LOOKUP), deadline_s=loop.now_s() + 5.0)
