Tell callers of once-only classes when an upstream takes requests again

A once-only call whose first upstream got no byte of it, and for which no other had room, was refused with a Retry-After of 1 s whatever the placement had found. Its callers came back before there was room. The test fails on the code before: 1.0 where 7.0 is due.

--- a/jayyoke/ops/settle.py
+++ b/jayyoke/ops/settle.py
@@ -137,7 +137,8 @@
                 try:
                     upstream = await self._upstream.place(request, tried)
                 except Refusal as refusal:
-                    raise self._give_up(held, refusal.code, refusal.detail) from error
+                    return_s = refusal.retry_after_s
+                    raise self._give_up(held, refusal.code, refusal.detail, return_s) from error
                 continue
             except UpstreamError as error:
                 return await self._resolve(held, request, str(error))
@@ -146,10 +147,12 @@
             await self._record(held, answer)
             return Outcome(answer, False)
 
-    def _give_up(self, held: HeldClaim, code: str, detail: str) -> Refusal:
+    def _give_up(
+        self, held: HeldClaim, code: str, detail: str, retry_after_s: float | None = 1.0
+    ) -> Refusal:
         """Release the claim and return the refusal of a request of which no byte was sent."""
         self._spawn(self._mark(held.key, held.claim.token, ClaimState.RELEASED))
-        return Refusal(503, code, detail, RunState.NOT_RUN, 1.0)
+        return Refusal(503, code, detail, RunState.NOT_RUN, retry_after_s)
 
     async def _record(self, held: HeldClaim | FoundClaim, answer: Answer) -> None:
         try:
--- a/tests/request_limits_test.py
+++ b/tests/request_limits_test.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import itertools
+import random
 from dataclasses import replace
 
 import aiohttp
 import pytest
 from aiohttp.test_utils import TestServer
 
+from bench.memory import MemoryObjects, MemoryTable
 from jayyoke.core import code
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.config import ClassKind, ClassSpec, TeamSpec
@@ -17,17 +19,21 @@
 from jayyoke.core.member import Member
 from jayyoke.core.request import CallerRequest
 from jayyoke.core.upstream import Upstream
-from jayyoke.ops.forward import call_plain
+from jayyoke.ops.claim import Claims
+from jayyoke.ops.forward import UpstreamLimited, call_plain
 from jayyoke.ops.membership import DEAD_AFTER_S, FORGET_AFTER_S, Membership
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.ops.placement_test import _Fleet, _request
 from jayyoke.ops.requestlimit import build_own_limits
+from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.steward_test import SERVICE
 from jayyoke.platform.listing import ListedInstance
 from standin.inprocessrouter import run_router
 from standin.plain import PlainServer
 from standin.scriptedengine import ScriptedEngine
 from tests.notices_test import send_chat
+from tests.recorded_test import build_request
+from tests.recorded_test import run as run_virtually
 
 ENGINES = ("e1", "e2", "e3")
 
@@ -217,6 +223,28 @@
 
         self.run(test)
 
+    def test_once_only_call_that_finds_no_room_tells_when_to_return(self):
+        """Guards against callers of once-only classes that return before there is room."""
+
+        class FullService:
+            async def place(self, request, exclude):
+                if exclude:
+                    raise Refusal(503, code.OVERLOADED, "no room", RunState.NOT_RUN, 7.0)
+                return Upstream("p1", "desk", "a", "")
+
+            async def send(self, upstream, request, timeout_s):
+                raise UpstreamLimited("p1 takes no more requests now")
+
+        async def main() -> None:
+            table = MemoryTable(random.Random(1))
+            clock = ManualClock()
+            claims = Claims(table, MemoryObjects(), table.commit, clock, "a")
+            with pytest.raises(Refusal) as caught:
+                await OnceRunner(claims, FullService(), clock).run(build_request(ClassKind.ONCE))
+            assert (caught.value.run_state, caught.value.retry_after_s) == (RunState.NOT_RUN, 7.0)
+
+        run_virtually(main())
+
     def test_call_that_was_not_sent_uses_no_slot(self):
         """Guards against a service that gets less than it takes after failed connections."""
 
