Keep the rest of answers that close their connections early in jayyoked's drain

Answers of a draining instance close their connections. In the first 2 s, while the listener still accepts, their sockets were closed as before, so that a next request that the caller had already sent made the system drop the rest of the answer.

The new test fails without the change: 4,096 of 50,000 bytes.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -105,6 +105,7 @@
     grace_s = node.settings.stop_grace_s
     end_s = began_s + grace_s - min(CLOSING_S, MAX_CLOSING_SHARE * grace_s)
     node.drain.begin(end_s)
+    callers.drain()
     await asyncio.sleep(min(READINESS_DELAY_S, grace_s / 2))
     callers.stop()
     if not await node.drain.wait(end_s - node.clock.now_s()):
--- a/jayyoke/server/listener.py
+++ b/jayyoke/server/listener.py
@@ -82,7 +82,7 @@
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         self._keep_alive_s = keep_alive_s
         self._server: asyncio.Server | None = None
-        self._stopped = False
+        self._draining = False
         self._opened: set[asyncio.Transport] = set()
         self._closing = ClosingSockets()
 
@@ -101,9 +101,13 @@
             self._build_handler, host, int(port), backlog=MAX_BACKLOG
         )
 
+    def drain(self) -> None:
+        """Keep the sockets of connections that are closed until their bytes have been sent."""
+        self._draining = True
+
     def stop(self) -> None:
         """Accept no more connections; those that are open stay open."""
-        self._stopped = True
+        self._draining = True
         if self._server is not None:
             self._server.close()
 
@@ -132,7 +136,7 @@
 
     def _note_closing(self, transport: asyncio.Transport, in_order: bool) -> None:
         self._opened.discard(transport)
-        if self._stopped and in_order:
+        if self._draining and in_order:
             self._closing.sweep()
             self._closing.keep(transport)
 
--- a/jayyoke/server/listener_test.py
+++ b/jayyoke/server/listener_test.py
@@ -46,6 +46,18 @@
 
         assert len(run_until_closed(ANSWER_BYTES, read)) > ANSWER_BYTES
 
+    def test_answer_that_closes_its_connection_while_draining_survives_input(self):
+        """Guards against the same reset while the listener still accepts connections."""
+
+        def read(client: socket.socket) -> bytes:
+            time.sleep(0.3)
+            client.sendall(REQUEST)
+            time.sleep(0.3)
+            return read_all(client)
+
+        received = run_until_closed(ANSWER_BYTES, read, open_s=0.8)
+        assert len(received) > ANSWER_BYTES
+
     def test_reader_that_stops_does_not_hold_up_the_end(self):
         """Guards against a process that outlives its grace for one caller."""
         began_s = time.monotonic()
@@ -59,9 +71,14 @@
 
 
 def run_until_closed(
-    size: int, read: Callable[[socket.socket], bytes], timeout_s: float = 5.0
+    size: int,
+    read: Callable[[socket.socket], bytes],
+    timeout_s: float = 5.0,
+    open_s: float = 0.0,
 ) -> bytes:
-    """Answer one request with `size` bytes, close at once, and return what `read` returns.
+    """Answer one request with `size` bytes, close, and return what `read` returns.
+
+    If `open_s` is set, the answer closes its connection, and the listener closes that much later.
 
     The server runs in a thread, whose end of the event loop stands for the end of the process.
     """
@@ -72,19 +89,24 @@
         answering = asyncio.Event()
 
         async def answer(request: web.Request) -> web.Response:
+            answering.set()
+            response = web.Response(body=b"x" * size)
+            if open_s:
+                response.force_close()
+                return response
             sock = request.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
-            answering.set()
-            return web.Response(body=b"x" * size)
+            return response
 
         app = web.Application()
         app.router.add_get("/", answer)
         listener = Listener(app)
         await listener.start("127.0.0.1:0")
+        listener.drain()
         ports.append(listener.port)
         listening.set()
         await answering.wait()
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.2 + open_s)
         await listener.close(timeout_s)
 
     server = threading.Thread(target=asyncio.run, args=(serve(),))
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -101,7 +101,7 @@
         async def run() -> None:
             engine = ScriptedEngine("one")
             async with run_router(engine) as router:
-                listener = SimpleNamespace(stop=lambda: None)
+                listener = SimpleNamespace(drain=lambda: None, stop=lambda: None)
                 assert await daemon._drain(router.node, listener) > 60.0
                 assert await send_chat(router) == (503, "stopping", "not-run")
                 assert not engine.ports
