Release reservations at once if a limit leaves no room after all

A chat that another request overtook at an upstream's limit gave back its reservation with the next release, up to 1 s later. Meanwhile the engine looked busier than it was. Found by reading.

--- a/jayyoke/ops/placement.py
+++ b/jayyoke/ops/placement.py
@@ -125,6 +125,7 @@
                 self._pending_releases.setdefault(choice.upstream, []).append(ask.request_id)
             if upstream is not None:
                 # Another request took the last slot of its limit meanwhile.
+                self._release_pending.set()
                 continue
             if choice.reason == NO_UPSTREAM:
                 await self._wait_for_slot(request, full, until_s)
