Check that requests read late by a busy jayyoked are answered before it closes

Looked at and found sound: what a busy process has not read when it closes its connections is read and answered first. The test passes on the code as it is.

--- a/jayyoke/server/listener_test.py
+++ b/jayyoke/server/listener_test.py
@@ -58,6 +58,17 @@
         received = run_until_closed(ANSWER_BYTES, read, open_s=0.8)
         assert len(received) > ANSWER_BYTES
 
+    def test_request_that_came_before_the_close_is_answered(self):
+        """Guards against requests that a busy process has not read when it closes connections."""
+
+        def read(client: socket.socket) -> bytes:
+            client.recv(1 << 16)
+            time.sleep(0.3)
+            client.sendall(REQUEST)
+            return read_all(client)
+
+        assert run_until_closed(1, read, busy_s=0.5).startswith(b"HTTP/1.1 200")
+
     def test_reader_that_stops_does_not_hold_up_the_end(self):
         """Guards against a process that outlives its grace for one caller."""
         began_s = time.monotonic()
@@ -75,10 +86,12 @@
     read: Callable[[socket.socket], bytes],
     timeout_s: float = 5.0,
     open_s: float = 0.0,
+    busy_s: float = 0.0,
 ) -> bytes:
     """Answer one request with `size` bytes, close, and return what `read` returns.
 
     If `open_s` is set, the answer closes its connection, and the listener closes that much later.
+    The server reads nothing in the last `busy_s` before that.
 
     The server runs in a thread, whose end of the event loop stands for the end of the process.
     """
@@ -107,6 +120,8 @@
         listening.set()
         await answering.wait()
         await asyncio.sleep(0.2 + open_s)
+        asyncio.get_running_loop().call_soon(time.sleep, busy_s)
+        await asyncio.sleep(0)
         await listener.close(timeout_s)
 
     server = threading.Thread(target=asyncio.run, args=(serve(),))
