Use upstreams with a limit first while the others are loaded (entry)

The test of a limit of zero counted requests of an instance that had not heard of the limit yet, or had heard of its end; it now waits for the word on both, and counts until the first has heard the end.

--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -7,12 +7,13 @@
 
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.edge.answerrelay import AnswerRelay
+from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.choose import list_shared_parts
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import CANCELLED, Delivered, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Placer, Refused
+from jayyoke.edge.placement import Placer
 from jayyoke.edge.pool import ConnectionPool
 from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.retrybudget import RetryBudget
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -24,17 +24,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Loads:
-    """Holds the estimated requests of a service's upstreams by incarnation, and their mean."""
+    """Holds the estimated requests of a service's upstreams by incarnation, and their mean.
+
+    `free_mean` is that of the upstreams without a limit if it is higher.
+    """
 
     by_incarnation: Mapping[str, float]
     mean: float
+    free_mean: float
 
     def find(self, incarnation: str) -> float:
         """Return the load of an upstream, or 0 if it is not live."""
         return self.by_incarnation.get(incarnation, 0.0)
 
 
-NO_LOADS = Loads({}, 0.0)
+NO_LOADS = Loads({}, 0.0, 0.0)
 
 
 def find_excluded(
@@ -84,8 +88,8 @@
         weight of the last report falls exponentially with its age, since the requests that it
         counted end. The rest is the mean load of the upstream, or of the service's upstreams where
         the upstream has few reports. Upstreams without a report are assumed to have no requests of
-        others. Those in `excluded` get no more requests from any instance. Those in `limited` take
-        fewer than others, so they do not lower the mean by which the others are judged.
+        others. Those in `excluded` get no more requests from any instance, those in `limited` fewer
+        than others.
         """
         if not stats_by_incarnation:
             return NO_LOADS
@@ -106,6 +110,5 @@
             loads[name] += weight * stats.other_requests + (1.0 - weight) * expected
         mean = sum(loads.values()) / len(loads)
         free = [load for name, load in loads.items() if name not in limited]
-        if limited and free:
-            mean = max(mean, sum(free) / len(free))
-        return Loads(loads, mean)
+        free_mean = max(mean, sum(free) / len(free)) if free else mean
+        return Loads(loads, mean, free_mean)
--- a/jayyoke/edge/load_test.py
+++ b/jayyoke/edge/load_test.py
@@ -118,3 +118,18 @@
         self, split, evacuated, excluded
     ):
         assert find_excluded(self.LIVE, split, evacuated) == excluded
+
+
+class TestLimits:
+    """Tests upstreams that name a limit of requests a second."""
+
+    def test_mean_of_the_others_counts_them_alone(self):
+        """Guards against the last engine without a limit being kept from calls as loaded."""
+        stats_by_incarnation = {"limited": build(reported=1), "free": build(reported=13)}
+        loads = LoadEstimator().estimate(stats_by_incarnation, NOW_S, limited={"limited"})
+        assert (loads.mean, loads.free_mean) == (7.0, 13.0)
+
+    def test_mean_is_that_of_all_if_all_are_limited(self):
+        stats_by_incarnation = {"a": build(reported=1), "b": build(reported=3)}
+        loads = LoadEstimator().estimate(stats_by_incarnation, NOW_S, limited={"a", "b"})
+        assert (loads.mean, loads.free_mean) == (2.0, 2.0)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -5,12 +5,12 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.notice import Notice
 from jayyoke.core.route import ServiceProfile
 from jayyoke.core.upstream import Upstream
+from jayyoke.edge.assignment import Assignment, Refused
 from jayyoke.edge.baseline import Ordering
 from jayyoke.edge.call import Call
 from jayyoke.edge.candidates import CandidateFinder
@@ -25,13 +25,13 @@
 from jayyoke.edge.coldlimiter import ColdLimiter
 from jayyoke.edge.domain import DomainTracker
 from jayyoke.edge.limitexchange import LimitExchange
-from jayyoke.edge.load import NO_LOADS
+from jayyoke.edge.load import NO_LOADS, Loads
 from jayyoke.edge.loadexchange import LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
 from jayyoke.edge.promptlocator import PromptLocator
-from jayyoke.edge.returns import Refused, ReturnTimes
+from jayyoke.edge.returns import ReturnTimes
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.edge.waitqueue import WaitQueue
@@ -46,19 +46,6 @@
 FULL_RETRY_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """Holds the upstream assigned to a call.
-
-    `fetch_from` is the address of another engine that has the prompt in its cache, or empty.
-    `limited` is set if the call has taken a slot of the upstream's limit.
-    """
-
-    upstream: Upstream
-    fetch_from: str = ""
-    limited: bool = False
-
-
 class Placer:
     """Chooses upstreams by load, failures and reachability as this instance knows them."""
 
@@ -148,7 +135,7 @@
                 await queue.wait(call.rank, call.deadline_s, wait.recheck_s, wait.recheck_s)
                 continue
             if waited or not queue.outranked(call.rank, call.deadline_s):
-                taken = self._assign(call, service, candidates, loads.mean)
+                taken = self._assign(call, service, candidates, loads)
                 if isinstance(taken, Assignment):
                     return taken
                 refused = taken
@@ -321,6 +308,15 @@
         return min(WAIT_OBJECTIVE_FRACTION * call.route.objective_s, WAIT_LEFT_FRACTION * left_s)
 
     def _assign(
+        self, call: Call, service: str, candidates: list[Candidate], loads: Loads
+    ) -> Assignment | Refused:
+        taken = self._assign_within(call, service, candidates, loads.mean)
+        if isinstance(taken, Refused) and loads.free_mean > loads.mean:
+            # Upstreams with a limit take few requests, so the others have to take more.
+            taken = self._assign_within(call, service, candidates, loads.free_mean)
+        return taken
+
+    def _assign_within(
         self, call: Call, service: str, candidates: list[Candidate], mean: float
     ) -> Assignment | Refused:
         now_s = self._now_s()
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from jayyoke.edge.assignment import Assignment
 from jayyoke.edge.outcome import Failed, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Assignment
 from jayyoke.edge.retrybudget import RetryBudget
 from jayyoke.edge.send import Send
 from jayyoke.edge.stream import EventRelay
--- a/jayyoke/edge/returns.py
+++ b/jayyoke/edge/returns.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call
 from jayyoke.edge.candidates import CandidateFinder
 from jayyoke.ops.notices import UpstreamNotices
@@ -20,20 +21,6 @@
 RETURN_LEFT_FRACTION = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Holds why no upstream is assigned; the call has not run.
-
-    `spread` is set if `retry_after_s` differs already between the callers refused for this reason,
-    `final` if no instance serves the call before that time, whatever time the caller has left.
-    """
-
-    reason: str
-    retry_after_s: float
-    spread: bool = False
-    final: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Wait:
     """Holds how long a call expects to wait for an upstream, and when it should check again."""
--- a/jayyoke/edge/send.py
+++ b/jayyoke/edge/send.py
@@ -6,8 +6,8 @@
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.answertimes import AnswerTimes, StreamTiming
+from jayyoke.edge.assignment import Assignment
 from jayyoke.edge.connection import Answer, UpstreamConnection
-from jayyoke.edge.placement import Assignment
 from jayyoke.utils.stalltimeout import READ_AFTER_STALL_S, StallTolerantTimeout
 
 
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -12,10 +12,11 @@
 from typing import TypeVar
 
 from jayyoke.core.route import RouteKind
+from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.log import log_event
 from jayyoke.edge.outcome import CANCELLED, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Placer, Refused
+from jayyoke.edge.placement import Placer
 from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.send import Send
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
--- a/tests/entry_limits_test.py
+++ b/tests/entry_limits_test.py
@@ -159,12 +159,15 @@
             await rig.add_upstream("u1", upstream.answer)
             entries = await add_entries(rig, 2, 1)
             assert (await entries[0].call("/safe/x"))[0] == 200
+            limits = [entry.instance.placement.limits for entry in entries]
+            await wait_until(lambda: all(found.limited == 1 for found in limits), 3.0)
             upstream.limit = ""
             async with asyncio.timeout(15):
-                while any(entry.instance.placement.limits.limited for entry in entries):
+                while limits[1].limited:
                     await entries[1].call("/safe/x")
                     await asyncio.sleep(0.05)
-            assert len(upstream.arrived_s) <= 4
+            assert len(upstream.arrived_s) == 2
+            await wait_until(lambda: limits[0].limited == 0, 3.0)
 
         run_rig(test)
 
