--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -44,6 +44,8 @@
 WAIT_OBJECTIVE_FRACTION = 0.5
 WAIT_LEFT_FRACTION = 0.3
 FULL_RETRY_S = 0.5
+# An upstream with more of its slots in use takes requests only if others have no room.
+ROOMY_FRACTION = 0.5
 
 
 class Placer:
@@ -310,11 +312,13 @@
     def _assign(
         self, call: Call, service: str, candidates: list[Candidate], loads: Loads
     ) -> Assignment | Refused:
-        taken = self._assign_within(call, service, candidates, loads.mean)
-        if isinstance(taken, Refused) and loads.free_mean > loads.mean:
-            # Upstreams with a limit take few requests, so the others have to take more.
-            taken = self._assign_within(call, service, candidates, loads.free_mean)
-        return taken
+        if loads.free_mean > loads.mean:
+            # The others serve what upstreams with a limit do not take, until they are half full.
+            roomy = [f for f in candidates if f.load < ROOMY_FRACTION * f.slots]
+            taken = self._assign_within(call, service, roomy, loads.free_mean)
+            if isinstance(taken, Assignment):
+                return taken
+        return self._assign_within(call, service, candidates, loads.free_mean)
 
     def _assign_within(
         self, call: Call, service: str, candidates: list[Candidate], mean: float
--- a/jayyoke/edge/placement_test.py
+++ b/jayyoke/edge/placement_test.py
@@ -14,6 +14,7 @@
 from jayyoke.core.route import Route, RouteKind, ServiceShare
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.call import Call
+from jayyoke.edge.canary import Split
 from jayyoke.edge.domain import MAX_BACKOFF_S
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, MayHaveRun, NotRun
@@ -257,3 +258,60 @@
         found = asyncio.run(test())
         assert isinstance(found, Assignment)
         assert found.upstream == engines[0]
+
+
+class TestLimits:
+    """Tests upstreams that name a limit of requests a second."""
+
+    def test_slots_are_used_first_once_the_others_are_half_full(self):
+        """Guards against an engine that is overrun while limited ones have room."""
+        clock = Clock()
+        placement = build_placement(clock, 1)
+        engines = list(placement.view.upstreams.values())
+        free, limited = engines[0], engines[1:]
+        for engine in limited:
+            placement.limits.record(engine.incarnation, 1.0)
+
+        async def place(number: int) -> Assignment | Refused:
+            return await placement.assign(build_call(clock, number), SERVICE, set(), False)
+
+        placement.tracker.get(free.incarnation).in_flight = free.slots // 2
+        for number in range(4):
+            clock.now_s += 1.0
+            taken = [asyncio.run(place(10 * number + n)) for n in range(4)]
+            names = [found.upstream.name for found in taken if isinstance(found, Assignment)]
+            assert sorted(names) == sorted([found.name for found in limited] + [free.name] * 2)
+            for found in taken:
+                placement.release(SERVICE, found.upstream)
+
+    def test_calls_are_refused_at_once_and_return_one_by_one(self):
+        """Guards against calls that queue, and come back together, while all are limited."""
+        clock = Clock()
+        placement = build_placement(clock, 1)
+        for engine in placement.view.upstreams.values():
+            placement.limits.record(engine.incarnation, 0.5)
+
+        async def place(number: int) -> Assignment | Refused:
+            async with asyncio.timeout(0.1):
+                return await placement.assign(build_call(clock, number), SERVICE, set(), False)
+
+        refused = [asyncio.run(place(number)) for number in range(3)]
+        assert [found.reason for found in refused] == ["upstreams-limited"] * 3
+        times_s = [found.retry_after_s for found in refused]
+        assert times_s == sorted(times_s)
+        assert len(set(times_s)) == 3
+        assert 0.3 < times_s[0] <= 2.0
+        assert times_s[-1] <= 4.0
+
+    def test_version_on_trial_does_not_get_the_rest(self):
+        """Guards against a version on trial that serves all requests that others may not get."""
+        clock = Clock()
+        placement = build_placement(clock, 1)
+        engines = list(placement.view.upstreams.values())
+        for engine in engines[1:]:
+            placement.limits.record(engine.incarnation, 0.0)
+        trial = Split("v2", 0.0, may_serve_alone=True)
+        placement._moves.find_split = lambda service: trial  # type: ignore[method-assign]
+        object.__setattr__(engines[0], "version", "v2")
+        call = build_call(clock, 1)
+        assert isinstance(asyncio.run(placement.assign(call, SERVICE, set(), False)), Refused)
