--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from jayyoke.core.entrysettings import Bounds
+from jayyoke.core.route import RouteKind
 from jayyoke.edge.answerrelay import AnswerRelay
 from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call, Caller
@@ -25,14 +26,12 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.partkeys import build_part_keys, build_request_key
 from jayyoke.ops.quarantine import GOOD_WRITING_S, Quarantine, is_suspect
-from jayyoke.ops.stopwindow import StopWindow
+from jayyoke.ops.stopwindow import STOPPING_RETRY_S, StopWindow
 from jayyoke.utils.heldbytes import HeldBytes
 
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
-# Refused callers of an instance that stops reach another one over a new connection.
-STOPPING_RETRY_S = (0.01, 0.1)
 # Incomplete events of all streams, in bytes.
 MAX_HELD_EVENT_BYTES = 32 << 20
 
@@ -180,9 +179,12 @@
 
     def _check_stop(self, call: Call, progress: Progress) -> Refused | None:
         """Return a refusal if the process may end before a call that has not run yet."""
-        if progress.runs or self._stop_window.may_begin(call.deadline_s):
+        now_s = self._now_s()
+        once = call.route.kind is RouteKind.UNSAFE
+        if progress.runs or self._stop_window.may_begin(call.deadline_s, once, now_s):
             return None
-        return Refused("stopping", self._source.uniform(*STOPPING_RETRY_S), spread=True)
+        wait_s = self._stop_window.find_return_s(now_s) + self._source.uniform(*STOPPING_RETRY_S)
+        return Refused("stopping", wait_s, spread=True)
 
     def _check_parts(self, progress: Progress) -> Refused | None:
         """Return a refusal if engines are kept from a part of the prompt."""
@@ -289,6 +291,7 @@
             outcome: Outcome | None = await self._sender.start(call, send, progress)
             if outcome is not None:
                 return outcome
+            caller.note_sent()
             connection = send.connection
             assert connection is not None
             answer = await self._takeover.wait(
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -73,13 +73,15 @@
         left_s = await _drain(node, callers)
         await asyncio.gather(
             callers.close(left_s),
+            operators.close(left_s),
             node.durable_work.drain(min(DURABLE_DRAIN_TIMEOUT_S, left_s / 2)),
         )
-        await operators.close()
         if node.shadows is not None:
             await node.shadows.close()
         await node.engine_streams.close()
         await cancel_tasks(tasks)
+    # The end of the event loop sets the handlers back to those that end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT))
 
 
 def _tune_garbage_collector() -> None:
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -21,6 +21,7 @@
 TOKENS = 400
 GRACE_S = 6.0
 HEADERS = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
+SIGNAL_INTERVAL_S = 0.002
 
 
 class TestDrain:
@@ -42,6 +43,19 @@
 
         asyncio.run(run())
 
+    def test_signals_that_come_again_do_not_end_it(self):
+        """Guards against a stop that ends by a signal, once the event loop handles none."""
+
+        async def run() -> int | None:
+            async with run_fleet(DEPLOYMENTS["ballenticket"]) as fleet:
+                instance = fleet.instances[0]
+                while instance.child.poll() is None:
+                    instance.send_signal(signal.SIGTERM)
+                    await asyncio.sleep(SIGNAL_INTERVAL_S)
+                return await instance.wait()
+
+        assert asyncio.run(run()) == 0
+
 
 class TestEndOfDrain:
     """Tests requests that are still in progress when a drain ends."""
