Tell callers of a stopping jayyoked when the balancer sends them elsewhere

A caller that is refused in the first 2 s of a drain, because its deadline lies behind the end, had no Retry-After and came back to the same instance over the balancer. It is told now when that window is over. The test fails on the code before (no Retry-After; the window wasn't known to the drain).

--- a/jayyoke/ops/requestdrain.py
+++ b/jayyoke/ops/requestdrain.py
@@ -74,10 +74,13 @@
         """
         return DrainLimit(self._limits, timeout_s, deadline_s)
 
-    def begin(self, end_s: float) -> None:
-        """Begin to drain; the requests must have ended at `end_s`."""
+    def begin(self, end_s: float, balanced_until_s: float = -math.inf) -> None:
+        """Begin to drain; the requests must have ended at `end_s`.
+
+        Load balancers may send callers back until `balanced_until_s`.
+        """
         self.draining = True
-        self.window.begin(end_s)
+        self.window.begin(end_s, balanced_until_s)
         for limit in tuple(self._limits):
             if limit.deadline_s > end_s:
                 limit.expire()
@@ -127,8 +130,9 @@
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
 
-def refuse_stopped(may_have_run: bool) -> Refusal:
+def refuse_stopped(may_have_run: bool, retry_after_s: float | None = None) -> Refusal:
     """Return the refusal of a request that cannot end before this instance does."""
     if may_have_run:
         return refuse_maybe_run(504, NO_ANSWER, "this instance stopped before the answer ended")
-    return refuse(503, STOPPING, "this instance stops before the request's deadline")
+    detail = "this instance stops before the request's deadline"
+    return refuse(503, STOPPING, detail, retry_after_s)
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -106,9 +106,10 @@
     began_s = node.clock.now_s()
     grace_s = node.settings.stop_grace_s
     end_s = began_s + grace_s - min(CLOSING_S, MAX_CLOSING_SHARE * grace_s)
-    node.drain.begin(end_s)
+    balanced_s = min(READINESS_DELAY_S, grace_s / 2)
+    node.drain.begin(end_s, began_s + balanced_s)
     callers.drain()
-    await asyncio.sleep(min(READINESS_DELAY_S, grace_s / 2))
+    await asyncio.sleep(balanced_s)
     callers.stop()
     if not await node.drain.wait(end_s - node.clock.now_s()):
         logging.warning("%d requests still run at the end of the drain", node.drain.running)
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -130,7 +130,7 @@
         """Wait for admission, then let the plug-in of the class answer."""
         node = self._node
         if not node.drain.window.may_begin(request.deadline_s, once=True, now_s=node.clock.now_s()):
-            raise refuse_stopped(False)
+            raise self._refuse_stopping()
         request_key = (request.team.name, request.request_id)
         if request_key in self._in_progress:
             # The request in progress may run at an upstream; this answer must not say otherwise.
@@ -160,7 +160,11 @@
             async with node.drain.limit(deadline_s=request.deadline_s):
                 return await node.limits.admit(request)
         except TimeoutError:
-            raise refuse_stopped(False) from None
+            raise self._refuse_stopping() from None
+
+    def _refuse_stopping(self) -> Refusal:
+        now_s = self._node.clock.now_s()
+        return refuse_stopped(False, self._node.drain.window.find_return_s(now_s) or None)
 
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         log_refusal(request_id, refusal)
@@ -176,7 +180,7 @@
             async with self._node.drain.limit():
                 return await self._parse(http_request, request_id, chat, held)
         except TimeoutError:
-            raise refuse_stopped(False) from None
+            raise self._refuse_stopping() from None
 
     async def _parse(
         self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -122,6 +122,22 @@
 
         asyncio.run(run())
 
+    def test_refused_caller_returns_when_the_balancer_knows(self):
+        """Guards against callers whom the load balancer sends back to be refused again."""
+
+        async def run() -> None:
+            engine = ScriptedEngine("one")
+            async with run_router(engine, within_s=20.0) as router:
+                now_s = router.node.clock.now_s()
+                router.node.drain.begin(now_s + 10.0, now_s + 4.0)
+                async with router.http.post(**build_router_chat(router)) as answer:
+                    assert (answer.status, answer.headers["Retry-After"]) == (503, "4")
+                router.node.drain.begin(now_s + 10.0, now_s)
+                async with router.http.post(**build_router_chat(router)) as answer:
+                    assert (answer.status, answer.headers.get("Retry-After")) == (503, None)
+
+        asyncio.run(run())
+
     def test_request_whose_body_still_comes_is_refused(self):
         """Guards against a slow body that keeps its connection until that is cut."""
 
@@ -176,16 +192,22 @@
 
 async def send_chat(router: Router, **options) -> tuple[int, str, str]:
     """Return status, code and run state of the answer to a chat that isn't streamed."""
-    if not options:
-        messages = [{"role": "user", "content": "weigh the bales"}]
-        options["json"] = {"model": "draft", "messages": messages, "max_tokens": 8}
-    headers = {"Authorization": f"Bearer {KEY}"}
-    url = f"{router.url}/v1/chat/completions"
-    async with router.http.post(url, headers=headers, **options) as answer:
+    call = build_router_chat(router)
+    if options:
+        del call["json"]
+    async with router.http.post(**call, **options) as answer:
         body = await answer.json(content_type=None)
         return answer.status, body.get("code", ""), answer.headers.get("Jayyoke-Run", "")
 
 
+def build_router_chat(router: Router) -> dict:
+    """Return the arguments of a call of a chat that isn't streamed."""
+    messages = [{"role": "user", "content": "weigh the bales"}]
+    body = {"model": "draft", "messages": messages, "max_tokens": 8}
+    headers = {"Authorization": f"Bearer {KEY}"}
+    return {"url": f"{router.url}/v1/chat/completions", "json": body, "headers": headers}
+
+
 def build_chat(instance: Process, tokens: int) -> dict:
     """Return the arguments of a call that streams a chat."""
     messages = [{"role": "user", "content": "long"}]
