--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -8,12 +8,13 @@
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import RouteKind
 from jayyoke.edge.answerrelay import AnswerRelay
+from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.choose import list_shared_parts
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import CANCELLED, Delivered, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Placer, Refused
+from jayyoke.edge.placement import Placer
 from jayyoke.edge.pool import ConnectionPool
 from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.retrybudget import RetryBudget
@@ -136,7 +137,9 @@
             return refused
         now_s = self._now_s()
         if progress.arrivals and not progress.budget.spend(now_s, self._placement.instances):
-            self._placement.release(progress.service, assignment.upstream)
+            self._placement.release(
+                progress.service, assignment.upstream, give_back=assignment.limited
+            )
             progress.last_reason = f"{progress.last_reason},no-retry-budget"
             return None
         return progress.begin_send(assignment, now_s)
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -24,17 +24,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Loads:
-    """Holds the estimated requests of a service's upstreams by incarnation, and their mean."""
+    """Holds the estimated requests of a service's upstreams by incarnation, and their mean.
+
+    `free_mean` is that of the upstreams without a limit if it is higher.
+    """
 
     by_incarnation: Mapping[str, float]
     mean: float
+    free_mean: float
 
     def find(self, incarnation: str) -> float:
         """Return the load of an upstream, or 0 if it is not live."""
         return self.by_incarnation.get(incarnation, 0.0)
 
 
-NO_LOADS = Loads({}, 0.0)
+NO_LOADS = Loads({}, 0.0, 0.0)
 
 
 def find_excluded(
@@ -76,6 +80,7 @@
         stats_by_incarnation: Mapping[str, UpstreamStats],
         now_s: float,
         excluded: Collection[str] = (),
+        limited: Collection[str] = (),
     ) -> Loads:
         """Return the loads of all live upstreams of the service, given their statistics.
 
@@ -83,7 +88,8 @@
         weight of the last report falls exponentially with its age, since the requests that it
         counted end. The rest is the mean load of the upstream, or of the service's upstreams where
         the upstream has few reports. Upstreams without a report are assumed to have no requests of
-        others. Those in `excluded` get no more requests from any instance.
+        others. Those in `excluded` get no more requests from any instance, those in `limited` fewer
+        than others.
         """
         if not stats_by_incarnation:
             return NO_LOADS
@@ -102,4 +108,7 @@
                 expected = 0.0
             weight = math.exp(-max(0.0, now_s - stats.reported_at_s) / self.duration_s)
             loads[name] += weight * stats.other_requests + (1.0 - weight) * expected
-        return Loads(loads, sum(loads.values()) / len(loads))
+        mean = sum(loads.values()) / len(loads)
+        free = [load for name, load in loads.items() if name not in limited]
+        free_mean = max(mean, sum(free) / len(free)) if free else mean
+        return Loads(loads, mean, free_mean)
--- a/jayyoke/edge/send.py
+++ b/jayyoke/edge/send.py
@@ -6,8 +6,8 @@
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.answertimes import AnswerTimes, StreamTiming
+from jayyoke.edge.assignment import Assignment
 from jayyoke.edge.connection import Answer, UpstreamConnection
-from jayyoke.edge.placement import Assignment
 from jayyoke.utils.stalltimeout import READ_AFTER_STALL_S, StallTolerantTimeout
 
 
@@ -33,6 +33,8 @@
     parts_good: bool = False
     # Whether the quarantine was notified that the send began.
     begun: bool = False
+    # Whether a byte of the request may have been sent.
+    dispatched: bool = False
     # Whether the upstream was suspended for its silence.
     silence_recorded: bool = False
     # The wait for the newest bytes.
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -12,10 +12,11 @@
 from typing import TypeVar
 
 from jayyoke.core.route import RouteKind
+from jayyoke.edge.assignment import Refused
 from jayyoke.edge.call import Call, Caller
 from jayyoke.edge.log import log_event
 from jayyoke.edge.outcome import CANCELLED, MayHaveRun, NotRun, Outcome
-from jayyoke.edge.placement import Placer, Refused
+from jayyoke.edge.placement import Placer
 from jayyoke.edge.progress import MAX_SUSPECT_RUNS, Progress
 from jayyoke.edge.send import Send
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
@@ -160,7 +161,9 @@
         if isinstance(assignment, Refused):
             return self._give_up(call, assignment.reason)
         if not progress.budget.spend(self._now_s(), self._placement.instances):
-            self._placement.release(progress.service, assignment.upstream)
+            self._placement.release(
+                progress.service, assignment.upstream, give_back=assignment.limited
+            )
             return self._give_up(call, "no-retry-budget")
         send = progress.begin_send(assignment, self._now_s())
         outcome: Outcome | None = CANCELLED
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -15,6 +15,7 @@
 
 from jayyoke.core import registry
 from jayyoke.core.error import InvalidDocument
+from jayyoke.ops.decisionlog import log_end
 from jayyoke.ops.node import Node
 from jayyoke.ops.plainservice import open_single_session
 from jayyoke.parser.settings import Settings, parse_settings
@@ -33,10 +34,15 @@
     "warning": logging.WARNING,
     "error": logging.ERROR,
 }
-# Longer than the longest deadline of the classes at present (30 s).
-DRAIN_TIMEOUT_S = 60.0
 # The load balancer probes readiness about once a second and must notice the drain first.
 READINESS_DELAY_S = 2.0
+# Time at the end of the grace for the last answers, for recorded work and to close connections.
+CLOSING_S = 8.0
+MAX_CLOSING_SHARE = 0.25
+# Requests that are ended at the end of a drain write short answers.
+END_TIMEOUT_S = 1.0
+# Time at the end of the grace for the process to end.
+EXIT_SLACK_S = 0.5
 # A running request holds some thousand objects, so collections at the default of 700 free nothing.
 GC_THRESHOLD = 20_000
 DURABLE_DRAIN_TIMEOUT_S = 3.0  # Another instance adopts what is left.
@@ -64,10 +70,12 @@
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
         node.peers.announce_leaving()
-        await _drain(node, callers)
-        await node.durable_work.drain(DURABLE_DRAIN_TIMEOUT_S)
-        await callers.close()
-        await operators.close()
+        left_s = await _drain(node, callers)
+        await asyncio.gather(
+            callers.close(left_s),
+            operators.close(left_s),
+            node.durable_work.drain(min(DURABLE_DRAIN_TIMEOUT_S, left_s / 2)),
+        )
         if node.shadows is not None:
             await node.shadows.close()
         await node.engine_streams.close()
@@ -89,15 +97,29 @@
     return aiohttp.ClientSession(connector=connector, auto_decompress=False, cookie_jar=jar)
 
 
-async def _drain(node: Node, callers: Listener) -> None:
-    """Finish the requests in progress; listen until the load balancer has noticed the drain."""
+async def _drain(node: Node, callers: Listener) -> float:
+    """Finish the requests in progress; return how long answers may still be sent, in seconds.
+
+    Listen until the load balancer has noticed the drain.
+    """
     logging.info("instance %s drains", node.settings.instance)
-    node.drain.draining = True
-    node.drain.window.begin(node.clock.now_s() + READINESS_DELAY_S + DRAIN_TIMEOUT_S)
-    await asyncio.sleep(READINESS_DELAY_S)
+    began_s = node.clock.now_s()
+    grace_s = node.settings.stop_grace_s
+    end_s = began_s + grace_s - min(CLOSING_S, MAX_CLOSING_SHARE * grace_s)
+    balanced_s = min(READINESS_DELAY_S, grace_s / 2)
+    node.drain.begin(end_s, began_s + balanced_s)
+    callers.drain()
+    await asyncio.sleep(balanced_s)
     callers.stop()
-    if not await node.drain.wait(DRAIN_TIMEOUT_S):
-        logging.warning("%d requests still run after the drain timeout", node.drain.running)
+    if not await node.drain.wait(end_s - node.clock.now_s()):
+        logging.warning("%d requests still run at the end of the drain", node.drain.running)
+        for running in node.drain.requests:
+            log_end("stopped", running.request_id, running.stage.value)
+        node.drain.end()
+        await node.drain.wait(min(END_TIMEOUT_S, began_s + grace_s - node.clock.now_s()))
+    # Open connections may bring requests until they are closed.
+    node.drain.window.close()
+    return max(0.0, began_s + grace_s - EXIT_SLACK_S - node.clock.now_s())
 
 
 async def _listen(app: web.Application, address: str) -> Listener:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -18,8 +18,10 @@
 from jayyoke.core.request import CallerRequest
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
-from jayyoke.ops.decisionlog import log_refusal
+from jayyoke.ops.decisionlog import log_end, log_refusal
+from jayyoke.ops.fairness import Ticket
 from jayyoke.ops.node import Node
+from jayyoke.ops.requestdrain import RunningRequest, Stage, refuse_stopped
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat_key, format_body, parse_completion
@@ -97,17 +99,19 @@
 
     async def _serve(self, http_request: web.Request, chat: bool) -> web.StreamResponse:
         node = self._node
-        node.drain.enter()
         request_id = make_request_id()
+        running = node.drain.enter(request_id)
         held = HeldBody(self._bodies)
         try:
-            request_id = _read_request_id(http_request) or request_id
-            request = await self._parse(http_request, request_id, chat, held)
-            response = await self._run(request, http_request)
+            running.request_id = request_id = _read_request_id(http_request) or request_id
+            request = await self._parse_while_open(http_request, request_id, chat, held)
+            response = await self._run(request, http_request, running)
         except Refusal as refusal:
             response = self._refuse(refusal, request_id)
         except (ConnectionError, asyncio.CancelledError):
             node.metrics.count(node.metrics.requests, "", "caller-gone")
+            event = "unanswered" if node.drain.ended else "caller-left"
+            log_end(event, request_id, running.stage.value)
             raise
         except Exception:
             logging.exception("request %s failed", request_id)
@@ -115,16 +119,18 @@
             response = self._refuse(refusal, request_id)
         finally:
             held.release()
-            node.drain.leave()
+            node.drain.leave(running)
         if node.drain.draining and not response.prepared:
             response.force_close()
         return response
 
-    async def _run(self, request: CallerRequest, http_request: web.Request) -> web.StreamResponse:
+    async def _run(
+        self, request: CallerRequest, http_request: web.Request, running: RunningRequest
+    ) -> web.StreamResponse:
         """Wait for admission, then let the plug-in of the class answer."""
         node = self._node
         if not node.drain.window.may_begin(request.deadline_s, once=True, now_s=node.clock.now_s()):
-            raise refuse(503, code.STOPPING, "this instance stops before the request's deadline")
+            raise self._refuse_stopping()
         request_key = (request.team.name, request.request_id)
         if request_key in self._in_progress:
             # The request in progress may run at an upstream; this answer must not say otherwise.
@@ -132,7 +138,9 @@
             raise Refusal(409, code.REQUEST_ID_IN_USE, detail, RunState.UNKNOWN)
         self._in_progress.add(request_key)
         try:
-            ticket = await node.limits.admit(request)
+            running.stage = Stage.QUEUE
+            ticket = await self._admit(request)
+            running.stage = Stage.CALL
             try:
                 handle = find_plugin("class", request.class_spec.kind.value)
                 response = await handle(node, request, http_request)
@@ -146,6 +154,18 @@
         node.metrics.count(node.metrics.requests, request.class_spec.name, "answered")
         return response
 
+    async def _admit(self, request: CallerRequest) -> Ticket:
+        node = self._node
+        try:
+            async with node.drain.limit(deadline_s=request.deadline_s):
+                return await node.limits.admit(request)
+        except TimeoutError:
+            raise self._refuse_stopping() from None
+
+    def _refuse_stopping(self) -> Refusal:
+        now_s = self._node.clock.now_s()
+        return refuse_stopped(False, self._node.drain.window.find_return_s(now_s) or None)
+
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         log_refusal(request_id, refusal)
         metrics = self._node.metrics
@@ -153,6 +173,15 @@
         metrics.count(metrics.requests, "", "refused")
         return format_problem(refusal, request_id)
 
+    async def _parse_while_open(
+        self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
+    ) -> CallerRequest:
+        try:
+            async with self._node.drain.limit():
+                return await self._parse(http_request, request_id, chat, held)
+        except TimeoutError:
+            raise self._refuse_stopping() from None
+
     async def _parse(
         self, http_request: web.Request, request_id: str, chat: bool, held: HeldBody
     ) -> CallerRequest:
--- a/tests/recorded_test.py
+++ b/tests/recorded_test.py
@@ -30,6 +30,7 @@
 from jayyoke.ops.outbox import OWNER_LEASE_S, Outbox, OutboxEntry, build_entry, decode_entry
 from jayyoke.ops.placement import Placement
 from jayyoke.ops.reply import Replies, decode_reply
+from jayyoke.ops.requestdrain import RequestDrain
 from jayyoke.ops.settle import OnceRunner
 from jayyoke.ops.stale import MAX_ENTRIES, StaleCache
 from jayyoke.platform.table import Put
@@ -206,7 +207,7 @@
         async def work() -> None:
             service = FakeService(result)
             parts = SimpleNamespace(outbox=FailingOutbox(effect), service=service)
-            node = SimpleNamespace(durable_work=parts, clock=ManualClock())
+            node = SimpleNamespace(durable_work=parts, clock=ManualClock(), drain=RequestDrain())
             request = build_request(ClassKind.TAG, durable)
             if expected is None:
                 assert (await handle_tag(node, request, None)).status == 202
@@ -333,7 +334,7 @@
             clock = ManualClock()
             stale = StaleCache(clock)
             durable_work = SimpleNamespace(stale=stale)
-            node = SimpleNamespace(clock=clock, durable_work=durable_work)
+            node = SimpleNamespace(clock=clock, durable_work=durable_work, drain=RequestDrain())
             request = build_request(ClassKind.LOOKUP)
             stale.store(request, Answer(200, "text/plain", b"bale"))
 
@@ -368,12 +369,12 @@
                 placed_upstreams.append(remaining[0])
                 return Placement(Upstream(remaining[0], "s", "d", ""), "static", ())
 
-            async def call(http, upstream, request, timeout_s, notices):
+            async def call(http, upstream, request, timeout_s, notices, request_limits):
                 await asyncio.sleep(1.0 if upstream.name == "u1" else 0.1)
                 return Answer(200, "text/plain", upstream.name.encode())
 
             monkeypatch.setattr(lookup, "call_plain", call)
-            placer = SimpleNamespace(place=place, notices=None)
+            placer = SimpleNamespace(place=place, notices=None, request_limits=None)
             placer.release = lambda _, placed: placed_upstreams.remove(placed.upstream.name)
             limits = Limits(loop)
             request = replace(build_request(ClassKind.LOOKUP), deadline_s=loop.now_s() + 5.0)
