Send signals to a process that ends without reaping it (test)

Popen.send_signal polls the process first; where that reaped it, asyncio found no child and reported 255. The signals go out by os.kill now, the check is the same.

--- a/tests/entry_stop_signals_test.py
+++ b/tests/entry_stop_signals_test.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 from pathlib import Path
 
@@ -28,7 +29,8 @@
                 await entry.wait_for_event("stopped")
                 while entry.process.returncode is None:
                     with contextlib.suppress(ProcessLookupError):
-                        entry.process.send_signal(number)
+                        # Popen.send_signal reaps the process, and asyncio then reports 255.
+                        os.kill(entry.process.pid, number)
                     await asyncio.sleep(INTERVAL_S)
                 return entry.process.returncode
 
