--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -45,7 +45,7 @@
 WAIT_LEFT_FRACTION = 0.3
 FULL_RETRY_S = 0.5
 # An upstream with more of its slots in use takes requests only if others have no room.
-ROOMY_FRACTION = 0.5
+ROOMY_FRACTION = 0.75
 
 
 class Placer:
@@ -313,7 +313,7 @@
         self, call: Call, service: str, candidates: list[Candidate], loads: Loads
     ) -> Assignment | Refused:
         if loads.free_mean > loads.mean:
-            # The others serve what upstreams with a limit do not take, until they are half full.
+            # The others serve what upstreams with a limit do not take, until they are nearly full.
             roomy = [f for f in candidates if f.load < ROOMY_FRACTION * f.slots]
             taken = self._assign_within(call, service, roomy, loads.free_mean)
             if isinstance(taken, Assignment):
