Let urgent calls have the slots of limited upstreams first (entry)

A call waited behind all calls in the queue, also those of lower rank, so an urgent one was refused where two others waited; and calls that wake for the same slot took it in any order. Now only calls that go before count, and a call that wakes leaves the slot to one that goes before it.

--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -130,10 +130,10 @@
             loads = self._candidates.estimate_loads(service, now_s)
             candidates = self._candidates.list_candidates(call, service, tried, draw, loads)
             if not candidates:
-                wait = self._returns.find_wait(call, service, tried, len(queue))
+                ahead = queue.count_ahead(call.rank, call.deadline_s)
+                wait = self._returns.find_wait(call, service, tried, ahead)
                 if wait is None or wait.expected_s > wait_until_s - now_s or queue.full:
                     return self._returns.refuse(call, service, tried)
-                waited = True
                 await queue.wait(call.rank, call.deadline_s, wait.recheck_s, wait.recheck_s)
                 continue
             if waited or not queue.outranked(call.rank, call.deadline_s):
--- a/jayyoke/edge/placement_test.py
+++ b/jayyoke/edge/placement_test.py
@@ -6,7 +6,9 @@
 import heapq
 import json
 import random
+import time
 from collections import defaultdict
+from dataclasses import replace
 
 import pytest
 
@@ -59,6 +61,13 @@
         return self.now_s
 
 
+class RunningClock(Clock):
+    """Reads the machine's clock."""
+
+    def read_s(self) -> float:
+        return time.monotonic()
+
+
 def build_placement(clock: Clock, engines_per_domain: int) -> Placer:
     view = FleetView(clock.read_s)
     config = {
@@ -303,6 +312,31 @@
         assert 0.3 < times_s[0] <= 2.0
         assert times_s[-1] <= 4.0
 
+    def test_urgent_call_waits_before_others(self):
+        """Guards against an urgent call that is refused, or waits, behind calls of lower rank."""
+        clock = RunningClock()
+        clock.now_s = clock.read_s()
+        placement = build_placement(clock, 1)
+        for engine in placement.view.upstreams.values():
+            placement.limits.record(engine.incarnation, 4.0)
+        ranks: list[int] = []
+
+        async def place(number: int, rank: int) -> None:
+            call = replace(build_call(clock, number), rank=rank)
+            taken = await placement.assign(call, SERVICE, set(), False)
+            assert isinstance(taken, Assignment)
+            ranks.append(rank)
+
+        async def run() -> None:
+            async with asyncio.timeout(10.0), asyncio.TaskGroup() as group:
+                for number in range(2):
+                    group.create_task(place(number, 2))
+                await asyncio.sleep(0)
+                group.create_task(place(9, 0))
+
+        asyncio.run(run())
+        assert ranks == [0, 2, 2]
+
     def test_version_on_trial_does_not_get_the_rest(self):
         """Guards against a version on trial that serves all requests that others may not get."""
         clock = Clock()
--- a/jayyoke/edge/returns.py
+++ b/jayyoke/edge/returns.py
@@ -45,7 +45,7 @@
         self._now_s = now_s
 
     def find_wait(
-        self, call: Call, service: str, tried: Collection[str], waiting: int
+        self, call: Call, service: str, tried: Collection[str], ahead: int
     ) -> Wait | None:
         """Return how long a call has to wait behind others, or None if waiting does not help."""
         names = self._list_staying(call, service, tried)
@@ -56,7 +56,7 @@
         if not limited:
             return None
         soonest_s = self._find_slot_s(limited)
-        behind_s = waiting / max(1e-6, self._limits.find_rate(limited))
+        behind_s = ahead / max(1e-6, self._limits.find_rate(limited))
         return Wait(soonest_s + behind_s, soonest_s + RANK_DELAY_S * call.rank)
 
     def refuse(self, call: Call, service: str, tried: Collection[str]) -> Refused:
--- a/jayyoke/edge/waitqueue.py
+++ b/jayyoke/edge/waitqueue.py
@@ -43,6 +43,11 @@
         first = self._first()
         return first is not None and (first.rank, first.deadline_s) < (rank, deadline_s)
 
+    def count_ahead(self, rank: int, deadline_s: float) -> int:
+        """Return how many waiting requests go before a new one."""
+        own = (rank, deadline_s)
+        return sum((waiter.rank, waiter.deadline_s) < own for waiter in self._waiters)
+
     async def wait(
         self, rank: int, deadline_s: float, timeout_s: float, recheck_s: float = RECHECK_S
     ) -> None:
