--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -22,7 +22,7 @@
 from jayyoke.scripts.assembly import build_node, list_coroutines
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
-from jayyoke.server.listener import Listener
+from jayyoke.server.listener import CLOSE_TIMEOUT_S, Listener
 from jayyoke.server.operator import OperatorServer
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.sockets import build_socket_factory
@@ -73,7 +73,7 @@
         left_s = await _drain(node, callers)
         await asyncio.gather(
             callers.close(left_s),
-            operators.close(left_s),
+            operators.close(min(left_s, CLOSE_TIMEOUT_S)),
             node.durable_work.drain(min(DURABLE_DRAIN_TIMEOUT_S, left_s / 2)),
         )
         if node.shadows is not None:
