Answer a request that waits behind another while jayyoked stops

Cause: the first answer said that the connection ends, although another request had been read; the same as at the entry. Change: an answer ends its connection only if no request waits on it, at both doors by one function.

--- a/jayyoke/plugins/chat.py
+++ b/jayyoke/plugins/chat.py
@@ -23,6 +23,7 @@
 from jayyoke.ops.sse import DONE
 from jayyoke.ops.streamrelay import CallerGone, StreamRelay
 from jayyoke.utils.jsontext import parse_json
+from jayyoke.utils.pipelining import has_next_request
 
 __plugins__ = ("handle_chat",)
 
@@ -51,7 +52,7 @@
         "Content-Type": "text/event-stream",
     }
     response = web.StreamResponse(headers=headers)
-    if node.drain.draining:
+    if node.drain.draining and not has_next_request(http_request):
         response.force_close()
 
     async def send(frames: bytes) -> None:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -26,6 +26,7 @@
 from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
 from jayyoke.server.completion import BYTES_PER_TOKEN, find_chat_key, format_body, parse_completion
 from jayyoke.server.problem import format_problem, make_request_id
+from jayyoke.utils.pipelining import has_next_request
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 MAX_BODY_BYTES = 4 << 20
@@ -120,7 +121,8 @@
         finally:
             held.release()
             node.drain.leave(running)
-        if node.drain.draining and not response.prepared:
+        last = node.drain.draining and not has_next_request(http_request)
+        if last and not response.prepared:
             response.force_close()
         return response
 
--- a/jayyoke/server/callerconnection.py
+++ b/jayyoke/server/callerconnection.py
@@ -53,11 +53,6 @@
         """Tell whether a request has begun to arrive and is not answered yet."""
         return self._request_count > self._answered or self._head_timer is not None
 
-    @property
-    def has_next(self) -> bool:
-        """Tell whether another request waits until the one in progress is answered."""
-        return bool(self._messages)
-
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes of answers the caller has not acknowledged."""
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -29,6 +29,7 @@
 )
 from jayyoke.server.callerconnection import CallerConnection
 from jayyoke.server.closingsockets import ClosingSockets
+from jayyoke.utils.pipelining import has_next_request
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 MAX_BACKLOG = 512
@@ -282,9 +283,7 @@
         """Tell whether the connection is to be closed after this answer."""
         if self._may_leave_body_unsent:
             return True
-        connection = self._request.protocol
-        assert isinstance(connection, CallerConnection)
-        return self._listener.draining and not connection.has_next
+        return self._listener.draining and not has_next_request(self._request)
 
     def note_received(self) -> None:
         """Record that the request is whole."""
