Tell peers of all limits that change at once (entry)

That this is the cause is suspected, not shown. Messages now hold 24 changes by chance for 4 s; TestWords.test_all_of_many_changes_are_told.

--- a/jayyoke/edge/limitexchange_test.py
+++ b/jayyoke/edge/limitexchange_test.py
@@ -10,9 +10,14 @@
 from jayyoke.core.clock import ManualClock
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
-from jayyoke.edge.loadexchange import LoadExchange
-from jayyoke.edge.relay import RelayServer, decode_peer_answer, encode_fetch_request
-from jayyoke.edge.view import FleetView
+from jayyoke.edge.loadexchange import MAX_SHARED, LoadExchange, ReportedLoad
+from jayyoke.edge.relay import (
+    MAX_REQUEST_BYTES,
+    RelayServer,
+    decode_peer_answer,
+    encode_fetch_request,
+)
+from jayyoke.edge.view import TABLES, FleetView
 from jayyoke.ops.requestlimit import LimitWord, RequestLimits
 from jayyoke.wire.gen.ttypes import FetchedTables, FetchTables, HeardLimits
 
@@ -88,6 +93,10 @@
         """Guards against requests that a peer refuses for their size."""
         clock = ManualClock(100.0)
         limits = build_limits(clock)
-        for number in range(500):
-            limits.record(f"i-{number:016x}@1791239600012", 4.0)
-        assert len(encode_fetch_request({}, 0.4, (), 100.0, limits.list_words())) < 1200
+        names = [f"i-{number:016x}@1791239600012" for number in range(500)]
+        for name in names:
+            limits.record(name, 4.0)
+        loads = [ReportedLoad(name, 9, 100.0, own=True) for name in names[:MAX_SHARED]]
+        known = dict.fromkeys(TABLES, 1000000)
+        request = encode_fetch_request(known, 0.4, loads, 100.0, limits.list_words())
+        assert len(request) < MAX_REQUEST_BYTES
--- a/jayyoke/ops/requestlimit.py
+++ b/jayyoke/ops/requestlimit.py
@@ -38,8 +38,8 @@
 # Upstreams remembered; the oldest are forgotten first.
 MAX_KNOWN = 4096
 # A changed word is told to peers for this time, others by chance.
-NEWS_S = 3.0
-MAX_NEWS = 16
+NEWS_S = 4.0
+MAX_NEWS = 24
 MAX_REMINDERS = 8
 
 
@@ -202,9 +202,10 @@
         news, others = [], []
         for known in self._known.values():
             (news if known.changed_s >= since_s else others).append(known)
-        news.sort(key=lambda known: -known.changed_s)
+        # The same few would leave out the rest when many change at once.
+        news = self._source.sample(news, min(len(news), MAX_NEWS))
         others = self._source.sample(others, min(len(others), MAX_REMINDERS))
-        return [known.word for known in news[:MAX_NEWS] + others]
+        return [known.word for known in news + others]
 
     def retain(self, upstreams: Collection[str]) -> None:
         """Forget the upstreams that are not among these, and limits that ended long ago."""
--- a/jayyoke/ops/requestlimit_test.py
+++ b/jayyoke/ops/requestlimit_test.py
@@ -11,7 +11,10 @@
 from jayyoke.core.clock import ManualClock
 from jayyoke.ops.requestlimit import (
     ENDED_KEPT_S,
+    MAX_NEWS,
+    MAX_REMINDERS,
     MIN_RATE,
+    NEWS_S,
     VALID_S,
     LimitWord,
     RequestLimits,
@@ -256,7 +259,19 @@
         limits.record("u50", None)
         words = limits.list_words()
         assert words[0] == LimitWord("u50", None, 1010.0)
-        assert len(words) <= 24
+        assert len(words) <= MAX_NEWS + MAX_REMINDERS
+
+    def test_all_of_many_changes_are_told(self):
+        """Guards against limits whose end is not told since others ended after them."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        for number in range(60):
+            limits.record(f"u{number}", 4.0)
+        told = set()
+        for _ in range(round(NEWS_S / 0.4)):
+            told |= {word.upstream for word in limits.list_words()}
+            clock.advance(0.4)
+        assert len(told) >= 55
 
 
 class TestReturns:
