Leave old words on limits out of messages (entry)

Found by the review: a word more than 24 days old has an age that its field can't hold, so that every request and answer for rows that carried it failed. Receivers ignore words over an hour old anyway. The new test fails on the code before.

--- a/jayyoke/edge/limitexchange.py
+++ b/jayyoke/edge/limitexchange.py
@@ -49,6 +49,7 @@
 
 def encode_limits(words: Sequence[LimitWord], now_s: float) -> ttypes.HeardLimits | None:
     """Return a message with the words, or None without any."""
+    words = [word for word in words if now_s - word.said_s <= MAX_AGE_S]
     if not words:
         return None
     return ttypes.HeardLimits(
--- a/jayyoke/edge/limitexchange_test.py
+++ b/jayyoke/edge/limitexchange_test.py
@@ -89,6 +89,14 @@
         assert answer.limits is not None
         assert decode_peer_answer("peer", serialize(FetchedTables(tables=[])), 100.0).limits == []
 
+    def test_old_words_are_left_out(self):
+        """Guards against an age that no message can hold, which would fail every exchange."""
+        clock = ManualClock(100.0)
+        limits = build_limits(clock)
+        limits.record("a", 4.0)
+        clock.advance(40 * 86400.0)
+        assert encode_limits(limits.list_words(), clock.now_s()) is None
+
     def test_message_fits_beside_the_loads(self):
         """Guards against requests that a peer refuses for their size."""
         clock = ManualClock(100.0)
