--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -132,7 +132,9 @@
         refused = self._check_stop(call, progress)
         if refused is not None:
             # The stop has begun while the call waited for a place.
-            self._placement.release(progress.service, assignment.upstream)
+            self._placement.release(
+                progress.service, assignment.upstream, give_back=assignment.limited
+            )
             progress.last_reason = refused.reason
             return refused
         now_s = self._now_s()
