Keep to limits that vary, and forget those that ended

Found by the review of the limits, each with a test that fails on the code before:

- A limit that each answer names a little differently was exceeded: 36 of 29 allowed with 64 instances, 34 of 29 and 45 of 44 with 195.
Each word renumbered the slots, by a rate times a large clock, and offered those of the last second again.
Rates have two digits now and are kept for limits up to a tenth higher, and a new order offers no slot of the time before.
- A slot given back after the upstream was forgotten and heard of again divided by zero; after a limit had ended and begun it allowed a request at once.
- Ended limits were never forgotten by several instances, as they reminded each other of them, logged as news each time.
- An answer to a request that was sent before the limit was heard ended it, on all instances, if it came after the first word.

--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -199,9 +199,11 @@
                 pause_s=notice.pause_s,
             )
 
-    def record_limit(self, call: Call, upstream: Upstream, limit_per_s: float | None) -> None:
-        """Record the limit that an upstream's own answer names, or that it names none."""
-        if self.limits.record(upstream.incarnation, limit_per_s):
+    def record_limit(
+        self, call: Call, upstream: Upstream, limit_per_s: float | None, asked_s: float
+    ) -> None:
+        """Record the limit that an upstream's answer to a request of `asked_s` names, or None."""
+        if self.limits.record(upstream.incarnation, limit_per_s, asked_s):
             log_event(
                 "upstream-limit",
                 request_id=call.head.request_id,
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -89,7 +89,7 @@
         self._placement.record_notice(call, send.upstream, notice)
         if answer.status != 421 and (head.signed or notice.limit_per_s is not None):
             # An answer of a proxy lacks the header too, which does not end the limit.
-            self._placement.record_limit(call, send.upstream, notice.limit_per_s)
+            self._placement.record_limit(call, send.upstream, notice.limit_per_s, send.sent_s)
         send.answer = answer
         if head.load is not None:
             send.reported_load = head.load.running + head.load.waiting
--- a/jayyoke/ops/requestlimit.py
+++ b/jayyoke/ops/requestlimit.py
@@ -26,6 +26,9 @@
 MIN_RATE = 0.2
 # Higher limits are beyond what instances send.
 MAX_RATE = 1e5
+# Instances that heard slightly different limits must agree on the slots, so a rate has two digits
+# and is kept while the limit is not lower, and higher by less than this factor.
+KEPT_FACTOR = 1.1
 # A slot's time, computed from its number and back, may be that much earlier.
 ROUNDING_S = 1e-6
 # The list of instances is read again after this time.
@@ -56,16 +59,21 @@
 class _Known:
     """Holds the newest word of an upstream and the slots that this instance has used.
 
+    `rate` is the rate of slots, None without a limit, `begun_s` when the limit was first heard.
     Slots of this instance are numbered by their round, in which it comes `turn`-th of `instances`.
-    `used` is the last one that may not be used, `used_s` its time on the common clock. `stale` is
-    set if the slots have to be numbered again; `instances` is 0 before the first time.
+    `used` is the last one that may not be used, `used_s` its time on the common clock; `before` is
+    what `used` was before the last request took it, if that may be given back. `stale` is set if
+    the slots have to be numbered again; `instances` is 0 before the first time.
     """
 
     word: LimitWord
+    rate: float | None
+    begun_s: float
     changed_s: float
     used_s: float
+    before: int | None = None
     stale: bool = True
-    rate: float = 0.0
+    round_s: float = 0.0
     turn: int = 0
     instances: int = 0
     used: int = 0
@@ -117,9 +125,14 @@
         """Return how many upstreams have a limit now."""
         return sum(known.word.limit_per_s is not None for known in self._known.values())
 
-    def record(self, upstream: str, limit_per_s: float | None) -> bool:
-        """Record what an answer of the upstream says; return True if it is a change."""
-        if limit_per_s is None and upstream not in self._known:
+    def record(self, upstream: str, limit_per_s: float | None, asked_s: float = math.inf) -> bool:
+        """Record what an answer of the upstream says; return True if it is a change.
+
+        An answer that names no limit ends one only if its request was sent at a time `asked_s` at
+        which the limit was known here: others may be older than the limit.
+        """
+        known = self._known.get(upstream)
+        if limit_per_s is None and (known is None or asked_s < known.begun_s):
             return False
         return self._record(LimitWord(upstream, limit_per_s, self._now_s()))
 
@@ -128,6 +141,9 @@
         changes = []
         for word in words:
             known = self._known.get(word.upstream)
+            if known is None and word.limit_per_s is None:
+                # Else instances would tell each other forever of limits that have ended.
+                continue
             if known is not None and word.said_s <= known.word.said_s + NEWER_S:
                 continue
             if self._record(word):
@@ -163,15 +179,16 @@
         slot_s = _find_slot_s(known, first)
         if slot_s > common_s:
             return False
-        known.used, known.used_s = first, slot_s
+        known.before, known.used, known.used_s = known.used, first, slot_s
         return True
 
     def give_back(self, upstream: str) -> None:
-        """Free the slot of a request that was not sent."""
+        """Free the slot of a request that was not sent, unless slots were numbered since."""
         known = self._known.get(upstream)
-        if known is not None:
-            known.used -= 1
-            known.used_s = _find_slot_s(known, known.used)
+        if known is None or known.before is None:
+            return
+        known.used, known.before = known.before, None
+        known.used_s = _find_slot_s(known, known.used)
 
     def find_rate(self, upstreams: Iterable[str]) -> float:
         """Return how many requests a second this instance may send to limited upstreams."""
@@ -218,40 +235,48 @@
     def _record(self, word: LimitWord) -> bool:
         now_s = self._now_s()
         known = self._known.get(word.upstream)
-        if known is not None and known.word.limit_per_s == word.limit_per_s:
+        if known is not None and _keeps_rate(known.rate, word.limit_per_s):
             known.word = word
             return False
+        rate = _find_rate(word.limit_per_s)
         if known is None:
             # Requests before the first word have used the slots until now.
-            known = _Known(word, now_s, self._read_common_s())
+            known = _Known(word, rate, now_s, now_s, self._read_common_s())
             self._known[word.upstream] = known
             while len(self._known) > MAX_KNOWN:
                 del self._known[next(iter(self._known))]
-        elif known.word.limit_per_s is None:
+        elif known.rate is None:
+            known.begun_s = now_s
             known.used_s = self._read_common_s()
             known.instances = 0
         known.word = word
+        known.rate = rate
         known.changed_s = now_s
+        known.before = None
         known.stale = True
         return True
 
     def _update(self, known: _Known, common_s: float) -> None:
-        """Count the slots again if the limit or the instances have changed."""
+        """Renumber the slots if the limit or the instances have changed."""
         instances = self._read_instances()
-        if known.instances and known.used_s > common_s + known.instances / known.rate:
+        if known.instances and known.used_s > common_s + known.round_s:
             # The clock was set back.
             known.used_s = common_s
             known.stale = True
         if not known.stale:
             return
-        # With the new order the next slot comes half a round later on average. Without this gap
-        # limits that change often would double the rate.
-        gap_s = 0.5 * known.instances / known.rate if known.instances else 0.0
+        begin_s = known.used_s
+        if known.instances:
+            # With the new order the next slot comes half a round later on average. Without this
+            # gap, and with slots of the time before, limits that change often would be exceeded.
+            begin_s = max(common_s, begin_s + 0.5 * known.round_s)
+        assert known.rate is not None
         known.stale = False
-        known.rate = min(MAX_RATE, max(MIN_RATE, known.word.limit_per_s or 0.0))
+        known.before = None
         known.instances = len(instances)
+        known.round_s = known.instances / known.rate
         known.turn = rank(known.word.upstream, instances).index(self._instance)
-        known.used = _find_slot(known, known.used_s + gap_s + ROUNDING_S)
+        known.used = _find_slot(known, begin_s + ROUNDING_S)
 
     def _read_instances(self) -> frozenset[str]:
         now_s = self._now_s()
@@ -270,13 +295,31 @@
     return RequestLimits("", tuple, now_s, now_s)
 
 
+def _find_rate(limit_per_s: float | None) -> float | None:
+    """Return a limit rounded down to two digits."""
+    if limit_per_s is None:
+        return None
+    rate = min(MAX_RATE, max(MIN_RATE, limit_per_s))
+    unit = 10.0 ** (math.floor(math.log10(rate)) - 1)
+    return math.floor(rate / unit + ROUNDING_S) * unit
+
+
+def _keeps_rate(rate: float | None, limit_per_s: float | None) -> bool:
+    """Tell whether a new limit leaves the rate as it is."""
+    if rate is None or limit_per_s is None:
+        return rate is limit_per_s
+    return rate <= min(MAX_RATE, max(MIN_RATE, limit_per_s)) + ROUNDING_S < KEPT_FACTOR * rate
+
+
 def _find_slot(known: _Known, common_s: float) -> int:
     """Return the number of this instance's last slot that begins by a time."""
+    assert known.rate is not None
     return math.floor((common_s * known.rate - known.turn) / known.instances)
 
 
 def _find_slot_s(known: _Known, slot: int) -> float:
     """Return when a slot of this instance begins."""
+    assert known.rate is not None
     return (slot * known.instances + known.turn) / known.rate
 
 
--- a/jayyoke/ops/requestlimit_test.py
+++ b/jayyoke/ops/requestlimit_test.py
@@ -99,7 +99,7 @@
         fleet.run(8.0)
         assert count_most(fleet.sent_s) <= 4.5 * (WINDOW_S + VALID_S) + 1
 
-    @pytest.mark.parametrize("count", [6, 64])
+    @pytest.mark.parametrize("count", [6, 64, 195])
     def test_holds_while_clocks_and_limits_differ(self, count):
         """Guards against an excess while the limit changes and instances read other times."""
         fleet = Fleet(count, 1000.0, skew_s=0.2)
@@ -109,6 +109,23 @@
             fleet.run(1.0)
         assert count_most(fleet.sent_s) <= 6 * 4.5 + 5
 
+    @pytest.mark.parametrize("limit_per_s", [4.0, 6.6])
+    @pytest.mark.parametrize("count", [6, 64, 195])
+    def test_holds_while_each_answer_names_another_limit(self, count, limit_per_s):
+        """Guards against slots that are numbered anew with each answer, and so used twice.
+
+        At least a third of the limit is used meanwhile.
+        """
+        fleet = Fleet(count, 100.0)
+        fleet.record(limit_per_s)
+        for _ in range(75):
+            for member in fleet.members:
+                if fleet.source.random() < 0.4:
+                    member.record("u", limit_per_s * fleet.source.uniform(0.99, 1.01))
+            fleet.run(0.4)
+        assert count_most(fleet.sent_s) <= 6 * limit_per_s * 0.99 + 5
+        assert len(fleet.sent_s) >= limit_per_s * 30.0 / 3
+
     @pytest.mark.parametrize("count", [6, 64])
     def test_holds_while_instances_come_and_go(self, count):
         """Guards against instances that each use the slots of two orders."""
@@ -169,6 +186,23 @@
         limits.give_back("u")
         assert limits.take("u")
 
+    def test_is_not_freed_after_slots_were_numbered_anew(self):
+        """Guards against a give-back that counts in another order, or divides by no instances."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", 1.0)
+        clock.advance(limits.find_wait_s("u") + 0.001)
+        assert limits.take("u")
+        limits.retain(())
+        limits.merge([LimitWord("u", 1.0, clock.now_s())])
+        limits.give_back("u")
+        assert not limits.take("u")
+        clock.advance(1.0)
+        limits.record("u", None)
+        limits.record("u", 1.0)
+        limits.give_back("u")
+        assert not limits.take("u")
+
     def test_wait_ends_with_a_slot(self):
         """Guards against waiting calls that poll, or wake too late."""
         clock = ManualClock(1000.0)
@@ -286,3 +320,34 @@
         assert returns_s[:4] == pytest.approx([0.25, 0.5, 0.75, 1.0])
         assert all(0.1 <= at_s <= 5.0 for at_s in returns_s)
         assert len(set(returns_s)) == 40
+
+
+class TestEnd:
+    """Tests the end of a limit."""
+
+    def test_answer_to_an_older_request_does_not_end_it(self):
+        """Guards against answers that are older than the limit and arrive after its first word."""
+        clock = ManualClock(1000.0)
+        limits = build(clock)
+        limits.record("u", 4.0)
+        assert not limits.record("u", None, asked_s=999.0)
+        assert limits.find_limit("u") == 4.0
+        clock.advance(1.0)
+        assert limits.record("u", None, asked_s=1000.5)
+        assert limits.find_limit("u") is None
+
+    def test_instances_forget_it_all(self):
+        """Guards against instances that remind each other forever of limits that have ended."""
+        clock = ManualClock(1000.0)
+        first, second = build(clock, "i0"), build(clock, "i1")
+        first.record("u", 4.0)
+        second.merge(first.list_words())
+        clock.advance(1.0)
+        first.record("u", None)
+        changes = 0
+        for _ in range(round(3 * ENDED_KEPT_S)):
+            clock.advance(1.0)
+            changes += len(second.merge(first.list_words())) + len(first.merge(second.list_words()))
+            for limits in (first, second):
+                limits.retain(("u",))
+        assert (first.empty, second.empty, changes) == (True, True, 1)
