--- a/jayyoke/ops/requestlimit.py
+++ b/jayyoke/ops/requestlimit.py
@@ -6,9 +6,10 @@
 that all instances read, one request each, which go to the instances in turn; rendezvous hashing
 gives their order for each upstream. A slot that is not used lapses. So at most
 `limit * (t + VALID_S) + 1` requests are sent in any `t` seconds, whichever instances have requests,
-and no messages are needed.
+and no messages are needed, as long as the limit and the list of instances stay as they are.
 
-Instances whose lists of instances differ keep the same mean; so do those whose clocks differ.
+Differing clocks and lists disturb the order; so do changes, after which an instance's next slot
+comes later rather than sooner.
 """
 
 from __future__ import annotations
