Begin the tests of chats and limits between two slots

Traced: a limit of 0.2 a second has a slot each five seconds of the time of day; one began between the two chats, which the instance may use. The three tests of engines wait for a time between two slots now; checks are the same.

--- a/tests/request_limits_test.py
+++ b/tests/request_limits_test.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+import time
 from dataclasses import replace
 
 import aiohttp
@@ -48,6 +49,7 @@
             limited = ScriptedEngine("e1", "limit:0.2 rest stop")
             other = ScriptedEngine("e2")
             async with run_router(limited, other) as router:
+                await wait_between_slots(0.2)
                 for _ in range(3):
                     assert (await send_chat(router))[0] == 200
                 assert (len(limited.ports), len(other.ports)) == (1, 2)
@@ -62,6 +64,7 @@
             limited = ScriptedEngine("e1", "limit:0.2 2 break")
             other = ScriptedEngine("e2")
             async with run_router(limited, other) as router:
+                await wait_between_slots(0.2)
                 status, body, _ = await send_chat(router)
                 assert status == 200
                 assert body.count(b'"content": "') >= 6
@@ -75,6 +78,7 @@
         async def main() -> None:
             limited = ScriptedEngine("e1", "limit:0.2 rest stop")
             async with run_router(limited) as router:
+                await wait_between_slots(0.2)
                 assert (await send_chat(router))[0] == 200
                 status, _, headers = await send_chat(router)
                 assert status == 503
@@ -85,6 +89,13 @@
         asyncio.run(main())
 
 
+async def wait_between_slots(limit_per_s: float) -> None:
+    """Wait until no slot of a lone instance begins for half of the time between two."""
+    interval_s = 1.0 / limit_per_s
+    while time.time() % interval_s > interval_s / 2:
+        await asyncio.sleep(0.02)
+
+
 class TestPlacing:
     """Tests that requests are placed where limits leave room."""
 
