Send the soak's signals without reaping the process

Found by the review: Popen.send_signal polls first, and an exit code that it reaps is reported as 255.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import random
 import signal
 import time
@@ -79,7 +81,9 @@
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            # Process.send_signal may reap the process, whose exit code is then lost.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
 
 class SoakFleet:
