--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -229,7 +229,7 @@
             )
             self._loads_sent_s = began_s
         try:
-            limits = self._limit_exchange.list_words()
+            limits = self._limit_exchange.list_reports()
             answer = await self._client.fetch(peer, known, wait_s, loads, limits)
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
--- a/jayyoke/edge/limitexchange.py
+++ b/jayyoke/edge/limitexchange.py
@@ -1,7 +1,7 @@
 """Exchanges the limits that upstreams name between instances.
 
 Instances behind few requests would hear of a limit, and of its end, seconds after the others. The
-words travel with the requests for rows that instances send to each other anyway.
+reports travel with the requests for rows that instances send to each other anyway.
 """
 
 from __future__ import annotations
@@ -9,10 +9,10 @@
 from collections.abc import Iterable, Sequence
 
 from jayyoke.edge.log import log_event
-from jayyoke.ops.requestlimit import MAX_NEWS, MAX_REMINDERS, LimitWord, RequestLimits
+from jayyoke.ops.requestlimit import MAX_NEWS, MAX_REMINDERS, LimitReport, RequestLimits
 from jayyoke.wire.gen import ttypes
 
-# An older word says nothing of an upstream's need now.
+# An older report says nothing of an upstream's need now.
 MAX_AGE_S = 3600.0
 # Of fifteen digits, as upstreams may name it.
 MAX_LIMIT_PER_S = 1e15
@@ -32,35 +32,35 @@
         """Tell whether there is nothing to exchange."""
         return self._limits.empty
 
-    def list_words(self) -> list[LimitWord]:
+    def list_reports(self) -> list[LimitReport]:
         """Return what to tell a peer."""
-        return self._limits.list_words()
+        return self._limits.list_reports()
 
-    def merge(self, words: Iterable[LimitWord]) -> None:
-        """Record the words of a peer that are newer than the known ones."""
-        for word in self._limits.merge(words):
+    def merge(self, reports: Iterable[LimitReport]) -> None:
+        """Record the reports of a peer that are newer than the known ones."""
+        for report in self._limits.merge(reports):
             log_event(
                 "upstream-limit",
-                upstream=word.upstream,
-                limit_per_s=word.limit_per_s,
+                upstream=report.upstream,
+                limit_per_s=report.limit_per_s,
                 source="peer",
             )
 
 
-def encode_limits(words: Sequence[LimitWord], now_s: float) -> ttypes.HeardLimits | None:
-    """Return a message with the words, or None without any."""
-    words = [word for word in words if now_s - word.said_s <= MAX_AGE_S]
-    if not words:
+def encode_limits(reports: Sequence[LimitReport], now_s: float) -> ttypes.HeardLimits | None:
+    """Return a message with the reports, or None without any."""
+    reports = [report for report in reports if now_s - report.reported_at_s <= MAX_AGE_S]
+    if not reports:
         return None
     return ttypes.HeardLimits(
-        incarnations=[word.upstream for word in words],
-        limits_per_s=[_NO_LIMIT if w.limit_per_s is None else w.limit_per_s for w in words],
-        ages_ms=[max(0, int((now_s - word.said_s) * 1000)) for word in words],
+        incarnations=[report.upstream for report in reports],
+        limits_per_s=[_NO_LIMIT if w.limit_per_s is None else w.limit_per_s for w in reports],
+        ages_ms=[max(0, int((now_s - report.reported_at_s) * 1000)) for report in reports],
     )
 
 
-def decode_limits(heard: ttypes.HeardLimits | None, now_s: float) -> list[LimitWord]:
-    """Return the words of a peer, whose ages count from `now_s`; raise TypeError or ValueError."""
+def decode_limits(heard: ttypes.HeardLimits | None, now_s: float) -> list[LimitReport]:
+    """Return the reports of a peer, with ages before `now_s`; raise TypeError or ValueError."""
     if heard is None:
         return []
     columns = (heard.incarnations or (), heard.limits_per_s or (), heard.ages_ms or ())
@@ -69,7 +69,7 @@
         if not 0 <= age_ms <= MAX_AGE_S * 1000:
             continue
         if limit_per_s == _NO_LIMIT:
-            found.append(LimitWord(str(upstream), None, now_s - age_ms / 1000))
+            found.append(LimitReport(str(upstream), None, now_s - age_ms / 1000))
         elif 0.0 <= limit_per_s <= MAX_LIMIT_PER_S:
-            found.append(LimitWord(str(upstream), float(limit_per_s), now_s - age_ms / 1000))
+            found.append(LimitReport(str(upstream), float(limit_per_s), now_s - age_ms / 1000))
     return found[: MAX_NEWS + MAX_REMINDERS]
--- a/jayyoke/edge/limitexchange_test.py
+++ b/jayyoke/edge/limitexchange_test.py
@@ -18,7 +18,7 @@
     encode_fetch_request,
 )
 from jayyoke.edge.view import TABLES, FleetView
-from jayyoke.ops.requestlimit import LimitWord, RequestLimits
+from jayyoke.ops.requestlimit import LimitReport, RequestLimits
 from jayyoke.wire.gen.ttypes import FetchedTables, FetchTables, HeardLimits
 
 
@@ -32,12 +32,16 @@
 
 
 class TestMessages:
-    """Tests the words as they are sent."""
+    """Tests the reports as they are sent."""
 
-    def test_words_come_as_they_were_said(self):
+    def test_reports_come_as_they_were_sent(self):
         """Guards against a limit, its end or its time that changes on the way."""
-        words = [LimitWord("a", 4.5, 99.0), LimitWord("b", None, 98.0), LimitWord("c", 0.0, 100.0)]
-        assert decode_limits(encode_limits(words, 100.0), 100.0) == words
+        reports = [
+            LimitReport("a", 4.5, 99.0),
+            LimitReport("b", None, 98.0),
+            LimitReport("c", 0.0, 100.0),
+        ]
+        assert decode_limits(encode_limits(reports, 100.0), 100.0) == reports
         assert encode_limits([], 100.0) is None
 
     @pytest.mark.parametrize("limit_per_s", [float("nan"), float("inf"), -2.0, 1e16])
@@ -47,7 +51,7 @@
 
     @pytest.mark.parametrize("age_ms", [-1, 2_000_000_000])
     def test_impossible_age_is_left_out(self, age_ms):
-        """Guards against a word of the future that no later one can replace."""
+        """Guards against a report of the future that no later one can replace."""
         assert decode_limits(HeardLimits(["a"], [1.0], [age_ms]), 100.0) == []
 
     def test_broken_lists_are_refused(self):
@@ -62,7 +66,7 @@
 
 
 class TestExchange:
-    """Tests words on their way between two instances."""
+    """Tests reports on their way between two instances."""
 
     @pytest.mark.parametrize("wait_s", [0.0, 0.01])
     def test_both_sides_learn(self, wait_s):
@@ -71,7 +75,7 @@
         asking, answering = build_limits(clock), build_limits(clock)
         asking.record("a", 4.0)
         answering.record("b", 5.0)
-        request = encode_fetch_request({}, wait_s, (), 100.0, asking.list_words())
+        request = encode_fetch_request({}, wait_s, (), 100.0, asking.list_reports())
         body = asyncio.run(build_server(clock, answering).answer(request))
         LimitExchange(asking).merge(decode_peer_answer("peer", body, 100.0).limits)
         for limits in (asking, answering):
@@ -89,13 +93,13 @@
         assert answer.limits is not None
         assert decode_peer_answer("peer", serialize(FetchedTables(tables=[])), 100.0).limits == []
 
-    def test_old_words_are_left_out(self):
+    def test_old_reports_are_left_out(self):
         """Guards against an age that no message can hold, which would fail every exchange."""
         clock = ManualClock(100.0)
         limits = build_limits(clock)
         limits.record("a", 4.0)
         clock.advance(40 * 86400.0)
-        assert encode_limits(limits.list_words(), clock.now_s()) is None
+        assert encode_limits(limits.list_reports(), clock.now_s()) is None
 
     def test_message_fits_beside_the_loads(self):
         """Guards against requests that a peer refuses for their size."""
@@ -106,5 +110,5 @@
             limits.record(name, 4.0)
         loads = [ReportedLoad(name, 9, 100.0, own=True) for name in names[:MAX_SHARED]]
         known = dict.fromkeys(TABLES, 1000000)
-        request = encode_fetch_request(known, 0.4, loads, 100.0, limits.list_words())
+        request = encode_fetch_request(known, 0.4, loads, 100.0, limits.list_reports())
         assert len(request) < MAX_REQUEST_BYTES
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -17,7 +17,7 @@
 from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
 from jayyoke.edge.loadexchange import MAX_SHARED, MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.view import FleetView
-from jayyoke.ops.requestlimit import LimitWord
+from jayyoke.ops.requestlimit import LimitReport
 from jayyoke.platform.body import read_body
 from jayyoke.platform.table import Row
 from jayyoke.wire.gen import ttypes
@@ -65,7 +65,7 @@
 
     tables: list[RelayedTable]
     loads: list[ReportedLoad]
-    limits: list[LimitWord]
+    limits: list[LimitReport]
     answered_s: float
     size_bytes: int
 
@@ -83,7 +83,7 @@
         known: Mapping[str, int],
         wait_s: float = 0.0,
         loads: Sequence[ReportedLoad] = (),
-        limits: Sequence[LimitWord] = (),
+        limits: Sequence[LimitReport] = (),
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
@@ -112,7 +112,7 @@
     wait_s: float,
     loads: Sequence[ReportedLoad],
     now_s: float,
-    limits: Sequence[LimitWord] = (),
+    limits: Sequence[LimitReport] = (),
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -237,7 +237,7 @@
         now_s = self._view.now_s()
         answer = ttypes.FetchedTables(tables=self._build_tables(known))
         if self._limit_exchange is not None:
-            answer.limits = encode_limits(self._limit_exchange.list_words(), now_s)
+            answer.limits = encode_limits(self._limit_exchange.list_reports(), now_s)
         if not wait_s:
             return serialize(answer)
         sent = {load.incarnation for load in received}
--- a/jayyoke/ops/requestlimit.py
+++ b/jayyoke/ops/requestlimit.py
@@ -30,35 +30,37 @@
 # Instances that heard slightly different limits must agree on the slots, so a rate has two digits
 # and is kept while the limit is not lower, and higher by less than this factor.
 KEPT_FACTOR = 1.1
-# A slot's time, computed from its number and back, may be that much earlier.
+# Differences by the rounding of floats: of a slot's time computed from its number and back, and of
+# rates.
 ROUNDING_S = 1e-6
+RATE_ROUNDING = 1e-6
 # The list of instances is read again after this time.
 INSTANCES_AGE_S = 0.5
-# A peer's word counts as newer than a known one only by more than messages take, since each adds
-# its own delay to a word's time.
+# A peer's report counts as newer than a known one only by more than messages take, since each adds
+# its own delay to a report's time.
 NEWER_S = 0.05
-# The end of a limit is remembered for so long, against older words of peers.
+# The end of a limit is remembered for so long, against older reports of peers.
 ENDED_KEPT_S = 60.0
 # Upstreams remembered; the oldest are forgotten first.
 MAX_KNOWN = 4096
-# A changed word is told to peers for this time, others by chance.
+# A changed report is told to peers for this time, others by chance.
 NEWS_S = 4.0
 MAX_NEWS = 24
 MAX_REMINDERS = 8
 
 
 @dataclass(frozen=True, slots=True)
-class LimitWord:
-    """Holds what an upstream said at a time of the own clock; None: it named no limit."""
+class LimitReport:
+    """Holds what an upstream named at a time of the own clock; None stands for no limit."""
 
     upstream: str
     limit_per_s: float | None
-    said_s: float
+    reported_at_s: float
 
 
 @dataclass(slots=True)
 class _Known:
-    """Holds the newest word of an upstream and the slots that this instance has used.
+    """Holds the newest report of an upstream and the slots that this instance has used.
 
     `rate` is the rate of slots, None without a limit, `begun_s` when the limit was first heard.
     Slots of this instance are numbered by their round, in which it comes `turn`-th of `instances`.
@@ -67,7 +69,7 @@
     the slots have to be numbered again; `instances` is 0 before the first time.
     """
 
-    word: LimitWord
+    report: LimitReport
     rate: float | None
     begun_s: float
     changed_s: float
@@ -124,7 +126,7 @@
     @property
     def limited(self) -> int:
         """Return how many upstreams have a limit now."""
-        return sum(known.word.limit_per_s is not None for known in self._known.values())
+        return sum(known.report.limit_per_s is not None for known in self._known.values())
 
     def record(self, upstream: str, limit_per_s: float | None, asked_s: float = math.inf) -> bool:
         """Record what an answer of the upstream says; return True if it is a change.
@@ -135,26 +137,26 @@
         known = self._known.get(upstream)
         if limit_per_s is None and (known is None or asked_s < known.begun_s):
             return False
-        return self._record(LimitWord(upstream, limit_per_s, self._now_s()))
+        return self._record(LimitReport(upstream, limit_per_s, self._now_s()))
 
-    def merge(self, words: Iterable[LimitWord]) -> list[LimitWord]:
-        """Record the words of a peer that are newer than the known ones; return the changes."""
+    def merge(self, reports: Iterable[LimitReport]) -> list[LimitReport]:
+        """Record the reports of a peer that are newer than the known ones; return the changes."""
         changes = []
-        for word in words:
-            known = self._known.get(word.upstream)
-            if known is None and word.limit_per_s is None:
+        for report in reports:
+            known = self._known.get(report.upstream)
+            if known is None and report.limit_per_s is None:
                 # Else instances would tell each other forever of limits that have ended.
                 continue
-            if known is not None and word.said_s <= known.word.said_s + NEWER_S:
+            if known is not None and report.reported_at_s <= known.report.reported_at_s + NEWER_S:
                 continue
-            if self._record(word):
-                changes.append(word)
+            if self._record(report):
+                changes.append(report)
         return changes
 
     def find_limit(self, upstream: str) -> float | None:
         """Return the limit of an upstream in requests a second, or None."""
         known = self._known.get(upstream)
-        return None if known is None else known.word.limit_per_s
+        return None if known is None else known.report.limit_per_s
 
     def may_send(self, upstream: str) -> bool:
         """Tell whether this instance may send a request to an upstream now."""
@@ -163,7 +165,7 @@
     def find_wait_s(self, upstream: str) -> float:
         """Return the time until this instance may send to an upstream, 0 if it may now."""
         known = self._known.get(upstream)
-        if known is None or known.word.limit_per_s is None:
+        if known is None or known.report.limit_per_s is None:
             return 0.0
         common_s = self._read_common_s()
         self._update(known, common_s)
@@ -172,7 +174,7 @@
     def take(self, upstream: str) -> bool:
         """Use a slot for one request; return False if the request must go elsewhere or wait."""
         known = self._known.get(upstream)
-        if known is None or known.word.limit_per_s is None:
+        if known is None or known.report.limit_per_s is None:
             return True
         common_s = self._read_common_s()
         self._update(known, common_s)
@@ -212,8 +214,8 @@
         self._return_s[group] = due_s
         return due_s - now_s
 
-    def list_words(self) -> list[LimitWord]:
-        """Return words for a peer: the recent changes, and some others by chance."""
+    def list_reports(self) -> list[LimitReport]:
+        """Return reports for a peer: the recent changes, and some others by chance."""
         if not self._known:
             return []
         since_s = self._now_s() - NEWS_S
@@ -223,34 +225,34 @@
         # The same few would leave out the rest when many change at once.
         news = self._source.sample(news, min(len(news), MAX_NEWS))
         others = self._source.sample(others, min(len(others), MAX_REMINDERS))
-        return [known.word for known in news + others]
+        return [known.report for known in news + others]
 
     def retain(self, upstreams: Collection[str]) -> None:
         """Forget the upstreams that are not among these, and limits that ended long ago."""
         now_s = self._now_s()
         for upstream, known in list(self._known.items()):
-            ended = known.word.limit_per_s is None and now_s - known.changed_s > ENDED_KEPT_S
+            ended = known.report.limit_per_s is None and now_s - known.changed_s > ENDED_KEPT_S
             if ended or upstream not in upstreams:
                 del self._known[upstream]
 
-    def _record(self, word: LimitWord) -> bool:
+    def _record(self, report: LimitReport) -> bool:
         now_s = self._now_s()
-        known = self._known.get(word.upstream)
-        if known is not None and _keeps_rate(known.rate, word.limit_per_s):
-            known.word = word
+        known = self._known.get(report.upstream)
+        if known is not None and _keeps_rate(known.rate, report.limit_per_s):
+            known.report = report
             return False
-        rate = _find_rate(word.limit_per_s)
+        rate = _find_rate(report.limit_per_s)
         if known is None:
-            # Requests before the first word have used the slots until now.
-            known = _Known(word, rate, now_s, now_s, self._read_common_s())
-            self._known[word.upstream] = known
+            # Requests before the first report have used the slots until now.
+            known = _Known(report, rate, now_s, now_s, self._read_common_s())
+            self._known[report.upstream] = known
             while len(self._known) > MAX_KNOWN:
                 del self._known[next(iter(self._known))]
         elif known.rate is None:
             known.begun_s = now_s
             known.used_s = self._read_common_s()
             known.instances = 0
-        known.word = word
+        known.report = report
         known.rate = rate
         known.changed_s = now_s
         known.before = None
@@ -276,7 +278,7 @@
         known.before = None
         known.instances = len(instances)
         known.round_s = known.instances / known.rate
-        known.turn = rank(known.word.upstream, instances).index(self._instance)
+        known.turn = rank(known.report.upstream, instances).index(self._instance)
         known.used = _find_slot(known, begin_s + ROUNDING_S)
 
     def _read_instances(self) -> frozenset[str]:
@@ -302,14 +304,14 @@
         return None
     rate = min(MAX_RATE, max(MIN_RATE, limit_per_s))
     unit = 10.0 ** (math.floor(math.log10(rate)) - 1)
-    return math.floor(rate / unit + ROUNDING_S) * unit
+    return math.floor(rate / unit + RATE_ROUNDING) * unit
 
 
 def _keeps_rate(rate: float | None, limit_per_s: float | None) -> bool:
     """Tell whether a new limit leaves the rate as it is."""
     if rate is None or limit_per_s is None:
         return rate is limit_per_s
-    return rate <= min(MAX_RATE, max(MIN_RATE, limit_per_s)) + ROUNDING_S < KEPT_FACTOR * rate
+    return rate <= min(MAX_RATE, max(MIN_RATE, limit_per_s)) + RATE_ROUNDING < KEPT_FACTOR * rate
 
 
 def _find_slot(known: _Known, common_s: float) -> int:
--- a/jayyoke/ops/requestlimit_test.py
+++ b/jayyoke/ops/requestlimit_test.py
@@ -16,7 +16,7 @@
     MIN_RATE,
     NEWS_S,
     VALID_S,
-    LimitWord,
+    LimitReport,
     RequestLimits,
 )
 
@@ -194,7 +194,7 @@
         clock.advance(limits.find_wait_s("u") + 0.001)
         assert limits.take("u")
         limits.retain(())
-        limits.merge([LimitWord("u", 1.0, clock.now_s())])
+        limits.merge([LimitReport("u", 1.0, clock.now_s())])
         limits.give_back("u")
         assert not limits.take("u")
         clock.advance(1.0)
@@ -243,30 +243,30 @@
         assert limits.take("u")
 
     def test_newest_word_wins(self):
-        """Guards against a peer's old word that ends a limit or brings it back."""
+        """Guards against a peer's old report that ends a limit or brings it back."""
         clock = ManualClock(1000.0)
         limits = build(clock)
         limits.record("u", 4.0)
-        assert limits.merge([LimitWord("u", None, 999.0)]) == []
+        assert limits.merge([LimitReport("u", None, 999.0)]) == []
         assert limits.find_limit("u") == 4.0
         clock.advance(2.0)
-        ended = LimitWord("u", None, 1001.0)
+        ended = LimitReport("u", None, 1001.0)
         assert limits.merge([ended]) == [ended]
         assert limits.find_limit("u") is None
-        assert limits.merge([LimitWord("u", 4.0, 1000.5)]) == []
-        begun = LimitWord("u", 3.0, 1001.5)
+        assert limits.merge([LimitReport("u", 4.0, 1000.5)]) == []
+        begun = LimitReport("u", 3.0, 1001.5)
         assert limits.merge([begun, ended]) == [begun]
         assert limits.find_limit("u") == 3.0
 
     def test_word_that_goes_round_does_not_grow_newer(self):
-        """Guards against peers that repeat an old word until it is newer than the last one."""
+        """Guards against peers that repeat an old report until it is newer than the last one."""
         clock = ManualClock(1000.0)
         limits = build(clock)
         limits.record("u", None)
         limits.record("u", 4.0)
         clock.advance(0.1)
         limits.record("u", None)
-        assert limits.merge([LimitWord("u", 4.0, 1000.12)]) == []
+        assert limits.merge([LimitReport("u", 4.0, 1000.12)]) == []
 
     def test_ended_limits_and_gone_upstreams_are_forgotten(self):
         """Guards against state that grows with every upstream that ever named a limit."""
@@ -276,10 +276,10 @@
         limits.record("v", 4.0)
         limits.record("u", None)
         limits.retain({"u", "v"})
-        assert {word.upstream for word in limits.list_words()} == {"u", "v"}
+        assert {report.upstream for report in limits.list_reports()} == {"u", "v"}
         clock.advance(ENDED_KEPT_S + 1.0)
         limits.retain({"u", "v"})
-        assert [word.upstream for word in limits.list_words()] == ["v"]
+        assert [report.upstream for report in limits.list_reports()] == ["v"]
         limits.retain({"u"})
         assert limits.empty
 
@@ -291,9 +291,9 @@
             limits.record(f"u{number}", 4.0)
         clock.advance(10.0)
         limits.record("u50", None)
-        words = limits.list_words()
-        assert words[0] == LimitWord("u50", None, 1010.0)
-        assert len(words) <= MAX_NEWS + MAX_REMINDERS
+        reports = limits.list_reports()
+        assert reports[0] == LimitReport("u50", None, 1010.0)
+        assert len(reports) <= MAX_NEWS + MAX_REMINDERS
 
     def test_all_of_many_changes_are_told(self):
         """Guards against limits whose end is not told since others ended after them."""
@@ -303,7 +303,7 @@
             limits.record(f"u{number}", 4.0)
         told = set()
         for _ in range(round(NEWS_S / 0.4)):
-            told |= {word.upstream for word in limits.list_words()}
+            told |= {report.upstream for report in limits.list_reports()}
             clock.advance(0.4)
         assert len(told) >= 55
 
@@ -326,7 +326,7 @@
     """Tests the end of a limit."""
 
     def test_answer_to_an_older_request_does_not_end_it(self):
-        """Guards against answers that are older than the limit and arrive after its first word."""
+        """Guards against answers that are older than the limit and arrive after its report."""
         clock = ManualClock(1000.0)
         limits = build(clock)
         limits.record("u", 4.0)
@@ -341,13 +341,14 @@
         clock = ManualClock(1000.0)
         first, second = build(clock, "i0"), build(clock, "i1")
         first.record("u", 4.0)
-        second.merge(first.list_words())
+        second.merge(first.list_reports())
         clock.advance(1.0)
         first.record("u", None)
         changes = 0
         for _ in range(round(3 * ENDED_KEPT_S)):
             clock.advance(1.0)
-            changes += len(second.merge(first.list_words())) + len(first.merge(second.list_words()))
+            changes += len(second.merge(first.list_reports()))
+            changes += len(first.merge(second.list_reports()))
             for limits in (first, second):
                 limits.retain(("u",))
         assert (first.empty, second.empty, changes) == (True, True, 1)
