--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
 import random
 import signal
 import time
@@ -21,7 +19,7 @@
 from soak.slowcaller import build_soak_routes
 from soak.upstream import SoakUpstream
 from standin.entryconfig import KEY, build_config, format_settings
-from standin.entryprocess import start_entry
+from standin.entryprocess import signal_entry, start_entry
 from standin.port import find_free_ports
 from standin.proxy import Proxy, Rules
 from standin.rowstore import Fault, RowStoreServer
@@ -81,9 +79,7 @@
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.returncode is None:
-            # Process.send_signal may reap the process, whose exit code is then lost.
-            with contextlib.suppress(ProcessLookupError):
-                os.kill(self.process.pid, number)
+            signal_entry(self.process, number)
 
 
 class SoakFleet:
--- a/standin/entryprocess.py
+++ b/standin/entryprocess.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import sys
 from pathlib import Path
@@ -32,3 +33,12 @@
         stdout=stdout,
         stderr=stderr,
     )
+
+
+def signal_entry(process: asyncio.subprocess.Process, number: int) -> None:
+    """Send a signal to a process that may have ended.
+
+    Popen.send_signal may reap the process, and asyncio then reports exit code 255.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, number)
--- a/tests/entry_stop_signals_test.py
+++ b/tests/entry_stop_signals_test.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
 import signal
 from pathlib import Path
 
 import pytest
 
+from standin.entryprocess import signal_entry
 from standin.entryupstream import answer_whole
 from tests.stoppingentry import open_stopping
 
@@ -28,9 +27,7 @@
                 entry.stop()
                 await entry.wait_for_event("stopped")
                 while entry.process.returncode is None:
-                    with contextlib.suppress(ProcessLookupError):
-                        # Popen.send_signal reaps the process, and asyncio then reports 255.
-                        os.kill(entry.process.pid, number)
+                    signal_entry(entry.process, number)
                     await asyncio.sleep(INTERVAL_S)
                 return entry.process.returncode
 
