Learn the store's era from every answer

Cause: the store may come back from an older copy and give revisions out again; the header Store-Era was read nowhere, so a revision alone named a row.

Change: StoreEra holds the newest era and an observable of its changes. RowStore records the header of every answer whatever its status, and each RowPage carries its era. A read of several pages of different eras begins again. A write may name the era of its conditions: it is not sent if another is known, and EraChanged tells if it was answered in another. A 410 to a whole read or a write is StoreUnavailable, since callers of those ended their task by HistoryLost.

--- /dev/null
+++ b/jayyoke/edge/storeera_test.py
@@ -0,0 +1,16 @@
+"""Tests of the store's era."""
+
+from jayyoke.edge.storeera import StoreEra
+
+
+class TestStoreEra:
+    def test_starts_unknown_and_only_rises(self) -> None:
+        # An answer of an older era that arrives late would lower fencing tokens.
+        era = StoreEra()
+        assert era.value == 0
+        seen: list[int] = []
+        era.changes.subscribe(seen.append)
+        for found in (3, 2, 3, 5, 0):
+            era.update(found)
+        assert era.value == 5
+        assert seen == [3, 5]
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -71,6 +71,8 @@
 ROWS_GET = "/-/rows-get"
 ROWS_FEED = "/-/rows-feed"
 ROWS_TX = "/-/rows-tx"
+# In every answer of a store that can come back from an older copy; rises by one each time.
+STORE_ERA = "Store-Era"
 
 # Tables and keys of the store: operators write the first table, upstreams the second one.
 OPERATOR_TABLE = "op"
--- a/jayyoke/platform/rowstore.py
+++ b/jayyoke/platform/rowstore.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 
@@ -26,10 +26,44 @@
 # A configuration of 700 KB takes 1.1 s on the slowest link (5 Mbit/s), longer beside requests.
 TRANSFER_TIMEOUT_S = 5.0
 PAGE_ROWS = 500
+# A read of several pages begins again if the store comes back from an older copy in between.
+MAX_READ_STARTS = 3
+# Keeps fencing tokens, which hold the era in their upper half, within 64 bits.
+MAX_ERA = 2**31 - 1
 
 
 class HistoryLost(PlatformError):
-    """Reports that the store no longer has all changes since a revision."""
+    """Reports that the store does not have all changes since a revision."""
+
+
+class EraChanged(StoreUnavailable):
+    """Reports that the conditions of a write name revisions of an older era.
+
+    The effect is unknown unless the write was not sent: revisions are given out again.
+    """
+
+
+class EraRecorder(Protocol):
+    """Keeps the newest era that was named."""
+
+    @property
+    def value(self) -> int:
+        """Return the newest known era, or 0."""
+
+    def update(self, era: int) -> None:
+        """Record an era that the store has named."""
+
+
+class _LastEra:
+    """Keeps the newest era for a store that no other part watches."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value = 0
+
+    def update(self, era: int) -> None:
+        self.value = max(self.value, era)
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +72,8 @@
 
     `now_ms` is the time of the store's steady clock. `removed` holds deleted rows with the
     revisions of their deletion. `answered_s`, in seconds since boot, is when the answer began to
-    arrive; it does not hold later changes.
+    arrive; it does not hold later changes. Revisions count within `era` only, which is 0 if the
+    store names none.
     """
 
     rows: tuple[Row, ...]
@@ -46,40 +81,60 @@
     now_ms: int
     removed: tuple[Row, ...] = ()
     answered_s: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """Holds the body of an answer and the time when it began to arrive, in seconds since boot."""
+    """Holds the body and the era of an answer, and when it began to arrive (s since boot)."""
 
     body: dict[str, Any]
     answered_s: float
+    era: int
 
 
 class RowStore:
     """Reads, follows and writes tables; every call has a timeout in seconds."""
 
-    __slots__ = ("_http", "_now_s", "_url")
+    __slots__ = ("_era", "_http", "_now_s", "_url")
 
     def __init__(
         self,
         http: aiohttp.ClientSession,
         address: str,
         now_s: Callable[[], float] = read_boot_time_s,
+        era: EraRecorder | None = None,
     ):
+        self._era: EraRecorder = era if era is not None else _LastEra()
         self._http = http
         self._now_s = now_s
         self._url = f"http://{address}"
 
     async def read(self, table: str) -> RowPage:
-        """Return a whole table; raise StoreUnavailable."""
+        """Return a whole table of one era; raise StoreUnavailable."""
+        for _ in range(MAX_READ_STARTS):
+            try:
+                page = await self._read_pages(table)
+            except HistoryLost:
+                # The store came back from an older copy between two pages.
+                continue
+            if page is not None:
+                return page
+        raise StoreUnavailable(f"the store's history changed during each read of {table}")
+
+    async def _read_pages(self, table: str) -> RowPage | None:
+        """Return a whole table, or None if the era changes between two pages."""
         rows: list[Row] = []
         start = ""
+        era = None
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
             answer = await self._read(names.ROWS_GET, query, CALL_TIMEOUT_S)
+            if era not in (None, answer.era):
+                return None
+            era = answer.era
             page_rows, _ = _parse_rows(answer.body)
             rows.extend(page_rows)
             if answer.body.get("hasMore") is not True or not page_rows:
@@ -97,8 +152,14 @@
         rows, removed = _parse_rows(answer.body)
         return _build_page(answer, rows, removed, revision)
 
-    async def write(self, table: str, puts: Sequence[Put]) -> RowPage:
-        """Write all puts or none; raise Conflict or StoreUnavailable with the known effect."""
+    async def write(self, table: str, puts: Sequence[Put], era: int | None = None) -> RowPage:
+        """Write all puts or none; raise Conflict or StoreUnavailable with the known effect.
+
+        `era` is that of the revisions which the puts expect, if they do. Raise EraChanged if the
+        store is in another one: nothing is sent if that is known before.
+        """
+        if era is not None and era != self._era.value:
+            raise EraChanged(f"a condition on {table} is of era {era}", Effect.NONE)
         expected = []
         writes = []
         removals = []
@@ -112,7 +173,12 @@
             writes.append(row_name | {"value": base64.b64encode(put.value).decode()})
         body = {"expectRev": expected, "writes": writes, "remove": removals}
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        answer = await self._call("POST", names.ROWS_TX, {}, timeout, body, Effect.UNKNOWN)
+        try:
+            answer = await self._call("POST", names.ROWS_TX, {}, timeout, body, Effect.UNKNOWN)
+        except HistoryLost as error:
+            raise StoreUnavailable(str(error), Effect.UNKNOWN) from error
+        if era is not None and answer.era != era:
+            raise EraChanged(f"a condition on {table} was of era {era}", Effect.UNKNOWN)
         return _build_page(answer, ())
 
     async def _read(self, path: str, query: dict[str, str], silence_timeout_s: float) -> _Answer:
@@ -138,6 +204,7 @@
                 method, self._url + path, params=query, json=body, timeout=timeout
             ) as response:
                 answered_s = self._now_s()
+                era = self._record_era(response.headers.get(names.STORE_ERA))
                 match response.status:
                     case 200:
                         answer = parse_json(await read_body(response, MAX_ANSWER_BYTES, effect))
@@ -156,14 +223,25 @@
             raise StoreUnavailable(detail, effect) from error
         if not isinstance(answer, dict):
             raise StoreUnavailable(f"the store answered {path} with a malformed body", effect)
-        return _Answer(answer, answered_s)
+        return _Answer(answer, answered_s, era)
+
+    def _record_era(self, value: str | None) -> int:
+        """Return the era of an answer; one that names none belongs to the newest known."""
+        if value is None or not value.isascii() or not value.strip().isdigit():
+            return self._era.value
+        era = int(value) if len(value) <= len(str(MAX_ERA)) else 0
+        if not 0 < era <= MAX_ERA:
+            return self._era.value
+        self._era.update(era)
+        return era
 
 
 def _build_page(
     answer: _Answer, rows: tuple[Row, ...], removed: tuple[Row, ...] = (), min_revision: int = 0
 ) -> RowPage:
     revision = max(_get_integer(answer.body, "schemaVer"), min_revision)
-    return RowPage(rows, revision, _get_integer(answer.body, "nowMs"), removed, answer.answered_s)
+    now_ms = _get_integer(answer.body, "nowMs")
+    return RowPage(rows, revision, now_ms, removed, answer.answered_s, answer.era)
 
 
 def _get_integer(answer: dict[str, Any], name: str) -> int:
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -33,6 +33,7 @@
 from jayyoke.edge.relay import RelayClient, RelayServer
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
+from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.metrics import Metrics
@@ -83,7 +84,8 @@
         self.settings = settings
         self.view = FleetView(now_s, settings.regions)
         self.clock = StoreClock(now_s)
-        self.store = RowStore(http, settings.store.address)
+        self.era = StoreEra()
+        self.store = RowStore(http, settings.store.address, now_s, self.era)
         self.roster = Roster(
             self.view,
             self.store,
@@ -174,6 +176,7 @@
             "Parts of prompts kept from engines.",
             lambda: len(self.quarantine.list_quarantined()),
         )
+        self.metrics.add_gauge("jayyoke_store_era", "Era of the store.", lambda: self.era.value)
         self.metrics.add_gauge(
             "jayyoke_limited_upstreams",
             "Upstreams that name a limit of requests a second.",
