Decode the settings and limits of singleton duties

The settings may name a service for usage reports and scale orders in the table cloudApi, with its bounds, and a service of the configuration may name limits for the number of its upstreams. Unusable limits cost the orders only, not the configuration.

--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -19,6 +19,12 @@
     warm_up_excess: float = 1.5
     warm_up_extra: float = 5.0
     load_factor: float = 2.0
+    fencing: bool = False
+    lease_s: float = 3.0
+    thaw_s: float = 0.3
+    report_window_s: float = 5.0
+    usage_tolerance: float = 0.05
+    usage_delay_s: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +34,20 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class DutyService:
+    """Holds the address of the service that takes usage reports and scale orders.
+
+    All instances together may make `calls_per_s` calls a second. `metering` and `scaling` are the
+    duties that the deployment wants.
+    """
+
+    address: str
+    calls_per_s: float = 50.0
+    metering: bool = False
+    scaling: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Holds the settings that an instance has before it has reached the store."""
@@ -44,3 +64,4 @@
     first_start: bool = False
     bounds: Bounds = Bounds()
     link_bytes_per_s: float = 125e6
+    duty_service: DutyService | None = None
--- a/jayyoke/core/error.py
+++ b/jayyoke/core/error.py
@@ -39,6 +39,17 @@
         self.effect = effect
 
 
+class DutyCallFailed(PlatformError):
+    """Reports that the service of the duties gave no answer; the call may have taken effect.
+
+    `begun` is False only if no byte of the call was sent.
+    """
+
+    def __init__(self, detail: str, begun: bool = True):
+        super().__init__(detail)
+        self.begun = begun
+
+
 class Conflict(PlatformError):
     """Reports which puts of a commit had a condition that did not hold; nothing was written."""
 
--- a/jayyoke/core/route.py
+++ b/jayyoke/core/route.py
@@ -51,6 +51,15 @@
         return self.kind is RouteKind.SAFE or (self.kind is RouteKind.STREAM and self.resumable)
 
 
+@dataclass(frozen=True, slots=True)
+class ScaleLimits:
+    """Limits the number of upstreams of a service in each domain; new ones serve after a time."""
+
+    min_upstreams: int
+    max_upstreams: int
+    startup_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceProfile:
     """Describes the upstreams of a service.
@@ -69,6 +78,7 @@
     cache_tokens: int = 0
     # Memory per cached token in bytes; 0 if engines cannot fetch cached prompts from each other.
     token_bytes: float = 0.0
+    scale_limits: ScaleLimits | None = None
 
     @property
     def engine(self) -> bool:
--- a/jayyoke/platform/boot.py
+++ b/jayyoke/platform/boot.py
@@ -5,9 +5,10 @@
 import tomllib
 from typing import Any
 
-from jayyoke.core.entrysettings import Bounds, EntrySettings, StoreProfile
+from jayyoke.core.entrysettings import Bounds, DutyService, EntrySettings, StoreProfile
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.finding import Finding
+from jayyoke.platform.address import is_address
 
 _REQUIRED = {
     "nodeName": "the name of the machine",
@@ -51,6 +52,22 @@
         first_start=document.get("bootstrap") is True,
         bounds=_parse_bounds(_get_table(document, "bounds")),
         link_bytes_per_s=_get_number(limits, "bandwidthMbps", 1000.0) * 1e6 / 8,
+        duty_service=_parse_duty_service(_get_table(document, "cloudApi")),
+    )
+
+
+def _parse_duty_service(table: dict[str, Any]) -> DutyService | None:
+    """Return the service of the duties, or None if the settings name none that can be called."""
+    address = table.get("address")
+    if not isinstance(address, str) or not is_address(address):
+        return None
+    duties = table.get("duties")
+    wanted = duties if isinstance(duties, list) else []
+    return DutyService(
+        address=address,
+        calls_per_s=_get_number(table, "dutyPerS", 50.0),
+        metering="metering" in wanted,
+        scaling="scaling" in wanted,
     )
 
 
@@ -71,6 +88,12 @@
         warm_up_excess=_get_number(table, "warmupExcess", default.warm_up_excess),
         warm_up_extra=_get_number(table, "warmupExtra", default.warm_up_extra),
         load_factor=_get_number(table, "capFactor", default.load_factor),
+        fencing=table.get("fencing") is True,
+        lease_s=seconds("leaseMs", default.lease_s),
+        thaw_s=seconds("thawMs", default.thaw_s),
+        report_window_s=_get_number(table, "reportWindowS", default.report_window_s),
+        usage_tolerance=_get_number(table, "usageOff", default.usage_tolerance),
+        usage_delay_s=_get_number(table, "usageDelayS", default.usage_delay_s),
     )
 
 
--- a/jayyoke/platform/decode.py
+++ b/jayyoke/platform/decode.py
@@ -19,6 +19,7 @@
     Route,
     RouteKind,
     RoutingConfig,
+    ScaleLimits,
     ServiceProfile,
     ServiceShare,
     TeamAccess,
@@ -224,9 +225,24 @@
         slots=int(engine.number("slots", 0)),
         cache_tokens=int(engine.number("kvCapacity", 0)),
         token_bytes=engine.number("kvTokenBytes", 0.0),
+        scale_limits=_decode_scale_limits(fields) if fields.has("autoscale") else None,
     )
 
 
+def _decode_scale_limits(fields: _Fields) -> ScaleLimits | None:
+    """Return the limits of a service's upstreams, or None if they are unusable.
+
+    Unusable limits cost the orders, while an unusable configuration would cost every route.
+    """
+    try:
+        limits = fields.nested("autoscale")
+        least, most = limits.whole("min"), limits.whole("max")
+        startup_s = limits.number("startupS", 8.0)
+    except InvalidRow:
+        return None
+    return ScaleLimits(least, most, startup_s) if 0 < least <= most else None
+
+
 def _decode_team(fields: _Fields) -> TeamAccess:
     return TeamAccess(
         name=fields.text("name"),
