Report usage as one holder at a time

Deployments with the settings table cloudApi want each window's requests by team reported once. One instance holds a lease in the store's table duties; its calls carry a fencing token and are reset with their connection when they are given up. Instances send their counts to the followers of their domain, the holder merges them, fixes them in a row and repeats only what that row holds.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -371,3 +371,46 @@
 struct PartEvidence {
   1: list<KnownPart> parts
 }
+
+// Requests that began to run in a window of usage reports, by team: totals that only grow. Items at the same position
+// belong together.
+struct WindowCounts {
+  1: i64 window
+  2: list<string> teams
+  3: list<i32> counts
+}
+
+// Counts of one process, sent to the followers of its domain; unix_ms is its time of day, and complete the last window
+// of which all counts were sent.
+struct CountReport {
+  1: string source
+  2: string domain
+  3: i64 unix_ms
+  4: i64 complete
+  5: list<WindowCounts> windows
+}
+
+// Answers a report. A sender that gets another incarnation than before sends all its counts again.
+struct CountReceipt {
+  1: i64 incarnation
+  2: i64 unix_ms
+}
+
+// Asks a follower for the counts of a domain; sources limits the packed counts, which are left out if it is unset.
+// unix_ms is the time of day by the fleet's median.
+struct CountQuery {
+  1: i64 window
+  2: string domain
+  3: optional list<i64> sources
+  4: optional i64 unix_ms
+}
+
+// Sources are named by a hash, with their requests in the window. pending: sources that have not sent all counts yet.
+// packed: a WindowCounts of the asked sources together, compressed with zlib (RFC 1950).
+struct CountAnswer {
+  1: list<i64> sources
+  2: list<i64> totals
+  3: i32 pending
+  4: optional binary packed
+  5: i64 unix_ms
+}
--- /dev/null
+++ b/jayyoke/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on duties of which one instance at a time takes care."""
--- /dev/null
+++ b/jayyoke/duties/report.py
@@ -0,0 +1,131 @@
+"""Decides which usage windows are reported, by whom, and with which counts.
+
+Designed for reports each 5 s with up to 3,900 teams. Two reports of a window with different counts
+must never be accepted, so counts are fixed by a row that is written only if there is none, and what
+is sent is what the row holds. If the store comes back from an older copy, rows of windows that
+ended before may be lost although their reports were sent: only a process that has read or written
+such a row itself repeats its report.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from jayyoke.duties.window import KEPT_WINDOWS, find_end_s, find_last_ended
+from jayyoke.utils.jsontext import parse_unique_json
+
+# Counts of the last requests have reached the followers by then.
+COLLECT_S = 2.5
+# What is still missing is not waited for beyond this part of the time until a report is due.
+LATEST_PART = 0.8
+# Clocks of instances agree to within this time.
+CLOCK_MARGIN_S = 1.0
+# A report that could not be sent for so long is given up. Rows are kept for longer.
+GIVE_UP_S = 60.0
+MAX_ROW_BYTES = 1 << 20
+_PREFIX = "usage/"
+
+
+@dataclass(frozen=True, slots=True)
+class FixedReport:
+    """Holds the counts of a window as the store has them; reports are sent with exactly these."""
+
+    window: int
+    counts: Mapping[str, int]
+
+
+def build_report_key(window: int) -> str:
+    """Return the key of a window's row; keys sort as windows do."""
+    return f"{_PREFIX}{window:012d}"
+
+
+def encode_counts(counts: Mapping[str, int]) -> bytes:
+    """Return the value of a window's row."""
+    return json.dumps(dict(sorted(counts.items())), separators=(",", ":")).encode()
+
+
+def decode_counts(value: bytes) -> dict[str, int]:
+    """Return the counts of a window's row; raise ValueError."""
+    counts = parse_unique_json(value, MAX_ROW_BYTES)
+    if not isinstance(counts, dict) or any(type(count) is not int for count in counts.values()):
+        raise ValueError("the row holds no counts")
+    return counts
+
+
+def find_barred(unix_s: float, window_s: float) -> int:
+    """Return the newest window that had ended when a new era of the store was met."""
+    return find_last_ended(unix_s + CLOCK_MARGIN_S, window_s)
+
+
+class ReportPlanner:
+    """Plans the reports of one process; what it knows of rows outlives its tenures."""
+
+    def __init__(self, window_s: float, delay_s: float):
+        self._window_s = window_s
+        self._delay_s = delay_s
+        self._fixed: dict[int, FixedReport] = {}
+        self._next = 0
+        self._next_fix = 0
+        self._barred = -1
+        self.skipped = 0
+
+    @property
+    def reported(self) -> int:
+        """Return the newest window of which all reports up to it are settled."""
+        return self._next - 1
+
+    def begin(self, reported: int, barred: int, unix_s: float) -> None:
+        """Begin a tenure with what the lease's row says."""
+        oldest = find_last_ended(unix_s - GIVE_UP_S, self._window_s) + 1
+        self._barred = barred
+        # Without a report so far, windows count from the first that began under a holder.
+        self._next = max(oldest, reported + 1 if reported >= 0 else barred + 1)
+        self._next_fix = self._next
+
+    def find_due(self, unix_s: float) -> int | None:
+        """Return the window whose counts are to be fixed next, or None if none has ended."""
+        self._skip_old(unix_s)
+        while self._next_fix in self._fixed or self._is_barred(self._next_fix):
+            self._next_fix += 1
+        ended_s = unix_s - find_end_s(self._next_fix, self._window_s)
+        return self._next_fix if ended_s >= self.collect_s else None
+
+    @property
+    def collect_s(self) -> float:
+        """Return how long after a window's end its counts are collected first."""
+        return min(COLLECT_S, self._delay_s / 4)
+
+    def may_wait(self, window: int, unix_s: float) -> bool:
+        """Tell whether there is time to wait for missing counts of a window."""
+        return unix_s < find_end_s(window, self._window_s) + LATEST_PART * self._delay_s
+
+    def record_fixed(self, window: int, counts: Mapping[str, int]) -> None:
+        """Record the counts of a row that this process has written or read in one era."""
+        if window in self._fixed or self._is_barred(window):
+            return
+        self._fixed[window] = FixedReport(window, dict(counts))
+        while len(self._fixed) > KEPT_WINDOWS:
+            del self._fixed[min(self._fixed)]
+
+    def find_unsent(self, unix_s: float) -> FixedReport | None:
+        """Return the oldest report that is not settled, or None if its counts are not fixed."""
+        self._skip_old(unix_s)
+        return self._fixed.get(self._next)
+
+    def record_sent(self, window: int) -> None:
+        """Record that the service has a window's report, or will never take it."""
+        if window == self._next:
+            self._next += 1
+
+    def _is_barred(self, window: int) -> bool:
+        return window <= self._barred and window not in self._fixed
+
+    def _skip_old(self, unix_s: float) -> None:
+        """Settle windows that are given up, or that an older era may have reported."""
+        oldest = find_last_ended(unix_s - GIVE_UP_S, self._window_s) + 1
+        while self._next < oldest or self._is_barred(self._next):
+            self._next += 1
+            self.skipped += 1
+        self._next_fix = max(self._next_fix, self._next)
--- /dev/null
+++ b/jayyoke/edge/dutyunit.py
@@ -0,0 +1,148 @@
+"""Puts the parts of the duties together for one instance."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import aiohttp
+
+from jayyoke.core.entrysettings import DutyService, EntrySettings
+from jayyoke.duties.lease import LeaseRow
+from jayyoke.duties.report import ReportPlanner, find_barred
+from jayyoke.duties.truetime import TrueTime
+from jayyoke.duties.usagecount import UsageCounter
+from jayyoke.edge.countcollector import CountCollector
+from jayyoke.edge.countexchange import CountExchange
+from jayyoke.edge.countmessage import CountClient
+from jayyoke.edge.dutyholder import DutyHolder
+from jayyoke.edge.roster import Roster
+from jayyoke.edge.storeera import StoreEra
+from jayyoke.edge.usagerecorder import UsageRecorder
+from jayyoke.edge.usagereporter import UsageReporter
+from jayyoke.ops.metrics import Metrics
+from jayyoke.platform.dutyservice import DutyClient
+from jayyoke.platform.rowstore import RowStore
+
+INCARNATION_BYTES = 8
+# The store answers in 4 ms; a stop has no time for one that does not.
+RELEASE_S = 0.3
+
+
+class DutyUnit:
+    """Holds what an instance needs to take part in the duties."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        service: DutyService,
+        http: aiohttp.ClientSession,
+        store: RowStore,
+        era: StoreEra,
+        roster: Roster,
+        metrics: Metrics,
+        now_s: Callable[[], float],
+        random_source: random.Random,
+    ):
+        bounds = settings.bounds
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._service = service
+        self._now_s = now_s
+        self._window_s = bounds.report_window_s
+        self.true_time = TrueTime(time.time(), now_s())
+        self.counter = UsageCounter(bounds.report_window_s)
+        self.usage = UsageRecorder(self.counter, self.true_time, now_s)
+        self.planner = ReportPlanner(bounds.report_window_s, bounds.usage_delay_s)
+        counts = CountClient(http)
+        self.exchange = CountExchange(
+            settings.instance,
+            settings.domain,
+            f"{settings.instance}@{incarnation}",
+            self.counter,
+            self.true_time,
+            counts,
+            roster,
+            now_s,
+            random_source,
+        )
+        self.holder = DutyHolder(
+            settings.instance,
+            incarnation,
+            service,
+            bounds,
+            store,
+            era,
+            roster,
+            now_s,
+            self._find_barred,
+            self._begin,
+            lambda: self.planner.reported,
+        )
+        collector = CountCollector(
+            settings.instance, self.exchange, counts, roster, self.true_time, now_s
+        )
+        client = DutyClient(service.address)
+        self.reporter = UsageReporter(
+            self.planner, self.holder, collector, client, self.true_time, now_s
+        )
+        self._add_metrics(metrics)
+
+    def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the background work of the duties that the deployment wants."""
+        if not (self._service.metering or self._service.scaling):
+            return []
+        found = [self.holder.run(), self.exchange.run()]
+        if self._service.metering:
+            found.append(self.reporter.run())
+        return found
+
+    async def release(self) -> None:
+        """Give the lease back if this instance has it, within RELEASE_S."""
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                await self.holder.release()
+        except TimeoutError:
+            # The lease runs out instead.
+            pass
+
+    def _find_barred(self, era_since_s: float) -> int:
+        return find_barred(self.true_time.read_s(era_since_s), self._window_s)
+
+    def _begin(self, lease: LeaseRow) -> None:
+        unix_s = self.true_time.read_s(self._now_s())
+        self.planner.begin(lease.reported, lease.barred, unix_s)
+
+    def _add_metrics(self, metrics: Metrics) -> None:
+        gauges = (
+            ("jayyoke_duty_held", "Duties held.", lambda: float(self.holder.active)),
+            ("jayyoke_duty_changes", "Leases taken.", lambda: self.holder.changes),
+            ("jayyoke_duty_calls", "Answered calls as the holder.", lambda: self.holder.calls),
+            ("jayyoke_usage_counted", "Requests counted.", lambda: self.counter.counted),
+            ("jayyoke_usage_accepted", "Accepted reports.", lambda: self.reporter.accepted),
+            ("jayyoke_usage_refused", "Refused reports.", lambda: self.reporter.refused),
+            ("jayyoke_usage_skipped", "Windows without a report.", lambda: self.planner.skipped),
+            ("jayyoke_count_reports", "Messages of counts.", lambda: self.exchange.reports),
+        )
+        for name, help_text, read in gauges:
+            metrics.add_gauge(name, help_text, read)
+
+
+def build_duty_unit(
+    settings: EntrySettings,
+    http: aiohttp.ClientSession,
+    store: RowStore,
+    era: StoreEra,
+    roster: Roster,
+    metrics: Metrics,
+    now_s: Callable[[], float],
+    random_source: random.Random,
+) -> DutyUnit | None:
+    """Return the duties of an instance, or None if the settings name no service for them."""
+    service = settings.duty_service
+    if service is None:
+        return None
+    return DutyUnit(settings, service, http, store, era, roster, metrics, now_s, random_source)
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -22,6 +22,7 @@
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
 from jayyoke.edge.stream import EventRelay
 from jayyoke.edge.takeover import TakenOver, Takeover, find_silence_timeout_s
+from jayyoke.edge.usagerecorder import UsageRecorder
 from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.partkeys import build_part_keys, build_request_key
@@ -52,6 +53,7 @@
         end_observer: EndObserver,
         on_cleared: Callable[[str], None],
         stop_window: StopWindow,
+        usage: UsageRecorder | None = None,
     ):
         self._placement = placement
         self._moves = moves
@@ -63,7 +65,7 @@
         self._end_observer = end_observer
         self._on_cleared = on_cleared
         self._stop_window = stop_window
-        self._sender = Sender(placement, moves, pool, quarantine, now_s)
+        self._sender = Sender(placement, moves, pool, quarantine, now_s, usage)
         self._takeover = Takeover(placement, self._sender, quarantine, now_s, self._observe_end)
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
         self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
@@ -312,6 +314,7 @@
 
     def _record_events(self, call: Call, send: Send, progress: Progress) -> None:
         """Record what the events of a running stream tell of its parts and its version."""
+        self._sender.record_first_event(call, send)
         writing_s = send.measure_writing_s(self._now_s())
         if not send.parts_good and writing_s is not None and writing_s >= GOOD_WRITING_S:
             self._record_good(call, send, progress)
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -104,10 +104,15 @@
         equals rendezvous hashing decides, the same on all instances. The list is empty if no alive
         instance of the domain is known.
         """
-        alive = {found.name: found for found in self._find_alive() if found.domain == self._domain}
-        ranked = [alive[name] for name in rank(self._domain, alive)]
-        ranked.sort(key=lambda found: -found.link_bytes_per_s)
-        return ranked[:FOLLOWERS_PER_DOMAIN]
+        own = [found for found in self._find_alive() if found.domain == self._domain]
+        return _choose_followers(self._domain, own)
+
+    def list_followers(self) -> dict[str, list[Member]]:
+        """Return the followers of every domain with alive instances."""
+        by_domain: dict[str, list[Member]] = {}
+        for found in self._find_alive():
+            by_domain.setdefault(found.domain, []).append(found)
+        return {name: _choose_followers(name, by_domain[name]) for name in sorted(by_domain)}
 
     def is_follower(self) -> bool:
         """Tell whether this instance follows the store itself."""
@@ -179,6 +184,13 @@
             await self._store.write(MEMBER_TABLE, [Put(row.key, None, row.version)])
 
 
+def _choose_followers(domain: str, members: list[Member]) -> list[Member]:
+    alive = {found.name: found for found in members}
+    ranked = [alive[name] for name in rank(domain, alive)]
+    ranked.sort(key=lambda found: -found.link_bytes_per_s)
+    return ranked[:FOLLOWERS_PER_DOMAIN]
+
+
 def _parse_member(key: str, value: bytes) -> Member | None:
     try:
         body = parse_unique_json(value, MAX_ROW_BYTES)
--- a/jayyoke/edge/send.py
+++ b/jayyoke/edge/send.py
@@ -35,6 +35,8 @@
     begun: bool = False
     # Whether a byte of the request may have been sent.
     dispatched: bool = False
+    # Whether it was counted for the reports of usage.
+    usage_counted: bool = False
     # Whether the upstream was suspended for its silence.
     silence_recorded: bool = False
     # The wait for the newest bytes.
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -20,6 +20,7 @@
 from jayyoke.edge.pool import ConnectionPool
 from jayyoke.edge.progress import Progress
 from jayyoke.edge.send import Send
+from jayyoke.edge.usagerecorder import UsageRecorder
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.platform import names
 from jayyoke.platform.message import decode_notice, encode_request_head
@@ -39,12 +40,14 @@
         pool: ConnectionPool,
         quarantine: Quarantine,
         now_s: Callable[[], float],
+        usage: UsageRecorder | None = None,
     ):
         self._placement = placement
         self._moves = moves
         self._pool = pool
         self._quarantine = quarantine
         self._now_s = now_s
+        self._usage = usage
 
     async def start(self, call: Call, send: Send, progress: Progress) -> NotRun | None:
         """Send the request; return an outcome if it was not sent, or raise ConnectFailed."""
@@ -104,6 +107,11 @@
             return MayHaveRun(f"status {answer.status} of a request that may have run", False)
         return None
 
+    def record_first_event(self, call: Call, send: Send) -> None:
+        """Record that the first event of a stream has come."""
+        if self._usage is not None:
+            self._usage.record_first_event(call, send)
+
     def record_silence(self, call: Call, send: Send) -> None:
         """Keep other calls from an upstream that is silent, while this one still waits for it."""
         if send.silence_recorded:
@@ -116,6 +124,8 @@
         """Free what a send holds, and record its outcome for the upstream."""
         upstream = send.upstream
         connection = send.connection
+        if self._usage is not None:
+            self._usage.record_end(call, send, outcome)
         if send.begun:
             self._quarantine.finish(progress.part_keys)
         answered = isinstance(outcome, Delivered | Failed)
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -213,6 +213,7 @@
             if not part or len(send.first_bytes) > MAX_EVENT_BYTES:
                 return MayHaveRun("the stream brought no event", silent=False)
             send.first_bytes += part
+        self._sender.record_first_event(call, send)
         return None
 
     def _find_opening_limit_s(self, call: Call, progress: Progress) -> float:
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -74,6 +74,12 @@
 # In every answer of a store that can come back from an older copy; rises by one each time.
 STORE_ERA = "Store-Era"
 
+# Paths and headers of the service that takes usage reports and scale orders.
+DUTY_USAGE = "/usage"
+DUTY_SCALE = "/scale"
+DUTY_OWNER = "Duty-Owner"
+FENCE_TOKEN = "Fence-Token"
+
 # Tables and keys of the store: operators write the first table, upstreams the second one.
 OPERATOR_TABLE = "op"
 UPSTREAM_TABLE = "servers"
--- a/jayyoke/platform/rowstore.py
+++ b/jayyoke/platform/rowstore.py
@@ -142,6 +142,19 @@
             start = page_rows[-1].key + "\0"
         return _build_page(answer, tuple(rows))
 
+    async def read_row(self, table: str, key: str) -> RowPage:
+        """Return a page with one row, or without any if it does not exist; raise StoreUnavailable.
+
+        The page's revision is that of the table.
+        """
+        query = {"table": table, "part": "", "limit": "1", "from": key}
+        try:
+            answer = await self._read(names.ROWS_GET, query, CALL_TIMEOUT_S)
+        except HistoryLost as error:
+            raise StoreUnavailable(str(error)) from error
+        rows, _ = _parse_rows(answer.body)
+        return _build_page(answer, tuple(row for row in rows if row.key == key))
+
     async def follow(self, table: str, revision: int, wait_s: float) -> RowPage:
         """Return the changes after a revision, waiting up to `wait_s` seconds for the first.
 
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -21,6 +21,7 @@
 from jayyoke.core.registry import UnknownPlugin
 from jayyoke.edge import log
 from jayyoke.edge.baseline import HOME_POLICY, find_ordering
+from jayyoke.edge.dutyunit import build_duty_unit
 from jayyoke.edge.follow import PeerFollower, TableFollower
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
@@ -130,6 +131,9 @@
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
         self.stop_window = StopWindow()
+        self.duties = build_duty_unit(
+            settings, http, self.store, self.era, self.roster, self.metrics, now_s, random_source
+        )
         self.forwarder = Forwarder(
             self.placement,
             self.moves,
@@ -142,6 +146,7 @@
             EndObserver(self.quarantine, now_s, self.record_end),
             self.quarantine_rows.mark_changed,
             self.stop_window,
+            None if self.duties is None else self.duties.usage,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(
@@ -224,6 +229,11 @@
         live = [found.incarnation for found in self.view.upstreams.values()]
         self.pool.retain(live)
 
+    def build_peer_app(self) -> web.Application:
+        """Return the application that other instances call."""
+        counts = None if self.duties is None else self.duties.exchange
+        return build_relay_app(self.relay, self.part_exchange, counts)
+
     def start_tasks(self) -> list[asyncio.Task[None]]:
         """Start the background tasks."""
         coroutines = [
@@ -244,6 +254,8 @@
                 self.settings.link_bytes_per_s,
             )
             coroutines.append(follower.run())
+        if self.duties is not None:
+            coroutines += self.duties.list_coroutines()
         return [asyncio.create_task(coroutine) for coroutine in coroutines]
 
 
@@ -267,13 +279,13 @@
             task.add_done_callback(_end_on_failure)
         await instance.listener.start(settings.caller_address)
         ready = await _listen(_build_ready_app(instance), settings.ready_address)
-        peers = await _listen(
-            build_relay_app(instance.relay, instance.part_exchange), settings.peer_address
-        )
+        peers = await _listen(instance.build_peer_app(), settings.peer_address)
         host = settings.peer_address.rpartition(":")[0]
         metrics = await _listen(_build_metrics_app(instance), f"{host}:{options.metrics_port}")
         log_event("started", instance=settings.instance, domain=settings.domain)
         await stop.wait()
+        if instance.duties is not None:
+            await instance.duties.release()
         await drain(instance.listener, instance.stop_window, instance.settings.bounds.stop_grace_s)
         await instance.listener.close()
         for task in tasks:
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4821,6 +4821,563 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class WindowCounts(object):
+    """
+    Attributes:
+     - window
+     - teams
+     - counts
+
+    """
+
+    __slots__ = (
+        'window',
+        'teams',
+        'counts',
+    )
+
+
+    def __init__(self, window=None, teams=None, counts=None,):
+        self.window = window
+        self.teams = teams
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.teams = []
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.teams.append(_elem224)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = iprot.readI32()
+                        self.counts.append(_elem231)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WindowCounts')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.teams is not None:
+            oprot.writeFieldBegin('teams', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.teams))
+            for iter225 in self.teams:
+                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.counts))
+            for iter232 in self.counts:
+                oprot.writeI32(iter232)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CountReport(object):
+    """
+    Attributes:
+     - source
+     - domain
+     - unix_ms
+     - complete
+     - windows
+
+    """
+
+    __slots__ = (
+        'source',
+        'domain',
+        'unix_ms',
+        'complete',
+        'windows',
+    )
+
+
+    def __init__(self, source=None, domain=None, unix_ms=None, complete=None, windows=None,):
+        self.source = source
+        self.domain = domain
+        self.unix_ms = unix_ms
+        self.complete = complete
+        self.windows = windows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.complete = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = WindowCounts()
+                        _elem238.read(iprot)
+                        self.windows.append(_elem238)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CountReport')
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 1)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.unix_ms is not None:
+            oprot.writeFieldBegin('unix_ms', TType.I64, 3)
+            oprot.writeI64(self.unix_ms)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.I64, 4)
+            oprot.writeI64(self.complete)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter239 in self.windows:
+                iter239.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CountReceipt(object):
+    """
+    Attributes:
+     - incarnation
+     - unix_ms
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'unix_ms',
+    )
+
+
+    def __init__(self, incarnation=None, unix_ms=None,):
+        self.incarnation = incarnation
+        self.unix_ms = unix_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CountReceipt')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.unix_ms is not None:
+            oprot.writeFieldBegin('unix_ms', TType.I64, 2)
+            oprot.writeI64(self.unix_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CountQuery(object):
+    """
+    Attributes:
+     - window
+     - domain
+     - sources
+     - unix_ms
+
+    """
+
+    __slots__ = (
+        'window',
+        'domain',
+        'sources',
+        'unix_ms',
+    )
+
+
+    def __init__(self, window=None, domain=None, sources=None, unix_ms=None,):
+        self.window = window
+        self.domain = domain
+        self.sources = sources
+        self.unix_ms = unix_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.sources = []
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = iprot.readI64()
+                        self.sources.append(_elem245)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CountQuery')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.sources is not None:
+            oprot.writeFieldBegin('sources', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.sources))
+            for iter246 in self.sources:
+                oprot.writeI64(iter246)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unix_ms is not None:
+            oprot.writeFieldBegin('unix_ms', TType.I64, 4)
+            oprot.writeI64(self.unix_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CountAnswer(object):
+    """
+    Attributes:
+     - sources
+     - totals
+     - pending
+     - packed
+     - unix_ms
+
+    """
+
+    __slots__ = (
+        'sources',
+        'totals',
+        'pending',
+        'packed',
+        'unix_ms',
+    )
+
+
+    def __init__(self, sources=None, totals=None, pending=None, packed=None, unix_ms=None,):
+        self.sources = sources
+        self.totals = totals
+        self.pending = pending
+        self.packed = packed
+        self.unix_ms = unix_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.sources = []
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = iprot.readI64()
+                        self.sources.append(_elem252)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.totals = []
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = iprot.readI64()
+                        self.totals.append(_elem259)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.pending = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CountAnswer')
+        if self.sources is not None:
+            oprot.writeFieldBegin('sources', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.sources))
+            for iter253 in self.sources:
+                oprot.writeI64(iter253)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.totals is not None:
+            oprot.writeFieldBegin('totals', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.totals))
+            for iter260 in self.totals:
+                oprot.writeI64(iter260)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pending is not None:
+            oprot.writeFieldBegin('pending', TType.I32, 3)
+            oprot.writeI32(self.pending)
+            oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 4)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
+        if self.unix_ms is not None:
+            oprot.writeFieldBegin('unix_ms', TType.I64, 5)
+            oprot.writeI64(self.unix_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -5162,5 +5719,44 @@
     None,  # 0
     (1, TType.LIST, 'parts', (TType.STRUCT, [KnownPart, None], False), None, ),  # 1
 )
+all_structs.append(WindowCounts)
+WindowCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.LIST, 'teams', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'counts', (TType.I32, None, False), None, ),  # 3
+)
+all_structs.append(CountReport)
+CountReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'source', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'unix_ms', None, None, ),  # 3
+    (4, TType.I64, 'complete', None, None, ),  # 4
+    (5, TType.LIST, 'windows', (TType.STRUCT, [WindowCounts, None], False), None, ),  # 5
+)
+all_structs.append(CountReceipt)
+CountReceipt.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I64, 'unix_ms', None, None, ),  # 2
+)
+all_structs.append(CountQuery)
+CountQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'sources', (TType.I64, None, False), None, ),  # 3
+    (4, TType.I64, 'unix_ms', None, None, ),  # 4
+)
+all_structs.append(CountAnswer)
+CountAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'sources', (TType.I64, None, False), None, ),  # 1
+    (2, TType.LIST, 'totals', (TType.I64, None, False), None, ),  # 2
+    (3, TType.I32, 'pending', None, None, ),  # 3
+    (4, TType.STRING, 'packed', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'unix_ms', None, None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -11,9 +11,9 @@
 import aiohttp
 
 from jayyoke.core.entrysettings import Bounds, EntrySettings, StoreProfile
+from jayyoke.core.entrysettings import DutyService as DutyServiceSettings
 from jayyoke.scripts.entry import Instance
 from jayyoke.server.listener import Listener
-from jayyoke.server.relayapp import build_relay_app
 from jayyoke.utils.task import cancel_tasks
 from standin.entryconfig import HOST, KEY, build_config
 from standin.entryupstream import EntryUpstream, Script
@@ -25,11 +25,17 @@
     """Holds one entry instance and the HTTP client that calls it."""
 
     def __init__(
-        self, instance: Instance, url: str, http: aiohttp.ClientSession, peer_listener: Listener
+        self,
+        instance: Instance,
+        url: str,
+        http: aiohttp.ClientSession,
+        peer_listener: Listener,
+        stop: Callable[[], Awaitable[None]],
     ):
         self.instance = instance
         self.peer_listener = peer_listener
         self.url = url
+        self.stop = stop
         self._http = http
 
     async def call(
@@ -69,7 +75,13 @@
         self.store.put("servers", name, upstream.describe(service, **row_fields))
         return upstream
 
-    async def add_entry(self, name: str = "entry-1", seeds: tuple[str, ...] = ()) -> RunningEntry:
+    async def add_entry(
+        self,
+        name: str = "entry-1",
+        seeds: tuple[str, ...] = (),
+        duty_service: DutyServiceSettings | None = None,
+        bounds: Bounds | None = None,
+    ) -> RunningEntry:
         """Start an instance; use `wait_ready` to wait until it has read the store."""
         port, peer_port = find_free_ports(2)
         settings = EntrySettings(
@@ -82,13 +94,14 @@
             store=StoreProfile(self.store.address),
             regions={"zone-a": "region", "zone-b": "region"},
             seeds=seeds,
-            bounds=Bounds(),
+            bounds=bounds or Bounds(),
+            duty_service=duty_service,
         )
         http = aiohttp.ClientSession(headers={"User-Agent": name})
         instance = Instance(settings, http)
         tasks = instance.start_tasks()
         await instance.listener.start(settings.caller_address)
-        peer_listener = Listener(build_relay_app(instance.relay, instance.part_exchange))
+        peer_listener = Listener(instance.build_peer_app())
         await peer_listener.start(settings.peer_address)
 
         async def stop() -> None:
@@ -99,7 +112,8 @@
             await http.close()
 
         self._entry_stops.append(stop)
-        return RunningEntry(instance, f"http://127.0.0.1:{port}", self._http, peer_listener)
+        url = f"http://127.0.0.1:{port}"
+        return RunningEntry(instance, url, self._http, peer_listener, stop)
 
     def add_stop_function(self, stop: Callable[[], Awaitable[None]]) -> None:
         """Call a function when the rig closes, after the instances have stopped."""
