Order rows by the store's era before the revision, and keep what its older copy lacks

Cause: after the store came back from an older copy, a table of a lower revision was refused for good, or older rows replaced newer ones.

A status belongs to an order by revision and version, and an order that is written again under another revision keeps its status.

--- a/jayyoke/edge/canary.py
+++ b/jayyoke/edge/canary.py
@@ -15,6 +15,7 @@
 from jayyoke.core.move import OutcomeCounts
 from jayyoke.core.route import MoveOrder, MoveState, MoveStatus
 from jayyoke.core.upstream import Upstream
+from jayyoke.eras.movestatus import is_status_of
 from jayyoke.ops.evidence import compare_versions, count_requests, judge
 
 # Fraction of the users' bound for bad versions that a new version gets at first, until the counts
@@ -95,7 +96,7 @@
         return Split(set_aside=set_aside)
     # An order after one that was not done may go back to the old version.
     may_serve_alone = bool(set_aside)
-    if status is None or status.order != order.revision:
+    if status is None or not is_status_of(status, order):
         return Split(order.version, 0.0, set_aside, may_serve_alone)
     match status.state:
         case MoveState.DONE:
@@ -134,7 +135,7 @@
     """Tell whether a move has not shown its version to be good, and will not."""
     if status.state is MoveState.ROLLED_BACK:
         return True
-    superseded = order is not None and status.order != order.revision
+    superseded = order is not None and not is_status_of(status, order)
     # With all requests it is done but for the last row, and its old upstreams may be gone.
     return superseded and status.state is MoveState.ACTIVE and status.share < 1.0
 
@@ -159,7 +160,7 @@
     `counts` are totals by version and route, `live_new` is the number of live upstreams of the new
     version.
     """
-    if status is None or status.order != order.revision:
+    if status is None or not is_status_of(status, order):
         return NextState(MoveState.ACTIVE, "ordered", INITIAL_SHARE_FRACTION * bounds.canary_share)
     if status.state is not MoveState.ACTIVE:
         return None
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -1,13 +1,13 @@
 """An instance's copy of the configuration and the upstreams, merged from the store and peers.
 
 Each row carries the store's revision, so an older row never replaces a newer one, whichever way it
-came.
+came. Revisions order the rows of one era only; what older eras left in force is in `TableCopy`.
 """
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 
 from reactivex import Observable
 from reactivex.subject import Subject
@@ -17,6 +17,9 @@
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.edge.lapse import LapseGrace
 from jayyoke.edge.log import log_event
+from jayyoke.edge.movememory import MoveMemory, keep_set_aside, keep_status, settle_kept
+from jayyoke.edge.tablecopy import TableCopy
+from jayyoke.eras.fact import KeptFact
 from jayyoke.platform import names
 from jayyoke.platform.decode import (
     InvalidRow,
@@ -28,80 +31,13 @@
 from jayyoke.platform.table import Row
 
 MEMBER_TABLE = "members"
-# Removals remembered for peers; a peer that lacks older ones gets the whole table.
-MAX_REMOVALS = 500
+# Keys of kept rows that a log line names.
+MAX_LOGGED_KEYS = 20
 # A status row tells of the orders before these.
 MAX_EARLIER_ORDERS = 8
 TABLES = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE, names.STATUS_TABLE, MEMBER_TABLE)
 
 
-@dataclass(slots=True)
-class TableCopy:
-    """Holds a table's rows as of `revision`; `confirmed_s` is when that was last the newest.
-
-    `removed` holds the revisions of removals, so that older rows from peers do not restore them.
-    """
-
-    rows: dict[str, Row] = field(default_factory=dict)
-    removed: dict[str, int] = field(default_factory=dict)
-    revision: int = -1
-    # Revision of the newest change, and the one since which `removed` holds every removal.
-    changed_revision: int = -1
-    removed_since: int = -1
-    confirmed_s: float = float("-inf")
-
-    def apply_changes(self, rows: Iterable[Row], removed: Iterable[Row], revision: int) -> set[str]:
-        """Apply the changes up to a revision; return the keys that differ now."""
-        changed = set()
-        for row in rows:
-            known = self.rows.get(row.key)
-            newest = max(known.version if known else -1, self.removed.get(row.key, -1))
-            if row.version > newest:
-                self.rows[row.key] = row
-                self.removed.pop(row.key, None)
-                changed.add(row.key)
-                self.changed_revision = max(self.changed_revision, row.version)
-        for row in removed:
-            known = self.rows.get(row.key)
-            if known is None or row.version > known.version:
-                self.rows.pop(row.key, None)
-                self.removed[row.key] = row.version
-                changed.add(row.key)
-                self.changed_revision = max(self.changed_revision, row.version)
-        self._forget_removals()
-        self.revision = max(self.revision, revision)
-        return changed
-
-    def apply_snapshot(self, rows: Iterable[Row], revision: int) -> set[str]:
-        """Replace the table by a snapshot as of a revision; return the keys that differ now."""
-        if revision < self.revision:
-            return set()
-        found = list(rows)
-        present = {row.key for row in found}
-        gone = [
-            Row(key, b"", revision)
-            for key, row in self.rows.items()
-            if key not in present and row.version <= revision
-        ]
-        changed = self.apply_changes(found, gone, revision)
-        self.removed = {}
-        self.removed_since = revision
-        return changed
-
-    def list_changes(self, revision: int) -> tuple[list[Row], list[Row]] | None:
-        """Return the rows and removals after a revision, or None if older removals are missing."""
-        if revision < self.removed_since:
-            return None
-        rows = [row for row in self.rows.values() if row.version > revision]
-        removed = [Row(key, b"", at) for key, at in self.removed.items() if at > revision]
-        return rows, removed
-
-    def _forget_removals(self) -> None:
-        while len(self.removed) > MAX_REMOVALS:
-            oldest = min(self.removed, key=lambda key: self.removed[key])
-            self.removed_since = max(self.removed_since, self.removed.pop(oldest))
-
-
 class RouteTable:
     """Finds the route of a host and path: the longest prefix wins.
 
@@ -136,7 +72,7 @@
     def __init__(self, now_s: Callable[[], float], regions: Mapping[str, str] | None = None):
         self.now_s = now_s
         self.regions = dict(regions or {})
-        self.tables = {name: TableCopy() for name in TABLES}
+        self.tables = {name: TableCopy(name) for name in TABLES}
         self.config: RoutingConfig | None = None
         self.routes = RouteTable(())
         self.teams: dict[str, TeamAccess] = {}
@@ -150,6 +86,9 @@
         # Orders that another one has replaced, the newest last.
         self.earlier_orders: dict[str, tuple[MoveOrder, ...]] = {}
         self.statuses: dict[str, MoveStatus] = {}
+        # The eras in which the rows of the orders were written.
+        self._order_eras: dict[str, int] = {}
+        self.move_memory = MoveMemory()
         self._lapse_grace = LapseGrace()
         self._changes: Subject[str] = Subject()
 
@@ -173,21 +112,76 @@
         whole: bool,
         confirmed_s: float,
         source: str,
+        era: int = 0,
     ) -> None:
-        """Merge rows of a table from the store or a peer and update the decoded records."""
+        """Merge rows of a table from the store or a peer and update the decoded records.
+
+        Rows of an older era are left out, and so are changes of a newer one without its table.
+        """
         copy = self.tables[table]
+        if era < copy.era or (era > copy.era and not whole):
+            return
         silent_s = confirmed_s - copy.confirmed_s
         if table == names.UPSTREAM_TABLE:
             self.drop_lapsed()
             self._lapse_grace.record_confirmed(silent_s, self.now_s())
-        if whole:
+        if era > copy.era:
+            changed = self._begin_era(copy, rows, revision, era, source)
+        elif whole:
             changed = copy.apply_snapshot(rows, revision)
         else:
             changed = copy.apply_changes(rows, removed, revision)
+        changed |= copy.pop_expired(self.now_s())
         if revision >= copy.revision:
             copy.confirmed_s = max(copy.confirmed_s, confirmed_s)
+        self._derive(table, changed, source, silent_s)
+
+    def merge_facts(
+        self, table: str, facts: Iterable[KeptFact], base: int, era: int, source: str
+    ) -> None:
+        """Merge the facts of older eras that a peer keeps; `base` is the peer's."""
+        copy = self.tables[table]
+        if era != copy.era or copy.revision < 0:
+            return
+        self._derive(table, copy.merge_facts(facts, base, self.now_s()), source, 0.0)
+
+    def _begin_era(
+        self, copy: TableCopy, rows: Iterable[Row], revision: int, era: int, source: str
+    ) -> set[str]:
+        known = copy.era
+        changed = copy.begin_era(rows, revision, era, self.now_s())
+        if copy.name == names.OPERATOR_TABLE:
+            self._remember_moves(copy)
+        log_event(
+            "store-era-table",
+            table=copy.name,
+            era=era,
+            known=known,
+            revision=revision,
+            changed=len(changed),
+            kept=sorted(copy.kept)[:MAX_LOGGED_KEYS],
+            kept_rows=len(copy.kept),
+            source=source,
+        )
+        return changed
+
+    def _remember_moves(self, copy: TableCopy) -> None:
+        """Remember the orders before an era, since their revisions name nothing any more."""
+        for service, order in self.orders.items():
+            status = self.statuses.get(service)
+            in_copy = names.MOVE_PREFIX + service not in copy.kept
+            self.move_memory.remember(order, status, in_copy, self.now_s())
+        statuses = self.tables[names.STATUS_TABLE]
+        for service, earlier in self.earlier_orders.items():
+            status = self.statuses.get(service)
+            if status is not None:
+                keep_set_aside(statuses, self.orders.get(service), status, earlier)
+        self.earlier_orders = {}
+
+    def _derive(self, table: str, changed: set[str], source: str, silent_s: float) -> None:
         if not changed:
             return
+        copy = self.tables[table]
         match table:
             case names.OPERATOR_TABLE:
                 self._derive_operator(copy, changed, source)
@@ -197,11 +191,12 @@
                 self._derive_statuses(copy, source)
         self._changes.on_next(table)
 
-    def confirm(self, table: str, revision: int, confirmed_s: float) -> None:
+    def confirm(self, table: str, revision: int, confirmed_s: float, era: int = 0) -> None:
         """Record that a table has not changed up to a revision, as a peer confirms."""
         copy = self.tables[table]
-        if revision < copy.revision:
+        if era != copy.era or revision < copy.revision:
             return
+        self._derive(table, copy.pop_expired(self.now_s()), "expired", 0.0)
         if table == names.UPSTREAM_TABLE:
             self._lapse_grace.record_confirmed(confirmed_s - copy.confirmed_s, self.now_s())
         copy.revision = revision
@@ -219,10 +214,11 @@
         self._changes.on_next(names.UPSTREAM_TABLE)
 
     def _derive_operator(self, copy: TableCopy, changed: set[str], source: str) -> None:
-        if names.CONFIG_KEY in changed and names.CONFIG_KEY in copy.rows:
-            self._apply_config(copy.rows[names.CONFIG_KEY], source)
+        rows = copy.list_in_force()
+        if names.CONFIG_KEY in changed and names.CONFIG_KEY in rows:
+            self._apply_config(rows[names.CONFIG_KEY], source)
         orders = {}
-        for key, row in copy.rows.items():
+        for key, row in rows.items():
             if not key.startswith(names.MOVE_PREFIX):
                 continue
             service = key[len(names.MOVE_PREFIX) :]
@@ -234,17 +230,38 @@
             log_event("orders", moves=sorted(map(str, orders.values())), source=source)
         for service, before in self.orders.items():
             if service in orders and orders[service].version != before.version:
+                if self._order_eras.get(service, copy.era) < copy.era:
+                    # Its revision is before those of this era.
+                    before = dataclasses.replace(before, revision=0)
                 earlier = self.earlier_orders.get(service, ())
                 self.earlier_orders[service] = (*earlier, before)[-MAX_EARLIER_ORDERS:]
         self.orders = orders
+        self._order_eras = {}
+        for service in orders:
+            fact = copy.kept.get(names.MOVE_PREFIX + service)
+            self._order_eras[service] = copy.era if fact is None else fact.era
+        self._carry_statuses(copy.era, source)
         prefix = names.EVACUATE_PREFIX
-        evacuated = frozenset(key[len(prefix) :] for key in copy.rows if key.startswith(prefix))
+        evacuated = frozenset(key[len(prefix) :] for key in rows if key.startswith(prefix))
         if evacuated != self.evacuated:
             log_event("evacuations", domains=sorted(evacuated), source=source)
             for domain in self.evacuated - evacuated:
                 self.domain_returned_s[domain] = self.now_s()
         self.evacuated = evacuated
 
+    def _carry_statuses(self, era: int, source: str) -> None:
+        """Give orders that are written again in this era the statuses that they had before."""
+        copy = self.tables[names.STATUS_TABLE]
+        for service, order in self.orders.items():
+            if self._order_eras[service] < era or not era:
+                continue
+            status = self.move_memory.take(order, self.statuses.get(service), self.now_s())
+            if status is not None:
+                keep_status(copy, status, era)
+                log_event("move-status-kept", status=str(status), source=source)
+        if copy.kept:
+            self._derive_statuses(copy, source)
+
     def _apply_config(self, row: Row, source: str) -> None:
         try:
             config = decode_config(row.value)
@@ -270,7 +287,7 @@
         self, copy: TableCopy, changed: set[str], source: str, silent_s: float
     ) -> None:
         for key in changed:
-            row = copy.rows.get(key)
+            row = copy.find(key)
             known = self.upstreams.get(key)
             if row is None:
                 self._remove_missing(key, source, silent_s)
@@ -329,8 +346,10 @@
         self.entry_seen_s = {k: v for k, v in self.entry_seen_s.items() if k in live}
 
     def _derive_statuses(self, copy: TableCopy, source: str) -> None:
+        if copy.kept:
+            settle_kept(copy, self.orders)
         statuses = {}
-        for key, row in copy.rows.items():
+        for key, row in copy.list_in_force().items():
             if not key.startswith(names.MOVE_PREFIX):
                 continue
             service = key[len(names.MOVE_PREFIX) :]
--- a/jayyoke/edge/view_test.py
+++ b/jayyoke/edge/view_test.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from jayyoke.core.route import Route, RouteKind, ServiceShare
-from jayyoke.edge.view import FleetView, RouteTable, TableCopy
+from jayyoke.edge.tablecopy import TableCopy
+from jayyoke.edge.view import FleetView, RouteTable
 from jayyoke.platform.table import Row
 
 KEYS = ("a", "b", "c")
