Relay tables with the eras of their revisions and the rows kept from older eras

Cause: an instance of a newer era took a table of an older one from a peer, and one that was started after the store's return knew only the older copy.

Change: requests name the eras of the asker's tables, answers the era and base of each table and the kept rows, unless the asker has them. All fields are optional: a peer of the previous release names none and counts as of the same era until the era has risen. Answers of an older era are not merged and do not count as confirmed. A feed of a newer era reads the whole table; a second 410 in a row waits. Packed rows are compared by content, since revisions are given out again.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -326,14 +326,23 @@
   // The loads that engines reported to the sender since its last request.
   3: optional HeardLoads loads
   4: optional HeardLimits limits
+  // The eras of the sender's tables, by name; unset if the store names none.
+  5: optional map<string, i64> eras
+  // The digests of kept rows that the receiver sent last, by table.
+  6: optional map<string, i64> kept
 }
 
+// era, gone and left_ms are set in kept rows only: the era of version, whether the row was removed, and the time for
+// which it is kept, unset without an end.
 struct RelayedRow {
   1: string key
   2: binary value
   3: i64 version
   // The value is compressed with zlib (RFC 1950).
   4: optional bool packed
+  5: optional i64 era
+  6: optional bool gone
+  7: optional i32 left_ms
 }
 
 // One table as its sender has it. confirmed_age_ms is the time since it was last known to be up to date; -1: never.
@@ -345,6 +354,12 @@
   4: optional list<RelayedRow> rows
   5: optional bool whole
   6: optional list<RelayedRow> removed
+  // Revisions count within this era. Rows up to revision base may be from the store's older copy; kept holds rows of
+  // older eras that are in force in their place, unset if the asker has those of this digest.
+  7: optional i64 era
+  8: optional i64 base
+  9: optional list<RelayedRow> kept
+  10: optional i64 kept_digest
 }
 
 struct FetchedTables {
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -13,12 +13,14 @@
 from collections.abc import Callable, Iterable
 
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
+from jayyoke.edge.keptrelay import select_eras
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
-from jayyoke.edge.relay import LARGE_ROW_BYTES, RelayClient, RelayedTable
+from jayyoke.edge.relay import LARGE_ROW_BYTES, PeerAnswer, RelayClient, RelayedTable
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
+from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.view import TABLES, FleetView
 from jayyoke.platform.rowstore import HistoryLost, RowStore
 from jayyoke.platform.table import Row
@@ -87,6 +89,7 @@
         retry_s = FIRST_RETRY_S
         # A table that peers have sent is followed from its revision on.
         whole = self._view.tables[self._table].revision < 0
+        lost = False
         while True:
             if self._peers.relayed:
                 self._connected = False
@@ -96,7 +99,11 @@
                 size = await self._merge_changes(whole)
             except HistoryLost as error:
                 log_event("feed-history-lost", table=self._table, reason=str(error))
-                whole = True
+                if lost:
+                    # The table that was read since then did not help.
+                    await asyncio.sleep(retry_s * random.uniform(0.7, 1.3))
+                    retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                whole = lost = True
                 continue
             except StoreUnavailable as error:
                 self._record_lost(error)
@@ -105,19 +112,26 @@
                 retry_s = min(limit_s, 2 * retry_s)
                 continue
             self._record_regained()
-            retry_s = FIRST_RETRY_S
+            if not whole:
+                lost = False
+                retry_s = FIRST_RETRY_S
             whole = False
             await asyncio.sleep(find_pause_s(size, self._link_bytes_per_s))
 
     async def _merge_changes(self, whole: bool) -> int:
-        """Merge the store's changes into the view; return their size in bytes."""
+        """Merge the store's changes into the view; return their size in bytes.
+
+        Raise HistoryLost if they do not follow from the table, or StoreUnavailable.
+        """
         copy = self._view.tables[self._table]
         began_s = self._view.now_s()
         if whole:
             page = await self._store.read(self._table)
         else:
             page = await self._store.follow(self._table, copy.revision, FEED_WAIT_S)
-        self._clock.update(page.now_ms, page.answered_s)
+        self._clock.update(page.now_ms, page.answered_s, page.era)
+        if not whole and page.era > copy.era:
+            raise HistoryLost(f"the table is of era {copy.era}, the store of {page.era}")
         # A feed is up to date as of the start of its answer, a read as of its request.
         confirmed_s = began_s if whole else page.answered_s
         self._view.merge(
@@ -128,6 +142,7 @@
             whole=whole,
             confirmed_s=confirmed_s,
             source="store",
+            era=page.era,
         )
         return count_bytes(page.rows)
 
@@ -158,7 +173,11 @@
         link_bytes_per_s: float,
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange,
+        era: StoreEra | None = None,
     ):
+        self._era = era or StoreEra()
+        # The digests of kept rows that each peer sent last, by table.
+        self._kept_digests: dict[str, dict[str, int]] = {}
         self._view = view
         self._store = store
         self._link_bytes_per_s = link_bytes_per_s
@@ -220,7 +239,8 @@
 
     async def _ask(self, peer: str, wait_s: float) -> bool:
         """Merge a peer's changes into the view; return False if it did not answer."""
-        known = {name: self._view.tables[name].revision for name in TABLES}
+        tables = self._view.tables
+        known = {name: tables[name].revision for name in TABLES}
         began_s = self._view.now_s()
         loads: list[ReportedLoad] = []
         if wait_s:
@@ -230,34 +250,73 @@
             self._loads_sent_s = began_s
         try:
             limits = self._limit_exchange.list_reports()
-            answer = await self._client.fetch(peer, known, wait_s, loads, limits)
+            answer = await self._client.fetch(
+                peer,
+                known,
+                wait_s,
+                loads,
+                limits,
+                select_eras(tables, self._era.value),
+                self._kept_digests.get(peer),
+            )
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
             return False
         self._load_exchange.merge(answer.loads)
         self._limit_exchange.merge(answer.limits)
+        for table in answer.tables:
+            self._era.update(table.era or 0, peer)
         if wait_s:
-            ages_s = [table.age_s for table in answer.tables if table.name in TABLES[:2]]
+            ages_s = [
+                self._find_age_s(table) for table in answer.tables if table.name in TABLES[:2]
+            ]
             confirmed_s = answer.answered_s - max(ages_s, default=math.inf)
             self._relayed_s = max(self._relayed_s, confirmed_s)
         for table in answer.tables:
             self._merge_table(peer, table, answer.answered_s)
+        self._remember_digests(peer, answer)
         await asyncio.sleep(find_pause_s(answer.size_bytes, self._link_bytes_per_s))
         return True
 
+    def _remember_digests(self, peer: str, answer: PeerAnswer) -> None:
+        digests = {table.name: table.kept_digest for table in answer.tables if table.kept_digest}
+        if digests:
+            self._kept_digests[peer] = digests
+        else:
+            self._kept_digests.pop(peer, None)
+
+    def _find_era(self, table: RelayedTable) -> int | None:
+        """Return the era of a peer's table, or None if it is of no use.
+
+        A peer of the previous release names none and does not notice a newer one.
+        """
+        copy = self._view.tables[table.name]
+        if table.era is not None:
+            return table.era if table.era >= copy.era else None
+        return None if self._era.risen else copy.era
+
+    def _find_age_s(self, table: RelayedTable) -> float:
+        return math.inf if self._find_era(table) is None else table.age_s
+
     def _merge_table(self, peer: str, table: RelayedTable, answered_s: float) -> None:
         if table.name not in self._view.tables or table.revision < 0:
             return
+        era = self._find_era(table)
+        if era is None:
+            return
         confirmed_s = answered_s - table.age_s
         if table.rows is None:
-            self._view.confirm(table.name, table.revision, confirmed_s)
-            return
-        self._view.merge(
-            table.name,
-            table.rows,
-            table.removed,
-            table.revision,
-            whole=table.whole,
-            confirmed_s=confirmed_s,
-            source=peer,
-        )
+            self._view.confirm(table.name, table.revision, confirmed_s, era)
+        else:
+            self._view.merge(
+                table.name,
+                table.rows,
+                table.removed,
+                table.revision,
+                whole=table.whole,
+                confirmed_s=confirmed_s,
+                source=peer,
+                era=era,
+            )
+        if table.kept or table.base >= 0:
+            self._view.merge_facts(table.name, table.kept, table.base, era, peer)
--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -137,7 +137,7 @@
 
     async def _read_status(self) -> RowPage:
         page = await self._store.read(names.STATUS_TABLE)
-        self._clock.update(page.now_ms, page.answered_s)
+        self._clock.update(page.now_ms, page.answered_s, page.era)
         self._view.merge(
             names.STATUS_TABLE,
             page.rows,
--- a/jayyoke/edge/partstorage.py
+++ b/jayyoke/edge/partstorage.py
@@ -21,13 +21,13 @@
     async def read(self) -> Sequence[Row]:
         """Return all rows; raise StoreUnavailable."""
         page = await self._store.read(QUARANTINE_TABLE)
-        self._clock.update(page.now_ms, page.answered_s)
+        self._clock.update(page.now_ms, page.answered_s, page.era)
         return page.rows
 
     async def write(self, put: Put) -> None:
         """Write or remove a row; raise Conflict or StoreUnavailable."""
         page = await self._store.write(QUARANTINE_TABLE, [put])
-        self._clock.update(page.now_ms, page.answered_s)
+        self._clock.update(page.now_ms, page.answered_s, page.era)
 
     def read_ms(self) -> int:
         """Return the time of the store's clock, or 0 before its first answer."""
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -6,7 +6,7 @@
 import math
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 from thrift.protocol.TProtocol import TProtocolException
@@ -14,9 +14,19 @@
 from thrift.TSerialization import deserialize, serialize
 
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
+from jayyoke.edge.keptrelay import (
+    check_era,
+    decode_eras,
+    decode_facts,
+    encode_facts,
+    find_digest,
+)
 from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
 from jayyoke.edge.loadexchange import MAX_SHARED, MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
+from jayyoke.edge.storeera import StoreEra
+from jayyoke.edge.tablecopy import TableCopy
 from jayyoke.edge.view import FleetView
+from jayyoke.eras.fact import KeptFact
 from jayyoke.ops.requestlimit import LimitReport
 from jayyoke.platform.body import read_body
 from jayyoke.platform.table import Row
@@ -44,7 +54,8 @@
     """Holds a peer's changes of a table; rows are None if nothing changed.
 
     `age_s` is the time since the peer's table was last confirmed. `whole` is set if the rows are
-    the whole table and not only the changes since the revision that was asked for.
+    the whole table and not only the changes since the revision that was asked for. `era` is None
+    if the peer names none. `kept` are the peer's facts of older eras, if they have changed.
     """
 
     name: str
@@ -53,6 +64,32 @@
     rows: tuple[Row, ...] | None
     removed: tuple[Row, ...] = ()
     whole: bool = True
+    era: int | None = None
+    base: int = -1
+    kept: tuple[KeptFact, ...] = ()
+    kept_digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """Holds what an asker has: revisions by table, their eras, and digests of kept rows.
+
+    `eras` is None if the asker knows of none.
+    """
+
+    revisions: Mapping[str, int]
+    eras: Mapping[str, int] | None = None
+    digests: Mapping[str, int] = field(default_factory=dict)
+
+    def find_revision(self, copy: TableCopy) -> int:
+        """Return the asker's revision of a table, -1 if that is of an older era."""
+        if self.eras is not None and self.eras.get(copy.name, 0) < copy.era:
+            return -1
+        return self.revisions.get(copy.name, -1)
+
+    def is_ahead(self, copy: TableCopy) -> bool:
+        """Tell whether the asker's table is of a newer era."""
+        return self.eras is not None and self.eras.get(copy.name, 0) > copy.era
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,12 +121,15 @@
         wait_s: float = 0.0,
         loads: Sequence[ReportedLoad] = (),
         limits: Sequence[LimitReport] = (),
+        eras: Mapping[str, int] | None = None,
+        digests: Mapping[str, int] | None = None,
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
         The peer waits up to `wait_s` for a change if it has none, and merges the loads and limits.
+        The revisions are of the given eras; `digests` are those of kept rows that the peer sent.
         """
-        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits)
+        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits, eras, digests)
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
             total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
@@ -113,6 +153,8 @@
     loads: Sequence[ReportedLoad],
     now_s: float,
     limits: Sequence[LimitReport] = (),
+    eras: Mapping[str, int] | None = None,
+    digests: Mapping[str, int] | None = None,
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -121,6 +163,8 @@
             wait_ms=int(wait_s * 1000) or None,
             loads=_encode_loads(loads, now_s),
             limits=encode_limits(limits, now_s),
+            eras=None if eras is None else dict(eras),
+            kept=dict(digests) if digests else None,
         )
     )
 
@@ -131,7 +175,7 @@
         answer = deserialize(ttypes.FetchedTables(), body)
         found = []
         for table in answer.tables or ():
-            found.append(_decode_table(table))
+            found.append(_decode_table(table, answered_s))
         loads = _decode_loads(answer.loads, answered_s)
         limits = decode_limits(answer.limits, answered_s)
     except (zlib.error, TException, TProtocolException, EOFError, TypeError, ValueError) as error:
@@ -162,7 +206,7 @@
     return found[:MAX_SHARED]
 
 
-def _decode_table(table: ttypes.RelayedTable) -> RelayedTable:
+def _decode_table(table: ttypes.RelayedTable, answered_s: float) -> RelayedTable:
     """Return a peer's table; raise TypeError or ValueError if a field is missing."""
     age_ms = table.confirmed_age_ms
     if table.name is None or table.revision is None:
@@ -174,18 +218,22 @@
         rows=None if table.rows is None else _decode_rows(table.rows),
         removed=_decode_rows(table.removed or ()),
         whole=bool(table.whole),
+        era=None if table.era is None else check_era(table.era),
+        base=-1 if table.base is None else table.base,
+        kept=decode_facts(table.kept or (), _decode_row, answered_s),
+        kept_digest=table.kept_digest or 0,
     )
 
 
 def _decode_rows(rows: Iterable[ttypes.RelayedRow]) -> tuple[Row, ...]:
-    """Return a peer's rows; raise ValueError if one lacks a field, which thrift leaves unset."""
-    found = []
-    for row in rows:
-        if row.key is None or row.value is None or row.version is None:
-            raise ValueError("a row has no key, value or version")
-        value = _unpack(row.value) if row.packed else row.value
-        found.append(Row(row.key, value, row.version))
-    return tuple(found)
+    return tuple([_decode_row(row) for row in rows])
+
+
+def _decode_row(row: ttypes.RelayedRow) -> Row:
+    """Return a peer's row; raise ValueError if it lacks a field, which thrift leaves unset."""
+    if row.key is None or row.value is None or row.version is None:
+        raise ValueError("a row has no key, value or version")
+    return Row(row.key, _unpack(row.value) if row.packed else row.value, row.version)
 
 
 def _unpack(value: bytes) -> bytes:
@@ -205,25 +253,32 @@
         view: FleetView,
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange | None = None,
+        era: StoreEra | None = None,
     ):
+        self._era = era or StoreEra()
         self._view = view
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
         self._changed = asyncio.Event()
         # Many peers get the same large row, so it is compressed once.
-        self._packed: dict[str, ttypes.RelayedRow] = {}
+        self._packed: dict[str, tuple[Row, ttypes.RelayedRow]] = {}
         view.changes.subscribe(lambda _: self._notify_waiting())
 
     async def answer(self, request: bytes) -> bytes:
         """Return the changes for a peer, waiting for one if asked to; raise PeerProtocolError."""
         try:
             asked = deserialize(ttypes.FetchTables(), request)
-            known = {str(name): int(revision) for name, revision in (asked.known or {}).items()}
+            known = Known(
+                {str(name): int(revision) for name, revision in (asked.known or {}).items()},
+                decode_eras(asked.eras),
+                {str(name): int(digest) for name, digest in (asked.kept or {}).items()},
+            )
             wait_s = min(MAX_WAIT_S, max(0, asked.wait_ms or 0) / 1000)
             received = _decode_loads(asked.loads, self._view.now_s())
             limits = decode_limits(asked.limits, self._view.now_s())
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
+        self._era.update(max((known.eras or {}).values(), default=0), "peer")
         self._load_exchange.merge(received)
         if self._limit_exchange is not None:
             self._limit_exchange.merge(limits)
@@ -250,13 +305,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _has_changes(self, known: Mapping[str, int]) -> bool:
+    def _has_changes(self, known: Known) -> bool:
         for name, copy in self._view.tables.items():
-            if copy.changed_revision > known.get(name, -1):
+            if known.is_ahead(copy):
+                continue
+            if copy.changed_revision > known.find_revision(copy):
+                return True
+            if copy.kept and find_digest(copy) != known.digests.get(name, 0):
                 return True
         return False
 
-    def _build_tables(self, known: Mapping[str, int]) -> list[ttypes.RelayedTable]:
+    def _build_tables(self, known: Known) -> list[ttypes.RelayedTable]:
         tables = []
         now_s = self._view.now_s()
         for name, copy in self._view.tables.items():
@@ -267,7 +326,12 @@
                 confirmed_age_ms=-1 if math.isinf(age_s) else int(age_s * 1000),
             )
             tables.append(table)
-            revision = known.get(name, -1)
+            if copy.era:
+                table.era, table.base = copy.era, copy.base
+            if known.is_ahead(copy):
+                continue
+            self._add_kept(table, copy, known.digests.get(name, 0))
+            revision = known.find_revision(copy)
             if copy.changed_revision <= revision:
                 continue
             changes = copy.list_changes(revision)
@@ -277,14 +341,26 @@
             table.removed = [self._encode_row(row) for row in removed]
         return tables
 
-    def _encode_row(self, row: Row) -> ttypes.RelayedRow:
+    def _add_kept(self, table: ttypes.RelayedTable, copy: TableCopy, sent_digest: int) -> None:
+        """Add the kept rows, unless the asker got them before."""
+        if not copy.kept or not copy.era:
+            return
+        table.kept_digest = find_digest(copy)
+        if table.kept_digest == sent_digest:
+            return
+        table.kept = encode_facts(copy.kept.values(), self._encode_kept_row, self._view.now_s())
+
+    def _encode_kept_row(self, row: Row) -> ttypes.RelayedRow:
+        return self._encode_row(row, "kept:")
+
+    def _encode_row(self, row: Row, kind: str = "") -> ttypes.RelayedRow:
         if len(row.value) <= LARGE_ROW_BYTES:
             return ttypes.RelayedRow(key=row.key, value=row.value, version=row.version)
-        packed = self._packed.get(row.key)
-        if packed is None or packed.version != row.version:
+        known, packed = self._packed.get(kind + row.key, (None, None))
+        if packed is None or known != row:
             value = zlib.compress(row.value, COMPRESSION_LEVEL)
             packed = ttypes.RelayedRow(row.key, value, row.version, packed=True)
-            self._packed[row.key] = packed
+            self._packed[kind + row.key] = (row, packed)
             self._forget_packed()
         return packed
 
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -147,7 +147,7 @@
         """Write the own row, read all rows, and remove those that are no longer renewed."""
         if not self._clock.known:
             known = await self._store.read(MEMBER_TABLE)
-            self._clock.update(known.now_ms, known.answered_s)
+            self._clock.update(known.now_ms, known.answered_s, known.era)
         row = {
             "domain": self._domain,
             "address": self._address,
@@ -155,12 +155,12 @@
             "link_bytes_per_s": self._link_bytes_per_s,
         }
         written = await self._store.write(MEMBER_TABLE, [Put(self._name, json.dumps(row).encode())])
-        self._clock.update(written.now_ms, written.answered_s)
+        self._clock.update(written.now_ms, written.answered_s, written.era)
         if not self.is_follower():
             # The followers send the table.
             return
         page = await self._store.read(MEMBER_TABLE)
-        self._clock.update(page.now_ms, page.answered_s)
+        self._clock.update(page.now_ms, page.answered_s, page.era)
         self._view.merge(
             MEMBER_TABLE,
             page.rows,
--- a/jayyoke/edge/storeclock.py
+++ b/jayyoke/edge/storeclock.py
@@ -8,19 +8,27 @@
 class StoreClock:
     """Adds the time since the store's last answer to the clock reading in that answer."""
 
-    __slots__ = ("_now_s", "_offset_ms")
+    __slots__ = ("_era", "_now_s", "_offset_ms")
 
     def __init__(self, now_s: Callable[[], float]):
         self._now_s = now_s
         self._offset_ms: float | None = None
+        self._era = 0
 
     @property
     def known(self) -> bool:
         """Tell whether the store has answered since the start."""
         return self._offset_ms is not None
 
-    def update(self, store_ms: int, answered_s: float) -> None:
-        """Record the clock in an answer that began to arrive at `answered_s` of the own clock."""
+    def update(self, store_ms: int, answered_s: float, era: int | None = None) -> None:
+        """Record the clock in an answer that began to arrive at `answered_s` of the own clock.
+
+        An answer of an older era than one before is left out; the clock may have started anew.
+        """
+        if era is not None:
+            if era < self._era:
+                return
+            self._era = era
         self._offset_ms = store_ms - answered_s * 1000
 
     def read_s(self) -> float:
--- a/jayyoke/edge/storeera.py
+++ b/jayyoke/edge/storeera.py
@@ -14,10 +14,11 @@
 class StoreEra:
     """Holds the newest era that the store or another instance has named."""
 
-    __slots__ = ("_changes", "_value")
+    __slots__ = ("_changes", "_risen", "_value")
 
     def __init__(self) -> None:
         self._value = 0
+        self._risen = False
         self._changes: Subject[int] = Subject()
 
     @property
@@ -25,6 +26,11 @@
         """Return the newest known era, or 0 if none has been named."""
         return self._value
 
+    @property
+    def risen(self) -> bool:
+        """Tell whether the store has come back from an older copy since the start."""
+        return self._risen
+
     @property
     def changes(self) -> Observable[int]:
         """Return the stream of newer eras, the first one included."""
@@ -35,5 +41,6 @@
         if era <= self._value:
             return
         known, self._value = self._value, era
+        self._risen = known > 0
         log_event("store-era", era=era, known=known, source=source)
         self._changes.on_next(era)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -145,7 +145,7 @@
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(
-            self.view, self.placement.load_exchange, self.placement.limit_exchange
+            self.view, self.placement.load_exchange, self.placement.limit_exchange, self.era
         )
         self.peers = PeerFollower(
             self.view,
@@ -157,6 +157,7 @@
             settings.link_bytes_per_s,
             self.placement.load_exchange,
             self.placement.limit_exchange,
+            self.era,
         )
         self.view.changes.subscribe(lambda _: self.drop_gone_upstreams())
         self.metrics.add_gauge(
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4103,6 +4103,8 @@
      - wait_ms
      - loads
      - limits
+     - eras
+     - kept
 
     """
 
@@ -4111,14 +4113,18 @@
         'wait_ms',
         'loads',
         'limits',
+        'eras',
+        'kept',
     )
 
 
-    def __init__(self, known=None, wait_ms=None, loads=None, limits=None,):
+    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, eras=None, kept=None,):
         self.known = known
         self.wait_ms = wait_ms
         self.loads = loads
         self.limits = limits
+        self.eras = eras
+        self.kept = kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4157,6 +4163,28 @@
                     self.limits.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.eras = {}
+                    (_ktype501, _vtype502, _size500) = iprot.readMapBegin()
+                    for _i504 in range(_size500):
+                        _key505 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val506 = iprot.readI64()
+                        self.eras[_key505] = _val506
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.kept = {}
+                    (_ktype601, _vtype602, _size600) = iprot.readMapBegin()
+                    for _i604 in range(_size600):
+                        _key605 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val606 = iprot.readI64()
+                        self.kept[_key605] = _val606
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4187,6 +4215,22 @@
             oprot.writeFieldBegin('limits', TType.STRUCT, 4)
             self.limits.write(oprot)
             oprot.writeFieldEnd()
+        if self.eras is not None:
+            oprot.writeFieldBegin('eras', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.eras))
+            for kiter507, viter508 in self.eras.items():
+                oprot.writeString(kiter507.encode('utf-8') if sys.version_info[0] == 2 else kiter507)
+                oprot.writeI64(viter508)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.kept))
+            for kiter607, viter608 in self.kept.items():
+                oprot.writeString(kiter607.encode('utf-8') if sys.version_info[0] == 2 else kiter607)
+                oprot.writeI64(viter608)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4219,6 +4263,9 @@
      - value
      - version
      - packed
+     - era
+     - gone
+     - left_ms
 
     """
 
@@ -4227,14 +4274,20 @@
         'value',
         'version',
         'packed',
+        'era',
+        'gone',
+        'left_ms',
     )
 
 
-    def __init__(self, key=None, value=None, version=None, packed=None,):
+    def __init__(self, key=None, value=None, version=None, packed=None, era=None, gone=None, left_ms=None,):
         self.key = key
         self.value = value
         self.version = version
         self.packed = packed
+        self.era = era
+        self.gone = gone
+        self.left_ms = left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4265,6 +4318,21 @@
                     self.packed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4291,6 +4359,18 @@
             oprot.writeFieldBegin('packed', TType.BOOL, 4)
             oprot.writeBool(self.packed)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 6)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 7)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4325,6 +4405,10 @@
      - rows
      - whole
      - removed
+     - era
+     - base
+     - kept
+     - kept_digest
 
     """
 
@@ -4335,16 +4419,24 @@
         'rows',
         'whole',
         'removed',
+        'era',
+        'base',
+        'kept',
+        'kept_digest',
     )
 
 
-    def __init__(self, name=None, revision=None, confirmed_age_ms=None, rows=None, whole=None, removed=None,):
+    def __init__(self, name=None, revision=None, confirmed_age_ms=None, rows=None, whole=None, removed=None, era=None, base=None, kept=None, kept_digest=None,):
         self.name = name
         self.revision = revision
         self.confirmed_age_ms = confirmed_age_ms
         self.rows = rows
         self.whole = whole
         self.removed = removed
+        self.era = era
+        self.base = base
+        self.kept = kept
+        self.kept_digest = kept_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4397,6 +4489,32 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.kept = []
+                    (_etype903, _size900) = iprot.readListBegin()
+                    for _i904 in range(_size900):
+                        _elem905 = RelayedRow()
+                        _elem905.read(iprot)
+                        self.kept.append(_elem905)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.kept_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4437,6 +4555,25 @@
                 iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 7)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 8)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.kept is not None:
+            oprot.writeFieldBegin('kept', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.kept))
+            for iter906 in self.kept:
+                iter906.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.kept_digest is not None:
+            oprot.writeFieldBegin('kept_digest', TType.I64, 10)
+            oprot.writeI64(self.kept_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5118,6 +5255,8 @@
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
     (3, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 3
     (4, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 4
+    (5, TType.MAP, 'eras', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
+    (6, TType.MAP, 'kept', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
 )
 all_structs.append(RelayedRow)
 RelayedRow.thrift_spec = (
@@ -5126,6 +5265,9 @@
     (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.BOOL, 'packed', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.BOOL, 'gone', None, None, ),  # 6
+    (7, TType.I32, 'left_ms', None, None, ),  # 7
 )
 all_structs.append(RelayedTable)
 RelayedTable.thrift_spec = (
@@ -5136,6 +5278,10 @@
     (4, TType.LIST, 'rows', (TType.STRUCT, [RelayedRow, None], False), None, ),  # 4
     (5, TType.BOOL, 'whole', None, None, ),  # 5
     (6, TType.LIST, 'removed', (TType.STRUCT, [RelayedRow, None], False), None, ),  # 6
+    (7, TType.I64, 'era', None, None, ),  # 7
+    (8, TType.I64, 'base', None, None, ),  # 8
+    (9, TType.LIST, 'kept', (TType.STRUCT, [RelayedRow, None], False), None, ),  # 9
+    (10, TType.I64, 'kept_digest', None, None, ),  # 10
 )
 all_structs.append(FetchedTables)
 FetchedTables.thrift_spec = (
