Write own rows again after the store's return, and name the era of conditions

Cause: members, statuses, counts and rows of quarantined parts that the older copy lacks were not written until their next change, and a condition could name a revision that was given out again.

Change: members renew within 2 s of a new era; followers write kept statuses on condition of the present row; counts are written again; the writers of quarantined parts and two others by rendezvous write their rows. Removals and statuses name the era of their condition.

--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -29,6 +29,7 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.view import FleetView
+from jayyoke.eras.movestatus import is_status_of
 from jayyoke.ops.evidence import EvidencePool, judge, select_version
 from jayyoke.platform import names
 from jayyoke.platform.decode import MAX_NUMBER, encode_move_status
@@ -68,10 +69,12 @@
         # Two incarnations of an instance must not count as one source, since totals only grow.
         self._source = f"{instance}~{random.getrandbits(32):08x}"
         self._own_counts: dict[str, dict[tuple[str, str], OutcomeCounts]] = {}
-        self._pools: dict[tuple[str, int], EvidencePool] = {}
-        self._halted: set[tuple[str, int]] = set()
+        self._pools: dict[tuple[str, str, int], EvidencePool] = {}
+        # Services, versions, and revisions under which the orders were first written.
+        self._halted: set[tuple[str, str, int]] = set()
         self._mean_times: dict[tuple[str, str], MeanTimes] = {}
         self._written: dict[str, bytes] = {}
+        self._counts_era = 0
 
     @property
     def period_s(self) -> float:
@@ -84,7 +87,7 @@
         status = self._view.statuses.get(service)
         if order is None and status is None:
             return Split()
-        halted = order is not None and (service, order.revision) in self._halted
+        halted = order is not None and self._build_halt_key(order) in self._halted
         return split_versions(order, status, halted, self._view.earlier_orders.get(service, ()))
 
     def record_answer(
@@ -114,6 +117,7 @@
         await self._read_first_status(sleep)
         while True:
             await sleep(self.period_s * random.uniform(0.8, 1.2))
+            await self._write_kept()
             for order in list(self._view.orders.values()):
                 if not self._is_open(order):
                     await self._clean_up(order)
@@ -135,6 +139,28 @@
                 log_event("move-store-away", service="", reason=str(error))
                 await sleep(PERIOD_S)
 
+    async def _write_kept(self) -> None:
+        """Write the statuses again that the store has lost, unless followers do."""
+        copy = self._view.tables[names.STATUS_TABLE]
+        era = self._view.tables[names.OPERATOR_TABLE].era
+        if copy.era > self._counts_era:
+            # Evidence is in the store by the same writes as the statuses.
+            self._counts_era = copy.era
+            self._written = dict.fromkeys(self._written, b"")
+        if self._is_relayed() or (copy.era >= era and not copy.kept):
+            return
+        try:
+            page = await self._read_status()
+            for key, fact in list(copy.kept.items()):
+                row = copy.rows.get(key)
+                put = Put(key, fact.row.value, row.version if row is not None else 0)
+                await self._store.write(names.STATUS_TABLE, [put], page.era)
+                log_event("move-status-written", row=key, era=page.era)
+        except Conflict:
+            log_event("move-raced", service="", version="")
+        except StoreUnavailable as error:
+            log_event("move-store-away", service="", reason=str(error))
+
     async def _read_status(self) -> RowPage:
         page = await self._store.read(names.STATUS_TABLE)
         self._clock.update(page.now_ms, page.answered_s, page.era)
@@ -146,12 +172,15 @@
             whole=True,
             confirmed_s=self._view.now_s(),
             source="store",
+            era=page.era,
         )
         return page
 
     def _is_open(self, order: MoveOrder) -> bool:
         status = self._view.statuses.get(order.service)
-        return status is None or status.order != order.revision or status.state not in _FINAL_STATES
+        return (
+            status is None or not is_status_of(status, order) or status.state not in _FINAL_STATES
+        )
 
     async def _advance(self, order: MoveOrder) -> None:
         own = self._own_counts.get(order.service, {})
@@ -159,7 +188,8 @@
         await self._write_counts(prefix, own)
         if self._is_relayed():
             return
-        pool = self._pools.setdefault((order.service, order.revision), EvidencePool())
+        pool_key = (order.service, order.version, order.revision)
+        pool = self._pools.setdefault(pool_key, EvidencePool())
         pool.replace(self._source, own)
         await self._read_counts(order, prefix, pool)
         counts = drop_versions(pool.total(), self.find_split(order.service).set_aside)
@@ -173,13 +203,17 @@
         status = self._view.statuses.get(order.service)
         next_state = decide_state(order, status, page.now_ms, counts, live_new, self._bounds)
         if next_state is not None:
-            await self._write_status(order, status, next_state, row, page.now_ms)
+            await self._write_status(order, status, next_state, row, page)
+
+    def _build_halt_key(self, order: MoveOrder) -> tuple[str, str, int]:
+        origin = self._view.move_memory.find_origin(order)
+        return order.service, order.version, origin
 
     def _halt_if_bad(
         self, order: MoveOrder, counts: Mapping[tuple[str, str], OutcomeCounts]
     ) -> None:
         """Stop all requests to a version as soon as the counts show that it is bad."""
-        key = (order.service, order.revision)
+        key = self._build_halt_key(order)
         if key in self._halted:
             return
         new = select_version(dict(counts), order.version)
@@ -214,7 +248,8 @@
                 continue
             if row.key.startswith(f"{order.service}/"):
                 # The row of an instance that was killed during an earlier move.
-                await self._store.write(EVIDENCE_TABLE, [Put(row.key, None, row.version)])
+                put = Put(row.key, None, row.version)
+                await self._store.write(EVIDENCE_TABLE, [put], page.era)
 
     async def _write_status(
         self,
@@ -222,15 +257,15 @@
         status: MoveStatus | None,
         next_state: NextState,
         row: Row | None,
-        store_ms: int,
+        page: RowPage,
     ) -> None:
-        begins = status is None or status.order != order.revision
+        begins = status is None or not is_status_of(status, order)
         written = MoveStatus(
             service=order.service,
             version=order.version,
             state=next_state.state,
             order=order.revision,
-            started_ms=store_ms if begins else status.started_ms,
+            started_ms=page.now_ms if begins else status.started_ms,
             reason=next_state.reason,
             share=next_state.share,
             set_aside=find_set_aside(
@@ -242,7 +277,7 @@
             encode_move_status(written),
             row.version if row is not None else 0,
         )
-        await self._store.write(names.STATUS_TABLE, [put])
+        await self._store.write(names.STATUS_TABLE, [put], page.era)
         log_event(
             "move",
             service=order.service,
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -11,6 +11,7 @@
 from jayyoke.core.error import Conflict, StoreUnavailable
 from jayyoke.edge.log import log_event
 from jayyoke.edge.storeclock import StoreClock
+from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.view import MEMBER_TABLE, FleetView
 from jayyoke.ops.rendezvous import rank
 from jayyoke.platform.address import is_address
@@ -27,6 +28,9 @@
 ALIVE_PERIODS = 4.0
 REMOVE_PERIODS = 20.0
 RETRY_S = 0.5
+# All instances write their rows again after the store's return: 410 within this time make a sixth
+# of its rate (1,200 writes/s).
+ERA_SPREAD_S = 2.0
 # Each follower costs the store a call a second and one for each change. With two, the loss of one
 # leaves no gap.
 FOLLOWERS_PER_DOMAIN = 2
@@ -57,7 +61,11 @@
         domain: str,
         address: str,
         link_bytes_per_s: float = 0.0,
+        era: StoreEra | None = None,
     ):
+        self._era_changed = asyncio.Event()
+        if era is not None:
+            era.changes.subscribe(lambda _: self._era_changed.set())
         self._view = view
         self._store = store
         self._clock = clock
@@ -66,7 +74,7 @@
         self._address = address
         self._link_bytes_per_s = link_bytes_per_s
         self._parsed: list[Member] = []
-        self._parsed_revision = -1
+        self._parsed_as_of: tuple[object, ...] = ()
 
     @property
     def period_s(self) -> float:
@@ -75,15 +83,16 @@
 
     def list_members(self) -> list[Member]:
         """Return every readable row."""
-        revision = self._view.tables[MEMBER_TABLE].revision
-        if revision != self._parsed_revision:
+        copy = self._view.tables[MEMBER_TABLE]
+        as_of = (copy.era, copy.revision, frozenset(copy.kept))
+        if as_of != self._parsed_as_of:
             self._parsed = self._parse_members()
-            self._parsed_revision = revision
+            self._parsed_as_of = as_of
         return self._parsed
 
     def _parse_members(self) -> list[Member]:
         found = []
-        for row in self._view.tables[MEMBER_TABLE].rows.values():
+        for row in self._view.tables[MEMBER_TABLE].list_in_force().values():
             member = _parse_member(row.key, row.value)
             if member is not None:
                 found.append(member)
@@ -141,7 +150,17 @@
                 log_event("roster-store-away", reason=str(error))
                 await asyncio.sleep(RETRY_S * random.uniform(1.0, 3.0))
                 continue
-            await asyncio.sleep(self.period_s * random.uniform(0.9, 1.1))
+            await self._wait_for_era(self.period_s * random.uniform(0.9, 1.1))
+
+    async def _wait_for_era(self, period_s: float) -> None:
+        """Wait for a period, or less if the store has come back without the own row."""
+        try:
+            async with asyncio.timeout(period_s):
+                await self._era_changed.wait()
+        except TimeoutError:
+            return
+        self._era_changed.clear()
+        await asyncio.sleep(random.uniform(0.0, ERA_SPREAD_S))
 
     async def renew(self) -> None:
         """Write the own row, read all rows, and remove those that are no longer renewed."""
@@ -169,6 +188,7 @@
             whole=True,
             confirmed_s=self._view.now_s(),
             source="store",
+            era=page.era,
         )
         limit_ms = page.now_ms - REMOVE_PERIODS * 1000 * self.period_s
         for row in page.rows:
@@ -176,7 +196,7 @@
             if member is not None and member.renewed_ms >= limit_ms:
                 continue
             log_event("member-removed", member=row.key, revision=row.version)
-            await self._store.write(MEMBER_TABLE, [Put(row.key, None, row.version)])
+            await self._store.write(MEMBER_TABLE, [Put(row.key, None, row.version)], page.era)
 
 
 def _parse_member(key: str, value: bytes) -> Member | None:
--- a/jayyoke/ops/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -31,6 +31,8 @@
 MAX_ROWS_PER_END = 64
 # With more changes than this, reading the rows first saves removals of rows that are not there.
 MAX_BLIND_CHANGES = 8
+# Rows whose writing or removal the platform may have lost.
+MAX_OWN_ROWS = 256
 
 
 class InvalidStoredPart(PlatformError):
@@ -70,6 +72,7 @@
     """Reads and writes the rows of quarantined parts.
 
     `on_read` is called with each part that is quarantined by a row, `on_problem` with each fault.
+    `is_writer` tells for which parts this instance writes rows again that the platform has lost.
     """
 
     def __init__(
@@ -79,7 +82,11 @@
         now_s: Callable[[], float],
         on_read: Callable[[str], None],
         on_problem: Callable[[str], None],
+        is_writer: Callable[[str], bool] = lambda key: False,
     ):
+        self._is_writer = is_writer
+        # Parts whose rows this instance has written or removed, the newest last.
+        self._own: dict[str, None] = {}
         self._quarantine = quarantine
         self._storage = storage
         self._now_s = now_s
@@ -100,6 +107,15 @@
         for key in quarantined[:MAX_ROWS_PER_END]:
             self.mark_changed(key)
 
+    def write_again(self) -> None:
+        """Write or remove rows again after the platform has come back with an older copy."""
+        keys = dict(self._own)
+        for key in self._quarantine.list_quarantined():
+            if self._is_writer(key):
+                keys[key] = None
+        for key in keys:
+            self.mark_changed(key)
+
     async def run(self) -> None:
         """Read the rows once and write those that change, until cancelled."""
         await self._retry(self._read)
@@ -110,8 +126,15 @@
                 await self._retry(self._drop_needless_removals, MAX_TRIES)
             for key in list(self._changed):
                 del self._changed[key]
+                self._remember(key)
                 await self._retry(lambda key=key: self._write(key), MAX_TRIES)
 
+    def _remember(self, key: str) -> None:
+        self._own.pop(key, None)
+        self._own[key] = None
+        while len(self._own) > MAX_OWN_ROWS:
+            del self._own[next(iter(self._own))]
+
     async def _drop_needless_removals(self) -> None:
         stored = {row.key for row in await self._storage.read()}
         held = set(self._quarantine.list_quarantined())
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -39,6 +39,7 @@
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import QuarantineRows
+from jayyoke.ops.rendezvous import rank
 from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
@@ -57,6 +58,8 @@
 _RELOADABLE_SETTINGS = ("seeds", "first_start")
 # The same as in deploy/system.toml; outside the platform's port range for peers.
 METRICS_PORT = 9109
+# With two, the death of one instance loses no row that its store has lost.
+ROW_WRITERS = 2
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
@@ -94,6 +97,7 @@
             settings.domain,
             settings.peer_address,
             settings.link_bytes_per_s,
+            self.era,
         )
         self.moves = MoveParticipant(
             self.view,
@@ -125,7 +129,9 @@
             now_s,
             lambda key: log_quarantined(self.quarantine, key, source="store"),
             lambda reason: log_event("quarantine-rows", reason=reason),
+            lambda key: settings.instance in rank(key, self.roster.list_alive())[:ROW_WRITERS],
         )
+        self.era.changes.subscribe(lambda _: self.write_rows_again())
         self.part_exchange = PartExchange(
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
@@ -207,6 +213,11 @@
         log_end(self.quarantine, end)
         self.quarantine_rows.record_end(end.keys)
 
+    def write_rows_again(self) -> None:
+        """Write the rows of quarantined parts again if the store may have lost them."""
+        if self.era.risen:
+            self.quarantine_rows.write_again()
+
     def apply_settings(self, settings: EntrySettings) -> list[str]:
         """Apply new settings; return the names of those whose change needs a restart."""
         old = self.settings
