Bring back an older copy in the stand-in, and test what must not come back with it

Change: RowStoreServer saves copies, returns to one in the next era, gives revisions out again, answers 410 to revisions that it does not have, and writes lost rows of operators and upstreams again. After a change of the era instances ask others for 3 s what they keep and what was removed since, so that one that comes late does not keep an evacuation that was withdrawn meanwhile.

--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
-from jayyoke.edge.keptrelay import select_eras
+from jayyoke.edge.keptrelay import find_digest, select_eras
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
@@ -46,6 +46,8 @@
 MAX_DIRECT_RETRY_S = 1.5
 ASK_PERIOD_S = 0.4
 PEERS_PER_ASK = 2
+# Instances learn of a new era within about two seconds; until then others are asked what they keep.
+ERA_ASK_S = 3.0
 
 
 def count_bytes(rows: Iterable[Row]) -> int:
@@ -176,6 +178,9 @@
         era: StoreEra | None = None,
     ):
         self._era = era or StoreEra()
+        self._era.changes.subscribe(lambda _: self._ask_soon())
+        self._ask_until_s = float("-inf")
+        self._ask_now = asyncio.Event()
         # The digests of kept rows that each peer sent last, by table.
         self._kept_digests: dict[str, dict[str, int]] = {}
         self._view = view
@@ -225,9 +230,12 @@
     async def run(self) -> None:
         """Ask random instances while the view is stale or limits are known, until cancelled."""
         while True:
-            await asyncio.sleep(ASK_PERIOD_S * self._source.uniform(0.8, 1.2))
+            await self._wait_to_ask(ASK_PERIOD_S * self._source.uniform(0.8, 1.2))
             if self.stale:
                 count = PEERS_PER_ASK
+            elif self._view.now_s() < self._ask_until_s:
+                # Others may have seen what the store has lost, and this instance not.
+                count = 1
             elif self._roster.is_follower() and not self._limit_exchange.empty:
                 # The others of a domain hear of limits from its followers.
                 count = 1
@@ -237,6 +245,18 @@
             asked = self._source.sample(peers, min(count, len(peers)))
             await asyncio.gather(*(self._ask(peer, 0.0) for peer in asked))
 
+    def _ask_soon(self) -> None:
+        self._ask_until_s = self._view.now_s() + ERA_ASK_S
+        self._ask_now.set()
+
+    async def _wait_to_ask(self, period_s: float) -> None:
+        try:
+            async with asyncio.timeout(period_s):
+                await self._ask_now.wait()
+        except TimeoutError:
+            return
+        self._ask_now.clear()
+
     async def _ask(self, peer: str, wait_s: float) -> bool:
         """Merge a peer's changes into the view; return False if it did not answer."""
         tables = self._view.tables
@@ -258,6 +278,7 @@
                 limits,
                 select_eras(tables, self._era.value),
                 self._kept_digests.get(peer),
+                {name: find_digest(copy) for name, copy in tables.items() if copy.kept},
             )
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
@@ -319,4 +340,4 @@
                 era=era,
             )
         if table.kept or table.base >= 0:
-            self._view.merge_facts(table.name, table.kept, table.base, era, peer)
+            self._view.merge_facts(table.name, table.kept, table.removed, table.base, era, peer)
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -74,12 +74,14 @@
 class Known:
     """Holds what an asker has: revisions by table, their eras, and digests of kept rows.
 
-    `eras` is None if the asker knows of none.
+    `eras` is None if the asker knows of none. `sent` holds the digests that it got last from the
+    answering instance, `own` those of its own kept rows.
     """
 
     revisions: Mapping[str, int]
     eras: Mapping[str, int] | None = None
-    digests: Mapping[str, int] = field(default_factory=dict)
+    sent: Mapping[str, int] = field(default_factory=dict)
+    own: Mapping[str, int] = field(default_factory=dict)
 
     def find_revision(self, copy: TableCopy) -> int:
         """Return the asker's revision of a table, -1 if that is of an older era."""
@@ -87,6 +89,12 @@
             return -1
         return self.revisions.get(copy.name, -1)
 
+    def lacks_kept(self, copy: TableCopy) -> bool:
+        """Tell whether the asker has not got the rows that this instance keeps."""
+        if not copy.kept or not copy.era:
+            return False
+        return find_digest(copy) not in (self.sent.get(copy.name), self.own.get(copy.name))
+
     def is_ahead(self, copy: TableCopy) -> bool:
         """Tell whether the asker's table is of a newer era."""
         return self.eras is not None and self.eras.get(copy.name, 0) > copy.era
@@ -122,14 +130,16 @@
         loads: Sequence[ReportedLoad] = (),
         limits: Sequence[LimitReport] = (),
         eras: Mapping[str, int] | None = None,
-        digests: Mapping[str, int] | None = None,
+        sent: Mapping[str, int] | None = None,
+        own: Mapping[str, int] | None = None,
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
         The peer waits up to `wait_s` for a change if it has none, and merges the loads and limits.
-        The revisions are of the given eras; `digests` are those of kept rows that the peer sent.
+        The revisions are of the given eras. `sent` are the digests of kept rows that the peer sent
+        last, `own` those of the own ones.
         """
-        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits, eras, digests)
+        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits, eras, sent, own)
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
             total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
@@ -154,7 +164,8 @@
     now_s: float,
     limits: Sequence[LimitReport] = (),
     eras: Mapping[str, int] | None = None,
-    digests: Mapping[str, int] | None = None,
+    sent: Mapping[str, int] | None = None,
+    own: Mapping[str, int] | None = None,
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -164,7 +175,8 @@
             loads=_encode_loads(loads, now_s),
             limits=encode_limits(limits, now_s),
             eras=None if eras is None else dict(eras),
-            kept=dict(digests) if digests else None,
+            kept=dict(sent) if sent else None,
+            own_kept=dict(own) if own else None,
         )
     )
 
@@ -272,6 +284,7 @@
                 {str(name): int(revision) for name, revision in (asked.known or {}).items()},
                 decode_eras(asked.eras),
                 {str(name): int(digest) for name, digest in (asked.kept or {}).items()},
+                {str(name): int(digest) for name, digest in (asked.own_kept or {}).items()},
             )
             wait_s = min(MAX_WAIT_S, max(0, asked.wait_ms or 0) / 1000)
             received = _decode_loads(asked.loads, self._view.now_s())
@@ -306,12 +319,12 @@
         self._changed = asyncio.Event()
 
     def _has_changes(self, known: Known) -> bool:
-        for name, copy in self._view.tables.items():
+        for copy in self._view.tables.values():
             if known.is_ahead(copy):
                 continue
             if copy.changed_revision > known.find_revision(copy):
                 return True
-            if copy.kept and find_digest(copy) != known.digests.get(name, 0):
+            if known.lacks_kept(copy):
                 return True
         return False
 
@@ -330,25 +343,27 @@
                 table.era, table.base = copy.era, copy.base
             if known.is_ahead(copy):
                 continue
-            self._add_kept(table, copy, known.digests.get(name, 0))
+            self._add_kept(table, copy, known)
             revision = known.find_revision(copy)
             if copy.changed_revision <= revision:
                 continue
             changes = copy.list_changes(revision)
             table.whole = changes is None
-            rows, removed = changes or (list(copy.rows.values()), [])
+            rows, removed = changes or (list(copy.rows.values()), copy.list_removed_after_base())
             table.rows = [self._encode_row(row) for row in rows]
-            table.removed = [self._encode_row(row) for row in removed]
+            table.removed = (table.removed or []) + [self._encode_row(row) for row in removed]
         return tables
 
-    def _add_kept(self, table: ttypes.RelayedTable, copy: TableCopy, sent_digest: int) -> None:
-        """Add the kept rows, unless the asker got them before."""
-        if not copy.kept or not copy.era:
-            return
-        table.kept_digest = find_digest(copy)
-        if table.kept_digest == sent_digest:
+    def _add_kept(self, table: ttypes.RelayedTable, copy: TableCopy, known: Known) -> None:
+        """Add the kept rows that the asker lacks, and removals of those that it keeps."""
+        if not copy.era:
             return
-        table.kept = encode_facts(copy.kept.values(), self._encode_kept_row, self._view.now_s())
+        digest = find_digest(copy)
+        table.kept_digest = digest or None
+        if known.lacks_kept(copy):
+            table.kept = encode_facts(copy.kept.values(), self._encode_kept_row, self._view.now_s())
+        if known.own.get(copy.name, digest) != digest:
+            table.removed = [self._encode_row(row) for row in copy.list_removed_after_base()]
 
     def _encode_kept_row(self, row: Row) -> ttypes.RelayedRow:
         return self._encode_row(row, "kept:")
--- a/jayyoke/edge/tablecopy.py
+++ b/jayyoke/edge/tablecopy.py
@@ -69,7 +69,7 @@
                 changed.add(row.key)
                 self.changed_revision = max(self.changed_revision, row.version)
                 fact = self.kept.get(row.key)
-                if fact and row.version > self.base and is_replaced(self.name, fact, row):
+                if fact is not None and self._is_replaced(row.key, fact):
                     del self.kept[row.key]
         for row in removed:
             known = self.rows.get(row.key)
@@ -113,20 +113,22 @@
         after = self.list_in_force()
         return {key for key in before.keys() | after.keys() if before.get(key) != after.get(key)}
 
-    def merge_facts(self, facts: Iterable[KeptFact], base: int, now_s: float) -> set[str]:
-        """Keep the facts that a peer of the same era keeps; return the keys that differ now.
+    def merge_facts(
+        self, facts: Iterable[KeptFact], removed: Iterable[Row], base: int, now_s: float
+    ) -> set[str]:
+        """Keep the facts that a peer of the same era keeps; return the keys that may differ now.
 
-        `base` is that of the peer, or -1 if it names none.
+        `base` is that of the peer, or -1 if it names none; `removed` are removals that it knows.
         """
-        if base >= 0:
-            self.base = min(self.base, base)
-        changed = set()
+        if 0 <= base < self.base:
+            # The peer read this era's table earlier, so fewer rows may be from the older copy.
+            self.base = base
+        changed = self._drop_replaced(removed)
         for fact in facts:
             key = fact.row.key
-            row = self.rows.get(key)
             if fact.era >= self.era or self.removed.get(key, -1) > self.base:
                 continue
-            if row is not None and row.version > self.base and is_replaced(self.name, fact, row):
+            if self._is_replaced(key, fact):
                 continue
             known = self.kept.get(key)
             if known is not None and not fact.is_newer_than(known):
@@ -139,6 +141,10 @@
                 changed.add(key)
         return changed
 
+    def list_removed_after_base(self) -> list[Row]:
+        """Return the removals that were certainly made in the present era."""
+        return [Row(key, b"", at) for key, at in self.removed.items() if at > self.base]
+
     def pop_expired(self, now_s: float) -> set[str]:
         """Drop the facts whose time has passed; return their keys."""
         if not self.kept:
@@ -163,6 +169,25 @@
         facts = {key: KeptFact(row, self.era) for key, row in self.rows.items()}
         return list((self.departed | facts | self.kept).values())
 
+    def _is_replaced(self, key: str, fact: KeptFact) -> bool:
+        """Tell whether a fact's row was written again in the present era."""
+        row = self.rows.get(key)
+        if row is None or row.version <= self.base:
+            return False
+        return is_replaced(self.name, fact, row)
+
+    def _drop_replaced(self, removed: Iterable[Row]) -> set[str]:
+        """Drop the facts whose rows were written or removed in the present era."""
+        if not self.kept:
+            return set()
+        dropped = {key for key, fact in self.kept.items() if self._is_replaced(key, fact)}
+        for row in removed:
+            if row.key in self.kept and row.key not in self.rows and row.version > self.base:
+                dropped.add(row.key)
+        for key in dropped:
+            del self.kept[key]
+        return dropped
+
     def _keep(self, fact: KeptFact, now_s: float) -> bool:
         key = fact.row.key
         kept = keep_fact(self.name, fact, self.rows.get(key), now_s)
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -137,13 +137,20 @@
         self._derive(table, changed, source, silent_s)
 
     def merge_facts(
-        self, table: str, facts: Iterable[KeptFact], base: int, era: int, source: str
+        self,
+        table: str,
+        facts: Iterable[KeptFact],
+        removed: Iterable[Row],
+        base: int,
+        era: int,
+        source: str,
     ) -> None:
         """Merge the facts of older eras that a peer keeps; `base` is the peer's."""
         copy = self.tables[table]
         if era != copy.era or copy.revision < 0:
             return
-        self._derive(table, copy.merge_facts(facts, base, self.now_s()), source, 0.0)
+        changed = copy.merge_facts(facts, removed, base, self.now_s())
+        self._derive(table, changed, source, 0.0)
 
     def _begin_era(
         self, copy: TableCopy, rows: Iterable[Row], revision: int, era: int, source: str
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4105,6 +4105,7 @@
      - limits
      - eras
      - kept
+     - own_kept
 
     """
 
@@ -4115,16 +4116,18 @@
         'limits',
         'eras',
         'kept',
+        'own_kept',
     )
 
 
-    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, eras=None, kept=None,):
+    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, eras=None, kept=None, own_kept=None,):
         self.known = known
         self.wait_ms = wait_ms
         self.loads = loads
         self.limits = limits
         self.eras = eras
         self.kept = kept
+        self.own_kept = own_kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4185,6 +4188,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.own_kept = {}
+                    (_ktype701, _vtype702, _size700) = iprot.readMapBegin()
+                    for _i704 in range(_size700):
+                        _key705 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val706 = iprot.readI64()
+                        self.own_kept[_key705] = _val706
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4231,6 +4245,14 @@
                 oprot.writeI64(viter608)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.own_kept is not None:
+            oprot.writeFieldBegin('own_kept', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.own_kept))
+            for kiter707, viter708 in self.own_kept.items():
+                oprot.writeString(kiter707.encode('utf-8') if sys.version_info[0] == 2 else kiter707)
+                oprot.writeI64(viter708)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5257,6 +5279,7 @@
     (4, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 4
     (5, TType.MAP, 'eras', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.MAP, 'kept', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
+    (7, TType.MAP, 'own_kept', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
 )
 all_structs.append(RelayedRow)
 RelayedRow.thrift_spec = (
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -24,6 +24,15 @@
     SILENT = 2
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Holds the rows and the history of a store as of a revision."""
+
+    rows: dict[tuple[str, str], Change]
+    history: tuple[Change, ...]
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Change:
     """Holds one change of a row; a value of None means that the row was dropped."""
@@ -45,10 +54,14 @@
         self._runner: web.AppRunner | None = None
         self._stopped = asyncio.Event()
         self.revision = 0
+        # The era in all answers; None leaves the header out.
+        self.era: int | None = None
         self.address = ""
         self.calls = 0
         # Keyed by User-Agent, path and table.
         self.calls_by_origin: Counter[tuple[str, str, str]] = Counter()
+        # How many of the next reads of tables are answered with 410.
+        self.lost_reads = 0
         self.fault: Fault | None = None
         # The fault affects callers whose User-Agent contains one of these words; empty means all.
         self.faulty_callers: set[str] = set()
@@ -68,6 +81,7 @@
     async def start(self) -> None:
         """Listen on a free port of loopback."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/-/rows-get", self._get)
         app.router.add_get("/-/rows-feed", self._feed)
         app.router.add_post("/-/rows-tx", self._transact)
@@ -116,6 +130,37 @@
         self._history = []
         self._notify_feeds()
 
+    def save_copy(self) -> StoreCopy:
+        """Return a copy to which the store may return."""
+        return StoreCopy(dict(self._rows), tuple(self._history), self.revision)
+
+    def return_to(self, copy: StoreCopy) -> list[Change]:
+        """Come back from an older copy in the next era; return the lost changes, oldest first.
+
+        Revisions after that of the copy are given out again.
+        """
+        lost = [change for change in self._history if change.revision > copy.revision]
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self._oldest_revision = min(self._oldest_revision, copy.revision)
+        self.revision = copy.revision
+        self.era = 1 + (self.era or 0)
+        self._notify_feeds()
+        return lost
+
+    def write_again(self, lost: list[Change], tables: tuple[str, ...] = ("op", "servers")) -> None:
+        """Write the lost rows of operators and upstreams again, as they were last."""
+        newest = {(change.table, change.key): change for change in lost}
+        for change in newest.values():
+            if change.table not in tables:
+                continue
+            self.revision += 1
+            self._apply(Change(change.table, change.key, change.value, self.revision))
+
+    async def _add_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+
     def _apply(self, change: Change) -> None:
         row_key = (change.table, change.key)
         if change.value is None:
@@ -152,6 +197,9 @@
         refused = await self._apply_fault(request)
         if refused is not None:
             return refused
+        if self.lost_reads > 0:
+            self.lost_reads -= 1
+            return web.Response(status=410)
         table = request.query["table"]
         start = request.query.get("from", "")
         limit = int(request.query.get("limit", "500"))
@@ -174,7 +222,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(request.query["waitMs"]) / 1000
         while True:
-            if since_revision < self._oldest_revision:
+            if not self._oldest_revision <= since_revision <= self.revision:
                 return web.Response(status=410)
             changed = self._changed
             changes = [c for c in self._history if c.table == table and c.revision > since_revision]
