--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -332,6 +332,8 @@
   6: optional map<string, i64> kept
   // The digests of the sender's own kept rows, by table.
   7: optional map<string, i64> own_kept
+  // The sender's row in the table of instances, which a follower of its domain renews.
+  8: optional RelayedRow member
 }
 
 // era, gone and left_ms are set in kept rows only: the era of version, whether the row was removed, and the time for
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -132,14 +132,18 @@
         eras: Mapping[str, int] | None = None,
         sent: Mapping[str, int] | None = None,
         own: Mapping[str, int] | None = None,
+        member: Row | None = None,
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
         The peer waits up to `wait_s` for a change if it has none, and merges the loads and limits.
         The revisions are of the given eras. `sent` are the digests of kept rows that the peer sent
-        last, `own` those of the own ones.
+        last, `own` those of the own ones. A peer that follows the store renews the row `member` of
+        this instance.
         """
-        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits, eras, sent, own)
+        request = encode_fetch_request(
+            known, wait_s, loads, self._now_s(), limits, eras, sent, own, member
+        )
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
             total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
@@ -166,6 +170,7 @@
     eras: Mapping[str, int] | None = None,
     sent: Mapping[str, int] | None = None,
     own: Mapping[str, int] | None = None,
+    member: Row | None = None,
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -177,6 +182,7 @@
             eras=None if eras is None else dict(eras),
             kept=dict(sent) if sent else None,
             own_kept=dict(own) if own else None,
+            member=None if member is None else ttypes.RelayedRow(member.key, member.value, 0),
         )
     )
 
@@ -266,8 +272,10 @@
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange | None = None,
         era: StoreEra | None = None,
+        record_member: Callable[[Row], None] = lambda _: None,
     ):
         self._era = era or StoreEra()
+        self._record_member = record_member
         self._view = view
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
@@ -289,12 +297,15 @@
             wait_s = min(MAX_WAIT_S, max(0, asked.wait_ms or 0) / 1000)
             received = _decode_loads(asked.loads, self._view.now_s())
             limits = decode_limits(asked.limits, self._view.now_s())
+            member = None if asked.member is None else _decode_row(asked.member)
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
         self._era.update(max((known.eras or {}).values(), default=0), "peer")
         self._load_exchange.merge(received)
         if self._limit_exchange is not None:
             self._limit_exchange.merge(limits)
+        if member is not None:
+            self._record_member(member)
         if wait_s and not self._has_changes(known):
             try:
                 async with asyncio.timeout(wait_s):
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4106,6 +4106,7 @@
      - eras
      - kept
      - own_kept
+     - member
 
     """
 
@@ -4117,10 +4118,11 @@
         'eras',
         'kept',
         'own_kept',
+        'member',
     )
 
 
-    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, eras=None, kept=None, own_kept=None,):
+    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, eras=None, kept=None, own_kept=None, member=None,):
         self.known = known
         self.wait_ms = wait_ms
         self.loads = loads
@@ -4128,6 +4130,7 @@
         self.eras = eras
         self.kept = kept
         self.own_kept = own_kept
+        self.member = member
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4199,6 +4202,12 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.member = RelayedRow()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4253,6 +4262,10 @@
                 oprot.writeI64(viter708)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 8)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5837,6 +5850,7 @@
     (5, TType.MAP, 'eras', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
     (6, TType.MAP, 'kept', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.MAP, 'own_kept', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 7
+    (8, TType.STRUCT, 'member', [RelayedRow, None], None, ),  # 8
 )
 all_structs.append(RelayedRow)
 RelayedRow.thrift_spec = (
