Take rows of a higher revision, and removals that others saw, over facts of an older era

Cause: an instance that was cut off before the store's return kept an order or an evacuation that the operator had replaced or withdrawn meanwhile.

--- a/jayyoke/edge/eras_test.py
+++ b/jayyoke/edge/eras_test.py
@@ -233,6 +233,14 @@
         peer.read("op", [], 71, 2, whole=False)
         assert peer.view.evacuated == {"a"}
 
+    def test_row_of_a_higher_revision_is_newer(self):
+        """Guards against an instance that was cut off and keeps an order older than the copy."""
+        peer = Peer()
+        peer.read("op", [build_row("rollout/desk", 40, ORDER)], 50, 1)
+        later = build_row("rollout/desk", 60, ORDER | {"to": "v3"})
+        peer.read("op", [later], 70, 2)
+        assert peer.view.orders["desk"].version == "v3"
+
 
 class TestMoves:
     def build_moved(self, state: MoveState) -> Peer:
@@ -364,6 +372,18 @@
         assert old.view.orders["desk"].version == "v3"
         assert not old.view.tables["op"].kept
 
+    def test_removal_before_the_return_reaches_an_instance_that_missed_it(self):
+        """Guards against an instance that was cut off and keeps an evacuation for good."""
+        new, late = Peer(), Peer()
+        for peer in (new, late):
+            peer.read("op", [build_config(7, 40), build_row("evacuate/a", 60, {})], 61, 1)
+        new.remove("op", "evacuate/a", 62, 1)
+        for peer in (new, late):
+            peer.read("op", [build_config(7, 40)], 70, 2)
+        assert late.view.evacuated == {"a"}
+        late.ask(new)
+        assert not late.view.evacuated
+
     def test_calm_messages_hold_no_new_fields_without_eras(self):
         """Guards against bytes and behaviour that only a store with eras needs."""
         one, two = Peer(), Peer()
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -360,10 +360,12 @@
             return
         digest = find_digest(copy)
         table.kept_digest = digest or None
-        if known.lacks_kept(copy):
-            table.kept = encode_facts(copy.kept.values(), self._encode_kept_row, self._view.now_s())
+        facts = list(copy.kept.values()) if known.lacks_kept(copy) else []
         if known.own.get(copy.name, digest) != digest:
+            facts += copy.list_gone()
             table.removed = [self._encode_row(row) for row in copy.list_removed_after_base()]
+        if facts:
+            table.kept = encode_facts(facts, self._encode_kept_row, self._view.now_s())
 
     def _encode_kept_row(self, row: Row) -> ttypes.RelayedRow:
         return self._encode_row(row, "kept:")
--- a/jayyoke/edge/tablecopy.py
+++ b/jayyoke/edge/tablecopy.py
@@ -12,6 +12,8 @@
 
 # Removals remembered for peers; a peer that lacks older ones gets the whole table.
 MAX_REMOVALS = 500
+# Removals that are told to a peer which keeps other rows; about 10 KB.
+MAX_TOLD = 50
 
 
 @dataclass(slots=True)
@@ -133,6 +135,10 @@
             known = self.kept.get(key)
             if known is not None and not fact.is_newer_than(known):
                 continue
+            if known is not None and fact.gone:
+                # The row was removed before the store's return.
+                del self.kept[key]
+                changed.add(key)
             if self._keep(fact, now_s):
                 # The peer may have kept it for some time.
                 kept = self.kept[key]
@@ -141,9 +147,18 @@
                 changed.add(key)
         return changed
 
+    def list_gone(self) -> list[KeptFact]:
+        """Return what was removed in older eras and is in no row now."""
+        found = []
+        for key, fact in self.departed.items():
+            if fact.era < self.era and key not in self.rows and key not in self.kept:
+                found.append(fact)
+        return found[-MAX_TOLD:]
+
     def list_removed_after_base(self) -> list[Row]:
-        """Return the removals that were certainly made in the present era."""
-        return [Row(key, b"", at) for key, at in self.removed.items() if at > self.base]
+        """Return the newest removals that were certainly made in the present era."""
+        found = [Row(key, b"", at) for key, at in self.removed.items() if at > self.base]
+        return found[-MAX_TOLD:]
 
     def pop_expired(self, now_s: float) -> set[str]:
         """Drop the facts whose time has passed; return their keys."""
--- a/jayyoke/eras/fact.py
+++ b/jayyoke/eras/fact.py
@@ -18,6 +18,8 @@
 # Upstreams write their entries every 1.2 s and operators within seconds of the store's return.
 # Until then the fleet goes on as before; what is not written by then has ended meanwhile.
 RESTORE_S = 10.0
+# Tables whose rows are written by one party each. Any instance may write the row of a move.
+_ORDERED_TABLES = (names.OPERATOR_TABLE, names.UPSTREAM_TABLE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,9 @@
 
     `found` is that row, or None if the copy has none.
     """
+    if table in _ORDERED_TABLES and found is not None and found.version > fact.row.version:
+        # Whether the copy had it or it was written since: it is newer.
+        return None
     if table == names.UPSTREAM_TABLE:
         return _keep_upstream(fact, found, now_s)
     if table == names.OPERATOR_TABLE:
--- a/tests/platform_names_test.py
+++ b/tests/platform_names_test.py
@@ -30,6 +30,7 @@
     "nodeName",
     "portRange",
     "JAYYOKE_SETTINGS",
+    "Store-Era",
 )
 # The lookbehind passes over the product's own names, such as Jayyoke-Deadline-Ms.
 PATTERN = re.compile(r"(?<![\w-])(?:" + "|".join(map(re.escape, NAMES)) + ")")
--- a/tests/quarantinerows_test.py
+++ b/tests/quarantinerows_test.py
@@ -11,7 +11,7 @@
 from jayyoke.edge.partstorage import QUARANTINE_TABLE, StorePartStorage
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.ops import quarantinerows
-from jayyoke.ops.partrecord import EngineEnd
+from jayyoke.ops.partrecord import EngineEnd, PartEvidence
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import (
     InvalidStoredPart,
@@ -33,12 +33,14 @@
         self.clock = StoreClock(read_boot_time_s)
         self.quarantine = Quarantine(read_boot_time_s)
         self.problems: list[str] = []
+        self.writer = False
         self.rows = QuarantineRows(
             self.quarantine,
             StorePartStorage(self.store, self.clock),
             read_boot_time_s,
             lambda key: None,
             self.problems.append,
+            lambda key: self.writer,
         )
         self.task = asyncio.create_task(self.rows.run())
 
@@ -74,6 +76,7 @@
                 started.append(Instance(http, server))
                 return started[-1]
 
+            start.server = server
             await test(start)
             await cancel_tasks(found.task for found in started)
         await server.close()
@@ -108,6 +111,48 @@
 
         run_case(test)
 
+    def test_rows_are_written_again_after_an_older_copy(self):
+        """Guards against a part that is free after a restart because the store lost its row."""
+
+        async def test(start) -> None:
+            first = start()
+
+            async def is_stored() -> bool:
+                return len(await first.list_rows()) == 1
+
+            copy = start.server.save_copy()
+            first.quarantine_part("pool/p")
+            await wait_until(is_stored)
+            for _ in range(2):
+                start.server.return_to(copy)
+                assert not await is_stored()
+                first.rows.write_again()
+                await wait_until(is_stored)
+
+        run_case(test)
+
+    def test_row_of_another_that_is_gone_is_written_by_its_writers(self):
+        """Guards against rows that only an instance which has ended would write again."""
+
+        async def test(start) -> None:
+            other = start()
+            other.quarantine.merge(
+                [PartEvidence("pool/p", tuple(EngineEnd(f"e{n}", n) for n in range(2)))]
+            )
+            assert other.quarantine.list_quarantined() == ["pool/p"]
+
+            async def is_stored() -> bool:
+                return len(await other.list_rows()) == 1
+
+            other.rows.write_again()
+            await asyncio.sleep(0.2)
+            assert not await is_stored()
+            other.writer = True
+            other.rows.write_again()
+            await wait_until(is_stored)
+
+        run_case(test)
+
     def test_row_of_a_cleared_part_is_removed(self):
         """Guards against rows that nobody removes, and parts that come back with them."""
 
