Follow a table from the revision of its first page

Cause: a table of more than 500 rows is read in pages, and was followed from the revision of the last page. A row of the first page that changed in between was never seen.

Result: TestPages failed before (the feed held no change) and passes.

--- a/jayyoke/platform/rowstore.py
+++ b/jayyoke/platform/rowstore.py
@@ -125,22 +125,23 @@
     async def _read_pages(self, table: str) -> RowPage | None:
         """Return a whole table, or None if the era changes between two pages."""
         rows: list[Row] = []
+        first: _Answer | None = None
         start = ""
-        era = None
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if start:
                 query["from"] = start
             answer = await self._read(names.ROWS_GET, query, CALL_TIMEOUT_S)
-            if era not in (None, answer.era):
+            first = first or answer
+            if answer.era != first.era:
                 return None
-            era = answer.era
             page_rows, _ = _parse_rows(answer.body)
             rows.extend(page_rows)
             if answer.body.get("hasMore") is not True or not page_rows:
                 break
             start = page_rows[-1].key + "\0"
-        return _build_page(answer, tuple(rows))
+        # A row of the first page may have changed before the last one was read.
+        return _build_page(first, tuple(rows))
 
     async def follow(self, table: str, revision: int, wait_s: float) -> RowPage:
         """Return the changes after a revision, waiting up to `wait_s` seconds for the first.
--- a/tests/rowstore_test.py
+++ b/tests/rowstore_test.py
@@ -235,3 +235,29 @@
             assert standin.calls <= 3
 
         self.run(test)
+
+
+class TestPages:
+    def test_change_between_two_pages_comes_with_the_next_feed(self, monkeypatch):
+        """Guards against a change that no instance sees because the last page is newer."""
+
+        async def test(standin: RowStoreServer, store: RowStore) -> None:
+            monkeypatch.setattr(rowstore, "PAGE_ROWS", 2)
+            for key in "abc":
+                standin.put("op", key, {})
+            call = store._read
+            paths = []
+
+            async def read_and_change(path, query, silence_timeout_s):
+                answer = await call(path, query, silence_timeout_s)
+                if not paths:
+                    standin.put("op", "a", {"changed": 1})
+                paths.append(path)
+                return answer
+
+            monkeypatch.setattr(RowStore, "_read", lambda self, *args: read_and_change(*args))
+            page = await store.read("op")
+            changes = await store.follow("op", page.revision, 0.1)
+            assert [row.key for row in changes.rows] == ["a"]
+
+        run_store(test)
