Return the store to an older copy in the soak

Change: half of the seeds draw one or two returns, from a source of their own, so that the other steps of a seed stay as they were. Lost rows of operators and upstreams are written again up to 2.5 s later.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,14 +14,16 @@
 from soak import plan
 from soak.caller import SECOND_KEY, SoakCaller
 from soak.check import STOP_GRACE_S
-from soak.plan import Mode, Size, Trouble
+from soak.plan import Mode, Size
 from soak.record import NO_INSTANCE, Disturbance, KeyChange, Leaving, Record, Stop
+from soak.rules import build_rules
 from soak.slowcaller import build_soak_routes
+from soak.storereturn import StoreReturns
 from soak.upstream import SoakUpstream
 from standin.entryconfig import KEY, build_config, format_settings
 from standin.entryprocess import signal_entry, start_entry
 from standin.port import find_free_ports
-from standin.proxy import Proxy, Rules
+from standin.proxy import Proxy
 from standin.rowstore import Fault, RowStoreServer
 
 CALLERS_PER_INSTANCE = 3
@@ -31,26 +33,6 @@
 STOP_TIMEOUT_S = STOP_GRACE_S + 4.0
 SERVICE = "desk"
 DEADLY_DOWN_S = 1.5
-MAX_JITTER_S = 0.3
-
-
-def build_rules(trouble: Trouble) -> Rules:
-    """Return the proxy rules that cause a trouble on a link."""
-    match trouble:
-        case Trouble.DELAY:
-            return Rules(delay_s=0.02, jitter_s=MAX_JITTER_S)
-        case Trouble.RESET:
-            return Rules(drop_connections=True)
-        case Trouble.SILENT:
-            return Rules(silence=True)
-        case Trouble.ONE_WAY:
-            return Rules(silence_answers=True)
-        case Trouble.OLD_SILENT:
-            return Rules(silence_old_only=True)
-        case Trouble.BREAKS:
-            return Rules(break_share=0.2)
-        case Trouble.REFUSED:
-            return Rules(refuse=True)
 
 
 class InstanceProcess:
@@ -85,11 +67,15 @@
 class SoakFleet:
     """Runs the instances, upstreams, store, proxies and callers of one run on loopback."""
 
-    def __init__(self, size: Size, record: Record, folder: Path, seed: int):
+    def __init__(
+        self, size: Size, record: Record, folder: Path, seed: int, *, names_era: bool = False
+    ):
         self._record = record
         self._rng = random.Random(seed)
         self._seed = seed
         self.store = RowStoreServer()
+        self.store.era = 1 if names_era else None
+        self._store_returns = StoreReturns(self.store, record)
         self.proxies: dict[str, Proxy] = {}
         self._proxy_servers: dict[str, asyncio.Server] = {}
         self.instances = [
@@ -207,6 +193,9 @@
                 self.store.delay_writes_s = 0.0
             case plan.StoreForgets():
                 self.store.forget_history()
+            case plan.StoreReturns():
+                disturbed = (NO_INSTANCE,)
+                await self._store_returns.apply(fault)
             case plan.StoreClockJumps(by_s):
                 self.store.clock_offset_s += by_s
             case plan.LinkFault(link, trouble, for_s):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,7 @@
 SERIES_PROBABILITY = 0.3
 SERIES_GAP_S = 0.4
 DEADLY_PROBABILITY = 0.5
+RETURN_PROBABILITY = 0.5
 
 
 class Mode(enum.Enum):
@@ -29,7 +30,7 @@
 
 
 class Trouble(enum.Enum):
-    """What goes wrong on a link; `soak.fleet.build_rules` turns it into rules of its proxy."""
+    """What goes wrong on a link; `soak.rules.build_rules` turns it into rules of its proxy."""
 
     DELAY = "delay"
     RESET = "reset"
@@ -77,6 +78,14 @@
     """Drops the store's history of changes, so that feeds answer 410."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReturns:
+    """Lets the store come back from a copy `older_by_s` old; lost rows are written again later."""
+
+    older_by_s: float
+    rewritten_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreClockJumps:
     """Moves the store's clock forward permanently."""
@@ -167,6 +176,7 @@
     | StoreDeaf
     | StoreLate
     | StoreForgets
+    | StoreReturns
     | StoreClockJumps
     | LinkFault
     | Pause
@@ -213,6 +223,11 @@
     if deadly_rng.random() < DEADLY_PROBABILITY:
         fault = DeadlyPart(deadly_rng.uniform(0.02, 0.2), deadly_rng.uniform(0.4, 0.8) * faults_s)
         steps.append(Step(deadly_rng.uniform(0.5, faults_s / 4), fault))
+    return_rng = random.Random(f"{seed} store returns")
+    if return_rng.random() < RETURN_PROBABILITY:
+        for _ in range(return_rng.randint(1, 2)):
+            fault = StoreReturns(return_rng.uniform(0.2, 4.0), return_rng.uniform(0.2, 2.5))
+            steps.append(Step(return_rng.uniform(0.5, faults_s), fault))
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/soak/plan_test.py
+++ b/soak/plan_test.py
@@ -12,7 +12,7 @@
     def test_every_kind_of_fault_is_drawn(self):
         """Guards against a fault that the soak never injects."""
         kinds = {type(step.fault).__name__ for n in range(100) for step in draw_plan(n, Size())}
-        assert len(kinds) == 16
+        assert len(kinds) == 17
 
     def test_faults_overlap_and_come_in_series(self):
         """Guards against a soak that injects one fault at a time."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 from soak.calmstop import stop_in_calm
 from soak.check import Finding, check_record, list_unserved
 from soak.fleet import SoakFleet
-from soak.plan import DEFAULT_FAULTS_S, Size, Step, draw_plan
+from soak.plan import DEFAULT_FAULTS_S, Size, Step, StoreReturns, draw_plan
 from soak.record import Disturbance, Record
 
 # Half of the recovery time that users allow (`recoveryS`, 15 s), plus time for the checks; the rest
@@ -37,7 +37,8 @@
     """
     steps = draw_plan(seed, size, faults_s)
     record = Record()
-    fleet = SoakFleet(size, record, folder, seed)
+    names_era = any(isinstance(step.fault, StoreReturns) for step in steps)
+    fleet = SoakFleet(size, record, folder, seed, names_era=names_era)
     watch = asyncio.create_task(_watch_runner(record))
     try:
         await fleet.start()
--- a/standin/rowstore.py
+++ b/standin/rowstore.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], Change] = {}
         self._history: list[Change] = []
+        self._written_since_return: list[Change] = []
         self._oldest_revision = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -145,14 +146,17 @@
         self._oldest_revision = min(self._oldest_revision, copy.revision)
         self.revision = copy.revision
         self.era = 1 + (self.era or 0)
+        self._written_since_return = []
         self._notify_feeds()
         return lost
 
     def write_again(self, lost: list[Change], tables: tuple[str, ...] = ("op", "servers")) -> None:
         """Write the lost rows of operators and upstreams again, as they were last."""
         newest = {(change.table, change.key): change for change in lost}
+        # A writer that has written since then knows what to write.
+        written = {(change.table, change.key) for change in self._written_since_return}
         for change in newest.values():
-            if change.table not in tables:
+            if change.table not in tables or (change.table, change.key) in written:
                 continue
             self.revision += 1
             self._apply(Change(change.table, change.key, change.value, self.revision))
@@ -168,6 +172,7 @@
         else:
             self._rows[row_key] = change
         self._history.append(change)
+        self._written_since_return.append(change)
         self._notify_feeds()
 
     def _notify_feeds(self) -> None:
