--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -286,7 +286,8 @@
         self._load_exchange.merge(answer.loads)
         self._limit_exchange.merge(answer.limits)
         for table in answer.tables:
-            self._era.update(table.era or 0, peer)
+            if table.era:
+                self._era.update(table.era, peer)
         if wait_s:
             ages_s = [
                 self._find_age_s(table) for table in answer.tables if table.name in TABLES[:2]
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -291,7 +291,8 @@
             limits = decode_limits(asked.limits, self._view.now_s())
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
-        self._era.update(max((known.eras or {}).values(), default=0), "peer")
+        if newest := max((known.eras or {}).values(), default=0):
+            self._era.update(newest, "peer")
         self._load_exchange.merge(received)
         if self._limit_exchange is not None:
             self._limit_exchange.merge(limits)
--- a/jayyoke/edge/storeera.py
+++ b/jayyoke/edge/storeera.py
@@ -14,10 +14,12 @@
 class StoreEra:
     """Holds the newest era that the store or another instance has named."""
 
-    __slots__ = ("_changes", "_risen", "_value")
+    __slots__ = ("_changes", "_named", "_risen", "_value")
 
     def __init__(self) -> None:
         self._value = 0
+        # Eras may begin at 0, which is also the value of an unknown one.
+        self._named = False
         self._risen = False
         self._changes: Subject[int] = Subject()
 
@@ -39,8 +41,10 @@
     def update(self, era: int, source: str = "store") -> None:
         """Record an era that an answer of the store, or another instance, has named."""
         if era <= self._value:
+            self._named = True
             return
         known, self._value = self._value, era
-        self._risen = known > 0
+        self._risen = self._named
+        self._named = True
         log_event("store-era", era=era, known=known, source=source)
         self._changes.on_next(era)
--- a/jayyoke/edge/storeera_test.py
+++ b/jayyoke/edge/storeera_test.py
@@ -14,3 +14,12 @@
             era.update(found)
         assert era.value == 5
         assert seen == [3, 5]
+
+    def test_first_era_is_no_return_of_the_store(self) -> None:
+        # All instances would write their rows again at each start, or none after era 0.
+        for first in (0, 4):
+            era = StoreEra()
+            era.update(first)
+            assert not era.risen
+            era.update(first + 1)
+            assert era.risen
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -102,6 +102,10 @@
         """Return how long ago the configuration was last known to be the newest, in seconds."""
         return self.now_s() - self.tables[names.OPERATOR_TABLE].confirmed_s
 
+    def count_kept(self) -> int:
+        """Return how many rows of older eras are in force."""
+        return sum(len(copy.kept) for copy in self.tables.values())
+
     def merge(
         self,
         table: str,
--- a/jayyoke/platform/rowstore.py
+++ b/jayyoke/platform/rowstore.py
@@ -230,8 +230,8 @@
         """Return the era of an answer; one that names none belongs to the newest known."""
         if value is None or not value.isascii() or not value.strip().isdigit():
             return self._era.value
-        era = int(value) if len(value) <= len(str(MAX_ERA)) else 0
-        if not 0 < era <= MAX_ERA:
+        era = int(value) if len(value) <= len(str(MAX_ERA)) else MAX_ERA + 1
+        if era > MAX_ERA:
             return self._era.value
         self._era.update(era)
         return era
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -34,12 +34,12 @@
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.storeera import StoreEra
+from jayyoke.edge.storereturn import build_row_writer, connect_era
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.ops.quarantinerows import QuarantineRows
-from jayyoke.ops.rendezvous import rank
 from jayyoke.ops.stopwindow import StopWindow
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
@@ -58,8 +58,6 @@
 _RELOADABLE_SETTINGS = ("seeds", "first_start")
 # The same as in deploy/system.toml; outside the platform's port range for peers.
 METRICS_PORT = 9109
-# With two, the death of one instance loses no row that its store has lost.
-ROW_WRITERS = 2
 # A dead connection to the store or a peer is noticed only by the timeout of a call over it.
 KEEP_ALIVE_S = 10.0
 GC_THRESHOLD = 20_000
@@ -129,9 +127,8 @@
             now_s,
             lambda key: log_quarantined(self.quarantine, key, source="store"),
             lambda reason: log_event("quarantine-rows", reason=reason),
-            lambda key: settings.instance in rank(key, self.roster.list_alive())[:ROW_WRITERS],
+            build_row_writer(settings.instance, self.roster.list_alive),
         )
-        self.era.changes.subscribe(lambda _: self.write_rows_again())
         self.part_exchange = PartExchange(
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
@@ -183,7 +180,7 @@
             "Parts of prompts kept from engines.",
             lambda: len(self.quarantine.list_quarantined()),
         )
-        self.metrics.add_gauge("jayyoke_store_era", "Era of the store.", lambda: self.era.value)
+        connect_era(self.era, self.view, self.quarantine_rows, self.metrics)
         self.metrics.add_gauge(
             "jayyoke_limited_upstreams",
             "Upstreams that name a limit of requests a second.",
@@ -213,11 +210,6 @@
         log_end(self.quarantine, end)
         self.quarantine_rows.record_end(end.keys)
 
-    def write_rows_again(self) -> None:
-        """Write the rows of quarantined parts again if the store may have lost them."""
-        if self.era.risen:
-            self.quarantine_rows.write_again()
-
     def apply_settings(self, settings: EntrySettings) -> list[str]:
         """Apply new settings; return the names of those whose change needs a restart."""
         old = self.settings
