--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -300,7 +300,8 @@
             member = None if asked.member is None else _decode_row(asked.member)
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
-        self._era.update(max((known.eras or {}).values(), default=0), "peer")
+        if newest := max((known.eras or {}).values(), default=0):
+            self._era.update(newest, "peer")
         self._load_exchange.merge(received)
         if self._limit_exchange is not None:
             self._limit_exchange.merge(limits)
@@ -371,10 +372,12 @@
             return
         digest = find_digest(copy)
         table.kept_digest = digest or None
-        if known.lacks_kept(copy):
-            table.kept = encode_facts(copy.kept.values(), self._encode_kept_row, self._view.now_s())
+        facts = list(copy.kept.values()) if known.lacks_kept(copy) else []
         if known.own.get(copy.name, digest) != digest:
+            facts += copy.list_gone()
             table.removed = [self._encode_row(row) for row in copy.list_removed_after_base()]
+        if facts:
+            table.kept = encode_facts(facts, self._encode_kept_row, self._view.now_s())
 
     def _encode_kept_row(self, row: Row) -> ttypes.RelayedRow:
         return self._encode_row(row, "kept:")
