Read messages and rows that have one field more

A fourth number in Worker-Load made the whole report count as missing: the decoder accepted exactly three. The same fault was in other decoders: a third token count lost the output tokens, a part of a prompt with a second attribute was dropped, and parameters of Warmup-Ms, Deadline-Ms, Server-Leaving, Server-Limit, Retry-After and Keep-Alive lost the value. Rows of claims, replies, outbox entries and moves, counts of evidence, ends of quarantined parts and changes of the configuration were unreadable with one field more.

All of them now keep what they know. LoadReport has the fourth number as slowness, None if absent or useless. Operators' documents still report unknown keys.

--- a/jayyoke/edge/moves.py
+++ b/jayyoke/edge/moves.py
@@ -270,7 +270,8 @@
     counts = {}
     try:
         for version, route, *numbers in parse_json(row.value, MAX_COUNTS_BYTES):
-            requests, failures, slow = map(int, numbers)
+            # A newer revision may have added numbers.
+            requests, failures, slow = map(int, numbers[:3])
             if (
                 not 0
                 <= min(requests, failures, slow)
--- a/jayyoke/ops/claim.py
+++ b/jayyoke/ops/claim.py
@@ -23,6 +23,7 @@
 from jayyoke.platform.objects import Objects
 from jayyoke.platform.table import Put, Row, Table
 from jayyoke.utils.jsontext import parse_json
+from jayyoke.utils.record import build_record
 
 CLAIM_LEASE_S = 5.0
 MAX_INLINE_BYTES = 16 << 10  # Larger answers would crowd out the other puts of a batch.
@@ -120,8 +121,8 @@
         plain = parse_json(value)
         plain["state"] = ClaimState(plain["state"])
         plain["body"] = base64.b64decode(plain["body"], validate=True)
-        return Claim(**plain)
-    except (ValueError, KeyError, TypeError) as error:
+        return build_record(Claim, plain)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise StoreUnavailable(f"claim row is malformed: {error!r}") from error
 
 
--- a/jayyoke/ops/evidencerows.py
+++ b/jayyoke/ops/evidencerows.py
@@ -59,7 +59,7 @@
 def _decode_totals(value: bytes) -> dict[tuple[str, str], OutcomeCounts]:
     try:
         totals = {}
-        for version, route, requests, failures, slow in parse_json(value):
+        for version, route, requests, failures, slow, *_ in parse_json(value):
             totals[(str(version), str(route))] = OutcomeCounts(
                 int(requests), int(failures), int(slow)
             )
--- a/jayyoke/ops/moverow.py
+++ b/jayyoke/ops/moverow.py
@@ -9,6 +9,7 @@
 from jayyoke.core.move import Move, MovePhase
 from jayyoke.platform.table import Put, Row, Table
 from jayyoke.utils.jsontext import parse_json
+from jayyoke.utils.record import build_record
 
 MOVE_PREFIX = "move/"
 LEASE_S = 6.0
@@ -41,7 +42,7 @@
     """Return the move of a row value; raise MalformedRow."""
     try:
         plain = parse_json(value)
-        return Move(**(plain | {"phase": MovePhase(plain["phase"])}))
+        return build_record(Move, plain | {"phase": MovePhase(plain["phase"])})
     except (ValueError, TypeError, KeyError) as error:
         raise MalformedRow(f"row of a move cannot be decoded: {error!r}") from error
 
--- a/jayyoke/ops/outbox.py
+++ b/jayyoke/ops/outbox.py
@@ -29,6 +29,7 @@
 from jayyoke.ops.settle import OnceUpstream
 from jayyoke.platform.table import Put, Row, Table
 from jayyoke.utils.jsontext import parse_json
+from jayyoke.utils.record import build_record
 
 RENEW_INTERVAL_S = 3.0
 OWNER_LEASE_S = 9.0  # Three renewals; a longer pause repeats a delivery but never loses one.
@@ -127,7 +128,7 @@
     try:
         plain = parse_json(value)
         plain["body"] = base64.b64decode(plain["body"], validate=True)
-        return OutboxEntry(**plain)
+        return build_record(OutboxEntry, plain)
     except (ValueError, KeyError, TypeError) as error:
         raise StoreUnavailable(f"outbox row is malformed: {error!r}") from error
 
--- a/jayyoke/ops/quarantinerows.py
+++ b/jayyoke/ops/quarantinerows.py
@@ -183,7 +183,7 @@
         if not isinstance(key, str) or not 0 < len(key) <= MAX_KEY_CHARACTERS:
             raise ValueError("the part is no key")
         ends = []
-        for engine, at_ms in body["ends"][:MAX_ENDS_PER_PART]:
+        for engine, at_ms, *_ in body["ends"][:MAX_ENDS_PER_PART]:
             if not isinstance(engine, str) or not 0 <= int(at_ms) <= MAX_NUMBER:
                 raise ValueError("an end is out of range")
             ends.append((engine, int(at_ms)))
--- a/jayyoke/ops/reply.py
+++ b/jayyoke/ops/reply.py
@@ -14,6 +14,7 @@
 from jayyoke.platform.objects import Objects
 from jayyoke.platform.table import Put, Table
 from jayyoke.utils.jsontext import parse_json
+from jayyoke.utils.record import build_record
 
 MAX_INLINE_BYTES = 16 << 10
 
@@ -49,7 +50,7 @@
     try:
         fields = parse_json(value)
         fields["body"] = base64.b64decode(fields["body"], validate=True)
-        return Reply(**fields)
+        return build_record(Reply, fields)
     except (ValueError, KeyError, TypeError) as error:
         raise StoreUnavailable(f"reply row is malformed: {error!r}") from error
 
--- a/jayyoke/parser/configuration.py
+++ b/jayyoke/parser/configuration.py
@@ -66,7 +66,7 @@
 
 def build_configuration(plain: Any, version: int, file: str = "") -> Configuration:
     """Return the configuration of plain data from format_configuration; raise InvalidDocument."""
-    document = Document(file or f"configuration {version}")
+    document = Document(file or f"configuration {version}", ignores_unknown=True)
     return _read_configuration(document, document.wrap(plain), version, with_domains=True)
 
 
@@ -75,7 +75,7 @@
 
     The entries may refer to services and classes of `known`.
     """
-    document = Document(file)
+    document = Document(file, ignores_unknown=True)
     return _read_configuration(document, document.wrap(plain), 0, with_domains=True, known=known)
 
 
--- a/jayyoke/parser/document.py
+++ b/jayyoke/parser/document.py
@@ -36,12 +36,16 @@
 
 
 class Document:
-    """Parses one document and collects its findings."""
+    """Parses one document and collects its findings.
 
-    __slots__ = ("_value_count", "file", "findings")
+    `ignores_unknown` is set for data of other instances, whose revision may have more keys.
+    """
 
-    def __init__(self, file: str):
+    __slots__ = ("_value_count", "file", "findings", "ignores_unknown")
+
+    def __init__(self, file: str, ignores_unknown: bool = False):
         self.file = file
+        self.ignores_unknown = ignores_unknown
         self.findings: list[Finding] = []
         self._value_count = 0
 
--- a/jayyoke/parser/section.py
+++ b/jayyoke/parser/section.py
@@ -175,6 +175,8 @@
 
     def reject_unknown_keys(self, forbidden: Mapping[str, str] | None = None) -> None:
         """Report the keys that were not read, with the reason for those that are forbidden."""
+        if self.document.ignores_unknown:
+            return
         forbidden = forbidden or {}
         for key, node in self._entries.items():
             if key in self._read_keys:
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -14,8 +14,12 @@
 
 _SECONDS = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 _RATE = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,30})?")
+# What a part of a prompt may have after its tokens.
+_PART_END = re.compile(rb"[:;]")
 RawHeaders = Iterable[tuple[bytes, bytes]]
 MAX_INTEGER_DIGITS = 15
+# Load reports give the time that work takes as a percentage of the usual time.
+USUAL_PERCENT = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,11 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Holds the load that an upstream reports with its answer."""
+    """Holds the load that an upstream reports with its answer.
+
+    `slowness` is how many times longer work takes there now than usual, or None if not reported.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,9 +142,9 @@
     for name, value in headers:
         match name.lower():
             case names.LEAVING:
-                leaving = leaving or value.strip() == b"1"
-            case names.LIMIT if _RATE.fullmatch(value.strip()):
-                limit_per_s = min(float(value), math.inf if limit_per_s is None else limit_per_s)
+                leaving = leaving or _drop_parameters(value) == b"1"
+            case names.LIMIT if _RATE.fullmatch(limit := _drop_parameters(value)):
+                limit_per_s = min(float(limit), math.inf if limit_per_s is None else limit_per_s)
             case names.PAUSE if status == 503:
                 pause_s = _decode_pause(value.strip(), unix_s)
     if not leaving and pause_s is None and limit_per_s is None:
@@ -207,15 +215,22 @@
 
 
 def _decode_integer(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit() or len(value) > MAX_INTEGER_DIGITS:
+    digits = _drop_parameters(value or b"")
+    if not digits.isdigit() or len(digits) > MAX_INTEGER_DIGITS:
         return None
-    return int(value)
+    return int(digits)
+
+
+def _drop_parameters(value: bytes) -> bytes:
+    """Return an item without its parameters (RFC 9651, section 3.1.2), which may be added later."""
+    return value.partition(b";")[0].strip()
 
 
 def _decode_pause(value: bytes, unix_s: float) -> float | None:
     """Return a pause in seconds, given as a number or as a date."""
-    if _SECONDS.fullmatch(value):
-        return float(value)
+    seconds = _drop_parameters(value)
+    if _SECONDS.fullmatch(seconds):
+        return float(seconds)
     try:
         until = parsedate_to_datetime(value.decode("ascii"))
         # A date without a zone is in UTC.
@@ -229,29 +244,34 @@
     """Return the parts of a prompt, however many; the operator's limit bounds the header."""
     parts = []
     for item in value.split(b","):
-        name, _, tokens = item.strip().partition(b":")
+        name, _, described = item.strip().partition(b":")
+        tokens = _PART_END.split(described, maxsplit=1)[0]
         if name and tokens.isdigit() and len(tokens) <= MAX_INTEGER_DIGITS:
             parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
     return tuple(parts)
 
 
 def _decode_token_counts(value: bytes) -> tuple[int, int]:
-    prompt, _, output = value.partition(b",")
+    prompt, output, *_ = (*value.split(b","), b"", b"")
     return _decode_integer(prompt.strip()) or 0, _decode_integer(output.strip()) or 0
 
 
 def _decode_load(value: bytes | None) -> LoadReport | None:
     if value is None:
         return None
-    numbers = [_decode_integer(part.strip()) for part in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    running, waiting, slots, percent, *_ = (
+        *(_decode_integer(part.strip()) for part in value.split(b",")),
+        *[None] * 4,
+    )
+    if running is None or waiting is None or slots is None:
         return None
-    return LoadReport(*(number or 0 for number in numbers))
+    # The figure is absent on older machines; a useless one must not cost the rest of the report.
+    return LoadReport(running, waiting, slots, percent / USUAL_PERCENT if percent else None)
 
 
 def _decode_keep_alive(value: bytes | None) -> float | None:
     for part in (value or b"").lower().split(b","):
-        name, _, number = part.strip().partition(b"=")
+        name, _, number = _drop_parameters(part).partition(b"=")
         if name == b"timeout" and number.isdigit():
             return float(number)
     return None
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -70,6 +70,18 @@
         assert head.parts == (PromptPart("a", 10), PromptPart("b", 20), PromptPart("c", 5))
         assert (head.deadline_s, head.prompt_tokens, head.output_tokens) == (1.5, 35, 80)
 
+    def test_further_fields_of_a_prompt_and_deadline_are_ignored(self):
+        """Guards against parts, counts and deadlines that are dropped for one field more."""
+        head = decode_request(
+            (
+                (b"prefix-hash", b"a:10:x,b:20;kept=1, c:5"),
+                (b"deadline-ms", b"1500;soft=1"),
+                (b"Token-Usage", b"35,80,7"),
+            )
+        )
+        assert head.parts == (PromptPart("a", 10), PromptPart("b", 20), PromptPart("c", 5))
+        assert (head.deadline_s, head.prompt_tokens, head.output_tokens) == (1.5, 35, 80)
+
     def test_all_parts_of_a_long_prompt_are_decoded(self):
         """Guards against parts that nothing is known of since they come late in the prompt."""
         value = b",".join(b"%x:1" % number for number in range(3000))
@@ -113,6 +125,34 @@
         assert head.keep_alive_s == 5.0
         assert not head.not_run
 
+    @pytest.mark.parametrize(
+        ("value", "slowness"),
+        [
+            (b"3,0,8,250", 2.5),
+            (b"3, 0, 8, 100", 1.0),
+            (b"3,0,8,250,7", 2.5),
+            (b"3,0,8,250;unit=percent", 2.5),
+            (b"3,0,8,", None),
+            (b"3,0,8,0", None),
+            (b"3,0,8,-5", None),
+            (b"3,0,8,fast", None),
+            (b"3,0,8,,9", None),
+        ],
+    )
+    def test_further_numbers_leave_the_load_readable(self, value, slowness):
+        """Guards against load reports that are dropped for one number more or a useless one."""
+        load = decode_answer(((b"Worker-Load", value),)).load
+        assert load == LoadReport(3, 0, 8, slowness)
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [(b"Warmup-Ms", b"900;note=x"), (b"Keep-Alive", b"timeout=5;unit=s, max=9, more=1")],
+    )
+    def test_parameters_of_a_header_are_ignored(self, name, value):
+        """Guards against a header that is dropped for a parameter of a newer revision."""
+        head = decode_answer(((name, value),))
+        assert (head.warm_up_left_s, head.keep_alive_s) in ((0.9, None), (None, 5.0))
+
     @pytest.mark.parametrize("value", [b"", b"3,0", b"a,b,c", b"-1,0,8"])
     def test_malformed_load_is_none(self, value):
         assert decode_answer(((b"Worker-Load", value),)).load is None
@@ -156,6 +196,9 @@
         [
             (200, ((b"SERVER-LEAVING", b" 1"),), Notice(leaving=True)),
             (503, ((b"Server-Leaving", b"1"), (b"Retry-After", b"2")), Notice(True, 2.0)),
+            (200, ((b"Server-Leaving", b"1;grace=3"),), Notice(leaving=True)),
+            (503, ((b"Retry-After", b"2;jitter=1"),), Notice(pause_s=2.0)),
+            (200, ((b"Server-Limit", b"4.5;window=1"),), Notice(limit_per_s=4.5)),
             (200, ((b"Server-Leaving", b"0"),), NO_NOTICE),
             (200, ((b"Retry-After", b"2"),), NO_NOTICE),
             (421, ((b"Server-Leaving", b"1"),), NO_NOTICE),
