Simulate engines with spells of slowness and fixed speeds

The load simulation had only engines of one constant speed. Records of arrivals and the window of the load bound move to a module of their own. Without spells the random numbers drawn are the same, so the earlier cases are unchanged.

--- a/bench/chatfleet.py
+++ b/bench/chatfleet.py
@@ -11,10 +11,12 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from bench.arrivals import Arrival
 from bench.memory import VirtualLoop
+from bench.spells import SpeedPlan, Spells
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import Route, RouteKind, ServiceShare
 from jayyoke.core.upstream import Upstream
@@ -38,8 +40,6 @@
 FIRST_TOKEN_S = 0.055
 PREFILL_TOKENS_PER_S = 140_000.0
 SLOTS = 64
-# The users' bound allows this many requests beyond the multiple of the mean.
-BOUND_SLACK = 3.0
 WARM_UP_S = 3.0
 MEAN_BURST = 3.0
 BURST_SPREAD_S = 0.05
@@ -48,10 +48,6 @@
 INITIAL_ENGINE_AGE_S = 1000.0
 # The time of day at the start of a simulation.
 START_UNIX_S = 1_800_000_000.0
-WINDOW_S = 5.0
-WINDOW_STEP_S = 0.5
-# The users do not apply the bound to windows with fewer requests.
-MIN_WINDOW_REQUESTS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,23 +100,6 @@
     share: float
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """Holds the estimated and the real loads when an instance sent a request to an engine."""
-
-    at_s: float
-    instance: int
-    engine: str
-    requests: int
-    mean_requests: float
-    estimated_requests: float
-    report_age_s: float | None
-
-    def exceeds(self, factor: float) -> bool:
-        """Tell whether the engine has more requests than the users' bound, with this request."""
-        return self.requests + 1 > factor * self.mean_requests + BOUND_SLACK
-
-
 @dataclass(slots=True)
 class Engine:
     """Counts an engine's requests: all of them, and those after their first token."""
@@ -132,6 +111,7 @@
     cached_parts: set[str] = field(default_factory=set)
     up: bool = True
     started_s: float = -INITIAL_ENGINE_AGE_S
+    plan: SpeedPlan = field(default_factory=lambda: SpeedPlan(random.Random(0), None))
 
     def start_request(self, parts: Sequence[PromptPart], now_s: float) -> float:
         """Add a request; return the time of its first token."""
@@ -141,15 +121,17 @@
                 tokens += part.tokens
                 self.cached_parts.add(part.id)
         self.requests += 1
-        self.prefill_until_s = max(now_s, self.prefill_until_s) + tokens / PREFILL_TOKENS_PER_S
-        return self.prefill_until_s + FIRST_TOKEN_S
+        begins_s = max(now_s, self.prefill_until_s)
+        self.prefill_until_s = self.plan.find_end_s(begins_s, tokens / PREFILL_TOKENS_PER_S)
+        return self.plan.find_end_s(self.prefill_until_s, FIRST_TOKEN_S)
 
 
 class ChatFleet:
     """Runs instances and engines on a loop of virtual time.
 
     `weights` are the instances' shares of the traffic. `exchange`, if given, is called every
-    EXCHANGE_PERIOD_S and exchanges load reports. `policy` names the ordering of engines.
+    EXCHANGE_PERIOD_S and exchanges load reports. `policy` names the ordering of engines. `speeds`
+    are those of the engines outside of `spells`, taken in turn.
     """
 
     def __init__(
@@ -163,6 +145,9 @@
         exchange: Callable[[ChatFleet], None] | None = None,
         policy: str = HOME_POLICY,
         canary: Canary | None = None,
+        spells: Spells | None = None,
+        speeds: Sequence[float] = (1.0,),
+        slots: int = SLOTS,
     ):
         self._loop = VirtualLoop()
         self._start_s = self._loop.time()
@@ -174,7 +159,14 @@
         self._policy = policy
         self._canary = canary
         self.source = random.Random(seed)
-        self.engines = {f"e{number}": Engine(f"e{number}") for number in range(engines)}
+        self._slots = slots
+        plans = [
+            SpeedPlan(random.Random(f"{seed}-{number}"), spells, speeds[number % len(speeds)])
+            for number in range(engines)
+        ]
+        self.engines = {
+            f"e{number}": Engine(f"e{number}", plan=plan) for number, plan in enumerate(plans)
+        }
         self._revision = 1
         count = len(weights)
         self.placers = [self._build_placer(number, count) for number in range(count)]
@@ -242,11 +234,12 @@
         first_s = engine.start_request(call.head.parts, sent_s)
         await asyncio.sleep(first_s - sent_s)
         engine.streaming += 1
-        report = LoadReport(engine.streaming, 0, SLOTS)
+        report = LoadReport(engine.streaming, 0, self._slots)
         placer.record_answer_head(
             upstream, AnswerHead("r", True, False, report, None, None, False, False)
         )
-        await asyncio.sleep(kind.answer_s * self.source.uniform(0.3, 1.9))
+        answer_s = kind.answer_s * self.source.uniform(0.3, 1.9)
+        await asyncio.sleep(engine.plan.find_end_s(first_s, answer_s) - first_s)
         engine.requests -= 1
         engine.streaming -= 1
         placer.release(SERVICE, upstream, True, self.now_s - sent_s)
@@ -273,11 +266,12 @@
     async def _run_outage(self, outage: Outage) -> None:
         await asyncio.sleep(outage.begins_s)
         for name in list(self.engines)[: outage.engines]:
-            self.engines[name] = Engine(name, up=False)
+            self.engines[name] = Engine(name, up=False, plan=self.engines[name].plan)
             self._publish_entry(name)
         await asyncio.sleep(outage.ends_s - outage.begins_s)
         for name in list(self.engines)[: outage.engines]:
-            self.engines[name] = Engine(name, started_s=self.now_s)
+            plan = self.engines[name].plan
+            self.engines[name] = Engine(name, started_s=self.now_s, plan=plan)
             self._publish_entry(name)
 
     def _build_call(self, kind: ChatKind) -> Call:
@@ -331,7 +325,7 @@
             "address": f"127.0.0.1:{9000 + number}",
             "az": f"zone-{number % 3}",
             "state": "ready",
-            "slots": SLOTS,
+            "slots": self._slots,
             "born": int((START_UNIX_S + engine.started_s) * 1000),
             "version": self._find_version(number),
             "warmupLeftMs": int(1000 * max(0.0, WARM_UP_S - age_s)),
@@ -396,25 +390,5 @@
         )
 
 
-def find_worst_window(
-    arrivals: Sequence[Arrival], factor: float, begins_s: float = 0.0
-) -> tuple[float, int]:
-    """Return the largest share of requests beyond the bound in any window, and their number."""
-    worst = (0.0, 0)
-    for window in _list_windows(arrivals, begins_s):
-        count_beyond = sum(arrival.exceeds(factor) for arrival in window)
-        if len(window) >= MIN_WINDOW_REQUESTS:
-            worst = max(worst, (count_beyond / len(window), count_beyond))
-    return worst
-
-
-def _list_windows(arrivals: Sequence[Arrival], begins_s: float) -> Iterator[list[Arrival]]:
-    end_s = arrivals[-1].at_s if arrivals else 0.0
-    at_s = begins_s
-    while at_s + WINDOW_S <= end_s:
-        yield [arrival for arrival in arrivals if at_s <= arrival.at_s < at_s + WINDOW_S]
-        at_s += WINDOW_STEP_S
-
-
 def _put_rows(view: FleetView, table: str, rows: Sequence[Row]) -> None:
     view.merge(table, rows, [], 1, whole=True, confirmed_s=0.0, source="play")
--- a/bench/chatfleet_test.py
+++ b/bench/chatfleet_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.arrivals import find_worst_window
 from bench.chatfleet import (
     USUAL_KINDS,
     Canary,
@@ -11,7 +12,6 @@
     ChatKind,
     HotSession,
     Outage,
-    find_worst_window,
 )
 
 # Three domains have the same traffic and three, two and one instance.
--- a/bench/loadbound.py
+++ b/bench/loadbound.py
@@ -5,15 +5,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from bench.arrivals import Arrival, find_worst_window
 from bench.chatfleet import (
     USUAL_KINDS,
-    Arrival,
     Canary,
     ChatFleet,
     ChatKind,
     HotSession,
     Outage,
-    find_worst_window,
 )
 from bench.result import Result
 from jayyoke.edge.baseline import HOME_POLICY
