Spread the first requests of new traffic, and those that leave a full home

When traffic begins, an instance has no load report of an engine and takes it to be idle, and for some seconds its mean load is far too low. All instances then send to the same homes, and what leaves a full home meets again at the next one of the ranking. More reports made it worse in trials, since instances that know the same act alike.

With 16 or more instances, each now takes the engines in turn from a place of its own: for all prompts in the first 2 s of a service's traffic while most engines have not reported, later for short prompts whose home is full. Smaller fleets are unchanged.

The log of placements moves to a module of its own, and its test patches that module.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -22,6 +22,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.rendezvous import rank_weighted
@@ -73,6 +74,23 @@
     load_age_s: float | None = None
 
 
+class SpreadOrder(Protocol):
+    """Orders engines for requests that do not go to their home."""
+
+    @property
+    def useful(self) -> bool:
+        """Tell whether requests that find their home full should be spread."""
+        ...
+
+    def is_starting(self, candidates: Sequence[Candidate]) -> bool:
+        """Tell whether no request should go to its home, since loads are not known yet."""
+        ...
+
+    def order(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+        """Return the candidates in the order to try."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """Holds the candidates in the order to try; engines beyond the users' load bound are left out.
@@ -116,12 +134,15 @@
     load_factor: float,
     mean_load: float,
     repeatable: bool,
+    spread: SpreadOrder | None = None,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
     `load_factor` is the users' bound on an engine's load over the mean of its service, `mean_load`
     that mean over all live engines, also those that the request may not use. A request that is not
-    `repeatable` goes to a suspended engine only if no other is left.
+    `repeatable` goes to a suspended engine only if no other is left. `spread` orders engines for
+    requests that do not go to their home: all of them when traffic begins, later only those with
+    few shared tokens whose home is full.
     """
     reason = "home" if home_key else "least-work"
     usable = [found for found in candidates if not (found.suspended or found.unreachable)]
@@ -134,6 +155,7 @@
     if not engine:
         return Choice(_order_by_wait(usable, engine, source), reason, None, suspended)
     near = _is_bound_near(usable, load_factor, mean_load)
+    reachable = usable
     margin, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_FRACTION, LOAD_SLACK)
     limit = margin * load_factor * mean_load + slack
     usable = [found for found in usable if found.load < limit]
@@ -145,8 +167,18 @@
         return Choice(_order_by_own(usable, home_key), reason + ",even", limit, suspended)
     if not home_key:
         return Choice(_order_by_wait(usable, engine, source), reason, limit, suspended)
-    if shared_tokens < SMALL_PROMPT_TOKENS:
+    small = shared_tokens < SMALL_PROMPT_TOKENS
+    if small:
         limit = SMALL_LOAD_FRACTION * load_factor * mean_load + SMALL_LOAD_SLACK
+    if spread is not None and spread.useful:
+        ranked = rank_homes(home_key, reachable)
+        starting = spread.is_starting(candidates)
+        within = [found for found in usable if found.load < limit]
+        if within and (starting or (small and ranked[0].load >= limit)):
+            order = spread.order(within)
+            beyond = [found for found in usable if found.load >= limit]
+            order += sorted(beyond, key=lambda found: found.load)
+            return Choice(tuple(order), reason + ",spread", limit, suspended)
     return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
 
 
--- a/jayyoke/edge/loadexchange_test.py
+++ b/jayyoke/edge/loadexchange_test.py
@@ -9,7 +9,7 @@
 from thrift.TSerialization import serialize
 
 from jayyoke.core.error import PeerProtocolError
-from jayyoke.edge import placement
+from jayyoke.edge import placedlog
 from jayyoke.edge.loadexchange import MAX_KNOWN, LoadExchange, ReportedLoad
 from jayyoke.edge.placement import Assignment, Placer
 from jayyoke.edge.placement_test import DOMAINS, SERVICE, Clock, build_call, build_placement
@@ -89,7 +89,7 @@
         placer = build_placement(clock, ENGINES_PER_DOMAIN)
         ages_ms = []
         monkeypatch.setattr(
-            placement, "log_event", lambda event, **fields: ages_ms.append(fields["load_age_ms"])
+            placedlog, "log_event", lambda event, **fields: ages_ms.append(fields["load_age_ms"])
         )
         asyncio.run(place_session(clock, placer))
         report_all(placer, "")
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -20,7 +20,6 @@
     count_shared_tokens,
     find_home_key,
     has_free_slot,
-    list_shared_parts,
 )
 from jayyoke.edge.coldlimiter import ColdLimiter
 from jayyoke.edge.domain import DomainTracker
@@ -30,12 +29,13 @@
 from jayyoke.edge.log import log_event
 from jayyoke.edge.moves import MoveParticipant
 from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
+from jayyoke.edge.placedlog import log_placed
 from jayyoke.edge.promptlocator import PromptLocator
 from jayyoke.edge.returns import ReturnTimes
+from jayyoke.edge.spread import Spread
 from jayyoke.edge.track import UpstreamTracker
 from jayyoke.edge.view import FleetView
 from jayyoke.edge.waitqueue import WaitQueue
-from jayyoke.ops.endobserver import MAX_LOGGED_PARTS
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.platform.message import AnswerHead
@@ -73,6 +73,7 @@
         self._list_instances = list_instances
         self._baseline = baseline
         self._queues: dict[str, WaitQueue] = {}
+        self._spreads: dict[str, Spread] = {}
         self._instance = instance
         self._prompt_locator = PromptLocator(
             lambda found, _: self._candidates.describe(found, NO_LOADS)
@@ -343,6 +344,7 @@
                 self._bounds.load_factor,
                 mean,
                 call.route.repeatable,
+                self._find_spread(service),
             )
         for found in choice.order:
             if not has_free_slot(found):
@@ -360,29 +362,17 @@
             fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
-            log_event(
-                "placed",
-                request_id=call.head.request_id,
-                route=call.route.name,
-                service=service,
-                upstream=upstream.name,
-                reason=choice.reason,
-                home_key=key,
-                shared_tokens=shared,
-                parts=list_shared_parts(call.head.parts)[-MAX_LOGGED_PARTS:],
-                part_count=len(call.head.parts),
-                load=round(found.load, 1),
-                load_age_ms=None if found.load_age_s is None else round(found.load_age_s * 1000),
-                own=found.own,
-                mean_load=round(mean, 1),
-                load_limit=None if choice.limit is None else round(choice.limit, 1),
-                candidates=len(candidates),
-                suspended=choice.suspended,
-                fetch_from=fetch_from,
-            )
+            log_placed(call, service, found, choice, mean, len(candidates), fetch_from)
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
 
+    def _find_spread(self, service: str) -> Spread:
+        spread = self._spreads.get(service)
+        if spread is None:
+            spread = Spread(self._instance, self._list_instances, self._now_s)
+            self._spreads[service] = spread
+        return spread
+
     def _find_fetch_address(
         self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
     ) -> str:
