Give each era of the store rows of its own for the duties

A write of an older era whose answer was lost may take effect after the store has come back, on a revision that was given out again. It then put an older lease in place of the present one, and the next holder sent a token that another one had sent. Rows of the lease and of reports now carry the era in their key, so such a write changes nothing.

--- a/jayyoke/duties/countmerge.py
+++ b/jayyoke/duties/countmerge.py
@@ -13,7 +13,6 @@
 import xxhash
 
 from jayyoke.duties.usagecount import TeamTotals
-from jayyoke.duties.window import KEPT_WINDOWS
 
 # A source that has not been heard of for this time is not waited for: three periods of its reports.
 ALIVE_S = 5.0
@@ -49,7 +48,8 @@
 class CountBook:
     """Keeps the counts of the processes that report to this one; times are seconds since boot."""
 
-    def __init__(self) -> None:
+    def __init__(self, kept_windows: int) -> None:
+        self._kept_windows = kept_windows
         self._sources: dict[str, _Source] = {}
 
     def merge(
@@ -75,7 +75,7 @@
             for team, count in totals.by_team.items():
                 if team in counts or len(counts) < MAX_TEAMS:
                     counts[team] = max(counts.get(team, 0), min(count, MAX_COUNT))
-        while len(known.windows) > KEPT_WINDOWS:
+        while len(known.windows) > self._kept_windows:
             del known.windows[min(known.windows)]
 
     def summarize(self, window: int, domain: str, now_s: float) -> Summary:
--- a/jayyoke/duties/lease.py
+++ b/jayyoke/duties/lease.py
@@ -4,8 +4,10 @@
 decides: a candidate measures on its own steady clock for how long the row is unchanged, and a
 holder counts its lease from before it sent the last renewal that the store confirmed.
 
-A store that comes back from an older copy names a new era. Rows of an older era may be outdated, so
-they are observed anew for a whole lease, in which every holder of the older era lapses.
+A store that comes back from an older copy names a new era. Each era has a row of its own: it is not
+in the older copy, and a write of an older era that takes effect late, on a condition that holds by
+chance, changes nothing. A new era's row is taken after it was missing for a whole lease, in which
+every holder of the older era lapses.
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
 MAX_ROW_BYTES = 4096
 MAX_FORMER = 2
 _RANK_KEY = "duties"
+_KEY = "lease"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +88,16 @@
     return LeaseRow(holder, incarnation, counter, era, sequence, tuple(former), reported, barred)
 
 
+def build_era_key(key: str, era: int) -> str:
+    """Return the key that a row of the duties has in an era; 0 stands for a store without eras."""
+    return f"{key}@{era}" if era else key
+
+
+def find_lease_key(era: int) -> str:
+    """Return the key of the lease's row in an era."""
+    return build_era_key(_KEY, era)
+
+
 def build_token(era: int, counter: int) -> int:
     """Return the fencing token of a holder; it rises with each change and each era."""
     return era * COUNTER_RANGE + counter
@@ -177,7 +190,7 @@
         return build_token(era, self._tenure.lease.counter)
 
     def observe(self, revision: int, value: bytes | None, era: int, now_s: float) -> bool:
-        """Record the row as it was read in an era; revision 0 and None mean that there is none.
+        """Record an era's row as it was read; revision 0 and None mean that there is none.
 
         Return True if it is the same as when it was read before.
         """
@@ -186,7 +199,8 @@
             try:
                 lease = decode_lease(value)
             except ValueError:
-                readable = False
+                pass
+            readable = lease is not None and lease.era == era
         seen = self._seen
         if seen is None or seen.era != era:
             self._era_since_s = now_s
@@ -226,14 +240,13 @@
     def _is_free(self, seen: _Seen) -> bool:
         """Tell whether the row was given back in this era by a holder other than this instance."""
         lease = seen.lease
-        if lease is None or lease.holder or lease.era != seen.era:
-            return False
-        return self._name not in lease.former
+        return lease is not None and not lease.holder and self._name not in lease.former
 
     def build_take(self, barred: int) -> tuple[LeaseRow, int]:
         """Return the row that takes the lease, and the revision that is its condition.
 
-        `barred` is the newest usage window that had ended when this process met the present era.
+        `barred` is the newest usage window that had ended when this process met the present era;
+        the first holder of an era enters it for those after it.
         """
         seen = self._seen
         assert seen is not None
@@ -241,8 +254,6 @@
         if before is None:
             lease = LeaseRow(self._name, self._incarnation, 1, seen.era, barred=barred)
             return lease, seen.revision
-        if before.era == seen.era:
-            barred = before.barred
         former = (before.holder,) if before.holder else before.former
         lease = LeaseRow(
             self._name,
@@ -251,7 +262,7 @@
             seen.era,
             former=former[:MAX_FORMER],
             reported=before.reported,
-            barred=max(barred, before.barred),
+            barred=before.barred,
         )
         return lease, seen.revision
 
--- a/jayyoke/duties/report.py
+++ b/jayyoke/duties/report.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from jayyoke.duties.window import KEPT_WINDOWS, find_end_s, find_last_ended
+from jayyoke.duties.window import GIVE_UP_S, count_kept, find_end_s, find_last_ended
 from jayyoke.utils.jsontext import parse_unique_json
 
 # Counts of the last requests have reached the followers by then.
@@ -22,8 +22,8 @@
 LATEST_PART = 0.8
 # Clocks of instances agree to within this time.
 CLOCK_MARGIN_S = 1.0
-# A report that could not be sent for so long is given up. Rows are kept for longer.
-GIVE_UP_S = 60.0
+# Rows are removed together, with one call.
+REMOVED_WINDOWS = 12
 MAX_ROW_BYTES = 1 << 20
 _PREFIX = "usage/"
 
@@ -65,10 +65,12 @@
     def __init__(self, window_s: float, delay_s: float):
         self._window_s = window_s
         self._delay_s = delay_s
+        self._kept = count_kept(window_s)
         self._fixed: dict[int, FixedReport] = {}
         self._next = 0
         self._next_fix = 0
         self._barred = -1
+        self._settled: set[int] = set()
         self.skipped = 0
 
     @property
@@ -80,10 +82,24 @@
         """Begin a tenure with what the lease's row says."""
         oldest = find_last_ended(unix_s - GIVE_UP_S, self._window_s) + 1
         self._barred = barred
-        # Without a report so far, windows count from the first that began under a holder.
-        self._next = max(oldest, reported + 1 if reported >= 0 else barred + 1)
+        self._settled = {window for window in self._settled if window >= oldest}
+        if reported < 0:
+            # Nothing is reported in this era; what this process knows it may send again.
+            unsent = [window for window in self._fixed if window not in self._settled]
+            reported = min([*unsent, barred + 1]) - 1
+        self._next = max(oldest, reported + 1)
         self._next_fix = self._next
 
+    def list_removable(self, window: int) -> list[int]:
+        """Return the windows whose rows are to be removed after a window was fixed, if any.
+
+        Nobody reports them any more, also not a process that stood still for long.
+        """
+        if window % REMOVED_WINDOWS:
+            return []
+        newest = window - self._kept
+        return list(range(newest - REMOVED_WINDOWS, newest))
+
     def find_due(self, unix_s: float) -> int | None:
         """Return the window whose counts are to be fixed next, or None if none has ended."""
         self._skip_old(unix_s)
@@ -106,7 +122,7 @@
         if window in self._fixed or self._is_barred(window):
             return
         self._fixed[window] = FixedReport(window, dict(counts))
-        while len(self._fixed) > KEPT_WINDOWS:
+        while len(self._fixed) > self._kept:
             del self._fixed[min(self._fixed)]
 
     def find_unsent(self, unix_s: float) -> FixedReport | None:
@@ -116,6 +132,7 @@
 
     def record_sent(self, window: int) -> None:
         """Record that the service has a window's report, or will never take it."""
+        self._settled.add(window)
         if window == self._next:
             self._next += 1
 
--- a/jayyoke/duties/usagecount.py
+++ b/jayyoke/duties/usagecount.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from jayyoke.duties.window import KEPT_WINDOWS, find_end_s, find_last_ended, find_window
+from jayyoke.duties.window import count_kept, find_end_s, find_last_ended, find_window
 
 # Requests are counted at most this long after they began: the answer of a plain service shows when
 # its work began, and its count is entered when the answer has come.
@@ -26,16 +26,22 @@
 class UsageCounter:
     """Counts the requests of this process; times are true Unix times in seconds."""
 
-    __slots__ = ("_changes", "_serial", "_window_s", "_windows", "counted")
+    __slots__ = ("_changes", "_kept", "_serial", "_window_s", "_windows", "counted")
 
     def __init__(self, window_s: float):
         self._window_s = window_s
+        self._kept = count_kept(window_s)
         self._windows: dict[int, dict[str, int]] = {}
         # The serial number of the last change of each total.
         self._changes: dict[tuple[int, str], int] = {}
         self._serial = 0
         self.counted = 0
 
+    @property
+    def kept(self) -> int:
+        """Return for how many windows counts are kept."""
+        return self._kept
+
     @property
     def serial(self) -> int:
         """Return the number of the last change."""
@@ -71,7 +77,7 @@
         return find_end_s(window, self._window_s) + SETTLE_S - unix_s
 
     def _forget_old(self) -> None:
-        while len(self._windows) > KEPT_WINDOWS:
+        while len(self._windows) > self._kept:
             oldest = min(self._windows)
             for team in self._windows.pop(oldest):
                 del self._changes[(oldest, team)]
--- a/jayyoke/duties/window.py
+++ b/jayyoke/duties/window.py
@@ -4,8 +4,16 @@
 
 import math
 
-# Counts of this many windows are kept: late holders report windows of the last minute.
-KEPT_WINDOWS = 24
+# A report that could not be sent for so long is given up.
+GIVE_UP_S = 60.0
+# Counts and rows are kept for longer, also by clocks that are apart by some seconds.
+KEPT_S = 2 * GIVE_UP_S
+MIN_KEPT_WINDOWS = 6
+
+
+def count_kept(window_s: float) -> int:
+    """Return for how many windows counts and rows are kept."""
+    return max(MIN_KEPT_WINDOWS, math.ceil(KEPT_S / window_s))
 
 
 def find_window(unix_s: float, window_s: float) -> int:
--- a/jayyoke/edge/countexchange.py
+++ b/jayyoke/edge/countexchange.py
@@ -70,7 +70,7 @@
         self._roster = roster
         self._now_s = now_s
         self._random_source = random_source
-        self._book = CountBook()
+        self._book = CountBook(counter.kept)
         self._incarnation = random_source.getrandbits(62)
         self._own_serial = 0
         self._marks: dict[str, _Mark] = {}
--- a/jayyoke/edge/dutyholder.py
+++ b/jayyoke/edge/dutyholder.py
@@ -7,11 +7,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from jayyoke.core.entrysettings import Bounds, DutyService
 from jayyoke.core.error import Conflict, DutyCallFailed, StoreUnavailable
-from jayyoke.duties.lease import LeaseKeeper, LeaseRow, encode_lease, find_poll_s
+from jayyoke.duties.lease import (
+    LeaseKeeper,
+    LeaseRow,
+    build_era_key,
+    encode_lease,
+    find_lease_key,
+    find_poll_s,
+)
 from jayyoke.edge.log import log_event
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeera import StoreEra
@@ -21,7 +28,6 @@
 from jayyoke.utils.bucket import TokenBucket
 
 DUTY_TABLE = "duties"
-LEASE_KEY = "lease"
 RETRY_S = 0.3
 IDLE_S = 1.0
 MIN_WAIT_S = 0.05
@@ -78,6 +84,8 @@
         while True:
             try:
                 wait_s = await self._step()
+            except EraChanged:
+                wait_s = 0.0
             except StoreUnavailable:
                 # The roster logs a store that is away.
                 wait_s = RETRY_S if self._keeper.holds else self._find_poll_s()
@@ -111,24 +119,32 @@
                 self._aborted_s = self._now_s()
 
     async def read_row(self, key: str) -> Row | None:
-        """Return a row of the duties in the era of the lease; raise StoreUnavailable."""
+        """Return a row of the present era; raise StoreUnavailable."""
         era = self._era.value
-        page = await self._store.read_row(DUTY_TABLE, key)
+        page = await self._store.read_row(DUTY_TABLE, build_era_key(key, era))
         if page.era != era or self._era.value != era:
             raise EraChanged("the row was read in an older era")
         return page.rows[0] if page.rows else None
 
     async def write_row(self, key: str, value: bytes | None, expect: int | None) -> int:
-        """Write a row while this process may act; return its revision.
+        """Write a row of the present era while this process may act; return its revision.
 
         Raise Conflict or StoreUnavailable.
         """
         era = self._era.value
         if not self.active:
             raise StoreUnavailable("this instance does not hold the duties")
-        page = await self._store.write(DUTY_TABLE, [Put(key, value, expect)], era)
+        put = Put(build_era_key(key, era), value, expect)
+        page = await self._store.write(DUTY_TABLE, [put], era)
         return page.revision
 
+    async def remove_rows(self, keys: Sequence[str]) -> None:
+        """Remove rows that nobody needs, also those of the era before; raise StoreUnavailable."""
+        era = self._era.value
+        eras = (era, era - 1) if era > 1 else (era,)
+        puts = [Put(build_era_key(key, found), None) for key in keys for found in eras]
+        await self._store.write(DUTY_TABLE, puts, era)
+
     async def release(self) -> None:
         """Stop acting, and give the lease back if no call can arrive any more."""
         self._stopped = True
@@ -141,9 +157,8 @@
             return
         lease, expect = keeper.build_release(self._read_reported())
         try:
-            await self._store.write(
-                DUTY_TABLE, [Put(LEASE_KEY, encode_lease(lease), expect)], lease.era
-            )
+            put = Put(find_lease_key(lease.era), encode_lease(lease), expect)
+            await self._store.write(DUTY_TABLE, [put], lease.era)
         except (Conflict, StoreUnavailable) as error:
             log_event("duty-lease", state="not-released", reason=str(error))
             return
@@ -183,10 +198,10 @@
 
     async def _look(self) -> bool:
         """Read the lease's row; return True if it is the same as before."""
-        page = await self._store.read_row(DUTY_TABLE, LEASE_KEY)
-        if page.era != self._era.value:
-            # An answer from before the store came back.
-            raise StoreUnavailable("the row was read in an older era")
+        era = self._era.value
+        page = await self._store.read_row(DUTY_TABLE, find_lease_key(era))
+        if page.era != era or self._era.value != era:
+            raise EraChanged("the row was read in an older era")
         row = page.rows[0] if page.rows else None
         value, revision = (None, 0) if row is None else (row.value, row.version)
         return self._keeper.observe(revision, value, page.era, self._now_s())
@@ -212,7 +227,7 @@
     async def _write(self, lease: LeaseRow, expect: int) -> bool:
         """Write the own row; return False if the store has another one than expected."""
         sent_s = self._now_s()
-        put = Put(LEASE_KEY, encode_lease(lease), expect)
+        put = Put(find_lease_key(lease.era), encode_lease(lease), expect)
         try:
             page = await self._store.write(DUTY_TABLE, [put], lease.era)
         except (Conflict, EraChanged):
--- a/jayyoke/edge/usagereporter.py
+++ b/jayyoke/edge/usagereporter.py
@@ -14,7 +14,6 @@
     encode_counts,
 )
 from jayyoke.duties.truetime import TrueTime
-from jayyoke.duties.window import KEPT_WINDOWS
 from jayyoke.edge.countcollector import CountCollector
 from jayyoke.edge.dutyholder import DutyHolder
 from jayyoke.edge.log import log_event
@@ -24,8 +23,6 @@
 RETRY_S = 0.5
 # The service may refuse a report for a reason that passes, such as a restart.
 MAX_REFUSALS = 3
-# Rows of windows that nobody reports any more are removed together.
-REMOVED_WINDOWS = 12
 
 
 class UsageReporter:
@@ -61,7 +58,7 @@
             if self._holder.active:
                 try:
                     await step()
-                except StoreUnavailable as error:
+                except (Conflict, StoreUnavailable) as error:
                     log_event("usage-report", state="not-fixed", reason=str(error))
                     wait_s = RETRY_S
             await asyncio.sleep(wait_s)
@@ -98,8 +95,9 @@
             missing=collected.missing,
             pending=collected.pending,
         )
-        if window % REMOVED_WINDOWS == 0:
-            await self._remove_old(window)
+        removable = self._planner.list_removable(window)
+        if removable:
+            await self._holder.remove_rows([build_report_key(old) for old in removable])
 
     async def _read_fixed(self, window: int) -> None:
         row = await self._holder.read_row(build_report_key(window))
@@ -112,13 +110,6 @@
         self._planner.record_fixed(window, counts)
         log_event("usage-report", state="read", window=window, teams=len(counts))
 
-    async def _remove_old(self, window: int) -> None:
-        newest = window - KEPT_WINDOWS
-        for old in range(newest - REMOVED_WINDOWS, newest):
-            row = await self._holder.read_row(build_report_key(old))
-            if row is not None:
-                await self._holder.write_row(row.key, None, row.version)
-
     async def _send_next(self) -> None:
         """Send the oldest report that the service has not accepted."""
         now_s = self._now_s()
--- a/standin/dutyservice.py
+++ b/standin/dutyservice.py
@@ -92,10 +92,11 @@
 
 def find_violations(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
     """Return how the calls broke the rules: reports, tokens, and the order of holders."""
-    return [*_check_reports(calls), *_check_tokens(calls), *_check_order(calls, lease_s)]
+    return [*check_reports(calls), *check_tokens(calls), *check_order(calls, lease_s)]
 
 
-def _check_reports(calls: Sequence[DutyCall]) -> list[str]:
+def check_reports(calls: Sequence[DutyCall]) -> list[str]:
+    """Return the windows of which reports with different counts were accepted."""
     known: dict[int, dict[str, int]] = {}
     found = []
     for call in calls:
@@ -107,7 +108,8 @@
     return found
 
 
-def _check_tokens(calls: Sequence[DutyCall]) -> list[str]:
+def check_tokens(calls: Sequence[DutyCall]) -> list[str]:
+    """Return the tokens that two holders sent, or that came after a higher one."""
     newest: dict[str, int] = {}
     owners: dict[tuple[str, int], str] = {}
     found = []
@@ -120,7 +122,8 @@
     return found
 
 
-def _check_order(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
+def check_order(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
+    """Return the holders that acted, let another one act, and acted again within the lease."""
     last_s: dict[str, float] = {}
     others_since: dict[str, bool] = {}
     found = []
