Order upstreams by the load of each domain

Services with limits for their upstreams want as many as their load needs. The number ordered last is in the store, so the next holder goes on from it.

--- a/jayyoke/edge/dutyholder.py
+++ b/jayyoke/edge/dutyholder.py
@@ -79,6 +79,12 @@
         """Tell whether this instance may act as the holder now."""
         return not self._stopped and self._keeper.may_act(self._now_s(), self._era.value)
 
+    @property
+    def tenure(self) -> tuple[int, int] | None:
+        """Return what names the own tenure: its era and counter, or None without one."""
+        lease = self._keeper.lease
+        return None if lease is None else (lease.era, lease.counter)
+
     async def run(self) -> None:
         """Keep the lease, or look whether it can be taken, until cancelled."""
         while True:
@@ -126,6 +132,14 @@
             raise EraChanged("the row was read in an older era")
         return page.rows[0] if page.rows else None
 
+    async def read_former_row(self, key: str) -> Row | None:
+        """Return a row as the era before has left it, or None; raise StoreUnavailable."""
+        era = self._era.value
+        if era < 2:
+            return None
+        page = await self._store.read_row(DUTY_TABLE, build_era_key(key, era - 1))
+        return page.rows[0] if page.rows else None
+
     async def write_row(self, key: str, value: bytes | None, expect: int | None) -> int:
         """Write a row of the present era while this process may act; return its revision.
 
--- a/jayyoke/edge/dutyunit.py
+++ b/jayyoke/edge/dutyunit.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 
@@ -20,10 +20,13 @@
 from jayyoke.edge.countexchange import CountExchange
 from jayyoke.edge.countmessage import CountClient
 from jayyoke.edge.dutyholder import DutyHolder
+from jayyoke.edge.placement import Placer
 from jayyoke.edge.roster import Roster
+from jayyoke.edge.scaler import Scaler
 from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.usagerecorder import UsageRecorder
 from jayyoke.edge.usagereporter import UsageReporter
+from jayyoke.edge.view import FleetView
 from jayyoke.ops.metrics import Metrics
 from jayyoke.platform.dutyservice import DutyClient
 from jayyoke.platform.rowstore import RowStore
@@ -33,21 +36,30 @@
 RELEASE_S = 0.3
 
 
+class DutyHost(Protocol):
+    """Describes what the duties use of their instance."""
+
+    settings: EntrySettings
+    store: RowStore
+    era: StoreEra
+    roster: Roster
+    metrics: Metrics
+    placement: Placer
+    view: FleetView
+
+
 class DutyUnit:
     """Holds what an instance needs to take part in the duties."""
 
     def __init__(
         self,
-        settings: EntrySettings,
+        host: DutyHost,
         service: DutyService,
         http: aiohttp.ClientSession,
-        store: RowStore,
-        era: StoreEra,
-        roster: Roster,
-        metrics: Metrics,
         now_s: Callable[[], float],
         random_source: random.Random,
     ):
+        settings = host.settings
         bounds = settings.bounds
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._service = service
@@ -65,7 +77,7 @@
             self.counter,
             self.true_time,
             counts,
-            roster,
+            host.roster,
             now_s,
             random_source,
         )
@@ -74,22 +86,23 @@
             incarnation,
             service,
             bounds,
-            store,
-            era,
-            roster,
+            host.store,
+            host.era,
+            host.roster,
             now_s,
             self._find_barred,
             self._begin,
             lambda: self.planner.reported,
         )
         collector = CountCollector(
-            settings.instance, self.exchange, counts, roster, self.true_time, now_s
+            settings.instance, self.exchange, counts, host.roster, self.true_time, now_s
         )
         client = DutyClient(service.address)
         self.reporter = UsageReporter(
             self.planner, self.holder, collector, client, self.true_time, now_s
         )
-        self._add_metrics(metrics)
+        self.scaler = Scaler(self.holder, client, host.placement, host.view, now_s)
+        self._add_metrics(host.metrics)
 
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background work of the duties that the deployment wants."""
@@ -98,6 +111,8 @@
         found = [self.holder.run(), self.exchange.run()]
         if self._service.metering:
             found.append(self.reporter.run())
+        if self._service.scaling:
+            found.append(self.scaler.run())
         return found
 
     async def release(self) -> None:
@@ -125,6 +140,7 @@
             ("jayyoke_usage_accepted", "Accepted reports.", lambda: self.reporter.accepted),
             ("jayyoke_usage_refused", "Refused reports.", lambda: self.reporter.refused),
             ("jayyoke_usage_skipped", "Windows without a report.", lambda: self.planner.skipped),
+            ("jayyoke_scale_orders", "Accepted orders.", lambda: self.scaler.sent),
             ("jayyoke_count_reports", "Messages of counts.", lambda: self.exchange.reports),
         )
         for name, help_text, read in gauges:
@@ -132,17 +148,13 @@
 
 
 def build_duty_unit(
-    settings: EntrySettings,
+    host: DutyHost,
     http: aiohttp.ClientSession,
-    store: RowStore,
-    era: StoreEra,
-    roster: Roster,
-    metrics: Metrics,
     now_s: Callable[[], float],
     random_source: random.Random,
 ) -> DutyUnit | None:
-    """Return the duties of an instance, or None if the settings name no service for them."""
-    service = settings.duty_service
+    """Return the duties of an instance, or None if its settings name no service for them."""
+    service = host.settings.duty_service
     if service is None:
         return None
-    return DutyUnit(settings, service, http, store, era, roster, metrics, now_s, random_source)
+    return DutyUnit(host, service, http, now_s, random_source)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -91,6 +91,8 @@
             now_s,
             read_unix_s,
         )
+        self.estimate_loads = self._candidates.estimate_loads
+        self.is_suspected = self._domain_tracker.is_suspected
         self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
         self.limit_exchange = LimitExchange(self.limits)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -131,9 +131,7 @@
             self.quarantine, PartClient(http).send, self.list_peers, now_s, random_source
         )
         self.stop_window = StopWindow()
-        self.duties = build_duty_unit(
-            settings, http, self.store, self.era, self.roster, self.metrics, now_s, random_source
-        )
+        self.duties = build_duty_unit(self, http, now_s, random_source)
         self.forwarder = Forwarder(
             self.placement,
             self.moves,
