--- a/jayyoke/platform/boot_test.py
+++ b/jayyoke/platform/boot_test.py
@@ -41,3 +41,31 @@
     def test_text_that_is_no_toml_is_a_finding(self):
         with pytest.raises(InvalidDocument):
             parse_boot_settings("= =", "boot.toml")
+
+
+DUTIES = """
+[cloudApi]
+address = "10.9.0.2:5"
+ratePerS = 20
+dutyPerS = 40
+duties = ["metering", "novel"]
+"""
+
+
+class TestDutySettings:
+    def test_duties_are_wanted_only_with_an_address(self):
+        """Guards against a lease and messages in deployments that want no duties."""
+        assert parse_boot_settings(TEXT, "boot.toml").duty_service is None
+        unusable = TEXT + '[cloudApi]\naddress = "nowhere"\nduties = ["metering"]\n'
+        assert parse_boot_settings(unusable, "boot.toml").duty_service is None
+
+    def test_settings_of_the_duties(self):
+        """Guards against bounds in other units, and duties that are not wanted."""
+        text = TEXT + "leaseMs = 1500\nthawMs = 200\nfencing = true\n" + DUTIES
+        settings = parse_boot_settings(text, "boot.toml")
+        service = settings.duty_service
+        assert (service.address, service.calls_per_s) == ("10.9.0.2:5", 40.0)
+        assert (service.metering, service.scaling) == (True, False)
+        bounds = settings.bounds
+        assert (bounds.lease_s, bounds.thaw_s, bounds.fencing) == (1.5, 0.2, True)
+        assert (bounds.report_window_s, bounds.usage_delay_s) == (5.0, 10.0)
--- a/jayyoke/platform/decode_test.py
+++ b/jayyoke/platform/decode_test.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jayyoke.core.route import MoveState, MoveStatus, RouteKind
+from jayyoke.core.route import MoveState, MoveStatus, RouteKind, ScaleLimits
 from jayyoke.core.upstream import UpstreamState
 from jayyoke.platform.decode import (
     InvalidRow,
@@ -55,6 +55,25 @@
 )
 
 
+class TestScaleLimits:
+    def test_limits_are_decoded(self):
+        """Guards against orders with the limits of another service or in other units."""
+        limits = {"min": 13, "max": 30, "startupS": 8.0}
+        services = [{"name": "x", "autoscale": limits}, {"name": "y"}]
+        config = decode_config(json.dumps({"version": 1, "backends": services}).encode())
+        assert config.services["x"].scale_limits == ScaleLimits(13, 30, 8.0)
+        assert config.services["y"].scale_limits is None
+
+    @pytest.mark.parametrize(
+        "limits", [7, {}, {"min": 5}, {"min": 5, "max": 4}, {"min": "a", "max": 9}, {"min": 0}]
+    )
+    def test_unusable_limits_cost_the_orders_only(self, limits):
+        """Guards against a configuration that is rejected since a new field is malformed."""
+        services = [{"name": "x", "autoscale": limits}]
+        config = decode_config(json.dumps({"version": 1, "backends": services}).encode())
+        assert config.services["x"].scale_limits is None
+
+
 class TestConfig:
     def test_route_is_translated_to_seconds_and_own_terms(self):
         config = decode_config(json.dumps({"version": 3, "routes": [ROUTE]}).encode())
--- a/standin/dutyservice.py
+++ b/standin/dutyservice.py
@@ -44,6 +44,16 @@
         accepted = [call for call in self.calls if call.subject == "usage" and call.accepted]
         return {call.body["windowId"]: call.body["counts"] for call in accepted}
 
+    @property
+    def orders(self) -> dict[tuple[str, str], list[int]]:
+        """Return the orders of each service and domain."""
+        found: dict[tuple[str, str], list[int]] = {}
+        for call in self.calls:
+            if call.subject != "usage" and call.accepted:
+                name = (call.body["backend"], call.body["az"])
+                found.setdefault(name, []).append(call.body["desired"])
+        return found
+
     async def start(self) -> None:
         """Listen on a free port of loopback."""
         app = web.Application()
--- a/tests/entry_duties_test.py
+++ b/tests/entry_duties_test.py
@@ -5,12 +5,16 @@
 import asyncio
 
 from jayyoke.core.entrysettings import Bounds, DutyService
+from jayyoke.duties import scaling
+from jayyoke.edge import scaler
+from jayyoke.utils.task import cancel_tasks
 from standin.dutyservice import DutyService as DutyServer
 from standin.dutyservice import find_violations
 from standin.entryconfig import build_config
 from standin.entryupstream import (
     ReceivedRequest,
     answer_whole,
+    format_answer,
     format_chunk,
     format_event,
     format_stream_head,
@@ -47,6 +51,42 @@
     return sum(sum(counts.values()) for counts in service.reports.values())
 
 
+async def answer_loaded(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Answer as an engine of 8 slots that runs 7 requests."""
+    writer.write(format_answer(request, b"done", Worker_Load="7,0,8"))
+    await writer.drain()
+
+
+class TestOrders:
+    def test_loaded_domain_gets_more_upstreams(self, monkeypatch):
+        """Guards against loads that never become an order, and orders that repeat."""
+        monkeypatch.setattr(scaler, "PERIOD_S", 0.1)
+        monkeypatch.setattr(scaler, "SETTLE_S", 0.3)
+        monkeypatch.setattr(scaling, "MIN_OBSERVED_S", 0.5)
+
+        async def test(rig: Rig) -> None:
+            service, settings = await start_service(rig)
+            await rig.add_upstream("w1", answer_loaded)
+            entry = await rig.add_entry(duty_service=settings, bounds=BOUNDS)
+            await wait_ready(entry, 1)
+
+            async def call_all_the_time() -> None:
+                for number in range(1000):
+                    await entry.call("/safe/x", f"r{number}")
+                    await asyncio.sleep(0.05)
+
+            calling = asyncio.create_task(call_all_the_time())
+            await wait_until(lambda: bool(service.orders))
+            await asyncio.sleep(1.0)
+            await cancel_tasks([calling])
+            assert list(service.orders) == [("desk", "zone-a")]
+            assert service.orders["desk", "zone-a"] == [2]
+            assert find_violations(service.calls, LEASE_S) == []
+
+        backends = [{"name": "desk", "autoscale": {"min": 1, "max": 3, "startupS": 8.0}}]
+        run_rig(test, build_config(backends=backends))
+
+
 class TestEntryDuties:
     def test_every_request_is_reported_once(self):
         """Guards against requests that are counted twice, or by no instance."""
