--- a/standin/dutyservice.py
+++ b/standin/dutyservice.py
@@ -44,6 +44,16 @@
         accepted = [call for call in self.calls if call.subject == "usage" and call.accepted]
         return {call.body["windowId"]: call.body["counts"] for call in accepted}
 
+    @property
+    def orders(self) -> dict[tuple[str, str], list[int]]:
+        """Return the orders of each service and domain."""
+        found: dict[tuple[str, str], list[int]] = {}
+        for call in self.calls:
+            if call.subject != "usage" and call.accepted:
+                name = (call.body["backend"], call.body["az"])
+                found.setdefault(name, []).append(call.body["desired"])
+        return found
+
     async def start(self) -> None:
         """Listen on a free port of loopback."""
         app = web.Application()
@@ -92,10 +102,11 @@
 
 def find_violations(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
     """Return how the calls broke the rules: reports, tokens, and the order of holders."""
-    return [*_check_reports(calls), *_check_tokens(calls), *_check_order(calls, lease_s)]
+    return [*check_reports(calls), *check_tokens(calls), *check_order(calls, lease_s)]
 
 
-def _check_reports(calls: Sequence[DutyCall]) -> list[str]:
+def check_reports(calls: Sequence[DutyCall]) -> list[str]:
+    """Return the windows of which reports with different counts were accepted."""
     known: dict[int, dict[str, int]] = {}
     found = []
     for call in calls:
@@ -107,7 +118,8 @@
     return found
 
 
-def _check_tokens(calls: Sequence[DutyCall]) -> list[str]:
+def check_tokens(calls: Sequence[DutyCall]) -> list[str]:
+    """Return the tokens that two holders sent, or that came after a higher one."""
     newest: dict[str, int] = {}
     owners: dict[tuple[str, int], str] = {}
     found = []
@@ -120,7 +132,8 @@
     return found
 
 
-def _check_order(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
+def check_order(calls: Sequence[DutyCall], lease_s: float) -> list[str]:
+    """Return the holders that acted, let another one act, and acted again within the lease."""
     last_s: dict[str, float] = {}
     others_since: dict[str, bool] = {}
     found = []
