--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -22,6 +22,7 @@
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.view import TABLES, FleetView
+from jayyoke.platform import names
 from jayyoke.platform.rowstore import HistoryLost, RowStore
 from jayyoke.platform.table import Row
 
@@ -66,6 +67,23 @@
     return min(MAX_PAUSE_S, size_bytes / (link_bytes_per_s * LINK_FRACTION))
 
 
+async def settle_doubt(view: FleetView, store: RowStore) -> None:
+    """Ask the store which of the kept rows that it lacks were removed since its return.
+
+    Raise StoreUnavailable.
+    """
+    table = names.OPERATOR_TABLE
+    copy = view.tables[table]
+    removed: tuple[Row, ...] = ()
+    try:
+        page = await store.follow(table, copy.find_doubt() or 0, 0.0)
+    except HistoryLost:
+        era = copy.era
+    else:
+        era, removed = page.era, page.removed
+    view.settle_doubt(table, removed, era, "store")
+
+
 class TableFollower:
     """Follows one table at the store while no follower supplies this instance with its rows."""
 
@@ -146,6 +164,8 @@
             source="store",
             era=page.era,
         )
+        if copy.find_doubt() is not None:
+            await settle_doubt(self._view, self._store)
         return count_bytes(page.rows)
 
     def _record_lost(self, error: StoreUnavailable) -> None:
@@ -297,6 +317,11 @@
         for table in answer.tables:
             self._merge_table(peer, table, answer.answered_s)
         self._remember_digests(peer, answer)
+        if tables[names.OPERATOR_TABLE].find_doubt() is not None:
+            try:
+                await settle_doubt(self._view, self._store)
+            except StoreUnavailable as error:
+                log_event("kept-rows-doubted", reason=str(error))
         await asyncio.sleep(find_pause_s(answer.size_bytes, self._link_bytes_per_s))
         return True
 
--- a/jayyoke/edge/movememory.py
+++ b/jayyoke/edge/movememory.py
@@ -44,6 +44,10 @@
         """Return the revision under which an order was first written."""
         return self._origins.get((order.service, order.revision), order.revision)
 
+    def knows(self, order: MoveOrder) -> bool:
+        """Tell whether an order of an older era is remembered."""
+        return any(found.order == order for found in self._orders.get(order.service, ()))
+
     def remember(
         self, order: MoveOrder, status: MoveStatus | None, in_copy: bool, now_s: float
     ) -> None:
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -64,8 +64,9 @@
         era: StoreEra | None = None,
     ):
         self._era_changed = asyncio.Event()
+        self._remove_from_s = float("-inf")
         if era is not None:
-            era.changes.subscribe(lambda _: self._era_changed.set())
+            era.changes.subscribe(lambda _: self._begin_era())
         self._view = view
         self._store = store
         self._clock = clock
@@ -152,6 +153,10 @@
                 continue
             await self._wait_for_era(self.period_s * random.uniform(0.9, 1.1))
 
+    def _begin_era(self) -> None:
+        self._era_changed.set()
+        self._remove_from_s = self._view.now_s() + ALIVE_PERIODS * self.period_s
+
     async def _wait_for_era(self, period_s: float) -> None:
         """Wait for a period, or less if the store has come back without the own row."""
         try:
@@ -190,6 +195,9 @@
             source="store",
             era=page.era,
         )
+        if self._view.now_s() < self._remove_from_s:
+            # The rows are older than their writers' last renewals.
+            return
         limit_ms = page.now_ms - REMOVE_PERIODS * 1000 * self.period_s
         for row in page.rows:
             member = _parse_member(row.key, row.value)
--- a/jayyoke/edge/tablecopy.py
+++ b/jayyoke/edge/tablecopy.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from jayyoke.eras.fact import KeptFact, is_replaced, keep_fact
+from jayyoke.platform import names
+from jayyoke.platform.decode import MAX_NUMBER
 from jayyoke.platform.table import Row
 
 # Removals remembered for peers; a peer that lacks older ones gets the whole table.
 MAX_REMOVALS = 500
 # Removals that are told to a peer which keeps other rows; about 10 KB.
 MAX_TOLD = 50
+# Changes of the operator that are remembered.
+MAX_SEEN = 500
 
 
 @dataclass(slots=True)
@@ -38,6 +43,13 @@
     kept: dict[str, KeptFact] = field(default_factory=dict)
     # The last rows of removed keys; an older copy may have them again.
     departed: dict[str, KeptFact] = field(default_factory=dict)
+    # Digests of the operator's changes by key and revision, empty for a removal. What the store has
+    # and this instance has not seen was written after the store's return.
+    seen: dict[tuple[str, int], bytes] = field(default_factory=dict)
+    # A revision that the older copy certainly has.
+    copied: int = 0
+    # Whether the kept rows still have to be compared with removals.
+    doubted: bool = False
 
     def find(self, key: str) -> Row | None:
         """Return the row in force, or None."""
@@ -62,6 +74,7 @@
         """Apply the changes up to a revision; return the keys that differ now."""
         changed = set()
         for row in rows:
+            self._note(row, False)
             known = self.rows.get(row.key)
             newest = max(known.version if known else -1, self.removed.get(row.key, -1))
             if row.version > newest:
@@ -74,6 +87,7 @@
                 if fact is not None and self._is_replaced(row.key, fact):
                     del self.kept[row.key]
         for row in removed:
+            self._note(row, True)
             known = self.rows.get(row.key)
             if known is None or row.version > known.version:
                 self._remove(row, known)
@@ -110,11 +124,50 @@
         self.revision = self.changed_revision = self.removed_since = revision
         self.removed = {}
         self.kept = {}
+        self.doubted = True
         for fact in facts:
-            self._keep(fact, now_s)
+            found = self.rows.get(fact.row.key)
+            if found is None or fact.row.key == names.CONFIG_KEY or self._has_seen(found):
+                self._keep(fact, now_s)
+        # A single row that has been seen may have been written again under the same revision.
+        seen = [row.version for row in self.rows.values() if self._has_seen(row)]
+        self.copied = min(seen, default=0)
+        for row in self.rows.values():
+            self._note(row, False)
         after = self.list_in_force()
         return {key for key in before.keys() | after.keys() if before.get(key) != after.get(key)}
 
+    def find_doubt(self) -> int | None:
+        """Return the revision since which removals matter to kept rows, or None if none do.
+
+        A row that the store lacks may have been removed since its return, or never written.
+        """
+        if not self.doubted or self.name != names.OPERATOR_TABLE:
+            return None
+        if all(fact.gone or key in self.rows for key, fact in self.kept.items()):
+            return None
+        return self.copied
+
+    def settle_doubt(self, removed: Iterable[Row]) -> set[str]:
+        """Drop the kept rows that were removed since the store's return; return their keys."""
+        self.doubted = False
+        dropped = set()
+        for row in removed:
+            fact = self.kept.get(row.key)
+            if fact is None or fact.gone or row.key in self.rows:
+                continue
+            older = row.version <= fact.row.version
+            if older and self.seen.get((row.key, row.version)) == b"":
+                # It is from before the store's return, and so is the kept row, which is newer.
+                continue
+            del self.kept[row.key]
+            dropped.add(row.key)
+            # For peers that keep the row, or a newer one from before the store's return.
+            version = row.version if row.version > fact.row.version else MAX_NUMBER
+            last = Row(row.key, fact.row.value, version)
+            self.departed[row.key] = KeptFact(last, self.era - 1, gone=True)
+        return dropped
+
     def merge_facts(
         self, facts: Iterable[KeptFact], removed: Iterable[Row], base: int, now_s: float
     ) -> set[str]:
@@ -133,7 +186,8 @@
             if self._is_replaced(key, fact):
                 continue
             known = self.kept.get(key)
-            if known is not None and not fact.is_newer_than(known):
+            gone = self.departed.get(key)
+            if any(other is not None and not fact.is_newer_than(other) for other in (known, gone)):
                 continue
             if known is not None and fact.gone:
                 # The row was removed before the store's return.
@@ -144,6 +198,7 @@
                 kept = self.kept[key]
                 until_s = min(kept.until_s, fact.until_s)
                 self.kept[key] = dataclasses.replace(kept, until_s=until_s)
+                self.doubted = True
                 changed.add(key)
         return changed
 
@@ -157,7 +212,10 @@
 
     def list_removed_after_base(self) -> list[Row]:
         """Return the newest removals that were certainly made in the present era."""
-        found = [Row(key, b"", at) for key, at in self.removed.items() if at > self.base]
+        found = []
+        for key, fact in self.departed.items():
+            if fact.era == self.era and fact.row.version > self.base and key not in self.rows:
+                found.append(Row(key, b"", fact.row.version))
         return found[-MAX_TOLD:]
 
     def pop_expired(self, now_s: float) -> set[str]:
@@ -184,6 +242,19 @@
         facts = {key: KeptFact(row, self.era) for key, row in self.rows.items()}
         return list((self.departed | facts | self.kept).values())
 
+    def _note(self, row: Row, removed: bool) -> None:
+        if self.name != names.OPERATOR_TABLE:
+            return
+        self.seen[(row.key, row.version)] = b"" if removed else _digest(row)
+        while len(self.seen) > MAX_SEEN:
+            del self.seen[next(iter(self.seen))]
+
+    def _has_seen(self, row: Row) -> bool:
+        """Tell whether a row may be from before the store's return."""
+        if self.name != names.OPERATOR_TABLE:
+            return True
+        return self.seen.get((row.key, row.version)) == _digest(row)
+
     def _is_replaced(self, key: str, fact: KeptFact) -> bool:
         """Tell whether a fact's row was written again in the present era."""
         row = self.rows.get(key)
@@ -199,6 +270,9 @@
         for row in removed:
             if row.key in self.kept and row.key not in self.rows and row.version > self.base:
                 dropped.add(row.key)
+                value = self.kept[row.key].row.value
+                last = Row(row.key, value, row.version)
+                self.departed[row.key] = KeptFact(last, self.era, gone=True)
         for key in dropped:
             del self.kept[key]
         return dropped
@@ -217,8 +291,9 @@
         fact = self.kept.get(row.key)
         if fact is not None and fact.gone:
             self.departed[row.key] = fact
-        elif known is not None:
-            last = Row(row.key, known.value, row.version)
+        elif known is not None or fact is not None:
+            value = known.value if known is not None else fact.row.value
+            last = Row(row.key, value, row.version)
             self.departed[row.key] = KeptFact(last, self.era, gone=True)
         if row.version > self.base:
             self.kept.pop(row.key, None)
@@ -229,3 +304,7 @@
             self.removed_since = max(self.removed_since, self.removed.pop(oldest))
         while len(self.departed) > MAX_REMOVALS:
             del self.departed[next(iter(self.departed))]
+
+
+def _digest(row: Row) -> bytes:
+    return hashlib.blake2b(row.value, digest_size=16).digest()
--- a/jayyoke/edge/view.py
+++ b/jayyoke/edge/view.py
@@ -156,6 +156,12 @@
         changed = copy.merge_facts(facts, removed, base, self.now_s())
         self._derive(table, changed, source, 0.0)
 
+    def settle_doubt(self, table: str, removed: Iterable[Row], era: int, source: str) -> None:
+        """Drop kept rows that were removed since the store's return."""
+        copy = self.tables[table]
+        if era == copy.era:
+            self._derive(table, copy.settle_doubt(removed), source, 0.0)
+
     def _begin_era(
         self, copy: TableCopy, rows: Iterable[Row], revision: int, era: int, source: str
     ) -> set[str]:
@@ -251,6 +257,10 @@
         for service in orders:
             fact = copy.kept.get(names.MOVE_PREFIX + service)
             self._order_eras[service] = copy.era if fact is None else fact.era
+            if fact is not None and not self.move_memory.knows(orders[service]):
+                # A peer told of it.
+                status = self.statuses.get(service)
+                self.move_memory.remember(orders[service], status, False, self.now_s())
         self._carry_statuses(copy.era, source)
         prefix = names.EVACUATE_PREFIX
         evacuated = frozenset(key[len(prefix) :] for key in rows if key.startswith(prefix))
