--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -93,8 +93,9 @@
         era: StoreEra | None = None,
     ):
         self._era_changed = asyncio.Event()
+        self._remove_from_s = float("-inf")
         if era is not None:
-            era.changes.subscribe(lambda _: self._era_changed.set())
+            era.changes.subscribe(lambda _: self._begin_era())
         self._view = view
         self._store = store
         self._clock = clock
@@ -224,6 +225,10 @@
         while not self._clock.known and loop.time() < end_s:
             await asyncio.sleep(CLOCK_POLL_S)
 
+    def _begin_era(self) -> None:
+        self._era_changed.set()
+        self._remove_from_s = self._view.now_s() + ALIVE_PERIODS * self.period_s
+
     async def _wait_for_era(self, period_s: float) -> None:
         """Wait for a period, or less if the store has come back without the own row."""
         try:
@@ -264,6 +269,9 @@
             source="store",
             era=page.era,
         )
+        if self._view.now_s() < self._remove_from_s:
+            # The rows are older than their writers' last renewals.
+            return
         await self._remove_unrenewed(page)
 
     def _list_due(self) -> list[Member]:
