Give the relay's test double the member row

Cause: requests to followers hold the instance's row; the double of the era tests did not take it. Change: the double takes it. Measured: the era tests pass.

--- a/tests/eraviews.py
+++ b/tests/eraviews.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from types import SimpleNamespace
 
 from thrift.TSerialization import deserialize, serialize
 
@@ -63,7 +64,7 @@
             self.view,
             self,  # type: ignore[arg-type]
             self,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
+            SimpleNamespace(build_row=lambda: Row("asker", b"{}", 0)),  # type: ignore[arg-type]
             list,
             random.Random(1),
             1e6,
@@ -80,7 +81,7 @@
         """Refuse a feed of the store."""
         raise StoreUnavailable("the store is not there")
 
-    async def fetch(self, peer, known, wait_s, loads, limits, eras, sent, own):
+    async def fetch(self, peer, known, wait_s, loads, limits, eras, sent, own, member):
         """Ask the target as RelayClient does."""
         if self.target.previous_release:
             eras = sent = own = None
