Send reports in turn while the service does not confirm them

A service that answers later than the calls wait would have kept every window behind the first one. Reports that were tried least now go first. Orders of one step are stored with one call.

--- a/jayyoke/duties/report.py
+++ b/jayyoke/duties/report.py
@@ -71,6 +71,8 @@
         self._next_fix = 0
         self._barred = -1
         self._settled: set[int] = set()
+        # How often reports were sent without an answer that confirms them.
+        self._attempts: dict[int, int] = {}
         self.skipped = 0
 
     @property
@@ -126,14 +128,25 @@
             del self._fixed[min(self._fixed)]
 
     def find_unsent(self, unix_s: float) -> FixedReport | None:
-        """Return the oldest report that is not settled, or None if its counts are not fixed."""
+        """Return the report to send next, or None if all whose counts are fixed are settled.
+
+        Those that were tried least come first, since the service may have what it did not confirm.
+        """
         self._skip_old(unix_s)
-        return self._fixed.get(self._next)
+        unsent = [w for w in self._fixed if w >= self._next and w not in self._settled]
+        if not unsent:
+            return None
+        return self._fixed[min(unsent, key=lambda w: (self._attempts.get(w, 0), w))]
+
+    def record_attempt(self, window: int) -> None:
+        """Record that a window's report was sent and not confirmed."""
+        self._attempts[window] = self._attempts.get(window, 0) + 1
 
     def record_sent(self, window: int) -> None:
         """Record that the service has a window's report, or will never take it."""
         self._settled.add(window)
-        if window == self._next:
+        self._attempts.pop(window, None)
+        while self._next in self._settled:
             self._next += 1
 
     def _is_barred(self, window: int) -> bool:
@@ -143,6 +156,9 @@
         """Settle windows that are given up, or that an older era may have reported."""
         oldest = find_last_ended(unix_s - GIVE_UP_S, self._window_s) + 1
         while self._next < oldest or self._is_barred(self._next):
+            self._attempts.pop(self._next, None)
+            self.skipped += self._next not in self._settled
+            self._next += 1
+        while self._next in self._settled:
             self._next += 1
-            self.skipped += 1
         self._next_fix = max(self._next_fix, self._next)
--- a/jayyoke/duties/report_test.py
+++ b/jayyoke/duties/report_test.py
@@ -50,6 +50,19 @@
         assert planner.reported == 100
         assert planner.find_unsent(509.0) is None
 
+    def test_window_without_an_answer_does_not_delay_the_others(self):
+        """Guards against reports that are all late since a slow service answers too late."""
+        planner = build_planner()
+        for window in (100, 101):
+            planner.record_fixed(window, COUNTS)
+        planner.record_attempt(100)
+        assert planner.find_unsent(513.0).window == 101
+        planner.record_sent(101)
+        assert planner.reported == 99
+        assert planner.find_unsent(513.0).window == 100
+        planner.record_sent(100)
+        assert planner.reported == 101
+
     def test_window_that_nobody_takes_is_given_up(self):
         """Guards against a service that is away for long and then gets windows without end."""
         planner = build_planner()
@@ -71,6 +84,16 @@
         planner.record_fixed(100, COUNTS)
         assert planner.find_unsent(530.0) is None
 
+    def test_window_between_one_that_is_known_and_the_present_is_barred(self):
+        """Guards against a process that fills the gaps in what it knows with other counts."""
+        planner = build_planner(reported=97)
+        planner.record_fixed(98, COUNTS)
+        planner.begin(-1, 100, 512.0)
+        assert planner.find_unsent(512.0).window == 98
+        planner.record_sent(98)
+        assert planner.find_unsent(512.0) is None
+        assert planner.find_due(513.0) == 101
+
     def test_clock_that_is_late_bars_the_window_as_well(self):
         """Guards against a window that had ended by the clock of the older era's holder."""
         assert find_barred(504.5, WINDOW_S) == 100
--- a/jayyoke/duties/scaling.py
+++ b/jayyoke/duties/scaling.py
@@ -1,9 +1,9 @@
 """Decides how many upstreams of a service each domain needs.
 
 Designed for waves of +27% in 11 s, upstreams that serve 8 s after their order, and 14 domains. The
-number follows the load at once when that rises, with what it will be when new upstreams serve, and
-late when it falls. Nothing is decided on loads that are old or missing. An evacuation or a domain
-that failed is no reason to order fewer.
+number follows the load at once when that rises, and late when it falls. Free slots bear a wave
+until new upstreams serve. Nothing is decided on loads that are old or missing. An evacuation or a
+domain that failed is no reason to order fewer.
 """
 
 from __future__ import annotations
@@ -22,11 +22,8 @@
 # Above it the load says less than the demand, since requests wait or are refused elsewhere.
 FULL_PART = 0.9
 FULL_FACTOR = 1.3
-# Averages of the load; their difference shows how fast it rises.
-FAST_S = 1.5
-SLOW_S = 5.0
-# The rise that is expected to go on: a wave of +27% in 11 s is 0.025 a second.
-MAX_RISE_PER_S = 0.04
+# The load is averaged over this time.
+MEAN_S = 1.5
 # A subject is decided upon after it was observed for this time.
 MIN_OBSERVED_S = 4.0
 # Fewer upstreams are ordered if they sufficed for so long: several waves of 11 to 15 s.
@@ -73,8 +70,7 @@
     ordered: int | None = None
     observed_s: float | None = None
     updated_s: float = 0.0
-    fast: float = 0.0
-    slow: float = 0.0
+    mean: float = 0.0
     live: int = 0
     wanted: int | None = None
     disturbed: bool = False
@@ -110,8 +106,7 @@
             state.ordered = load.live
         state.live = load.live
         if load.disturbed or load.live == 0:
-            # The upstreams of others take over, which shows in their load.
-            state.disturbed = True
+            # Nothing that is needed now says what will be needed afterwards.
             state.needed.clear()
         if not load.live or not load.slots or load.fresh_part < MIN_FRESH_PART:
             state.observed_s = None
@@ -119,7 +114,7 @@
             return state.ordered
         state.disturbed = load.disturbed
         self._average(state, load, now_s)
-        needed = _find_needed(state, load, limits)
+        needed = _find_needed(state, load)
         state.needed.append((now_s, needed))
         while state.needed[0][0] < now_s - DOWN_AFTER_S:
             state.needed.popleft()
@@ -152,11 +147,10 @@
     def _average(self, state: _State, load: DomainLoad, now_s: float) -> None:
         if state.observed_s is None:
             state.observed_s = now_s
-            state.fast = state.slow = load.requests
+            state.mean = load.requests
         passed_s = max(0.0, now_s - state.updated_s)
         state.updated_s = now_s
-        state.fast += (1.0 - math.exp(-passed_s / FAST_S)) * (load.requests - state.fast)
-        state.slow += (1.0 - math.exp(-passed_s / SLOW_S)) * (load.requests - state.slow)
+        state.mean += (1.0 - math.exp(-passed_s / MEAN_S)) * (load.requests - state.mean)
 
     def _find_wanted(self, state: _State, limits: ScaleLimits, now_s: float) -> int:
         assert state.ordered is not None and state.observed_s is not None
@@ -166,8 +160,7 @@
         if newest > state.ordered:
             wanted = newest
         elif (
-            not state.disturbed
-            and state.live >= MIN_LIVE_PART * state.ordered
+            state.live >= MIN_LIVE_PART * state.ordered
             and now_s - state.needed[0][0] > 0.9 * DOWN_AFTER_S
             and state.ordered - least >= max(1.0, MIN_DOWN_PART * state.ordered)
         ):
@@ -188,13 +181,11 @@
         return late and now_s - state.sent_s > REPEAT_S
 
 
-def _find_needed(state: _State, load: DomainLoad, limits: ScaleLimits) -> int:
-    """Return how many upstreams bear the load that is expected when new ones serve."""
-    rise_per_s = max(0.0, state.fast - state.slow) / (SLOW_S - FAST_S)
-    rise_per_s = min(rise_per_s, MAX_RISE_PER_S * state.fast)
-    expected = state.fast + rise_per_s * limits.startup_s
-    if state.fast >= FULL_PART * load.slots:
-        expected = max(expected, FULL_FACTOR * state.fast)
+def _find_needed(state: _State, load: DomainLoad) -> int:
+    """Return how many upstreams bear the load with free slots for a wave."""
+    expected = state.mean
+    if expected >= FULL_PART * load.slots:
+        expected *= FULL_FACTOR
     slots_each = load.slots / load.live
     return max(1, math.ceil(expected / (slots_each * TARGET_PART) - 1e-9))
 
--- a/jayyoke/duties/scaling_test.py
+++ b/jayyoke/duties/scaling_test.py
@@ -101,7 +101,7 @@
         """Guards against orders that creep behind a demand that the slots hide."""
         domain = Domain(live=14)
         domain.run(10, 14.0 * SLOTS)
-        assert domain.orders[0][1] >= 24
+        assert domain.orders[0][1] == LIMITS.max_upstreams
 
 
 class TestCaution:
--- a/jayyoke/edge/dutyholder.py
+++ b/jayyoke/edge/dutyholder.py
@@ -92,7 +92,7 @@
                 wait_s = await self._step()
             except EraChanged:
                 wait_s = 0.0
-            except StoreUnavailable:
+            except (Conflict, StoreUnavailable):
                 # The roster logs a store that is away.
                 wait_s = RETRY_S if self._keeper.holds else self._find_poll_s()
             self._log_change()
--- a/jayyoke/edge/dutyunit.py
+++ b/jayyoke/edge/dutyunit.py
@@ -108,9 +108,9 @@
         """Return the background work of the duties that the deployment wants."""
         if not (self._service.metering or self._service.scaling):
             return []
-        found = [self.holder.run(), self.exchange.run()]
+        found = [self.holder.run()]
         if self._service.metering:
-            found.append(self.reporter.run())
+            found += [self.exchange.run(), self.reporter.run()]
         if self._service.scaling:
             found.append(self.scaler.run())
         return found
--- a/jayyoke/edge/scaler.py
+++ b/jayyoke/edge/scaler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from jayyoke.core.error import Conflict, DutyCallFailed, StoreUnavailable
 from jayyoke.core.upstream import Upstream, UpstreamState
@@ -71,6 +71,7 @@
         config = self._view.config
         if config is None or now_s - self._since_s < SETTLE_S:
             return
+        orders: dict[Subject, tuple[int, DomainLoad]] = {}
         for service in config.services.values():
             limits = service.scale_limits
             if limits is None:
@@ -80,7 +81,9 @@
                 self._planner.observe(subject, load, limits, now_s)
                 number = self._planner.find_order(subject, limits, now_s)
                 if number is not None:
-                    await self._order(subject, number, load)
+                    orders[subject] = (number, load)
+        if orders:
+            await self._send(orders)
 
     async def _read_orders(self) -> None:
         row = await self._holder.read_row(ORDERS_KEY)
@@ -127,12 +130,17 @@
             fresh += age_s is not None and age_s < FRESH_S
         return DomainLoad(live, slots, requests, fresh / live if live else 0.0, disturbed)
 
+    async def _send(self, orders: Mapping[Subject, tuple[int, DomainLoad]]) -> None:
+        """Store the numbers and order them."""
+        known = self._planner.ordered
+        ordered = known | {subject: number for subject, (number, _) in orders.items()}
+        if ordered != known:
+            await self._holder.write_row(ORDERS_KEY, encode_orders(ordered), None)
+        await asyncio.gather(*(self._order(found, *order) for found, order in orders.items()))
+
     async def _order(self, subject: Subject, number: int, load: DomainLoad) -> None:
-        """Store a number and order it; it is ordered again until the service has accepted it."""
-        ordered = self._planner.ordered | {subject: number}
+        """Order a number; it is ordered again until the service has accepted it."""
         before = self._planner.ordered.get(subject)
-        if number != before:
-            await self._holder.write_row(ORDERS_KEY, encode_orders(ordered), None)
         try:
             status = await self._holder.call(
                 lambda fence: self._client.order_upstreams(
--- a/jayyoke/edge/usagerecorder.py
+++ b/jayyoke/edge/usagerecorder.py
@@ -47,14 +47,15 @@
         if isinstance(outcome, NotRun) and outcome is not CANCELLED:
             return
         answer = send.answer
+        if answer is not None and answer.status in names.NOT_RUN_STATUSES:
+            return
         if call.route.kind is RouteKind.STREAM:
             # The head of an engine's answer comes with the first token, which was lost.
             if answer is not None and 200 <= answer.status < 300:
                 self._count(call, send, self._now_s())
             return
         if isinstance(outcome, Delivered | Failed):
-            if outcome.status not in names.NOT_RUN_STATUSES:
-                self._count(call, send, self._find_begin_s(call, send))
+            self._count(call, send, self._find_begin_s(call, send))
             return
         if answer is not None or is_delivered(send):
             self._count(call, send, send.sent_s)
--- a/jayyoke/edge/usagereporter.py
+++ b/jayyoke/edge/usagereporter.py
@@ -44,7 +44,7 @@
         self._true_time = true_time
         self._now_s = now_s
         self._retry_send_s = float("-inf")
-        self._refusals = 0
+        self._refusals: dict[int, int] = {}
         self.accepted = 0
         self.refused = 0
 
@@ -122,6 +122,7 @@
             )
         except DutyCallFailed as error:
             self._retry_send_s = now_s + RETRY_S
+            self._planner.record_attempt(report.window)
             log_event("usage-report", state="not-answered", window=report.window, reason=str(error))
             return
         if status is None:
@@ -131,13 +132,14 @@
     def _record_status(self, report: FixedReport, status: int) -> None:
         accepted = 200 <= status < 300
         passing = status == 429 or status >= 500
-        self._refusals += not accepted and not passing
-        if not accepted and (passing or self._refusals < MAX_REFUSALS):
+        refusals = self._refusals.get(report.window, 0) + (not accepted and not passing)
+        self._refusals = {report.window: refusals}
+        if not accepted and (passing or refusals < MAX_REFUSALS):
             self._retry_send_s = self._now_s() + RETRY_S
+            self._planner.record_attempt(report.window)
             log_event("usage-report", state="repeat", window=report.window, status=status)
             return
         self._planner.record_sent(report.window)
-        self._refusals = 0
         self.accepted += accepted
         self.refused += not accepted
         log_event(
