Weigh how slow an upstream is at the moment

Typically 15% of the upstreams are 2.5 times slower for spells of 0.6 s, and placement did not know. The fourth number of Worker-Load is now kept with its time, passes between instances with the loads (optional field of HeardLoads), and the package jayyoke/pace estimates from it which upstreams of a service are slow now: the weight falls with the age (0.37 after 0.3 s, 0.14 after 0.6 s), figures are bounded, at most a fifth of a service's upstreams count, those of an upstream that was slow for most of the time do not.

A session's request leaves a slow home for the next engine of its ranking if that gains more than computing or fetching the prompt costs, so different sessions go to different engines; an engine that started lately has no prompt to lose. The wait at plain upstreams and at engines without a home is multiplied by the slowness, and requests at a slow engine are expected to end later. A follower that has a newer figure than the asker now says so. Without figures nothing changes.

--- a/bench/chatfleet.py
+++ b/bench/chatfleet.py
@@ -10,13 +10,21 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 
 from bench.arrivals import Arrival
+from bench.chatkinds import (
+    USUAL_KINDS,
+    Canary,
+    ChatKind,
+    Engine,
+    HotSession,
+    Outage,
+)
 from bench.memory import VirtualLoop
-from bench.spells import SpeedPlan, Spells
+from bench.spells import USUAL_MACHINES, Machines, SpeedPlan
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import Route, RouteKind, ServiceShare
 from jayyoke.core.upstream import Upstream
@@ -37,101 +45,22 @@
 NEW_VERSION = "v2"
 FIRST_TOKEN_TARGET_S = 0.6
 DEADLINE_S = 8.0
-FIRST_TOKEN_S = 0.055
-PREFILL_TOKENS_PER_S = 140_000.0
-SLOTS = 64
 WARM_UP_S = 3.0
 MEAN_BURST = 3.0
 BURST_SPREAD_S = 0.05
 EXCHANGE_PERIOD_S = 0.4
+SWING_S = 12.0
+DOMAINS = 4
 WARM_UP_RATE = 23.0
-INITIAL_ENGINE_AGE_S = 1000.0
 # The time of day at the start of a simulation.
 START_UNIX_S = 1_800_000_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class ChatKind:
-    """Describes a kind of chats: requests per second, prompt tokens, seconds after the first token.
-
-    `sessions` is how many chats of the kind exist at a time.
-    """
-
-    name: str
-    rate: float
-    shared_tokens: int
-    own_tokens: int
-    answer_s: float
-    sessions: int
-
-
-# As in the users' smaller deployments in a busy hour.
-USUAL_KINDS = (
-    ChatKind("long", 9.0, 10_500, 1300, 0.85, 20),
-    ChatKind("middle", 33.8, 700, 130, 0.63, 172),
-    ChatKind("short", 24.4, 2040, 360, 0.05, 124),
-)
-
-
-@dataclass(frozen=True, slots=True)
-class HotSession:
-    """Makes a share of a kind's requests belong to one session for some time."""
-
-    kind: str
-    share: float
-    begins_s: float
-    ends_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Outage:
-    """Removes the first engines for some time; they return cold."""
-
-    engines: int
-    begins_s: float
-    ends_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Canary:
-    """Runs a new version on the last engines, with a share of the requests."""
-
-    engines: int
-    share: float
-
-
-@dataclass(slots=True)
-class Engine:
-    """Counts an engine's requests: all of them, and those after their first token."""
-
-    name: str
-    requests: int = 0
-    streaming: int = 0
-    prefill_until_s: float = 0.0
-    cached_parts: set[str] = field(default_factory=set)
-    up: bool = True
-    started_s: float = -INITIAL_ENGINE_AGE_S
-    plan: SpeedPlan = field(default_factory=lambda: SpeedPlan(random.Random(0), None))
-
-    def start_request(self, parts: Sequence[PromptPart], now_s: float) -> float:
-        """Add a request; return the time of its first token."""
-        tokens = 0
-        for part in parts:
-            if part.id not in self.cached_parts:
-                tokens += part.tokens
-                self.cached_parts.add(part.id)
-        self.requests += 1
-        begins_s = max(now_s, self.prefill_until_s)
-        self.prefill_until_s = self.plan.find_end_s(begins_s, tokens / PREFILL_TOKENS_PER_S)
-        return self.plan.find_end_s(self.prefill_until_s, FIRST_TOKEN_S)
-
-
 class ChatFleet:
     """Runs instances and engines on a loop of virtual time.
 
     `weights` are the instances' shares of the traffic. `exchange`, if given, is called every
-    EXCHANGE_PERIOD_S and exchanges load reports. `policy` names the ordering of engines. `speeds`
-    are those of the engines outside of `spells`, taken in turn.
+    EXCHANGE_PERIOD_S and exchanges load reports. `policy` names the ordering of engines.
     """
 
     def __init__(
@@ -145,9 +74,7 @@
         exchange: Callable[[ChatFleet], None] | None = None,
         policy: str = HOME_POLICY,
         canary: Canary | None = None,
-        spells: Spells | None = None,
-        speeds: Sequence[float] = (1.0,),
-        slots: int = SLOTS,
+        machines: Machines = USUAL_MACHINES,
     ):
         self._loop = VirtualLoop()
         self._start_s = self._loop.time()
@@ -159,20 +86,16 @@
         self._policy = policy
         self._canary = canary
         self.source = random.Random(seed)
-        self._slots = slots
-        plans = [
-            SpeedPlan(random.Random(f"{seed}-{number}"), spells, speeds[number % len(speeds)])
-            for number in range(engines)
-        ]
-        self.engines = {
-            f"e{number}": Engine(f"e{number}", plan=plan) for number, plan in enumerate(plans)
-        }
+        self._machines = machines
+        self.engines = {f"e{number}": self._build_engine(number, seed) for number in range(engines)}
         self._revision = 1
         count = len(weights)
         self.placers = [self._build_placer(number, count) for number in range(count)]
         self.arrivals: list[Arrival] = []
         self.refused = 0
         self._waits_s: list[float] = []
+        # Kind of chat and seconds from its arrival to its first token.
+        self.first_tokens: list[tuple[str, float]] = []
 
     @property
     def now_s(self) -> float:
@@ -207,6 +130,16 @@
             await asyncio.sleep(EXCHANGE_PERIOD_S)
             exchange(self)
 
+    def _find_weights(self) -> Sequence[float]:
+        """Return the instances' shares of the traffic now."""
+        if not self._machines.swing:
+            return self._weights
+        found = []
+        for number, weight in enumerate(self._weights):
+            phase = 2 * math.pi * (self.now_s / SWING_S + number % DOMAINS / DOMAINS)
+            found.append(weight * (1.0 + self._machines.swing * math.sin(phase)))
+        return found
+
     async def _send_bursts(self, kind: ChatKind) -> None:
         """Send requests in bursts, as groups of callers do."""
         sent: set[asyncio.Task[None]] = set()
@@ -219,9 +152,10 @@
 
     async def _send(self, kind: ChatKind) -> None:
         await asyncio.sleep(self.source.uniform(0.0, BURST_SPREAD_S))
-        number = self.source.choices(range(len(self._weights)), self._weights)[0]
+        number = self.source.choices(range(len(self._weights)), self._find_weights())[0]
         placer = self.placers[number]
         call = self._build_call(kind)
+        self._give_figures(placer)
         assignment = await placer.assign(call, SERVICE, set(), False)
         self._waits_s.append(self.now_s - call.arrived_s)
         if not isinstance(assignment, Assignment):
@@ -234,7 +168,10 @@
         first_s = engine.start_request(call.head.parts, sent_s)
         await asyncio.sleep(first_s - sent_s)
         engine.streaming += 1
-        report = LoadReport(engine.streaming, 0, self._slots)
+        self.first_tokens.append((kind.name, self.now_s - call.arrived_s))
+        report = LoadReport(
+            engine.streaming, 0, self._machines.slots, self._read_figure(engine, self.now_s)
+        )
         placer.record_answer_head(
             upstream, AnswerHead("r", True, False, report, None, None, False, False)
         )
@@ -245,6 +182,33 @@
         placer.release(SERVICE, upstream, True, self.now_s - sent_s)
         placer.record_outcome(call, SERVICE, upstream, Delivered(200), first_s - sent_s)
 
+    def _build_engine(self, number: int, seed: int) -> Engine:
+        machines = self._machines
+        speed = machines.speeds[number % len(machines.speeds)]
+        return Engine(
+            f"e{number}",
+            plan=SpeedPlan(random.Random(f"{seed}-{number}"), machines.spells, speed),
+            first_token_s=machines.first_token_s,
+            tokens_per_s=machines.tokens_per_s,
+        )
+
+    def _read_figure(self, engine: Engine, at_s: float) -> float | None:
+        figures = self._machines.figures
+        if figures is None:
+            return None
+        return figures.read(int(engine.name[1:]), engine.plan, at_s) or None
+
+    def _give_figures(self, placer: Placer) -> None:
+        """Give an instance the figures of all engines, if it does not get them with answers."""
+        figures = self._machines.figures
+        if figures is None or figures.age_s is None:
+            return
+        at_s = self.now_s - figures.age_s
+        for upstream in placer.view.upstreams.values():
+            slowness = self._read_figure(self.engines[upstream.name], at_s)
+            if slowness is not None:
+                placer.tracker.get(upstream.incarnation).figures.record(slowness, at_s)
+
     def _record_arrival(
         self, number: int, placer: Placer, engine: Engine, upstream: Upstream
     ) -> None:
@@ -325,7 +289,7 @@
             "address": f"127.0.0.1:{9000 + number}",
             "az": f"zone-{number % 3}",
             "state": "ready",
-            "slots": self._slots,
+            "slots": self._machines.slots,
             "born": int((START_UNIX_S + engine.started_s) * 1000),
             "version": self._find_version(number),
             "warmupLeftMs": int(1000 * max(0.0, WARM_UP_S - age_s)),
--- a/bench/spells.py
+++ b/bench/spells.py
@@ -66,3 +66,53 @@
                 length_s -= self._spells.length_s * self._source.random()
             self._ends_s.append((self._ends_s[-1] if self._ends_s else at_s) + length_s)
         return bisect.bisect_right(self._ends_s, at_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Describes the figures of slowness that instances have of the engines.
+
+    With `age_s` each instance knows the figure of each engine as it was then; None means that it
+    knows those that come with answers and from peers. `fault` is how figures are wrong: "random",
+    "inverted", "always-slow" (three engines in ten are said to be slow all the time), "huge" or
+    "zero"; empty if they are right.
+    """
+
+    age_s: float | None = None
+    fault: str = ""
+
+    def read(self, number: int, plan: SpeedPlan, now_s: float) -> float:
+        """Return the figure of an engine at a time."""
+        slowness = plan.find_slowness(now_s)
+        match self.fault:
+            case "random":
+                return random.Random(f"{number}-{int(now_s * 10)}").uniform(0.5, 4.0)
+            case "inverted":
+                return 1.0 if slowness > 1.0 else 2.5
+            case "always-slow":
+                return 2.5 if number % 10 < 3 else slowness
+            case "huge":
+                return 1e6
+            case "zero":
+                return 0.0
+        return slowness
+
+
+@dataclass(frozen=True, slots=True)
+class Machines:
+    """Describes the engines' machines; `figures` is None if they report no slowness.
+
+    `speeds` are those outside of spells, taken in turn. `swing` is the fraction by which the
+    traffic of each domain swings, out of phase with the others.
+    """
+
+    spells: Spells | None = None
+    figures: Figures | None = None
+    speeds: tuple[float, ...] = (1.0,)
+    slots: int = 64
+    first_token_s: float = 0.055
+    tokens_per_s: float = 140_000.0
+    swing: float = 0.0
+
+
+USUAL_MACHINES = Machines()
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -304,10 +304,12 @@
 }
 
 // Loads that engines reported in answers to an instance; items at the same position of the lists belong together.
+// slowness_percent: how long work takes there, 100 as usual; 0: not reported. Unset if no engine reported it.
 struct HeardLoads {
   1: list<string> incarnations
   2: list<i32> requests
   3: list<i32> ages_ms
+  4: optional list<i16> slowness_percent
 }
 
 // Limits on requests a second that upstreams named in answers to an instance or to its peers; -1: the upstream named
--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -98,6 +98,8 @@
             unreachable=unreachable,
             age_s=self._read_unix_s() - upstream.started_ms / 1000,
             load_age_s=stats.find_load_age_s(now_s),
+            slowness=loads.slowness.get(upstream.incarnation, 1.0),
+            figure=stats.figures.figure,
         )
 
     def estimate_loads(self, service: str, now_s: float) -> Loads:
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -4,7 +4,8 @@
 that has the shared parts in its prefix cache needs about 10 ms for such a prompt, another one
 85 ms. So rendezvous hashing gives each session a home engine, the same on all instances, and its
 requests go elsewhere only while the home is above the load limit. Plain services use the upstream
-with the least work.
+with the least work. A home that is slow for a moment is left where that gains time; its sessions
+then go to the next engines of their rankings, which differ, so that none gets them all.
 
 Engines above the load limit are left out and not only put last: otherwise the last usable engine
 would get all requests. Requests wait for a free slot or are refused instead.
@@ -20,12 +21,15 @@
 
 import math
 import random
+import statistics
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.rendezvous import rank_weighted
+from jayyoke.pace.figure import SLOW, Figure
+from jayyoke.pace.leave import find_move_cost_s, should_leave
 from jayyoke.platform.message import PromptPart
 
 # An engine above this fraction of the users' bound on load over the mean, plus the slack, gets no
@@ -60,7 +64,8 @@
     `load` is the estimated number of requests of all instances, `own` that of this instance.
     `slots` is how many requests it runs at once, or 0 if unknown. `suspended` is set after recent
     failures, `unreachable` while requests should avoid its whole domain. `age_s` is the time since
-    its start, `load_age_s` that since its last load report, or None without one.
+    its start, `load_age_s` that since its last load report, or None without one. `slowness` is
+    how many times longer work takes there now than at the others, by `figure` if that is known.
     """
 
     upstream: Upstream
@@ -72,6 +77,8 @@
     unreachable: bool = False
     age_s: float = HOME_RAMP_S
     load_age_s: float | None = None
+    slowness: float = 1.0
+    figure: Figure | None = None
 
 
 class SpreadOrder(Protocol):
@@ -135,6 +142,7 @@
     mean_load: float,
     repeatable: bool,
     spread: SpreadOrder | None = None,
+    fetches: bool = False,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
@@ -142,7 +150,7 @@
     that mean over all live engines, also those that the request may not use. A request that is not
     `repeatable` goes to a suspended engine only if no other is left. `spread` orders engines for
     requests that do not go to their home: all of them when traffic begins, later only those with
-    few shared tokens whose home is full.
+    few shared tokens whose home is full. `fetches` is set if engines fetch prompts from others.
     """
     reason = "home" if home_key else "least-work"
     usable = [found for found in candidates if not (found.suspended or found.unreachable)]
@@ -160,26 +168,51 @@
     limit = margin * load_factor * mean_load + slack
     usable = [found for found in usable if found.load < limit]
     if not usable and repeatable:
-        usable = [found for found in fallback if found.load < limit]
+        usable = reachable = [found for found in fallback if found.load < limit]
         reason += ",rest-loaded"
     own = sum(found.own for found in usable)
     if near and own >= MIN_OWN_REQUESTS * len(usable):
         return Choice(_order_by_own(usable, home_key), reason + ",even", limit, suspended)
     if not home_key:
         return Choice(_order_by_wait(usable, engine, source), reason, limit, suspended)
+    ranked = rank_homes(home_key, reachable)
+    order = [found for found in ranked if found.load < limit]
     small = shared_tokens < SMALL_PROMPT_TOKENS
     if small:
         limit = SMALL_LOAD_FRACTION * load_factor * mean_load + SMALL_LOAD_SLACK
-    if spread is not None and spread.useful:
-        ranked = rank_homes(home_key, reachable)
-        starting = spread.is_starting(candidates)
-        within = [found for found in usable if found.load < limit]
-        if within and (starting or (small and ranked[0].load >= limit)):
-            order = spread.order(within)
-            beyond = [found for found in usable if found.load >= limit]
-            order += sorted(beyond, key=lambda found: found.load)
-            return Choice(tuple(order), reason + ",spread", limit, suspended)
-    return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
+    within = [found for found in order if found.load < limit]
+    beyond = sorted((f for f in order if f.load >= limit), key=lambda found: found.load)
+    away = small and bool(ranked) and ranked[0].load >= limit
+    slow = _find_slow(within, ranked, find_move_cost_s(shared_tokens, fetches))
+    if slow:
+        names = {found.upstream.incarnation for found in slow}
+        if within[0].upstream.incarnation in names:
+            reason += ",slow"
+        within = [found for found in within if found.upstream.incarnation not in names]
+    if within and spread is not None and spread.useful and (away or spread.is_starting(candidates)):
+        # Without the slow engines, whose neighbours would get their requests too.
+        within = spread.order(within)
+        reason += ",spread"
+    return Choice((*within, *slow, *beyond), reason, limit, suspended)
+
+
+def _find_slow(
+    within: Sequence[Candidate], ranked: Sequence[Candidate], move_cost_s: float
+) -> list[Candidate]:
+    """Return the engines that a session's request should avoid since they are slow for a moment.
+
+    Only the home has the prompt; an engine that started lately has not.
+    """
+    if all(found.slowness < SLOW for found in within):
+        return []
+    work_s = statistics.median(found.latency_s for found in within)
+    slow = []
+    for found in within:
+        cached = found is ranked[0] and found.age_s >= HOME_RAMP_S
+        if should_leave(found.slowness, work_s, move_cost_s if cached else 0.0):
+            slow.append(found)
+    slow.sort(key=lambda found: found.slowness)
+    return slow
 
 
 def _is_bound_near(usable: Sequence[Candidate], load_factor: float, mean_load: float) -> bool:
@@ -204,15 +237,6 @@
     return tuple(sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random())))
 
 
-def _order_by_home(
-    candidates: Sequence[Candidate], key: str, limit: float
-) -> tuple[Candidate, ...]:
-    ranked = rank_homes(key, candidates)
-    within = [found for found in ranked if found.load < limit]
-    beyond = sorted((f for f in ranked if f.load >= limit), key=lambda found: found.load)
-    return tuple(within + beyond)
-
-
 def rank_homes(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the engines by their rendezvous rank for a session; the first is its home."""
     by_name = {found.upstream.incarnation: found for found in candidates}
@@ -245,9 +269,9 @@
 
 
 def _estimate_wait(candidate: Candidate, engine: bool) -> float:
-    """Return a measure of the wait: requests ahead times the upstream's latency."""
+    """Return a measure of the wait: requests ahead times the upstream's latency now."""
     work = candidate.load if engine else float(candidate.own)
-    return (work + 1.0) * max(candidate.latency_s, 0.001)
+    return (work + 1.0) * max(candidate.latency_s, 0.001) * candidate.slowness
 
 
 def has_free_slot(candidate: Candidate) -> bool:
--- a/jayyoke/edge/load.py
+++ b/jayyoke/edge/load.py
@@ -9,11 +9,12 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.canary import Split
 from jayyoke.edge.track import UpstreamStats
+from jayyoke.pace.figure import estimate_slowness
 from jayyoke.utils.ewma import Ewma
 
 # Assumed duration of requests until some have ended.
@@ -26,12 +27,14 @@
 class Loads:
     """Holds the estimated requests of a service's upstreams by incarnation, and their mean.
 
-    `free_mean` is that of the upstreams without a limit if it is higher.
+    `free_mean` is that of the upstreams without a limit if it is higher. `slowness` has the
+    upstreams that are slow now, with how many times longer their work takes.
     """
 
     by_incarnation: Mapping[str, float]
     mean: float
     free_mean: float
+    slowness: Mapping[str, float] = field(default_factory=dict)
 
     def find(self, incarnation: str) -> float:
         """Return the load of an upstream, or 0 if it is not live."""
@@ -89,7 +92,7 @@
         counted end. The rest is the mean load of the upstream, or of the service's upstreams where
         the upstream has few reports. Upstreams without a report are assumed to have no requests of
         others. Those in `excluded` get no more requests from any instance, those in `limited` fewer
-        than others.
+        than others. Requests at an upstream that is slow now end later.
         """
         if not stats_by_incarnation:
             return NO_LOADS
@@ -97,6 +100,9 @@
             stats.other_requests for stats in stats_by_incarnation.values() if stats.reported
         ]
         average = sum(reported) / len(reported) if reported else 0.0
+        slowness = estimate_slowness(
+            ((name, stats.figures.figure) for name, stats in stats_by_incarnation.items()), now_s
+        )
         loads = {}
         for name, stats in stats_by_incarnation.items():
             loads[name] = float(stats.in_flight)
@@ -106,9 +112,10 @@
             expected = mean_weight * stats.mean_others + (1.0 - mean_weight) * average
             if name in excluded:
                 expected = 0.0
-            weight = math.exp(-max(0.0, now_s - stats.reported_at_s) / self.duration_s)
+            duration_s = self.duration_s * slowness.get(name, 1.0)
+            weight = math.exp(-max(0.0, now_s - stats.reported_at_s) / duration_s)
             loads[name] += weight * stats.other_requests + (1.0 - weight) * expected
         mean = sum(loads.values()) / len(loads)
         free = [load for name, load in loads.items() if name not in limited]
         free_mean = max(mean, sum(free) / len(free)) if free else mean
-        return Loads(loads, mean, free_mean)
+        return Loads(loads, mean, free_mean, slowness)
--- a/jayyoke/edge/loadexchange.py
+++ b/jayyoke/edge/loadexchange.py
@@ -20,12 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Holds how many requests an engine had when it answered an instance, this one if `own`."""
+    """Holds how many requests an engine had when it answered an instance, this one if `own`.
+
+    `slowness` is how many times longer than usual work took there, or None if not reported.
+    """
 
     incarnation: str
     requests: int
     reported_at_s: float
     own: bool
+    slowness: float | None = None
 
 
 class LoadExchange:
@@ -38,9 +42,9 @@
         self._on_newer = on_newer
         self._newest: dict[str, ReportedLoad] = {}
 
-    def record_own(self, incarnation: str, requests: int) -> None:
+    def record_own(self, incarnation: str, requests: int, slowness: float | None = None) -> None:
         """Record the load that came with an answer to this instance."""
-        self._store(ReportedLoad(incarnation, requests, self._now_s(), own=True))
+        self._store(ReportedLoad(incarnation, requests, self._now_s(), True, slowness))
 
     def merge(self, loads: Iterable[ReportedLoad]) -> None:
         """Merge loads from another instance that are newer than the known ones."""
--- a/jayyoke/edge/loadexchange_test.py
+++ b/jayyoke/edge/loadexchange_test.py
@@ -4,18 +4,21 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 import pytest
-from thrift.TSerialization import serialize
+from thrift.TSerialization import deserialize, serialize
 
 from jayyoke.core.error import PeerProtocolError
+from jayyoke.core.upstream import Upstream
 from jayyoke.edge import placedlog
 from jayyoke.edge.loadexchange import MAX_KNOWN, LoadExchange, ReportedLoad
 from jayyoke.edge.placement import Assignment, Placer
 from jayyoke.edge.placement_test import DOMAINS, SERVICE, Clock, build_call, build_placement
 from jayyoke.edge.relay import RelayServer, decode_peer_answer, encode_fetch_request
 from jayyoke.edge.view import FleetView
-from jayyoke.platform.message import AnswerHead, LoadReport
+from jayyoke.platform.message import AnswerHead, LoadReport, PromptPart
+from jayyoke.wire.gen import ttypes
 from jayyoke.wire.gen.ttypes import FetchTables, HeardLoads
 
 ENGINES_PER_DOMAIN = 10
@@ -135,3 +138,61 @@
         broken = FetchTables(known={}, loads=HeardLoads(["e1", "e2"], [1], [0, 0]))
         with pytest.raises(PeerProtocolError):
             asyncio.run(server.answer(serialize(broken)))
+
+
+class TestSlowness:
+    """Tests that figures of slowness pass between instances with the loads."""
+
+    LOADS = [ReportedLoad("e1", 3, 9.9, True, 2.5), ReportedLoad("e2", 4, 9.8, True)]
+
+    def decode(self, change=None):
+        message = deserialize(ttypes.FetchTables(), encode_fetch_request({}, 1.0, self.LOADS, 10.0))
+        if change is not None:
+            change(message.loads)
+        answer = ttypes.FetchedTables(tables=[], loads=message.loads)
+        loads = decode_peer_answer("p", serialize(answer), 10.0).loads
+        return [(load.incarnation, load.requests, load.slowness) for load in loads]
+
+    def test_figures_pass_with_the_loads(self):
+        assert self.decode() == [("e1", 3, 2.5), ("e2", 4, None)]
+
+    @pytest.mark.parametrize("column", [None, [], [250], [250, 100, 100], [-1, 0]])
+    def test_useless_column_leaves_the_loads(self, column):
+        """Guards against loads of an older or faulty peer that are dropped with its figures."""
+        found = self.decode(lambda loads: setattr(loads, "slowness_percent", column))
+        assert found == [("e1", 3, None), ("e2", 4, None)]
+
+    def test_message_without_figures_is_as_before(self):
+        """Guards against bytes spent where engines report no figures."""
+        loads = [ReportedLoad("e1", 3, 9.9, True)]
+        message = deserialize(ttypes.FetchTables(), encode_fetch_request({}, 1.0, loads, 10.0))
+        assert message.loads.slowness_percent is None
+
+    def test_slow_home_is_left_until_its_figure_is_old(self, monkeypatch):
+        """Guards against a figure that counts for longer than a spell lasts."""
+        clock = Clock()
+        asker, follower = (build_placement(clock, ENGINES_PER_DOMAIN) for _ in range(2))
+
+        def place() -> Upstream:
+            call = build_call(clock, SESSION)
+            parts = (PromptPart("session", 700), PromptPart("own", 100))
+            call = replace(call, head=replace(call.head, parts=parts))
+            assignment = asyncio.run(asker.assign(call, SERVICE, set(), False))
+            assert isinstance(assignment, Assignment)
+            asker.release(SERVICE, assignment.upstream)
+            return assignment.upstream
+
+        home = place()
+        report_all(asker, "")
+        lines = []
+        monkeypatch.setattr(placedlog, "log_event", lambda event, **fields: lines.append(fields))
+        clock.now_s += 0.1
+        report = LoadReport(MEAN_LOAD, 0, 64, 4.0)
+        head = AnswerHead("r", True, False, report, None, None, False, False)
+        follower.record_answer_head(home, head)
+        ask(asker, follower, clock)
+        assert place() != home
+        assert "slowness" not in lines[-1]
+        clock.now_s += 2.0
+        assert place() == home
+        assert (lines[-1]["slowness"], lines[-1]["slowness_age_ms"]) == (1.0, 2000)
--- a/jayyoke/edge/placedlog.py
+++ b/jayyoke/edge/placedlog.py
@@ -22,8 +22,13 @@
     mean: float,
     candidates: int,
     fetch_from: str,
+    now_s: float,
 ) -> None:
     """Log the upstream that a call goes to, and what decided."""
+    fields = {}
+    if found.figure is not None:
+        fields["slowness"] = round(found.slowness, 2)
+        fields["slowness_age_ms"] = round((now_s - found.figure.reported_at_s) * 1000)
     log_event(
         "placed",
         request_id=call.head.request_id,
@@ -43,4 +48,5 @@
         candidates=candidates,
         suspended=choice.suspended,
         fetch_from=fetch_from,
+        **fields,
     )
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -184,7 +184,7 @@
         if head.load is not None:
             stats.record_load(head.load, now_s)
             self.load_exchange.record_own(
-                upstream.incarnation, head.load.running + head.load.waiting
+                upstream.incarnation, head.load.running + head.load.waiting, head.load.slowness
             )
         if head.warm_up_left_s:
             stats.cold_until_s = now_s + head.warm_up_left_s
@@ -301,7 +301,7 @@
         """Record a load reported to another instance, if the engine is known here."""
         stats = self.tracker.find(load.incarnation)
         if stats is not None:
-            stats.record_peer_load(load.requests, load.reported_at_s)
+            stats.record_peer_load(load.requests, load.reported_at_s, load.slowness)
 
     def _count_failure(self, service: str, upstream: Upstream) -> bool:
         names = [found.incarnation for found in self._view.by_service.get(service, ())]
@@ -345,6 +345,7 @@
                 mean,
                 call.route.repeatable,
                 self._find_spread(service),
+                profile.token_bytes > 0,
             )
         for found in choice.order:
             if not has_free_slot(found):
@@ -362,7 +363,7 @@
             fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
-            log_placed(call, service, found, choice, mean, len(candidates), fetch_from)
+            log_placed(call, service, found, choice, mean, len(candidates), fetch_from, now_s)
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
 
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -19,6 +19,7 @@
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.requestlimit import LimitReport
 from jayyoke.platform.body import read_body
+from jayyoke.platform.message import USUAL_PERCENT
 from jayyoke.platform.table import Row
 from jayyoke.wire.gen import ttypes
 
@@ -35,6 +36,8 @@
 COMPRESSION_LEVEL = 1
 MAX_ROW_BYTES = 8 << 20
 MAX_PACKED = 4
+# The largest number that fits into the column of slowness.
+MAX_PERCENT = 2**15 - 1
 # Longer than any peer asks for.
 MAX_WAIT_S = 5.0
 
@@ -146,19 +149,36 @@
         incarnations=[load.incarnation for load in loads],
         requests=[load.requests for load in loads],
         ages_ms=[max(0, int((now_s - load.reported_at_s) * 1000)) for load in loads],
+        slowness_percent=_encode_slowness(loads),
     )
 
 
+def _encode_slowness(loads: Sequence[ReportedLoad]) -> list[int] | None:
+    """Return the column of slowness, or None if no engine reports it."""
+    if all(load.slowness is None for load in loads):
+        return None
+    return [min(MAX_PERCENT, round((load.slowness or 0.0) * USUAL_PERCENT)) for load in loads]
+
+
+def _decode_slowness(percents: list[int] | None, count: int) -> list[float | None]:
+    """Return the slowness of each load, without any if the column does not fit."""
+    if percents is None or len(percents) != count:
+        return [None] * count
+    return [percent / USUAL_PERCENT if percent > 0 else None for percent in percents]
+
+
 def _decode_loads(loads: ttypes.HeardLoads | None, now_s: float) -> list[ReportedLoad]:
     """Return the loads of a peer, whose ages count from `now_s`."""
     if loads is None:
         return []
-    columns = (loads.incarnations or (), loads.requests or (), loads.ages_ms or ())
+    slowness = _decode_slowness(loads.slowness_percent, len(loads.incarnations or ()))
+    columns = (loads.incarnations or (), loads.requests or (), loads.ages_ms or (), slowness)
     found = []
-    for incarnation, requests, age_ms in zip(*columns, strict=True):
+    for incarnation, requests, age_ms, slow in zip(*columns, strict=True):
         if requests < 0 or not 0 <= age_ms <= MAX_SHARED_AGE_S * 1000:
             continue
-        found.append(ReportedLoad(str(incarnation), requests, now_s - age_ms / 1000, own=False))
+        at_s = now_s - age_ms / 1000
+        found.append(ReportedLoad(str(incarnation), requests, at_s, False, slow))
     return found[:MAX_SHARED]
 
 
@@ -240,9 +260,13 @@
             answer.limits = encode_limits(self._limit_exchange.list_reports(), now_s)
         if not wait_s:
             return serialize(answer)
-        sent = {load.incarnation for load in received}
-        recent = self._load_exchange.list_recent(now_s - MAX_SHARED_AGE_S)
-        loads = [load for load in recent if load.incarnation not in sent]
+        sent_s = {load.incarnation: load.reported_at_s for load in received}
+        loads = []
+        for load in self._load_exchange.list_recent(now_s - MAX_SHARED_AGE_S):
+            known_s = sent_s.get(load.incarnation)
+            # The peer may have an older figure of slowness, which changes many times a second.
+            if known_s is None or (load.slowness is not None and load.reported_at_s > known_s):
+                loads.append(load)
         answer.loads = _encode_loads(loads, now_s)
         return serialize(answer)
 
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from jayyoke.pace.figure import FigureTrack
 from jayyoke.platform.message import LoadReport
 from jayyoke.utils.ewma import Ewma
 
@@ -38,6 +39,8 @@
     other_requests: int = 0
     reported_at_s: float = 0.0
     reported: bool = False
+    # How slow the upstream is, by answers to this instance and to its peers.
+    figures: FigureTrack = field(default_factory=FigureTrack)
     # Mean of `other_requests`, averaged since `mean_since_s`.
     mean_others: float = 0.0
     mean_since_s: float = 0.0
@@ -57,15 +60,17 @@
         """Record the load that came with an answer."""
         self._apply_report(report, now_s)
 
-    def record_peer_load(self, requests: int, at_s: float) -> None:
+    def record_peer_load(self, requests: int, at_s: float, slowness: float | None = None) -> None:
         """Record a load reported to another instance, unless a newer one is known."""
         if at_s <= self.reported_at_s:
             return
-        self._apply_report(LoadReport(running=requests, waiting=0, slots=0), at_s)
+        self._apply_report(LoadReport(requests, 0, 0, slowness), at_s)
 
     def _apply_report(self, report: LoadReport, at_s: float) -> None:
         gap_s = max(0.0, at_s - self.reported_at_s)
         self.reported_at_s = at_s
+        if report.slowness is not None:
+            self.figures.record(report.slowness, at_s)
         # Own requests that are still in prefill are in no report; those that wait may be.
         running = max(0, report.running - self.answering)
         waiting = max(0, report.waiting - (self.in_flight - self.answering))
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -3870,6 +3870,7 @@
      - incarnations
      - requests
      - ages_ms
+     - slowness_percent
 
     """
 
@@ -3877,13 +3878,15 @@
         'incarnations',
         'requests',
         'ages_ms',
+        'slowness_percent',
     )
 
 
-    def __init__(self, incarnations=None, requests=None, ages_ms=None,):
+    def __init__(self, incarnations=None, requests=None, ages_ms=None, slowness_percent=None,):
         self.incarnations = incarnations
         self.requests = requests
         self.ages_ms = ages_ms
+        self.slowness_percent = slowness_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3924,6 +3927,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.slowness_percent = []
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readI16()
+                        self.slowness_percent.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3955,6 +3968,13 @@
                 oprot.writeI32(iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.slowness_percent is not None:
+            oprot.writeFieldBegin('slowness_percent', TType.LIST, 4)
+            oprot.writeListBegin(TType.I16, len(self.slowness_percent))
+            for iter157 in self.slowness_percent:
+                oprot.writeI16(iter157)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5103,6 +5123,7 @@
     (1, TType.LIST, 'incarnations', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.LIST, 'requests', (TType.I32, None, False), None, ),  # 2
     (3, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 3
+    (4, TType.LIST, 'slowness_percent', (TType.I16, None, False), None, ),  # 4
 )
 all_structs.append(HeardLimits)
 HeardLimits.thrift_spec = (
