Bound the input of all clients of a process together

Cause: aiohttp reads 256 KiB at once, keeps each unreadable read together with an error whose text and traceback hold it (32 for each connection), and bounds a field, but not the head. So a connection cost 1 to 2 MB.

Change: BoundedHandler serves every HTTP port of both front doors.

--- a/jayyoke/ops/metrics.py
+++ b/jayyoke/ops/metrics.py
@@ -37,6 +37,12 @@
         self.refusals = Counter(
             "jayyoke_refusals", "Refusals by stable code.", ["code", "run"], registry=registry
         )
+        self.refused_clients = Counter(
+            "jayyoke_clients_refused",
+            "Connections refused or closed for their input, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self.tokens = Counter(
             "jayyoke_tokens_delivered",
             "Tokens sent to callers.",
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -20,8 +20,10 @@
 from jayyoke.ops.plainservice import open_single_session
 from jayyoke.parser.settings import Settings, parse_settings
 from jayyoke.scripts.assembly import build_node, list_coroutines
+from jayyoke.scripts.clientguard import build_reporting_guard
 from jayyoke.scripts.session import EXIT_USAGE, fail, read_file
 from jayyoke.server.caller import CallerServer
+from jayyoke.server.inputguard import InputGuard
 from jayyoke.server.listener import CLOSE_TIMEOUT_S, Listener
 from jayyoke.server.operator import OperatorServer
 from jayyoke.utils.connector import BoundedConnector
@@ -64,8 +66,12 @@
         node = build_node(settings, http, http_single)
         await node.peers.start()
         tasks = [asyncio.create_task(coroutine) for coroutine in list_coroutines(node)]
-        callers = await _listen(CallerServer(node).build(), settings.caller_address)
-        operators = await _listen(OperatorServer(node).build(), settings.operator_address)
+        guard = build_reporting_guard(
+            node.metrics,
+            lambda reason, count: logging.warning("%d connections closed: %s", count, reason),
+        )
+        callers = await _listen(CallerServer(node).build(), settings.caller_address, guard)
+        operators = await _listen(OperatorServer(node).build(), settings.operator_address, guard)
         _tune_garbage_collector()
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
         await stop.wait()
@@ -122,8 +128,8 @@
     return max(0.0, began_s + grace_s - EXIT_SLACK_S - node.clock.now_s())
 
 
-async def _listen(app: web.Application, address: str) -> Listener:
-    listener = Listener(app)
+async def _listen(app: web.Application, address: str, guard: InputGuard) -> Listener:
+    listener = Listener(app, guard=guard)
     await listener.start(address)
     return listener
 
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -42,8 +42,10 @@
 from jayyoke.platform import names
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
+from jayyoke.scripts.clientguard import build_reporting_guard
 from jayyoke.scripts.drain import drain
 from jayyoke.server.entrylistener import EntryListener
+from jayyoke.server.inputguard import InputGuard
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
 from jayyoke.server.relayapp import build_relay_app
@@ -141,7 +143,8 @@
             self.quarantine_rows.mark_changed,
             self.stop_window,
         )
-        self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
+        self.guard = build_reporting_guard(self.metrics, log_refused_clients)
+        self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s, self.guard)
         self.relay = RelayServer(
             self.view, self.placement.load_exchange, self.placement.limit_exchange
         )
@@ -263,12 +266,14 @@
         for task in tasks:
             task.add_done_callback(_end_on_failure)
         await instance.listener.start(settings.caller_address)
-        ready = await _listen(_build_ready_app(instance), settings.ready_address)
+        guard = instance.guard
+        ready = await _listen(_build_ready_app(instance), settings.ready_address, guard)
         peers = await _listen(
-            build_relay_app(instance.relay, instance.part_exchange), settings.peer_address
+            build_relay_app(instance.relay, instance.part_exchange), settings.peer_address, guard
         )
         host = settings.peer_address.rpartition(":")[0]
-        metrics = await _listen(_build_metrics_app(instance), f"{host}:{options.metrics_port}")
+        metrics_address = f"{host}:{options.metrics_port}"
+        metrics = await _listen(_build_metrics_app(instance), metrics_address, guard)
         log_event("started", instance=settings.instance, domain=settings.domain)
         await stop.wait()
         await drain(instance.listener, instance.stop_window, instance.settings.bounds.stop_grace_s)
@@ -285,8 +290,8 @@
     log_event("stopped", instance=settings.instance)
 
 
-async def _listen(app: web.Application, address: str) -> Listener:
-    listener = Listener(app)
+async def _listen(app: web.Application, address: str, guard: InputGuard) -> Listener:
+    listener = Listener(app, guard=guard)
     await listener.start(address)
     return listener
 
@@ -340,6 +345,11 @@
     return path.read_text(encoding="utf-8")
 
 
+def log_refused_clients(reason: str, count: int) -> None:
+    """Log connections that were closed for their clients' input."""
+    log_event("clients-refused", reason=reason, count=count)
+
+
 def _end_on_failure(task: asyncio.Task[None]) -> None:
     """End the process if a background task fails, since the platform restarts it."""
     if task.cancelled():
--- a/jayyoke/server/callerconnection.py
+++ b/jayyoke/server/callerconnection.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from jayyoke.core.route import CallerLimits
 from jayyoke.edge.log import log_event
-from jayyoke.server.closingsockets import count_unsent_bytes
+from jayyoke.server.boundedhandler import BoundedHandler
+from jayyoke.server.closingsockets import count_unsent_bytes, reset_transport
+from jayyoke.server.inputguard import InputGuard
 
 # Connections stay open this long past the idle limit, so that one reused at the limit still works.
 IDLE_SLACK_S = 2.0
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(BoundedHandler):
     """Bounds how long a caller may take to send a request's head, and counts what is not done.
 
     `on_closing` is called with the transport of a connection that is closed in order.
@@ -29,16 +28,15 @@
     def __init__(
         self,
         server: web.Server,
+        guard: InputGuard,
         limits: CallerLimits,
         on_closing: Callable[[asyncio.BaseTransport], None],
     ):
         super().__init__(
             server,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_s + IDLE_SLACK_S,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
+            guard,
+            limits.header_bytes,
+            limits.idle_timeout_s + IDLE_SLACK_S,
             auto_decompress=False,
         )
         self._head_timeout_s = limits.header_timeout_s
@@ -69,9 +67,12 @@
         """Close the connection with a reset, which drops bytes that are not sent."""
         opened, self._opened = self._opened, None
         if opened is not None:
-            linger = struct.pack("ii", 1, 0)
-            opened.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            opened.abort()
+            reset_transport(opened)
+
+    def cut_off(self) -> None:
+        """Close the connection with a reset, for which nothing is kept until it is sent."""
+        self._opened = None
+        super().cut_off()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read requests."""
@@ -86,7 +87,12 @@
         if self._request_count > requests_before or self._current_request is not None:
             self._cancel_head_timer()
             return
-        if data and self._head_timer is None:
+        if data:
+            self.note_head_pending()
+
+    def note_head_pending(self) -> None:
+        """Start the time limit of a head that has begun to arrive."""
+        if self._head_timer is None and self._opened is not None:
             self._head_timer = self._loop.call_later(self._head_timeout_s, self._close_slow_head)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/jayyoke/server/closingsockets.py
+++ b/jayyoke/server/closingsockets.py
@@ -22,6 +22,14 @@
     return max(0, struct.unpack("i", found)[0])
 
 
+def reset_transport(transport: asyncio.Transport) -> None:
+    """Close a connection with a reset, which drops bytes that are not sent or not read."""
+    opened = transport.get_extra_info("socket")
+    if opened is not None and opened.fileno() >= 0:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 class ClosingSockets:
     """Holds duplicates of sockets whose connections are closed.
 
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -27,12 +27,13 @@
     discard_body,
     read_body,
 )
+from jayyoke.server.boundedhandler import RefusedConnection
 from jayyoke.server.callerconnection import CallerConnection
 from jayyoke.server.closingsockets import ClosingSockets
+from jayyoke.server.inputguard import InputGuard, build_guard, listen
 from jayyoke.utils.pipelining import has_next_request
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
-MAX_BACKLOG = 512
 # Time limit of a body, counted once its head has been read.
 BODY_TIMEOUT_S = 10.0
 # Calls end this long before the deadline, so that the answer reaches the caller in time.
@@ -52,12 +53,14 @@
         forwarder: Forwarder,
         bounds: Bounds,
         now_s: Callable[[], float],
+        guard: InputGuard | None = None,
     ):
         self._view = view
         self._forwarder = forwarder
         self._bounds = bounds
         self._now_s = now_s
         self._web = web.Server(self._handle, handler_cancellation=True)
+        self._guard = guard or build_guard()
         self._server: asyncio.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._ending = False
@@ -73,11 +76,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on HOST:PORT; raise OSError."""
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._build_connection, host, int(port), backlog=MAX_BACKLOG
-        )
+        self._server = await listen(self._build_connection, address, self._guard)
 
     def stop(self) -> None:
         """Accept no more connections; those that are open stay open."""
@@ -122,10 +121,12 @@
         await self._web.shutdown(0.1)
         self._closing.close()
 
-    def _build_connection(self) -> CallerConnection:
+    def _build_connection(self) -> CallerConnection | RefusedConnection:
+        if not self._guard.admits():
+            return RefusedConnection()
         config = self._view.config
         limits = config.limits if config is not None else CallerLimits()
-        return CallerConnection(self._web, limits, self._keep_closing)
+        return CallerConnection(self._web, self._guard, limits, self._keep_closing)
 
     def _keep_closing(self, transport: asyncio.BaseTransport) -> None:
         if self.draining:
--- a/jayyoke/server/listener.py
+++ b/jayyoke/server/listener.py
@@ -7,40 +7,40 @@
 
 from absl import logging
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
-from jayyoke.core.code import HEADER_INVALID, refuse
+from jayyoke.core.code import HEADER_INVALID, INPUT_FULL, refuse
+from jayyoke.inputlimits.budget import Phase
+from jayyoke.inputlimits.refusals import Reason
+from jayyoke.server.boundedhandler import BoundedHandler, RefusedConnection
 from jayyoke.server.closingsockets import ClosingSockets
+from jayyoke.server.inputguard import InputGuard, build_guard, listen
 from jayyoke.server.problem import format_problem, make_request_id
 
 MAX_HEADER_BYTES = 8190
 # Also bounds how long a connection may take to send its first request's head.
 KEEP_ALIVE_S = 75.0
-MAX_BACKLOG = 512
+# Time limit of a body whose handler has none of its own.
+BODY_TIMEOUT_S = 30.0
+RETRY_S = 1.0
 CLOSE_TIMEOUT_S = 5.0
 CLOSE_POLL_S = 0.02
 
 
-class _Handler(RequestHandler):
+class _Handler(BoundedHandler):
     """Answers unreadable requests with a problem document, and tells when a connection ends."""
 
-    __slots__ = ("_on_closing", "_on_opened", "_opened")
+    __slots__ = ("_body_timer", "_on_closing", "_on_opened", "_opened")
 
     def __init__(
         self,
         server: web.Server,
+        guard: InputGuard,
         on_opened: Callable[[asyncio.Transport], None],
         on_closing: Callable[[asyncio.Transport, bool], None],
         keep_alive_s: float,
     ):
-        super().__init__(
-            server,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=keep_alive_s,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-        )
+        super().__init__(server, guard, MAX_HEADER_BYTES, keep_alive_s)
+        self._body_timer: asyncio.TimerHandle | None = None
         self._on_opened = on_opened
         self._on_closing = on_closing
         # The base class forgets its transport before the last bytes are written.
@@ -55,32 +55,53 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the request in progress; `exc` is None if the connection was closed in order."""
+        self._cancel_body_timer()
         if self._opened is not None:
             self._on_closing(self._opened, exc is None)
         self._opened = None
         super().connection_lost(exc)
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        if status != 400:
-            return super().handle_error(request, status, exc, message)
-        detail = f"the request's head cannot be read or exceeds {MAX_HEADER_BYTES} bytes"
-        response = format_problem(refuse(400, HEADER_INVALID, detail), make_request_id())
-        response.force_close()
-        return response
+    def data_received(self, data: bytes) -> None:
+        """Parse received data and start the time limit of an unfinished body."""
+        super().data_received(data)
+        if self.client_phase is not Phase.BODY:
+            self._cancel_body_timer()
+        elif self._body_timer is None and self._opened is not None:
+            self._body_timer = self._loop.call_later(BODY_TIMEOUT_S, self._close_slow_body)
+
+    def format_refusal(self, status: int, message: str) -> web.StreamResponse:
+        """Return the problem document for refused input."""
+        if status == 503:
+            refusal = refuse(503, INPUT_FULL, "other clients' input fills the memory", RETRY_S)
+        else:
+            detail = f"the request's head cannot be read or exceeds {MAX_HEADER_BYTES} bytes"
+            refusal = refuse(status, HEADER_INVALID, detail)
+        return format_problem(refusal, make_request_id())
+
+    def _cancel_body_timer(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+
+    def _close_slow_body(self) -> None:
+        self._body_timer = None
+        if self.client_phase is Phase.BODY:
+            self._guard.refuse(Reason.SLOW_BODY)
+            self.cut_off()
 
 
 class Listener:
     """Serves one application on one address."""
 
-    def __init__(self, app: web.Application, keep_alive_s: float = KEEP_ALIVE_S):
+    def __init__(
+        self,
+        app: web.Application,
+        keep_alive_s: float = KEEP_ALIVE_S,
+        guard: InputGuard | None = None,
+    ):
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         self._keep_alive_s = keep_alive_s
+        self._guard = guard or build_guard()
         self._server: asyncio.Server | None = None
         self._draining = False
         self._opened: set[asyncio.Transport] = set()
@@ -95,11 +116,7 @@
     async def start(self, address: str) -> None:
         """Listen on HOST:PORT; raise OSError."""
         await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._build_handler, host, int(port), backlog=MAX_BACKLOG
-        )
+        self._server = await listen(self._build_handler, address, self._guard)
 
     def drain(self) -> None:
         """Keep the sockets of connections that are closed until their bytes have been sent."""
@@ -140,7 +157,11 @@
             self._closing.sweep()
             self._closing.keep(transport)
 
-    def _build_handler(self) -> _Handler:
+    def _build_handler(self) -> _Handler | RefusedConnection:
+        if not self._guard.admits():
+            return RefusedConnection()
         server = self._runner.server
         assert server is not None
-        return _Handler(server, self._opened.add, self._note_closing, self._keep_alive_s)
+        return _Handler(
+            server, self._guard, self._opened.add, self._note_closing, self._keep_alive_s
+        )
--- a/standin/abusiveclients.py
+++ b/standin/abusiveclients.py
@@ -85,6 +85,8 @@
             writer.write(self._form.opening)
             sent_bytes = 0
             while sent_bytes < self._bytes_each:
+                if writer.transport.is_closing():
+                    break
                 writer.write(self._form.block)
                 await writer.drain()
                 sent_bytes += len(self._form.block)
