--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -171,8 +171,14 @@
         self._guard.update(self._client, *self._estimate())
 
     def cut_off(self) -> None:
-        """Close the connection at once with a reset, which frees what the system holds of it."""
+        """Close the connection at once with a reset, which frees what the system holds of it.
+
+        Many may be closed before the event loop tells any of them that it has ended.
+        """
         self._refused = True
+        self._parser = None
+        if self._waiter is None:
+            self._messages.clear()
         if self.transport is not None:
             reset_transport(self.transport)
 
@@ -286,6 +292,8 @@
 
     def _end_input(self, reason: Reason) -> None:
         self._refused = True
+        # The parser holds an unfinished head.
+        self._parser = None
         self._meter.add(b"", 0, True, True)
         self._guard.refuse(reason)
 
