Parse at most 8 requests ahead, and let clients' input take 16 MiB

Cause: before 4,000 connections, 32 parsed requests of each took the process to 243 MB (pipelined requests of 256 KB each), and with the bodies that requests may hold 258 MB (chunks of one byte); the smallest machine has 200.

--- a/jayyoke/inputlimits/budget.py
+++ b/jayyoke/inputlimits/budget.py
@@ -10,9 +10,9 @@
 from collections.abc import Collection, Iterable
 from enum import IntEnum
 
-# Estimated memory; a process needs about 55 MB, and the bodies of requests may hold 80 MiB beside
-# it on the smallest machine of 200 MB.
-MAX_INPUT_BYTES = 32 << 20
+# Estimated memory. On the smallest machine of 200 MB a process needs about 55 MB, its connections
+# 40 MB, and the bodies of requests may hold 80 MiB.
+MAX_INPUT_BYTES = 16 << 20
 # What is closed at once leaves room, so that the next choice is not due with the next byte.
 LOW_WATER_SHARE = 7 / 8
 # Connections that are closed at once when there is no room for another one.
--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -12,9 +12,9 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import BadHttpMessage
-from aiohttp.http_parser import RawRequestMessage
+from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
 from jayyoke.inputlimits.budget import SMALL_HEAD_BYTES, Client, Phase
 from jayyoke.inputlimits.meter import InputMeter, estimate_request
@@ -28,6 +28,8 @@
 CHUNK_BYTES = 100
 # Bytes of answers that are written ahead of a slow client.
 WRITE_AHEAD_BYTES = 32 << 10
+# Requests that are parsed ahead of the one in progress; others wait as bytes.
+MAX_QUEUED_REQUESTS = 8
 # Memory of pipelined requests that are read ahead of the one in progress.
 READ_AHEAD_BYTES = 64 << 10
 # Input that is dropped until a refused client has its answer; then it is read no more.
@@ -72,6 +74,18 @@
             read_bufsize=BODY_BUFFER_BYTES,
             auto_decompress=auto_decompress,
         )
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            BODY_BUFFER_BYTES,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
+            payload_exception=RequestPayloadError,
+            auto_decompress=auto_decompress,
+            max_msg_queue_size=MAX_QUEUED_REQUESTS,
+        )
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
         self._guard = guard
         self._meter = InputMeter(header_bytes, READ_BYTES)
         # The memory of each request that is not answered, the one in progress first.
--- a/standin/abusiveclients.py
+++ b/standin/abusiveclients.py
@@ -40,6 +40,7 @@
         "pipelined-requests": Form(b"", whole * (BLOCK_BYTES // len(whole))),
         "pipelined-large-heads": Form(b"", large),
         "pipelined-bodies": Form(b"", post + b"Content-Length: 9000\r\n\r\n" + b"b" * 9000),
+        "body-without-end": Form(post + b"Content-Length: 9000\r\n\r\n", b"b", 1.0),
         "chunks-of-one-byte": Form(chunked, b"1\r\nx\r\n" * (BLOCK_BYTES // 6)),
     }
     for name in ("one-field-without-end", "trailers", "empty-lines", "chunk-extensions"):
--- a/standin/abusivecrowd.py
+++ b/standin/abusivecrowd.py
@@ -19,7 +19,7 @@
 from standin.entryprocess import start_entry
 from standin.entryupstream import EntryUpstream, answer_whole
 from standin.port import find_free_ports
-from standin.processmemory import count_descriptors, read_peak_bytes
+from standin.processmemory import count_descriptors, lower_descriptors, read_peak_bytes
 from standin.rowstore import RowStoreServer
 
 FIELDS = f"Host: {HOST}\r\nAuthorization: Bearer {KEY}\r\nDeadline-Ms: 20000\r\nRequest-Id: a\r\n"
@@ -41,8 +41,8 @@
     return {"silent": Form(b"", b"", 1.0)} | forms
 
 
-async def call(http: aiohttp.ClientSession, port: int) -> int | None:
-    """Return the status of one ordinary request, or None if it got no answer."""
+async def call(http: aiohttp.ClientSession, port: int) -> int | str:
+    """Return the status of one ordinary request, or why it got no answer."""
     headers = {
         "Host": HOST,
         "Request-Id": "ordinary",
@@ -54,8 +54,8 @@
         async with http.post(url, data=b"x", headers=headers) as answer:
             await answer.read()
             return answer.status
-    except (aiohttp.ClientError, TimeoutError, OSError):
-        return None
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return repr(error)
 
 
 async def wait_until_serving(http: aiohttp.ClientSession, port: int) -> None:
@@ -65,7 +65,9 @@
             await asyncio.sleep(POLL_S)
 
 
-async def measure(name: str, clients: int, bytes_each: int, limit_s: float) -> str:
+async def measure(
+    name: str, clients: int, bytes_each: int, limit_s: float, descriptors: int
+) -> str:
     """Return one line about a crowd before a new process."""
     config = build_config(
         routes=[build_route("sound", "unsafe", timeoutMs=10_000, backend="sound")],
@@ -83,7 +85,8 @@
         settings = Path(folder) / "boot.toml"
         text = format_settings("entry-1", "zone-a", store.address, ports, [], 6.0)
         settings.write_text(text, encoding="utf-8")
-        process = await start_entry(settings, ports[3], stdout=DEVNULL, stderr=DEVNULL)
+        with lower_descriptors(descriptors):
+            process = await start_entry(settings, ports[3], stdout=DEVNULL, stderr=DEVNULL)
         try:
             timeout = aiohttp.ClientTimeout(20)
             connector = aiohttp.TCPConnector(limit=0, force_close=True)
@@ -110,11 +113,11 @@
     before_bytes = read_peak_bytes(process.pid)
     crowd = Crowd(port, list_forms()[name], clients, bytes_each)
     sending = asyncio.create_task(crowd.send(limit_s))
-    answered = asked = descriptors = 0
+    found: list[int | str] = []
+    descriptors = 0
     try:
         while not sending.done() and process.returncode is None:
-            asked += 1
-            answered += await call(http, port) == 200
+            found.append(await call(http, port))
             descriptors = max(descriptors, count_descriptors(process.pid))
             if read_peak_bytes(process.pid) > MAX_PEAK_BYTES:
                 break
@@ -126,8 +129,9 @@
         await crowd.close()
     return (
         f"{name}: from {before_bytes >> 20} to {peak_bytes >> 20} MB, {descriptors} descriptors, "
-        f"{crowd.sent_bytes >> 20} MB sent, {crowd.ended} closed; {answered} of {asked} requests "
-        f"answered meanwhile, {after} afterwards"
+        f"{crowd.sent_bytes >> 20} MB sent, {crowd.ended} closed; {found.count(200)} of {len(found)} "
+        f"requests answered meanwhile, {after} afterwards; "
+        f"others: {[answer for answer in found if answer != 200][:3]}"
     )
 
 
@@ -136,10 +140,11 @@
     clients: Annotated[int, typer.Option(help="Connections.")] = 4000,
     bytes_each: Annotated[int, typer.Option(help="Bytes that each sends at most.")] = 1 << 20,
     limit_s: Annotated[float, typer.Option(help="Seconds of one crowd.")] = 10.0,
+    descriptors: Annotated[int, typer.Option(help="Descriptors of the process.")] = 4100,
 ) -> None:
     """Print the peak memory of an entry process before each form."""
     for name in list(list_forms()) if names == ["all"] else names:
-        print(asyncio.run(measure(name, clients, bytes_each, limit_s)), flush=True)
+        print(asyncio.run(measure(name, clients, bytes_each, limit_s, descriptors)), flush=True)
 
 
 if __name__ == "__main__":
--- a/standin/processmemory.py
+++ b/standin/processmemory.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+import resource
+from collections.abc import Iterator
 from pathlib import Path
 
 
@@ -17,3 +20,14 @@
 def count_descriptors(pid: int) -> int:
     """Return how many descriptors a process has open."""
     return len(list(Path(f"/proc/{pid}/fd").iterdir()))
+
+
+@contextlib.contextmanager
+def lower_descriptors(limit: int | None) -> Iterator[None]:
+    """Let processes that are started meanwhile have at most this many descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit or soft, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- a/tests/abusive_clients_test.py
+++ b/tests/abusive_clients_test.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import fcntl
-import resource
 import tempfile
 from asyncio.subprocess import DEVNULL
 from pathlib import Path
@@ -20,7 +19,7 @@
 from standin.entryupstream import answer_whole
 from standin.fleet import TEAM_KEYS, run_fleet
 from standin.port import find_free_ports
-from standin.processmemory import count_descriptors, read_peak_bytes
+from standin.processmemory import count_descriptors, lower_descriptors, read_peak_bytes
 from tests.entry_memory_test import wait_until_serving
 from tests.entryrig import open_rig
 
@@ -67,17 +66,6 @@
         yield
 
 
-@contextlib.contextmanager
-def lower_descriptors(limit: int | None):
-    """Let processes that are started meanwhile have at most this many descriptors."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (limit or soft, hard))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 @contextlib.asynccontextmanager
 async def open_entry(tmp_path: Path, descriptors: int | None = None):
     """Yield a process of an entry instance, an HTTP client and its ports."""
