--- a/standin/abusivecrowd.py
+++ b/standin/abusivecrowd.py
@@ -127,11 +127,12 @@
     finally:
         sending.cancel()
         await crowd.close()
+    failed = [answer for answer in found if answer != 200]
     return (
         f"{name}: from {before_bytes >> 20} to {peak_bytes >> 20} MB, {descriptors} descriptors, "
-        f"{crowd.sent_bytes >> 20} MB sent, {crowd.ended} closed; {found.count(200)} of {len(found)} "
-        f"requests answered meanwhile, {after} afterwards; "
-        f"others: {[answer for answer in found if answer != 200][:3]}"
+        f"{crowd.sent_bytes >> 20} MB sent, {crowd.ended} closed; "
+        f"{found.count(200)} of {len(found)} requests answered meanwhile, {after} afterwards; "
+        f"others: {failed[:3]}"
     )
 
 
