Take no part of an answer for all of it, and no status that HTTP does not have

Cause: when an upstream ends its side, the transport first writes the rest of the request and then ends in order, which completed an answer without a length. aiohttp's client completed it even after a reset. Neither checked statuses: 000, 099, 600 and 999 reached the caller.

Change: the end of the other side while bytes of the request wait in the process or are not acknowledged breaks the answer, at the entry's connections (edge/connection.py) and in the client for jayyoked's upstreams and probes and the platform (utils/connector.py), which entry instances now use for the store and each other too. A reset completes nothing there either. A status outside 100 to 599 breaks the connection.

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -17,6 +17,7 @@
 
 from jayyoke.core.error import AnswerBroken, AnswerMismatched, ConnectFailed, PathLost
 from jayyoke.platform.message import AnswerHead, decode_answer
+from jayyoke.utils.unwritten import count_unwritten_bytes
 
 # Unread bytes of an answer; chunks of one byte take many times as much memory.
 READ_BUFFER_BYTES = 16 << 10
@@ -35,6 +36,8 @@
 MAX_HEAD_BYTES = 256 << 10
 # Late answers to earlier requests; more than these are a fault of the upstream.
 MAX_FOREIGN_ANSWERS = 4
+# Interim answers included; a status outside of it is none of HTTP.
+STATUSES = range(100, 600)
 # Read and parsed at once: the parser makes an object of each tiny answer and chunk.
 PARSED_BYTES = 16 << 10
 # Bodies of up to this size are copied to be written together with the head, in one call.
@@ -102,6 +105,9 @@
             self._break(f"the upstream's bytes are no answer: {error.message}")
             return
         for message in messages:
+            if message[0].code not in STATUSES:
+                self._break(f"status {message[0].code} is no answer")
+                return
             if len(self._answers) > MAX_FOREIGN_ANSWERS:
                 self._break("the upstream sends answers that belong to no request")
                 return
@@ -121,6 +127,16 @@
         elif self._head_received > MAX_HEAD_BYTES:
             self._break(f"the head of the answer exceeds {MAX_HEAD_BYTES} bytes")
 
+    def eof_received(self) -> None:
+        """Break an answer that ends with its connection before the request was written.
+
+        The transport would write the rest of the request and then end in order.
+        """
+        payload = self._newest_payload
+        unfinished = payload is None or not payload.is_eof()
+        if not self._idle and unfinished and count_unwritten_bytes(self.transport):
+            self._break("the upstream ended its answer before the request was written")
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer: complete if it has no length and the end was orderly, else broken."""
         super().connection_lost(exc)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -50,6 +50,7 @@
 from jayyoke.server.metrics import add_metrics_route
 from jayyoke.server.relayapp import build_relay_app
 from jayyoke.utils.boottime import read_boot_time_s
+from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.task import cancel_tasks
 
 EXIT_USAGE = 2
@@ -256,7 +257,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
+    connector = BoundedConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
         instance = Instance(settings, http, options.policy)
         reload = asyncio.Event()
--- a/jayyoke/server/callerconnection.py
+++ b/jayyoke/server/callerconnection.py
@@ -10,8 +10,9 @@
 from jayyoke.core.route import CallerLimits
 from jayyoke.edge.log import log_event
 from jayyoke.server.boundedhandler import BoundedHandler
-from jayyoke.server.closingsockets import count_unsent_bytes, reset_transport
+from jayyoke.server.closingsockets import reset_transport
 from jayyoke.server.inputguard import InputGuard
+from jayyoke.utils.unwritten import count_unacknowledged_bytes
 
 # Connections stay open this long past the idle limit, so that one reused at the limit still works.
 IDLE_SLACK_S = 2.0
@@ -57,7 +58,7 @@
         if self._opened is None:
             return 0
         opened = self._opened.get_extra_info("socket")
-        return self._opened.get_write_buffer_size() + count_unsent_bytes(opened)
+        return self._opened.get_write_buffer_size() + count_unacknowledged_bytes(opened)
 
     def note_answered(self) -> None:
         """Count a request whose answer has been written."""
--- a/jayyoke/server/closingsockets.py
+++ b/jayyoke/server/closingsockets.py
@@ -3,25 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import socket
 import struct
-import termios
+
+from jayyoke.utils.unwritten import count_unacknowledged_bytes
 
 READ_BYTES = 64 << 10
 # Input that is discarded of one socket in one sweep, so that a fast sender doesn't hold the loop.
 MAX_READS = 16
 
 
-def count_unsent_bytes(opened: socket.socket | asyncio.trsock.TransportSocket) -> int:
-    """Return how many written bytes the peer has not acknowledged, or 0 if that is unknown."""
-    try:
-        found = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    except (OSError, ValueError):
-        return 0
-    return max(0, struct.unpack("i", found)[0])
-
-
 def reset_transport(transport: asyncio.Transport) -> None:
     """Close a connection with a reset, which drops bytes that are not sent or not read."""
     opened = transport.get_extra_info("socket")
@@ -45,12 +36,12 @@
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes of all sockets are not sent yet."""
-        return sum(count_unsent_bytes(kept) for kept in self._sockets)
+        return sum(count_unacknowledged_bytes(kept) for kept in self._sockets)
 
     def keep(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket of a connection that is about to be closed, if bytes are unsent."""
         opened = transport.get_extra_info("socket")
-        if opened is None or count_unsent_bytes(opened) == 0:
+        if opened is None or count_unacknowledged_bytes(opened) == 0:
             return
         kept = opened.dup()
         try:
@@ -64,7 +55,7 @@
         """Discard input, and close the sockets whose bytes have been sent."""
         still_open = []
         for kept in self._sockets:
-            if _discard_input(kept) and count_unsent_bytes(kept) > 0:
+            if _discard_input(kept) and count_unacknowledged_bytes(kept) > 0:
                 still_open.append(kept)
                 continue
             kept.close()
--- a/tests/early_answers_test.py
+++ b/tests/early_answers_test.py
@@ -7,6 +7,9 @@
 import aiohttp
 import pytest
 
+from jayyoke.core.error import Effect, StoreUnavailable
+from jayyoke.platform.objects import Objects
+from jayyoke.utils.connector import BoundedConnector
 from standin.earlyupstream import ENDINGS, EarlyUpstream
 from standin.entryconfig import HOST, KEY, build_config
 from standin.entryupstream import ReceivedRequest, answer_whole, format_answer, format_event
@@ -143,3 +146,66 @@
 
         run_rig(main, build_config())
         assert found[0] == (200, b"done r1")
+
+
+def run_client(upstream, use) -> None:
+    """Run a test of the client that `jayyoked` uses, and entry instances for store and peers."""
+
+    async def main() -> None:
+        await upstream.start()
+        try:
+            connector = BoundedConnector(limit=0)
+            async with aiohttp.ClientSession(connector=connector) as http, asyncio.timeout(20):
+                await use(http, f"http://{upstream.address}")
+        finally:
+            await upstream.close()
+
+    asyncio.run(main())
+
+
+class TestClient:
+    """Tests the same answers at the client of `jayyoked`."""
+
+    @pytest.mark.parametrize("ending", ENDINGS)
+    @pytest.mark.parametrize("part", PARTS)
+    def test_part_of_an_answer_never_looks_whole(self, part, ending):
+        """Guards against a part of an answer that is taken for all of it."""
+
+        async def use(http: aiohttp.ClientSession, url: str) -> None:
+            with pytest.raises(aiohttp.ClientError):
+                async with http.post(url, data=b"b" * LARGE_BYTES) as answer:
+                    await answer.read()
+
+        run_client(EarlyUpstream("u1", PARTS[part][0], ending), use)
+
+    def test_answer_after_the_whole_request_is_complete(self):
+        """Guards against the loss of answers that end with their connection."""
+
+        async def use(http: aiohttp.ClientSession, url: str) -> None:
+            async with http.post(url, data=b"b" * LARGE_BYTES) as answer:
+                assert await answer.read() == b"part of it"
+
+        part = PARTS["short"][0]
+        run_client(EarlyUpstream("u1", part, "half-close-then-read", LARGE_BYTES), use)
+
+    @pytest.mark.parametrize("status", STATUSES)
+    def test_odd_status_is_no_answer(self, status):
+        """Guards against a status that HTTP does not have."""
+        part = HEAD.replace(b"200", status.encode()) + b"Content-Length: 2\r\n\r\nok"
+
+        async def use(http: aiohttp.ClientSession, url: str) -> None:
+            with pytest.raises(aiohttp.ClientError):
+                async with http.get(url) as answer:
+                    await answer.read()
+
+        run_client(EarlyUpstream("u1", part, "half-close-then-read"), use)
+
+    def test_write_that_was_not_sent_whole_may_have_no_effect(self):
+        """Guards against an object that counts as written while its bytes were being sent."""
+
+        async def use(http: aiohttp.ClientSession, url: str) -> None:
+            with pytest.raises(StoreUnavailable) as caught:
+                await Objects(http, url).put("a", b"b" * LARGE_BYTES)
+            assert caught.value.effect is Effect.UNKNOWN
+
+        run_client(EarlyUpstream("u1", HEAD + b"\r\n", "half-close-then-read"), use)
