Let requests prefer the failure domain of their instance

Cause: the home of a session is hashed over the engines of all domains, plain upstreams are drawn from all domains, and cached prompts of up to 3.3 GB are fetched across domains. Bytes between domains cost money.

Change: `jayyoke/zones` decides which domain a request stays in or goes to. `EntrySettings.zones` (`ZoneSettings`) has a switch each for homes of short prompts, homes of long prompts, plain upstreams and fetches across domains. A loaded domain gives away a share of its sessions that grows with its load per slot; the share is the same for all its instances, so the same sessions leave.

Result: without settings, orders are as before (tests/zones_test.py).

--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+import math
 from dataclasses import dataclass, field
 
 
@@ -21,6 +23,35 @@
     load_factor: float = 2.0
 
 
+class HomeScope(enum.Enum):
+    """Among which engines a session has its home."""
+
+    # All engines of the service; other engines follow in any order.
+    ALL = "all"
+    # One domain for each session, whose engines come first.
+    SESSION = "session"
+    # The domain of the instance that has the request.
+    OWN = "own"
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneSettings:
+    """Holds which requests prefer a failure domain; by default none do.
+
+    `short_homes` is for prompts with few shared tokens, which cost little to compute in each
+    domain. `plain` makes requests to plain services prefer the instance's domain. Cached prompts of
+    more than `fetch_max_bytes` are not fetched across domains; 0 means never. `crossing_cost_s` is
+    the wait that a request to a plain service accepts rather than cross domains, beyond the round
+    trip, which the upstreams' latencies include.
+    """
+
+    fetch_max_bytes: float = math.inf
+    short_homes: HomeScope = HomeScope.ALL
+    long_homes: HomeScope = HomeScope.ALL
+    plain: bool = False
+    crossing_cost_s: float = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class StoreProfile:
     """Holds the address of the platform's store."""
@@ -44,3 +75,4 @@
     first_start: bool = False
     bounds: Bounds = Bounds()
     link_bytes_per_s: float = 125e6
+    zones: ZoneSettings = ZoneSettings()
--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -132,6 +132,12 @@
             return False
         return upstream.domain not in self._view.evacuated
 
+    def list_sources(self, service: str, now_s: float) -> list[Upstream]:
+        """Return the engines of a service from which a prompt may be fetched."""
+        # An engine that is leaving still has its cached prompts.
+        upstreams = self._view.upstreams.values()
+        return [f for f in upstreams if f.service == service and self.can_fetch_from(f, now_s)]
+
     def is_cold(self, upstream: Upstream, profile: ServiceProfile, now_s: float) -> bool:
         """Tell whether an upstream is cold, and so bears only the rate of its service's profile."""
         if profile.warm_up_rate <= 0 or profile.warm_up_s <= 0:
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -26,6 +26,7 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.rendezvous import rank_weighted
 from jayyoke.platform.message import PromptPart
+from jayyoke.zones.preference import IDLE_PER_SLOT, Zones
 
 # An engine above this fraction of the users' bound on load over the mean, plus the slack, gets no
 # more requests. It is below their bound, whose slack is 3, since estimates are some seconds old.
@@ -50,6 +51,7 @@
 SAME_AGE_S = 15.0
 # How many upstreams of a large plain service are compared for one request.
 SAMPLE_SIZE = 4
+_NO_ZONES = Zones()
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,12 +118,14 @@
     load_factor: float,
     mean_load: float,
     repeatable: bool,
+    zones: Zones = _NO_ZONES,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
     `load_factor` is the users' bound on an engine's load over the mean of its service, `mean_load`
     that mean over all live engines, also those that the request may not use. A request that is not
-    `repeatable` goes to a suspended engine only if no other is left.
+    `repeatable` goes to a suspended engine only if no other is left. `zones` decides whether the
+    candidates of a failure domain come first.
     """
     reason = "home" if home_key else "least-work"
     usable = [found for found in candidates if not (found.suspended or found.unreachable)]
@@ -132,7 +136,9 @@
         usable, fallback = list(candidates), []
         reason += ",all-suspended"
     if not engine:
-        return Choice(_order_by_wait(usable, engine, source), reason, None, suspended)
+        return Choice(_order_plain(usable, source, zones), reason, None, suspended)
+    short = shared_tokens < SMALL_PROMPT_TOKENS
+    home_domain = zones.find_home_domain(home_key, short, usable) if home_key else ""
     near = _is_bound_near(usable, load_factor, mean_load)
     margin, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_FRACTION, LOAD_SLACK)
     limit = margin * load_factor * mean_load + slack
@@ -145,9 +151,10 @@
         return Choice(_order_by_own(usable, home_key), reason + ",even", limit, suspended)
     if not home_key:
         return Choice(_order_by_wait(usable, engine, source), reason, limit, suspended)
-    if shared_tokens < SMALL_PROMPT_TOKENS:
+    if short:
         limit = SMALL_LOAD_FRACTION * load_factor * mean_load + SMALL_LOAD_SLACK
-    return Choice(_order_by_home(usable, home_key, limit), reason, limit, suspended)
+    order = _order_by_home(usable, home_key, limit, home_domain)
+    return Choice(order, reason, limit, suspended)
 
 
 def _is_bound_near(usable: Sequence[Candidate], load_factor: float, mean_load: float) -> bool:
@@ -172,10 +179,27 @@
     return tuple(sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random())))
 
 
+def _order_plain(
+    candidates: Sequence[Candidate], source: random.Random, zones: Zones
+) -> tuple[Candidate, ...]:
+    """Return some upstreams of a plain service, those with the shortest wait first."""
+    if not zones.plain:
+        return _order_by_wait(candidates, False, source)
+    sample, preferred = zones.sample(candidates, SAMPLE_SIZE, source, IDLE_PER_SLOT)
+
+    def find_cost_s(found: Candidate) -> float:
+        crossing_s = zones.find_crossing_cost_s(preferred, found.upstream)
+        return _estimate_wait(found, False) + crossing_s
+
+    return tuple(sorted(sample, key=lambda found: (find_cost_s(found), source.random())))
+
+
 def _order_by_home(
-    candidates: Sequence[Candidate], key: str, limit: float
+    candidates: Sequence[Candidate], key: str, limit: float, domain: str = ""
 ) -> tuple[Candidate, ...]:
     ranked = rank_homes(key, candidates)
+    if domain:
+        ranked.sort(key=lambda found: found.upstream.domain != domain)
     within = [found for found in ranked if found.load < limit]
     beyond = sorted((f for f in ranked if f.load >= limit), key=lambda found: found.load)
     return tuple(within + beyond)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -39,6 +39,7 @@
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.platform.message import AnswerHead
+from jayyoke.zones.preference import Zones
 
 # A call waits in the queue for at most these fractions of its objective and of its time left.
 WAIT_OBJECTIVE_FRACTION = 0.5
@@ -63,6 +64,7 @@
         baseline: Ordering | None = None,
         read_unix_s: Callable[[], float] = time.time,
         read_common_s: Callable[[], float] | None = None,
+        zones: Zones | None = None,
     ):
         self._view = view
         self._moves = moves
@@ -74,6 +76,7 @@
         self._baseline = baseline
         self._queues: dict[str, WaitQueue] = {}
         self._instance = instance
+        self.zones = zones or Zones()
         self._prompt_locator = PromptLocator(
             lambda found, _: self._candidates.describe(found, NO_LOADS)
         )
@@ -327,8 +330,7 @@
     ) -> Assignment | Refused:
         now_s = self._now_s()
         config = self._view.config
-        profile = config.services.get(service) if config is not None else None
-        profile = profile or ServiceProfile(service)
+        profile = (config.services.get(service) if config else None) or ServiceProfile(service)
         key = find_home_key(call.head.parts) if call.route.prefix_affinity else ""
         shared = count_shared_tokens(call.head.parts)
         if self._baseline is not None and profile.engine:
@@ -343,6 +345,7 @@
                 self._bounds.load_factor,
                 mean,
                 call.route.repeatable,
+                self.zones,
             )
         for found in choice.order:
             if not has_free_slot(found):
@@ -379,6 +382,7 @@
                 candidates=len(candidates),
                 suspended=choice.suspended,
                 fetch_from=fetch_from,
+                crosses_domains=self.zones.count(upstream),
             )
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
@@ -389,10 +393,8 @@
         """Return the address of the engine to fetch the prompt from, or an empty string."""
         if not key or profile.token_bytes <= 0:
             return ""
-        # An engine that is leaving still has its cached prompts.
-        sources = {
-            found.incarnation: found
-            for found in self._view.upstreams.values()
-            if found.service == chosen.service and self._candidates.can_fetch_from(found, now_s)
-        }
-        return self._prompt_locator.find_address(call.head.parts, key, chosen, sources, now_s)
+        parts = call.head.parts
+        sources = self._candidates.list_sources(chosen.service, now_s)
+        size = count_shared_tokens(parts) * profile.token_bytes
+        groups = self.zones.list_sources(chosen, sources, size)
+        return self._prompt_locator.find_in_groups(parts, key, chosen, groups, now_s)
--- a/jayyoke/edge/promptlocator.py
+++ b/jayyoke/edge/promptlocator.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from jayyoke.core.upstream import Upstream
 from jayyoke.edge.choose import Candidate, find_former_home, rank_homes
@@ -52,6 +52,21 @@
                     return sources[name].address
         return ""
 
+    def find_in_groups(
+        self,
+        parts: Sequence[PromptPart],
+        key: str,
+        chosen: Upstream,
+        groups: Iterable[Mapping[str, Upstream]],
+        now_s: float,
+    ) -> str:
+        """Return what `find_address` finds in the first of several groups that has the prompt."""
+        for sources in groups:
+            address = self.find_address(parts, key, chosen, sources, now_s)
+            if address:
+                return address
+        return ""
+
 
 def _guess_holders(key: str, described: Sequence[Candidate], chosen: Upstream) -> list[str]:
     """Return the engines to which other instances most likely sent a session's prompt."""
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -49,6 +49,7 @@
 from jayyoke.server.relayapp import build_relay_app
 from jayyoke.utils.boottime import read_boot_time_s
 from jayyoke.utils.task import cancel_tasks
+from jayyoke.zones.preference import Zones
 
 EXIT_USAGE = 2
 # A change of the settings file without a signal is noticed within this time.
@@ -113,6 +114,7 @@
             self.roster.list_sharing,
             find_ordering(policy),
             read_common_s=self.read_common_s,
+            zones=Zones(settings.domain, settings.zones),
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -166,6 +168,13 @@
         self.metrics.add_gauge(
             "jayyoke_upstream_connections_opened", "Connections.", lambda: self.pool.opened
         )
+        zones = self.placement.zones
+        self.metrics.add_gauge(
+            "jayyoke_requests_kept_in_domain", "Placed requests.", lambda: zones.kept
+        )
+        self.metrics.add_gauge(
+            "jayyoke_requests_across_domains", "Placed requests.", lambda: zones.crossed
+        )
         self.metrics.add_gauge(
             "jayyoke_suspected_parts", "Parts of prompts.", lambda: self.quarantine.suspected
         )
