Send a request's rank as its priority at engines, behind a setting

Cause: engines admit requests by Request-Priority and take the middle one if there is none, so the urgent kinds of a service wait like the others.

Change: `AdmissionSettings.send_priority`, off by default, sends the rank of the route or team to engines. Plain upstreams get no priority, and callers' own values are dropped as before.

--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -52,6 +52,16 @@
     crossing_cost_s: float = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Holds which decisions of `jayyoke/admission` are in force; by default none are.
+
+    `send_priority` sends each request's rank to engines, which admit the more urgent ones first.
+    """
+
+    send_priority: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class StoreProfile:
     """Holds the address of the platform's store."""
@@ -76,3 +86,4 @@
     bounds: Bounds = Bounds()
     link_bytes_per_s: float = 125e6
     zones: ZoneSettings = ZoneSettings()
+    admission: AdmissionSettings = AdmissionSettings()
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -52,6 +52,7 @@
         end_observer: EndObserver,
         on_cleared: Callable[[str], None],
         stop_window: StopWindow,
+        send_priority: bool = False,
     ):
         self._placement = placement
         self._moves = moves
@@ -63,7 +64,7 @@
         self._end_observer = end_observer
         self._on_cleared = on_cleared
         self._stop_window = stop_window
-        self._sender = Sender(placement, moves, pool, quarantine, now_s)
+        self._sender = Sender(placement, moves, pool, quarantine, now_s, send_priority)
         self._takeover = Takeover(placement, self._sender, quarantine, now_s, self._observe_end)
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
         self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -39,12 +39,14 @@
         pool: ConnectionPool,
         quarantine: Quarantine,
         now_s: Callable[[], float],
+        send_priority: bool = False,
     ):
         self._placement = placement
         self._moves = moves
         self._pool = pool
         self._quarantine = quarantine
         self._now_s = now_s
+        self._send_priority = send_priority
 
     async def start(self, call: Call, send: Send, progress: Progress) -> NotRun | None:
         """Send the request; return an outcome if it was not sent, or raise ConnectFailed."""
@@ -76,6 +78,7 @@
             team=call.team,
             last_event=progress.relay.last_id,
             fetch_from=send.assignment.fetch_from,
+            rank=self._find_sent_rank(call, upstream.service),
         )
         send.dispatched = True
         connection.send(call.method, head, call.body or b"")
@@ -146,6 +149,14 @@
         if isinstance(outcome, MayHaveRun):
             self._pool.drop(upstream)
 
+    def _find_sent_rank(self, call: Call, service: str) -> int | None:
+        """Return the rank to send with a call, or None if the upstream gets none."""
+        config = self._placement.view.config
+        if not self._send_priority or config is None:
+            return None
+        profile = config.services.get(service)
+        return call.rank if profile is not None and profile.engine else None
+
     def _count_for_version(self, call: Call, send: Send, outcome: Outcome) -> None:
         """Count an ended send for the upstream's version, unless it was counted while it ran."""
         if isinstance(outcome, NotRun):
--- a/jayyoke/platform/message.py
+++ b/jayyoke/platform/message.py
@@ -16,6 +16,8 @@
 _RATE = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,30})?")
 RawHeaders = Iterable[tuple[bytes, bytes]]
 MAX_INTEGER_DIGITS = 15
+# The least urgent priority that engines know; 0 is the most urgent.
+MAX_PRIORITY = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,11 +157,13 @@
     team: str | None,
     last_event: bytes | None,
     fetch_from: str = "",
+    rank: int | None = None,
 ) -> bytes:
     """Return the head of a request for one upstream; the target is forwarded unchanged.
 
     `fetch_from` is the address of an engine that has the prompt in its cache. A team of None means
-    that the configuration defines no teams; the caller's credentials are then forwarded.
+    that the configuration defines no teams; the caller's credentials are then forwarded. `rank` is
+    sent as the request's priority; engines assume a middle one if it is None.
     """
     lines = [b"%s %s HTTP/1.1" % (method.encode("latin-1"), target)]
     dropped = _list_dropped_headers(headers)
@@ -174,6 +178,8 @@
         lines.append(b"%s: %s" % (names.SEND_TEAM, team.encode("utf-8")))
     if fetch_from:
         lines.append(b"%s: %s" % (names.SEND_FETCH, fetch_from.encode("latin-1")))
+    if rank is not None:
+        lines.append(b"%s: %d" % (names.SEND_PRIORITY, min(MAX_PRIORITY, max(0, rank))))
     if last_event is not None:
         lines.append(b"%s: %s" % (names.SEND_LAST_EVENT, last_event))
     if body_bytes is not None:
--- a/jayyoke/platform/message_test.py
+++ b/jayyoke/platform/message_test.py
@@ -59,6 +59,12 @@
         assert b"Last-Event-Id: 7" in lines
         assert b"Kv-Fetch: 10.0.0.2:80" in lines
 
+    def test_rank_is_sent_as_priority_only_where_asked_for(self):
+        """Guards against changed requests to engines, and against priorities that none knows."""
+        assert not any(line.lower().startswith(b"request-priority") for line in encode())
+        assert b"Request-Priority: 0" in encode(rank=0)
+        assert b"Request-Priority: 9" in encode(rank=12)
+
     def test_prompt_and_deadline_are_decoded(self):
         head = decode_request(
             (
--- a/jayyoke/platform/names.py
+++ b/jayyoke/platform/names.py
@@ -33,6 +33,7 @@
 SEND_EXPECTED = b"Expect-Worker"
 SEND_TEAM = b"Tenant"
 SEND_FETCH = b"Kv-Fetch"
+SEND_PRIORITY = b"Request-Priority"
 SEND_LAST_EVENT = b"Last-Event-Id"
 
 # Headers of one connection (RFC 9110, section 7.6.1), which are not forwarded.
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -142,6 +142,7 @@
             EndObserver(self.quarantine, now_s, self.record_end),
             self.quarantine_rows.mark_changed,
             self.stop_window,
+            settings.admission.send_priority,
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
 
@@ -69,7 +70,9 @@
         self.store.put("servers", name, upstream.describe(service, **row_fields))
         return upstream
 
-    async def add_entry(self, name: str = "entry-1", seeds: tuple[str, ...] = ()) -> RunningEntry:
+    async def add_entry(
+        self, name: str = "entry-1", seeds: tuple[str, ...] = (), **settings_fields: object
+    ) -> RunningEntry:
         """Start an instance; use `wait_ready` to wait until it has read the store."""
         port, peer_port = find_free_ports(2)
         settings = EntrySettings(
@@ -84,6 +87,7 @@
             seeds=seeds,
             bounds=Bounds(),
         )
+        settings = replace(settings, **settings_fields)  # type: ignore[arg-type]
         http = aiohttp.ClientSession(headers={"User-Agent": name})
         instance = Instance(settings, http)
         tasks = instance.start_tasks()
