Move the shares of teams to a package of their own

Cause: admission at entry instances needs the max-min share and a team's part at one instance, which lie inside jayyoked's fair queue.

Change: `jayyoke/admission/share.py` holds both; the fair queue calls it.

Result: jayyoke/ops/fairness_test.py and limits_test.py pass unchanged.

--- a/jayyoke/ops/fairness.py
+++ b/jayyoke/ops/fairness.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from jayyoke.admission.share import find_fair_share, find_part
 from jayyoke.core.code import DEADLINE_TOO_SHORT, OVERLOADED, TEAM_OVER_SHARE, refuse
 from jayyoke.core.error import Refusal
 from jayyoke.utils.ewma import Ewma
@@ -229,7 +230,7 @@
             return 1.0
         team = self._teams.get(name)
         local = 1.0 if team is None else max(1.0, team.running + team.queued)
-        return max(1.0 / (len(self._peer_loads) + 1), local / (local + peer_load))
+        return find_part(local, peer_load, len(self._peer_loads))
 
     def _drop_stale_peer_loads(self, now_s: float) -> None:
         for sender in [
@@ -264,20 +265,13 @@
     def _compute_fair_share(self, capacity: float) -> float:
         """Return the max-min fair share of a team of weight 1, infinite without congestion."""
         demands = []
-        weights = 0.0
         for name, team in self._teams.items():
             weight = self.get_team_weight(name)
-            weights += weight
             demands.append(((team.running + team.queued) / weight, weight))
         # A single team may use the whole capacity.
         if len(demands) <= 1:
             return math.inf
-        for weighted_demand, weight in sorted(demands):
-            if weighted_demand * weights >= capacity:
-                return capacity / weights
-            capacity -= weighted_demand * weight
-            weights -= weight
-        return math.inf
+        return find_fair_share(demands, capacity)
 
     def _assign_start(self, team: _Team, ticket: Ticket) -> None:
         self._last_number += 1
