Admit calls by rank, team and time left while room is scarce

Cause: with more calls than slots, slots go to whoever asks first at any instance, calls wait for half of their objective before they are refused, and refused callers return together.

Change: `jayyoke/admission` decides while a service's upstreams are nearly full: levels by rank are cut from the least urgent one on, what a team sends beyond its usual amount goes after all of them, calls that would come too late are refused at once, others within an eighth of their objective, and callers return at times that differ. Instances tell each other their figures with the requests between them that exist (an optional field; peers of the previous release leave it out). `AdmissionSettings.enabled` switches it on; it is off.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -318,6 +318,28 @@
   3: list<i32> ages_ms
 }
 
+// What callers asked of a service, in thousandths of a request a second: what arrived and ended by level, and for how
+// long the ended ones ran, and what was placed; running is in thousandths of a request. Items at the same position of
+// levels, arrived, ended and seconds, and of teams, recent and usual, belong together. A level is twice the rank, and one
+// more for what a team sends beyond its usual amount. With instance set, the figures are of that instance; with domain
+// alone, of all instances of the domain; without both, of all instances, and teams holds those that send too much, with
+// the amount that counts as usual.
+struct HeardDemand {
+  1: string instance
+  2: string domain
+  3: string service_name
+  4: i32 age_ms
+  5: list<i32> levels
+  6: list<i32> arrived
+  7: i32 placed
+  8: list<string> teams
+  9: list<i32> recent
+  10: list<i32> usual
+  11: i32 running
+  12: list<i32> ended
+  13: list<i32> seconds
+}
+
 // Asks for the changes of the store's tables; known maps table names to the revisions that the sender has.
 struct FetchTables {
   1: map<string, i64> known
@@ -326,6 +348,7 @@
   // The loads that engines reported to the sender since its last request.
   3: optional HeardLoads loads
   4: optional HeardLimits limits
+  8: optional list<HeardDemand> demands
 }
 
 struct RelayedRow {
@@ -352,6 +375,7 @@
   // Recent loads that engines reported to the answering instance or that other instances sent to it.
   2: optional HeardLoads loads
   3: optional HeardLimits limits
+  8: optional list<HeardDemand> demands
 }
 
 // An engine that ended while it began to answer on a part of a prompt.
--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -56,9 +56,11 @@
 class AdmissionSettings:
     """Holds which decisions of `jayyoke/admission` are in force; by default none are.
 
+    `enabled` refuses calls by rank, team and deadline while room is scarce.
     `send_priority` sends each request's rank to engines, which admit the more urgent ones first.
     """
 
+    enabled: bool = False
     send_priority: bool = False
 
 
--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -117,6 +117,20 @@
             }
         return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded, limited)
 
+    def sum_slots(self, service: str, loads: Loads, now_s: float) -> tuple[int, float]:
+        """Return the slots and the load of the upstreams that get requests and declare slots."""
+        slots = 0
+        requests = 0.0
+        for found in self._view.by_service.get(service, ()):
+            name = found.incarnation
+            if found.slots <= 0 or found.domain in self._view.evacuated:
+                continue
+            if self._notices.is_withdrawn(name) or self._tracker.get(name).is_suspended(now_s):
+                continue
+            slots += found.slots
+            requests += loads.find(name)
+        return slots, requests
+
     def find_estimator(self, service: str) -> LoadEstimator:
         """Return the estimator of the loads of a service's upstreams."""
         return self._estimators.setdefault(service, LoadEstimator())
--- a/jayyoke/edge/domain.py
+++ b/jayyoke/edge/domain.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass, field
 
+from jayyoke.edge.outcome import Delivered, Failed, MayHaveRun, NotRun, Outcome
+
 # A single upstream that accepts no connection may itself be at fault.
 MIN_LOST_UPSTREAMS = 2
 # Longer than a connection takes to time out, so that one request at a time probes the domain.
@@ -50,6 +52,16 @@
         self._failures.pop(domain, None)
         return suspected
 
+    def record_outcome(self, domain: str, incarnation: str, outcome: Outcome, now_s: float) -> str:
+        """Record the outcome of a send; return what to log if a suspicion begins or ends."""
+        match outcome:
+            case NotRun(silent=True) | MayHaveRun(path_lost=True):
+                begins = self.record_failure(domain, incarnation, now_s)
+                return "domain-doubted" if begins else ""
+            case Delivered() | Failed() | NotRun(arrived=True):
+                return "domain-reached" if self.record_reached(domain) else ""
+        return ""
+
     def is_suspected(self, domain: str) -> bool:
         """Tell whether the domain is suspected to be unreachable."""
         failures = self._failures.get(domain)
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -10,8 +10,9 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
+from jayyoke.admission.exchange import DemandExchange, DemandReport
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
@@ -158,12 +159,14 @@
         link_bytes_per_s: float,
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange,
+        demand_exchange: DemandExchange,
     ):
         self._view = view
         self._store = store
         self._link_bytes_per_s = link_bytes_per_s
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
+        self._demand_exchange = demand_exchange
         self._loads_sent_s = float("-inf")
         self._client = client
         self._roster = roster
@@ -212,13 +215,23 @@
             elif self._roster.is_follower() and not self._limit_exchange.empty:
                 # The others of a domain hear of limits from its followers.
                 count = 1
+            elif self._roster.is_follower() and not self._demand_exchange.empty:
+                await self._tell_follower()
+                continue
             else:
                 continue
             peers = self._list_peers()
             asked = self._source.sample(peers, min(count, len(peers)))
             await asyncio.gather(*(self._ask(peer, 0.0) for peer in asked))
 
-    async def _ask(self, peer: str, wait_s: float) -> bool:
+    async def _tell_follower(self) -> None:
+        """Exchange the demand with a follower of any domain; the others hear it from followers."""
+        followers = self._roster.list_followers()
+        if followers:
+            sums = self._demand_exchange.list_sums()
+            await self._ask(self._source.choice(followers), 0.0, sums)
+
+    async def _ask(self, peer: str, wait_s: float, demands: Sequence[DemandReport] = ()) -> bool:
         """Merge a peer's changes into the view; return False if it did not answer."""
         known = {name: self._view.tables[name].revision for name in TABLES}
         began_s = self._view.now_s()
@@ -228,14 +241,16 @@
                 max(self._loads_sent_s, began_s - MAX_SHARED_AGE_S), True
             )
             self._loads_sent_s = began_s
+            demands = self._demand_exchange.list_own()
         try:
             limits = self._limit_exchange.list_reports()
-            answer = await self._client.fetch(peer, known, wait_s, loads, limits)
+            answer = await self._client.fetch(peer, known, wait_s, loads, limits, demands)
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
             return False
         self._load_exchange.merge(answer.loads)
         self._limit_exchange.merge(answer.limits)
+        self._demand_exchange.merge(answer.demands)
         if wait_s:
             ages_s = [table.age_s for table in answer.tables if table.name in TABLES[:2]]
             confirmed_s = answer.answered_s - max(ages_s, default=math.inf)
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -6,10 +6,11 @@
 import time
 from collections.abc import Callable, Iterable
 
-from jayyoke.core.entrysettings import Bounds
+from jayyoke.core.entrysettings import AdmissionSettings, Bounds
 from jayyoke.core.notice import Notice
 from jayyoke.core.route import ServiceProfile
 from jayyoke.core.upstream import Upstream
+from jayyoke.edge.admitter import Admitter
 from jayyoke.edge.assignment import Assignment, Refused
 from jayyoke.edge.baseline import Ordering
 from jayyoke.edge.call import Call
@@ -65,6 +66,8 @@
         read_unix_s: Callable[[], float] = time.time,
         read_common_s: Callable[[], float] | None = None,
         zones: Zones | None = None,
+        admission: AdmissionSettings | None = None,
+        domain: str = "",
     ):
         self._view = view
         self._moves = moves
@@ -97,6 +100,9 @@
         self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
         self.limit_exchange = LimitExchange(self.limits)
+        self.admitter = Admitter(
+            admission, self._candidates, instance, domain, now_s, source, list_instances
+        )
 
     @property
     def view(self) -> FleetView:
@@ -125,6 +131,7 @@
         queue = self._queues.setdefault(service, WaitQueue())
         wait_until_s = self._now_s() + self._find_wait_limit_s(call)
         waited = False
+        first = not tried and not started
         refused = Refused("no-place", FULL_RETRY_S)
         draw = self._source.random()
         while True:
@@ -139,15 +146,21 @@
                     return self._returns.refuse(call, service, tried)
                 await queue.wait(call.rank, call.deadline_s, wait.recheck_s, wait.recheck_s)
                 continue
+            if first and not waited:
+                turned = self.admitter.admit(call, service, candidates, loads)
+                if turned is not None:
+                    return turned
+                wait_until_s = min(wait_until_s, self.admitter.find_wait_until_s(call, service))
             if waited or not queue.outranked(call.rank, call.deadline_s):
                 taken = self._assign(call, service, candidates, loads)
                 if isinstance(taken, Assignment):
+                    self.admitter.record_placed(service, first)
                     return taken
                 refused = taken
             waited = True
             left_s = wait_until_s - now_s
             if left_s <= 0 or queue.full:
-                return refused
+                return self.admitter.refuse(call, service, refused)
             await queue.wait(call.rank, call.deadline_s, left_s)
 
     def estimate_load(self, service: str, upstream: Upstream) -> float:
@@ -161,6 +174,7 @@
         answered: bool = False,
         duration_s: float | None = None,
         give_back: bool = False,
+        rank: int | None = None,
     ) -> None:
         """Free the slot of a request after `duration_s`; `answered` if its answer had begun.
 
@@ -168,6 +182,7 @@
         """
         if give_back:
             self.limits.give_back(upstream.incarnation)
+        self.admitter.record_ended(service, rank, duration_s)
         stats = self.tracker.get(upstream.incarnation)
         stats.in_flight = max(0, stats.in_flight - 1)
         if answered:
@@ -276,17 +291,9 @@
     ) -> tuple[Upstream, ...]:
         """Record whether the domain was reached; return its upstreams if it becomes suspected."""
         domain = upstream.domain
-        match outcome:
-            case NotRun(silent=True) | MayHaveRun(path_lost=True):
-                if not self._domain_tracker.record_failure(domain, upstream.incarnation, now_s):
-                    return ()
-                event = "domain-doubted"
-            case Delivered() | Failed() | NotRun(arrived=True):
-                if not self._domain_tracker.record_reached(domain):
-                    return ()
-                event = "domain-reached"
-            case _:
-                return ()
+        event = self._domain_tracker.record_outcome(domain, upstream.incarnation, outcome, now_s)
+        if not event:
+            return ()
         log_event(event, request_id=call.head.request_id, domain=domain, upstream=upstream.name)
         if event == "domain-reached":
             return ()
@@ -348,7 +355,7 @@
                 self.zones,
             )
         for found in choice.order:
-            if not has_free_slot(found):
+            if not has_free_slot(found) and not self.admitter.may_try(service, found):
                 continue
             upstream = found.upstream
             if self._candidates.is_cold(upstream, profile, now_s) and not self._cold_limiter.take(
@@ -360,7 +367,12 @@
                 continue
             self.tracker.get(upstream.incarnation).in_flight += 1
             self._domain_tracker.record_probe(upstream.domain, now_s)
-            fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
+            fetch_from = ""
+            if key and profile.token_bytes > 0:
+                sources = self._candidates.list_sources(service, now_s)
+                fetch_from = self._prompt_locator.find_source(
+                    call.head.parts, upstream, profile.token_bytes, sources, self.zones, now_s
+                )
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
             log_event(
@@ -386,15 +398,3 @@
             )
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
-
-    def _find_fetch_address(
-        self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
-    ) -> str:
-        """Return the address of the engine to fetch the prompt from, or an empty string."""
-        if not key or profile.token_bytes <= 0:
-            return ""
-        parts = call.head.parts
-        sources = self._candidates.list_sources(chosen.service, now_s)
-        size = count_shared_tokens(parts) * profile.token_bytes
-        groups = self.zones.list_sources(chosen, sources, size)
-        return self._prompt_locator.find_in_groups(parts, key, chosen, groups, now_s)
--- a/jayyoke/edge/promptlocator.py
+++ b/jayyoke/edge/promptlocator.py
@@ -9,9 +9,16 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from jayyoke.core.upstream import Upstream
-from jayyoke.edge.choose import Candidate, find_former_home, rank_homes
+from jayyoke.edge.choose import (
+    Candidate,
+    count_shared_tokens,
+    find_former_home,
+    find_home_key,
+    rank_homes,
+)
 from jayyoke.edge.promptmemory import PromptMemory
 from jayyoke.platform.message import PromptPart
+from jayyoke.zones.preference import Zones
 
 
 class PromptLocator:
@@ -52,17 +59,22 @@
                     return sources[name].address
         return ""
 
-    def find_in_groups(
+    def find_source(
         self,
         parts: Sequence[PromptPart],
-        key: str,
         chosen: Upstream,
-        groups: Iterable[Mapping[str, Upstream]],
+        token_bytes: float,
+        sources: Iterable[Upstream],
+        zones: Zones,
         now_s: float,
     ) -> str:
-        """Return what `find_address` finds in the first of several groups that has the prompt."""
-        for sources in groups:
-            address = self.find_address(parts, key, chosen, sources, now_s)
+        """Return the address of the engine to fetch the prompt from, or an empty string.
+
+        `token_bytes` is the size of a cached token, `sources` are the engines to fetch from.
+        """
+        prompt_bytes = count_shared_tokens(parts) * token_bytes
+        for group in zones.list_sources(chosen, sources, prompt_bytes):
+            address = self.find_address(parts, find_home_key(parts), chosen, group, now_s)
             if address:
                 return address
         return ""
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -13,7 +13,9 @@
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
 
+from jayyoke.admission.exchange import DemandExchange, DemandReport
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
+from jayyoke.edge.demandexchange import decode_demands, encode_demands
 from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
 from jayyoke.edge.loadexchange import MAX_SHARED, MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.view import FleetView
@@ -68,6 +70,7 @@
     limits: list[LimitReport]
     answered_s: float
     size_bytes: int
+    demands: list[DemandReport]
 
 
 class RelayClient:
@@ -84,12 +87,13 @@
         wait_s: float = 0.0,
         loads: Sequence[ReportedLoad] = (),
         limits: Sequence[LimitReport] = (),
+        demands: Sequence[DemandReport] = (),
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
-        The peer waits up to `wait_s` for a change if it has none, and merges the loads and limits.
+        The peer waits up to `wait_s` for a change if it has none, and merges what it is told.
         """
-        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits)
+        request = encode_fetch_request(known, wait_s, loads, self._now_s(), limits, demands)
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
             total=silence_s + TRANSFER_TIMEOUT_S, connect=CALL_TIMEOUT_S, sock_read=silence_s
@@ -113,6 +117,7 @@
     loads: Sequence[ReportedLoad],
     now_s: float,
     limits: Sequence[LimitReport] = (),
+    demands: Sequence[DemandReport] = (),
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -121,6 +126,7 @@
             wait_ms=int(wait_s * 1000) or None,
             loads=_encode_loads(loads, now_s),
             limits=encode_limits(limits, now_s),
+            demands=encode_demands(demands, now_s),
         )
     )
 
@@ -134,9 +140,10 @@
             found.append(_decode_table(table))
         loads = _decode_loads(answer.loads, answered_s)
         limits = decode_limits(answer.limits, answered_s)
+        demands = decode_demands(answer.demands, answered_s)
     except (zlib.error, TException, TProtocolException, EOFError, TypeError, ValueError) as error:
         raise PeerUnavailable(f"{peer} sent unreadable tables: {error!r}") from error
-    return PeerAnswer(found, loads, limits, answered_s, len(body))
+    return PeerAnswer(found, loads, limits, answered_s, len(body), demands)
 
 
 def _encode_loads(loads: Sequence[ReportedLoad], now_s: float) -> ttypes.HeardLoads | None:
@@ -205,10 +212,12 @@
         view: FleetView,
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange | None = None,
+        demand_exchange: DemandExchange | None = None,
     ):
         self._view = view
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
+        self._demand_exchange = demand_exchange
         self._changed = asyncio.Event()
         # Many peers get the same large row, so it is compressed once.
         self._packed: dict[str, ttypes.RelayedRow] = {}
@@ -222,11 +231,14 @@
             wait_s = min(MAX_WAIT_S, max(0, asked.wait_ms or 0) / 1000)
             received = _decode_loads(asked.loads, self._view.now_s())
             limits = decode_limits(asked.limits, self._view.now_s())
+            demands = decode_demands(asked.demands, self._view.now_s())
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
         self._load_exchange.merge(received)
         if self._limit_exchange is not None:
             self._limit_exchange.merge(limits)
+        if self._demand_exchange is not None:
+            self._demand_exchange.merge(demands)
         if wait_s and not self._has_changes(known):
             try:
                 async with asyncio.timeout(wait_s):
@@ -238,6 +250,11 @@
         answer = ttypes.FetchedTables(tables=self._build_tables(known))
         if self._limit_exchange is not None:
             answer.limits = encode_limits(self._limit_exchange.list_reports(), now_s)
+        if self._demand_exchange is not None and (wait_s or demands):
+            exchange = self._demand_exchange
+            # Instances that wait for changes are of the own domain, others that tell are followers.
+            reports = exchange.list_totals() if wait_s else exchange.list_sums()
+            answer.demands = encode_demands(reports, now_s)
         if not wait_s:
             return serialize(answer)
         sent = {load.incarnation for load in received}
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -6,6 +6,7 @@
 import json
 import math
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from jayyoke.core.error import Conflict, StoreUnavailable
@@ -104,10 +105,15 @@
         equals rendezvous hashing decides, the same on all instances. The list is empty if no alive
         instance of the domain is known.
         """
-        alive = {found.name: found for found in self._find_alive() if found.domain == self._domain}
-        ranked = [alive[name] for name in rank(self._domain, alive)]
-        ranked.sort(key=lambda found: -found.link_bytes_per_s)
-        return ranked[:FOLLOWERS_PER_DOMAIN]
+        return _choose_followers(self._domain, self._find_alive())
+
+    def list_followers(self) -> list[str]:
+        """Return the addresses of the other followers of all domains."""
+        alive = self._find_alive()
+        found = []
+        for domain in sorted({member.domain for member in alive}):
+            found.extend(_choose_followers(domain, alive))
+        return [member.address for member in found if member.name != self._name]
 
     def is_follower(self) -> bool:
         """Tell whether this instance follows the store itself."""
@@ -179,6 +185,13 @@
             await self._store.write(MEMBER_TABLE, [Put(row.key, None, row.version)])
 
 
+def _choose_followers(domain: str, alive: Iterable[Member]) -> list[Member]:
+    members = {found.name: found for found in alive if found.domain == domain}
+    ranked = [members[name] for name in rank(domain, members)]
+    ranked.sort(key=lambda found: -found.link_bytes_per_s)
+    return ranked[:FOLLOWERS_PER_DOMAIN]
+
+
 def _parse_member(key: str, value: bytes) -> Member | None:
     try:
         body = parse_unique_json(value, MAX_ROW_BYTES)
--- a/jayyoke/edge/sender.py
+++ b/jayyoke/edge/sender.py
@@ -131,6 +131,7 @@
             send.answering,
             now_s - send.sent_s,
             send.assignment.limited and not send.dispatched,
+            call.rank,
         )
         if not (send.silence_recorded and isinstance(outcome, MayHaveRun) and outcome.silent):
             latency_s = send.measure(call.route.prefix_affinity).latency_s
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -43,6 +43,7 @@
 from jayyoke.platform.boot import parse_boot_settings
 from jayyoke.platform.rowstore import RowStore
 from jayyoke.scripts.drain import drain
+from jayyoke.scripts.gauges import add_placement_gauges
 from jayyoke.server.entrylistener import EntryListener
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
@@ -115,6 +116,8 @@
             find_ordering(policy),
             read_common_s=self.read_common_s,
             zones=Zones(settings.domain, settings.zones),
+            admission=settings.admission,
+            domain=settings.domain,
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -146,7 +149,10 @@
         )
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s)
         self.relay = RelayServer(
-            self.view, self.placement.load_exchange, self.placement.limit_exchange
+            self.view,
+            self.placement.load_exchange,
+            self.placement.limit_exchange,
+            self.placement.admitter.exchange,
         )
         self.peers = PeerFollower(
             self.view,
@@ -158,6 +164,7 @@
             settings.link_bytes_per_s,
             self.placement.load_exchange,
             self.placement.limit_exchange,
+            self.placement.admitter.exchange,
         )
         self.view.changes.subscribe(lambda _: self.drop_gone_upstreams())
         self.metrics.add_gauge(
@@ -169,13 +176,7 @@
         self.metrics.add_gauge(
             "jayyoke_upstream_connections_opened", "Connections.", lambda: self.pool.opened
         )
-        zones = self.placement.zones
-        self.metrics.add_gauge(
-            "jayyoke_requests_kept_in_domain", "Placed requests.", lambda: zones.kept
-        )
-        self.metrics.add_gauge(
-            "jayyoke_requests_across_domains", "Placed requests.", lambda: zones.crossed
-        )
+        add_placement_gauges(self.metrics, self.placement)
         self.metrics.add_gauge(
             "jayyoke_suspected_parts", "Parts of prompts.", lambda: self.quarantine.suspected
         )
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -4096,6 +4096,274 @@
         return not (self == other)
 
 
+class HeardDemand(object):
+    """
+    Attributes:
+     - instance
+     - domain
+     - service_name
+     - age_ms
+     - levels
+     - arrived
+     - placed
+     - teams
+     - recent
+     - usual
+     - running
+     - ended
+     - seconds
+
+    """
+
+    __slots__ = (
+        'instance',
+        'domain',
+        'service_name',
+        'age_ms',
+        'levels',
+        'arrived',
+        'placed',
+        'teams',
+        'recent',
+        'usual',
+        'running',
+        'ended',
+        'seconds',
+    )
+
+
+    def __init__(self, instance=None, domain=None, service_name=None, age_ms=None, levels=None, arrived=None, placed=None, teams=None, recent=None, usual=None, running=None, ended=None, seconds=None,):
+        self.instance = instance
+        self.domain = domain
+        self.service_name = service_name
+        self.age_ms = age_ms
+        self.levels = levels
+        self.arrived = arrived
+        self.placed = placed
+        self.teams = teams
+        self.recent = recent
+        self.usual = usual
+        self.running = running
+        self.ended = ended
+        self.seconds = seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.levels = []
+                    (_etype901, _size902) = iprot.readListBegin()
+                    for _i903 in range(_size902):
+                        _elem904 = iprot.readI32()
+                        self.levels.append(_elem904)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.arrived = []
+                    (_etype905, _size906) = iprot.readListBegin()
+                    for _i907 in range(_size906):
+                        _elem908 = iprot.readI32()
+                        self.arrived.append(_elem908)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.placed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.teams = []
+                    (_etype909, _size910) = iprot.readListBegin()
+                    for _i911 in range(_size910):
+                        _elem912 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.teams.append(_elem912)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.recent = []
+                    (_etype913, _size914) = iprot.readListBegin()
+                    for _i915 in range(_size914):
+                        _elem916 = iprot.readI32()
+                        self.recent.append(_elem916)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.usual = []
+                    (_etype917, _size918) = iprot.readListBegin()
+                    for _i919 in range(_size918):
+                        _elem920 = iprot.readI32()
+                        self.usual.append(_elem920)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype921, _size922) = iprot.readListBegin()
+                    for _i923 in range(_size922):
+                        _elem924 = iprot.readI32()
+                        self.ended.append(_elem924)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.seconds = []
+                    (_etype925, _size926) = iprot.readListBegin()
+                    for _i927 in range(_size926):
+                        _elem928 = iprot.readI32()
+                        self.seconds.append(_elem928)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeardDemand')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.levels is not None:
+            oprot.writeFieldBegin('levels', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.levels))
+            for iter929 in self.levels:
+                oprot.writeI32(iter929)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.arrived is not None:
+            oprot.writeFieldBegin('arrived', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.arrived))
+            for iter930 in self.arrived:
+                oprot.writeI32(iter930)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.placed is not None:
+            oprot.writeFieldBegin('placed', TType.I32, 7)
+            oprot.writeI32(self.placed)
+            oprot.writeFieldEnd()
+        if self.teams is not None:
+            oprot.writeFieldBegin('teams', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.teams))
+            for iter931 in self.teams:
+                oprot.writeString(iter931.encode('utf-8') if sys.version_info[0] == 2 else iter931)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent is not None:
+            oprot.writeFieldBegin('recent', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.recent))
+            for iter932 in self.recent:
+                oprot.writeI32(iter932)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.usual is not None:
+            oprot.writeFieldBegin('usual', TType.LIST, 10)
+            oprot.writeListBegin(TType.I32, len(self.usual))
+            for iter933 in self.usual:
+                oprot.writeI32(iter933)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 11)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 12)
+            oprot.writeListBegin(TType.I32, len(self.ended))
+            for iter934 in self.ended:
+                oprot.writeI32(iter934)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.LIST, 13)
+            oprot.writeListBegin(TType.I32, len(self.seconds))
+            for iter935 in self.seconds:
+                oprot.writeI32(iter935)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FetchTables(object):
     """
     Attributes:
@@ -4103,6 +4371,7 @@
      - wait_ms
      - loads
      - limits
+     - demands
 
     """
 
@@ -4111,14 +4380,16 @@
         'wait_ms',
         'loads',
         'limits',
+        'demands',
     )
 
 
-    def __init__(self, known=None, wait_ms=None, loads=None, limits=None,):
+    def __init__(self, known=None, wait_ms=None, loads=None, limits=None, demands=None,):
         self.known = known
         self.wait_ms = wait_ms
         self.loads = loads
         self.limits = limits
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4157,6 +4428,17 @@
                     self.limits.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype936, _size937) = iprot.readListBegin()
+                    for _i938 in range(_size937):
+                        _elem939 = HeardDemand()
+                        _elem939.read(iprot)
+                        self.demands.append(_elem939)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4187,6 +4469,13 @@
             oprot.writeFieldBegin('limits', TType.STRUCT, 4)
             self.limits.write(oprot)
             oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter940 in self.demands:
+                iter940.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4468,6 +4757,7 @@
      - tables
      - loads
      - limits
+     - demands
 
     """
 
@@ -4475,13 +4765,15 @@
         'tables',
         'loads',
         'limits',
+        'demands',
     )
 
 
-    def __init__(self, tables=None, loads=None, limits=None,):
+    def __init__(self, tables=None, loads=None, limits=None, demands=None,):
         self.tables = tables
         self.loads = loads
         self.limits = limits
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4515,6 +4807,17 @@
                     self.limits.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype941, _size942) = iprot.readListBegin()
+                    for _i943 in range(_size942):
+                        _elem944 = HeardDemand()
+                        _elem944.read(iprot)
+                        self.demands.append(_elem944)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4540,6 +4843,13 @@
             oprot.writeFieldBegin('limits', TType.STRUCT, 3)
             self.limits.write(oprot)
             oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter945 in self.demands:
+                iter945.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5111,6 +5421,23 @@
     (2, TType.LIST, 'limits_per_s', (TType.DOUBLE, None, False), None, ),  # 2
     (3, TType.LIST, 'ages_ms', (TType.I32, None, False), None, ),  # 3
 )
+all_structs.append(HeardDemand)
+HeardDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.LIST, 'levels', (TType.I32, None, False), None, ),  # 5
+    (6, TType.LIST, 'arrived', (TType.I32, None, False), None, ),  # 6
+    (7, TType.I32, 'placed', None, None, ),  # 7
+    (8, TType.LIST, 'teams', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'recent', (TType.I32, None, False), None, ),  # 9
+    (10, TType.LIST, 'usual', (TType.I32, None, False), None, ),  # 10
+    (11, TType.I32, 'running', None, None, ),  # 11
+    (12, TType.LIST, 'ended', (TType.I32, None, False), None, ),  # 12
+    (13, TType.LIST, 'seconds', (TType.I32, None, False), None, ),  # 13
+)
 all_structs.append(FetchTables)
 FetchTables.thrift_spec = (
     None,  # 0
@@ -5118,6 +5445,10 @@
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
     (3, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 3
     (4, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    (8, TType.LIST, 'demands', (TType.STRUCT, [HeardDemand, None], False), None, ),  # 8
 )
 all_structs.append(RelayedRow)
 RelayedRow.thrift_spec = (
@@ -5143,6 +5474,11 @@
     (1, TType.LIST, 'tables', (TType.STRUCT, [RelayedTable, None], False), None, ),  # 1
     (2, TType.STRUCT, 'loads', [HeardLoads, None], None, ),  # 2
     (3, TType.STRUCT, 'limits', [HeardLimits, None], None, ),  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    (8, TType.LIST, 'demands', (TType.STRUCT, [HeardDemand, None], False), None, ),  # 8
 )
 all_structs.append(EngineEnd)
 EngineEnd.thrift_spec = (
