Play waves of demand between domains

Cause: whether a loaded domain gives away the right part of its sessions, with figures 0.6 s old, shows only when all instances run.

Change: `bench/roomfleet_test.py` plays waves of 55% out of phase, 12 and 60 instances, and a domain with one of five engines left; the play models fetches, which cost a tenth of computing a prompt.

--- a/bench/roomfleet_test.py
+++ b/bench/roomfleet_test.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 
 import pytest
 
-from bench.roomfleet import KINDS, RoomFleet, Served, find_share
-from jayyoke.core.entrysettings import AdmissionSettings
+from bench.roomfleet import DOMAINS, KINDS, RoomFleet, Served, find_share
+from jayyoke.core.entrysettings import AdmissionSettings, HomeScope, ZoneSettings
 
 BEGIN_S = 8.0
 LENGTH_S = 22.0
@@ -125,3 +126,53 @@
         others = [call for call in served if call.team != "t0"]
         assert find_share(others) > 0.95
         assert find_share(served, team="t0") < 0.6
+
+
+class TestDomains:
+    """Plays waves of demand that move between the domains, with and without homes by domain."""
+
+    OWN = ZoneSettings(0.0, HomeScope.OWN, HomeScope.OWN)
+
+    def play_waves(
+        self,
+        zones: ZoneSettings,
+        engines: int | tuple[str, ...] = 12,
+        base: float = 0.6,
+        instances: int = 12,
+    ) -> list[Served]:
+        def find_rate(kind, domain: str, at_s: float) -> float:
+            phase = at_s / 13.0 + DOMAINS.index(domain) / len(DOMAINS)
+            return base * (1.0 + 0.55 * math.sin(2.0 * math.pi * phase))
+
+        fleet = RoomFleet(
+            instances, engines, 16, 1, zones=zones, find_rate=find_rate, figures_age_s=0.6
+        )
+        return [call for call in fleet.run(24.0) if call.at_s >= 6.0]
+
+    def find_crossing(self, served: list[Served]) -> float:
+        placed = [call for call in served if call.placed_in]
+        return sum(call.placed_in != call.domain for call in placed) / len(placed)
+
+    @pytest.mark.parametrize("instances", [12, 60])
+    def test_fewer_calls_cross_domains_and_as_many_are_served(self, instances):
+        """Guards against bytes between domains, and domains that keep what they can't serve."""
+        before = self.play_waves(ZoneSettings(), instances=instances)
+        served = self.play_waves(self.OWN, instances=instances)
+        assert self.find_crossing(served) < 2 / 3 * self.find_crossing(before)
+        assert find_share(served) >= find_share(before) - 0.01
+        for domain in DOMAINS:
+            assert find_share(served, domain=domain) > find_share(served) - 0.05
+
+    def test_no_prompt_is_fetched_across_domains(self):
+        served = self.play_waves(self.OWN, base=0.85)
+        assert [call for call in served if call.fetched_from]
+        assert not [c for c in served if c.fetched_from and c.fetched_from != c.placed_in]
+
+    @pytest.mark.parametrize("instances", [12, 60])
+    def test_domain_that_lost_its_engines_is_served_by_the_others(self, instances):
+        """Guards against the last engine of a domain that gets all of its calls."""
+        engines = ("a", *"bbbbb", *"ccccc")
+        served = self.play_waves(self.OWN, engines, instances=instances)
+        for domain in DOMAINS:
+            assert find_share(served, domain=domain) > find_share(served) - 0.1
+        assert find_share(served) > 0.97
--- a/jayyoke/admission/demand.py
+++ b/jayyoke/admission/demand.py
@@ -196,7 +196,7 @@
         """Return the figures, with the teams that have the most recent requests."""
         now_s = self._now_s
         teams = {}
-        for name, team in self._teams.items():
+        for name, team in self._teams.items() if max_teams else ():
             teams[name] = (team.recent.read_rate(now_s), team.usual.read_rate(self._calm_s))
         ended = self._ended.items()
         largest = sorted(teams, key=lambda name: -teams[name][0])[:max_teams]
