--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -119,6 +119,20 @@
             }
         return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded, limited)
 
+    def sum_slots(self, service: str, loads: Loads, now_s: float) -> tuple[int, float]:
+        """Return the slots and the load of the upstreams that get requests and declare slots."""
+        slots = 0
+        requests = 0.0
+        for found in self._view.by_service.get(service, ()):
+            name = found.incarnation
+            if found.slots <= 0 or found.domain in self._view.evacuated:
+                continue
+            if self._notices.is_withdrawn(name) or self._tracker.get(name).is_suspended(now_s):
+                continue
+            slots += found.slots
+            requests += loads.find(name)
+        return slots, requests
+
     def find_estimator(self, service: str) -> LoadEstimator:
         """Return the estimator of the loads of a service's upstreams."""
         return self._estimators.setdefault(service, LoadEstimator())
@@ -134,6 +148,12 @@
             return False
         return upstream.domain not in self._view.evacuated
 
+    def list_sources(self, service: str, now_s: float) -> list[Upstream]:
+        """Return the engines of a service from which a prompt may be fetched."""
+        # An engine that is leaving still has its cached prompts.
+        upstreams = self._view.upstreams.values()
+        return [f for f in upstreams if f.service == service and self.can_fetch_from(f, now_s)]
+
     def is_cold(self, upstream: Upstream, profile: ServiceProfile, now_s: float) -> bool:
         """Tell whether an upstream is cold, and so bears only the rate of its service's profile."""
         if profile.warm_up_rate <= 0 or profile.warm_up_s <= 0:
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -31,6 +31,7 @@
 from jayyoke.pace.figure import SLOW, Figure
 from jayyoke.pace.leave import find_move_cost_s, should_leave
 from jayyoke.platform.message import PromptPart
+from jayyoke.zones.preference import IDLE_PER_SLOT, Zones
 
 # An engine above this fraction of the users' bound on load over the mean, plus the slack, gets no
 # more requests. It is below their bound, whose slack is 3, since estimates are some seconds old.
@@ -55,6 +56,7 @@
 SAME_AGE_S = 15.0
 # How many upstreams of a large plain service are compared for one request.
 SAMPLE_SIZE = 4
+_NO_ZONES = Zones()
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +145,7 @@
     repeatable: bool,
     spread: SpreadOrder | None = None,
     fetches: bool = False,
+    zones: Zones = _NO_ZONES,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
@@ -151,6 +154,7 @@
     `repeatable` goes to a suspended engine only if no other is left. `spread` orders engines for
     requests that do not go to their home: all of them when traffic begins, later only those with
     few shared tokens whose home is full. `fetches` is set if engines fetch prompts from others.
+    `zones` decides whether the candidates of a failure domain come first.
     """
     reason = "home" if home_key else "least-work"
     usable = [found for found in candidates if not (found.suspended or found.unreachable)]
@@ -161,7 +165,9 @@
         usable, fallback = list(candidates), []
         reason += ",all-suspended"
     if not engine:
-        return Choice(_order_by_wait(usable, engine, source), reason, None, suspended)
+        return Choice(_order_plain(usable, source, zones), reason, None, suspended)
+    short = shared_tokens < SMALL_PROMPT_TOKENS
+    home_domain = zones.find_home_domain(home_key, short, usable) if home_key else ""
     near = _is_bound_near(usable, load_factor, mean_load)
     reachable = usable
     margin, slack = (1.0, BOUND_SLACK - 1.0) if near else (LOAD_FRACTION, LOAD_SLACK)
@@ -176,13 +182,14 @@
     if not home_key:
         return Choice(_order_by_wait(usable, engine, source), reason, limit, suspended)
     ranked = rank_homes(home_key, reachable)
+    if home_domain:
+        ranked.sort(key=lambda found: found.upstream.domain != home_domain)
     order = [found for found in ranked if found.load < limit]
-    small = shared_tokens < SMALL_PROMPT_TOKENS
-    if small:
+    if short:
         limit = SMALL_LOAD_FRACTION * load_factor * mean_load + SMALL_LOAD_SLACK
     within = [found for found in order if found.load < limit]
     beyond = sorted((f for f in order if f.load >= limit), key=lambda found: found.load)
-    away = small and bool(ranked) and ranked[0].load >= limit
+    away = short and bool(ranked) and ranked[0].load >= limit
     slow = _find_slow(within, ranked, find_move_cost_s(shared_tokens, fetches))
     if slow:
         names = {found.upstream.incarnation for found in slow}
@@ -237,6 +244,21 @@
     return tuple(sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random())))
 
 
+def _order_plain(
+    candidates: Sequence[Candidate], source: random.Random, zones: Zones
+) -> tuple[Candidate, ...]:
+    """Return some upstreams of a plain service, those with the shortest wait first."""
+    if not zones.plain:
+        return _order_by_wait(candidates, False, source)
+    sample, preferred = zones.sample(candidates, SAMPLE_SIZE, source, IDLE_PER_SLOT)
+
+    def find_cost_s(found: Candidate) -> float:
+        crossing_s = zones.find_crossing_cost_s(preferred, found.upstream)
+        return _estimate_wait(found, False) + crossing_s
+
+    return tuple(sorted(sample, key=lambda found: (find_cost_s(found), source.random())))
+
+
 def rank_homes(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the engines by their rendezvous rank for a session; the first is its home."""
     by_name = {found.upstream.incarnation: found for found in candidates}
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -10,9 +10,10 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
+from jayyoke.admission.exchange import DemandExchange, DemandReport
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
 from jayyoke.edge.keptrelay import find_digest, select_eras
 from jayyoke.edge.limitexchange import LimitExchange
@@ -217,6 +218,7 @@
         link_bytes_per_s: float,
         load_exchange: LoadExchange,
         limit_exchange: LimitExchange,
+        demand_exchange: DemandExchange,
         era: StoreEra | None = None,
         converge_s: float = 0.0,
     ):
@@ -232,6 +234,7 @@
         self._link_bytes_per_s = link_bytes_per_s
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
+        self._demand_exchange = demand_exchange
         self._loads_sent_s = float("-inf")
         self._client = client
         self._roster = roster
@@ -285,6 +288,9 @@
             elif self._roster.is_follower() and not self._limit_exchange.empty:
                 # The others of a domain hear of limits from its followers.
                 count = 1
+            elif self._roster.is_follower() and not self._demand_exchange.empty:
+                await self._tell_follower()
+                continue
             else:
                 continue
             peers = self._list_peers()
@@ -303,7 +309,14 @@
             return
         self._ask_now.clear()
 
-    async def _ask(self, peer: str, wait_s: float) -> bool:
+    async def _tell_follower(self) -> None:
+        """Exchange the demand with a follower of any domain; the others hear it from followers."""
+        followers = self._roster.list_other_followers()
+        if followers:
+            sums = self._demand_exchange.list_sums()
+            await self._ask(self._source.choice(followers), 0.0, sums)
+
+    async def _ask(self, peer: str, wait_s: float, demands: Sequence[DemandReport] = ()) -> bool:
         """Merge a peer's changes into the view; return False if it did not answer."""
         tables = self._view.tables
         known = {name: tables[name].revision for name in TABLES}
@@ -314,6 +327,7 @@
                 max(self._loads_sent_s, began_s - MAX_SHARED_AGE_S), True
             )
             self._loads_sent_s = began_s
+            demands = self._demand_exchange.list_own()
         try:
             limits = self._limit_exchange.list_reports()
             answer = await self._client.fetch(
@@ -326,6 +340,7 @@
                 self._kept_digests.get(peer),
                 {name: find_digest(copy) for name, copy in tables.items() if copy.kept},
                 self._roster.build_row() if wait_s else None,
+                demands,
             )
         except PeerUnavailable as error:
             log_event("peer-away", peer=peer, reason=str(error))
@@ -335,6 +350,7 @@
         for table in answer.tables:
             if table.era:
                 self._era.update(table.era, peer)
+        self._demand_exchange.merge(answer.demands)
         if wait_s:
             ages_s = [
                 self._find_age_s(table) for table in answer.tables if table.name in TABLES[:2]
--- a/jayyoke/edge/placedlog.py
+++ b/jayyoke/edge/placedlog.py
@@ -23,6 +23,7 @@
     candidates: int,
     fetch_from: str,
     now_s: float,
+    crosses_domains: bool,
 ) -> None:
     """Log the upstream that a call goes to, and what decided."""
     fields = {}
@@ -48,5 +49,6 @@
         candidates=candidates,
         suspended=choice.suspended,
         fetch_from=fetch_from,
+        crosses_domains=crosses_domains,
         **fields,
     )
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -6,10 +6,11 @@
 import time
 from collections.abc import Callable, Iterable
 
-from jayyoke.core.entrysettings import Bounds
+from jayyoke.core.entrysettings import AdmissionSettings, Bounds
 from jayyoke.core.notice import Notice
 from jayyoke.core.route import ServiceProfile
 from jayyoke.core.upstream import Upstream
+from jayyoke.edge.admitter import Admitter
 from jayyoke.edge.assignment import Assignment, Refused
 from jayyoke.edge.baseline import Ordering
 from jayyoke.edge.call import Call
@@ -39,6 +40,7 @@
 from jayyoke.ops.notices import UpstreamNotices
 from jayyoke.ops.requestlimit import RequestLimits
 from jayyoke.platform.message import AnswerHead
+from jayyoke.zones.preference import Zones
 
 # A call waits in the queue for at most these fractions of its objective and of its time left.
 WAIT_OBJECTIVE_FRACTION = 0.5
@@ -63,6 +65,9 @@
         baseline: Ordering | None = None,
         read_unix_s: Callable[[], float] = time.time,
         read_common_s: Callable[[], float] | None = None,
+        zones: Zones | None = None,
+        admission: AdmissionSettings | None = None,
+        domain: str = "",
     ):
         self._view = view
         self._moves = moves
@@ -75,6 +80,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._spreads: dict[str, Spread] = {}
         self._instance = instance
+        self.zones = zones or Zones()
         self._prompt_locator = PromptLocator(
             lambda found, _: self._candidates.describe(found, NO_LOADS)
         )
@@ -97,6 +103,9 @@
         self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
         self.limit_exchange = LimitExchange(self.limits)
+        self.admitter = Admitter(
+            admission, self._candidates, instance, domain, now_s, source, list_instances
+        )
 
     @property
     def view(self) -> FleetView:
@@ -125,6 +134,7 @@
         queue = self._queues.setdefault(service, WaitQueue())
         wait_until_s = self._now_s() + self._find_wait_limit_s(call)
         waited = False
+        first = not tried and not started
         refused = Refused("no-place", FULL_RETRY_S)
         draw = self._source.random()
         while True:
@@ -139,15 +149,21 @@
                     return self._returns.refuse(call, service, tried)
                 await queue.wait(call.rank, call.deadline_s, wait.recheck_s, wait.recheck_s)
                 continue
+            if first and not waited:
+                turned = self.admitter.admit(call, service, candidates, loads)
+                if turned is not None:
+                    return turned
+                wait_until_s = min(wait_until_s, self.admitter.find_wait_until_s(call, service))
             if waited or not queue.outranked(call.rank, call.deadline_s):
                 taken = self._assign(call, service, candidates, loads)
                 if isinstance(taken, Assignment):
+                    self.admitter.record_placed(service, first)
                     return taken
                 refused = taken
             waited = True
             left_s = wait_until_s - now_s
             if left_s <= 0 or queue.full:
-                return refused
+                return self.admitter.refuse(call, service, refused)
             await queue.wait(call.rank, call.deadline_s, left_s)
 
     def estimate_load(self, service: str, upstream: Upstream) -> float:
@@ -161,6 +177,7 @@
         answered: bool = False,
         duration_s: float | None = None,
         give_back: bool = False,
+        rank: int | None = None,
     ) -> None:
         """Free the slot of a request after `duration_s`; `answered` if its answer had begun.
 
@@ -168,6 +185,7 @@
         """
         if give_back:
             self.limits.give_back(upstream.incarnation)
+        self.admitter.record_ended(service, rank, duration_s)
         stats = self.tracker.get(upstream.incarnation)
         stats.in_flight = max(0, stats.in_flight - 1)
         if answered:
@@ -276,17 +294,9 @@
     ) -> tuple[Upstream, ...]:
         """Record whether the domain was reached; return its upstreams if it becomes suspected."""
         domain = upstream.domain
-        match outcome:
-            case NotRun(silent=True) | MayHaveRun(path_lost=True):
-                if not self._domain_tracker.record_failure(domain, upstream.incarnation, now_s):
-                    return ()
-                event = "domain-doubted"
-            case Delivered() | Failed() | NotRun(arrived=True):
-                if not self._domain_tracker.record_reached(domain):
-                    return ()
-                event = "domain-reached"
-            case _:
-                return ()
+        event = self._domain_tracker.record_outcome(domain, upstream.incarnation, outcome, now_s)
+        if not event:
+            return ()
         log_event(event, request_id=call.head.request_id, domain=domain, upstream=upstream.name)
         if event == "domain-reached":
             return ()
@@ -330,8 +340,7 @@
     ) -> Assignment | Refused:
         now_s = self._now_s()
         config = self._view.config
-        profile = config.services.get(service) if config is not None else None
-        profile = profile or ServiceProfile(service)
+        profile = (config.services.get(service) if config else None) or ServiceProfile(service)
         key = find_home_key(call.head.parts) if call.route.prefix_affinity else ""
         shared = count_shared_tokens(call.head.parts)
         if self._baseline is not None and profile.engine:
@@ -348,9 +357,10 @@
                 call.route.repeatable,
                 self._find_spread(service),
                 profile.token_bytes > 0,
+                self.zones,
             )
         for found in choice.order:
-            if not has_free_slot(found):
+            if not has_free_slot(found) and not self.admitter.may_try(service, found):
                 continue
             upstream = found.upstream
             if self._candidates.is_cold(upstream, profile, now_s) and not self._cold_limiter.take(
@@ -362,10 +372,18 @@
                 continue
             self.tracker.get(upstream.incarnation).in_flight += 1
             self._domain_tracker.record_probe(upstream.domain, now_s)
-            fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
+            fetch_from = ""
+            if key and profile.token_bytes > 0:
+                sources = self._candidates.list_sources(service, now_s)
+                fetch_from = self._prompt_locator.find_source(
+                    call.head.parts, upstream, profile.token_bytes, sources, self.zones, now_s
+                )
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
-            log_placed(call, service, found, choice, mean, len(candidates), fetch_from, now_s)
+            crosses = self.zones.count(upstream)
+            log_placed(
+                call, service, found, choice, mean, len(candidates), fetch_from, now_s, crosses
+            )
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
 
@@ -375,17 +393,3 @@
             spread = Spread(self._instance, self._list_instances, self._now_s)
             self._spreads[service] = spread
         return spread
-
-    def _find_fetch_address(
-        self, call: Call, key: str, chosen: Upstream, profile: ServiceProfile, now_s: float
-    ) -> str:
-        """Return the address of the engine to fetch the prompt from, or an empty string."""
-        if not key or profile.token_bytes <= 0:
-            return ""
-        # An engine that is leaving still has its cached prompts.
-        sources = {
-            found.incarnation: found
-            for found in self._view.upstreams.values()
-            if found.service == chosen.service and self._candidates.can_fetch_from(found, now_s)
-        }
-        return self._prompt_locator.find_address(call.head.parts, key, chosen, sources, now_s)
--- a/jayyoke/edge/promptlocator.py
+++ b/jayyoke/edge/promptlocator.py
@@ -6,12 +6,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from jayyoke.core.upstream import Upstream
-from jayyoke.edge.choose import Candidate, find_former_home, rank_homes
+from jayyoke.edge.choose import (
+    Candidate,
+    count_shared_tokens,
+    find_former_home,
+    find_home_key,
+    rank_homes,
+)
 from jayyoke.edge.promptmemory import PromptMemory
 from jayyoke.platform.message import PromptPart
+from jayyoke.zones.preference import Zones
 
 
 class PromptLocator:
@@ -52,6 +59,26 @@
                     return sources[name].address
         return ""
 
+    def find_source(
+        self,
+        parts: Sequence[PromptPart],
+        chosen: Upstream,
+        token_bytes: float,
+        sources: Iterable[Upstream],
+        zones: Zones,
+        now_s: float,
+    ) -> str:
+        """Return the address of the engine to fetch the prompt from, or an empty string.
+
+        `token_bytes` is the size of a cached token, `sources` are the engines to fetch from.
+        """
+        prompt_bytes = count_shared_tokens(parts) * token_bytes
+        for group in zones.list_sources(chosen, sources, prompt_bytes):
+            address = self.find_address(parts, find_home_key(parts), chosen, group, now_s)
+            if address:
+                return address
+        return ""
+
 
 def _guess_holders(key: str, described: Sequence[Candidate], chosen: Upstream) -> list[str]:
     """Return the engines to which other instances most likely sent a session's prompt."""
--- a/jayyoke/edge/relay.py
+++ b/jayyoke/edge/relay.py
@@ -13,7 +13,9 @@
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
 
+from jayyoke.admission.exchange import DemandExchange, DemandReport
 from jayyoke.core.error import Effect, PeerProtocolError, PeerUnavailable, StoreUnavailable
+from jayyoke.edge.demandexchange import decode_demands, encode_demands
 from jayyoke.edge.keptrelay import (
     check_era,
     decode_eras,
@@ -116,6 +118,7 @@
     limits: list[LimitReport]
     answered_s: float
     size_bytes: int
+    demands: list[DemandReport]
 
 
 class RelayClient:
@@ -136,6 +139,7 @@
         sent: Mapping[str, int] | None = None,
         own: Mapping[str, int] | None = None,
         member: Row | None = None,
+        demands: Sequence[DemandReport] = (),
     ) -> PeerAnswer:
         """Return a peer's changes of tables since the known revisions; raise PeerUnavailable.
 
@@ -145,7 +149,7 @@
         this instance.
         """
         request = encode_fetch_request(
-            known, wait_s, loads, self._now_s(), limits, eras, sent, own, member
+            known, wait_s, loads, self._now_s(), limits, eras, sent, own, member, demands
         )
         silence_s = wait_s + CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(
@@ -174,6 +178,7 @@
     sent: Mapping[str, int] | None = None,
     own: Mapping[str, int] | None = None,
     member: Row | None = None,
+    demands: Sequence[DemandReport] = (),
 ) -> bytes:
     """Return the request for changes since the known revisions, with news for the peer."""
     return serialize(
@@ -186,6 +191,7 @@
             kept=dict(sent) if sent else None,
             own_kept=dict(own) if own else None,
             member=None if member is None else ttypes.RelayedRow(member.key, member.value, 0),
+            demands=encode_demands(demands, now_s),
         )
     )
 
@@ -199,9 +205,10 @@
             found.append(_decode_table(table, answered_s))
         loads = _decode_loads(answer.loads, answered_s)
         limits = decode_limits(answer.limits, answered_s)
+        demands = decode_demands(answer.demands, answered_s)
     except (zlib.error, TException, TProtocolException, EOFError, TypeError, ValueError) as error:
         raise PeerUnavailable(f"{peer} sent unreadable tables: {error!r}") from error
-    return PeerAnswer(found, loads, limits, answered_s, len(body))
+    return PeerAnswer(found, loads, limits, answered_s, len(body), demands)
 
 
 def _encode_loads(loads: Sequence[ReportedLoad], now_s: float) -> ttypes.HeardLoads | None:
@@ -293,12 +300,14 @@
         limit_exchange: LimitExchange | None = None,
         era: StoreEra | None = None,
         record_member: Callable[[Row], None] = lambda _: None,
+        demand_exchange: DemandExchange | None = None,
     ):
         self._era = era or StoreEra()
         self._record_member = record_member
         self._view = view
         self._load_exchange = load_exchange
         self._limit_exchange = limit_exchange
+        self._demand_exchange = demand_exchange
         self._changed = asyncio.Event()
         # Many peers get the same large row, so it is compressed once.
         self._packed: dict[str, tuple[Row, ttypes.RelayedRow]] = {}
@@ -318,6 +327,7 @@
             received = _decode_loads(asked.loads, self._view.now_s())
             limits = decode_limits(asked.limits, self._view.now_s())
             member = None if asked.member is None else _decode_row(asked.member)
+            demands = decode_demands(asked.demands, self._view.now_s())
         except (TException, TProtocolException, EOFError, TypeError, ValueError) as error:
             raise PeerProtocolError(f"unreadable request: {error!r}") from error
         if newest := max((known.eras or {}).values(), default=0):
@@ -327,6 +337,8 @@
             self._limit_exchange.merge(limits)
         if member is not None:
             self._record_member(member)
+        if self._demand_exchange is not None:
+            self._demand_exchange.merge(demands)
         if wait_s and not self._has_changes(known):
             try:
                 async with asyncio.timeout(wait_s):
@@ -338,6 +350,11 @@
         answer = ttypes.FetchedTables(tables=self._build_tables(known))
         if self._limit_exchange is not None:
             answer.limits = encode_limits(self._limit_exchange.list_reports(), now_s)
+        if self._demand_exchange is not None and (wait_s or demands):
+            exchange = self._demand_exchange
+            # Instances that wait for changes are of the own domain, others that tell are followers.
+            reports = exchange.list_totals() if wait_s else exchange.list_sums()
+            answer.demands = encode_demands(reports, now_s)
         if not wait_s:
             return serialize(answer)
         sent_s = {load.incarnation: load.reported_at_s for load in received}
--- a/jayyoke/edge/roster.py
+++ b/jayyoke/edge/roster.py
@@ -156,6 +156,13 @@
             by_domain.setdefault(found.domain, []).append(found)
         return {name: _choose_followers(name, by_domain[name]) for name in sorted(by_domain)}
 
+    def list_other_followers(self) -> list[str]:
+        """Return the addresses of the other followers of all domains."""
+        found = []
+        for members in self.list_followers().values():
+            found += [member.address for member in members if member.name != self._name]
+        return found
+
     def is_follower(self) -> bool:
         """Tell whether this instance follows the store itself."""
         followers = self.find_followers()
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -47,6 +47,7 @@
 from jayyoke.platform.rowstore import RowStore
 from jayyoke.scripts.clientguard import build_reporting_guard
 from jayyoke.scripts.drain import drain
+from jayyoke.scripts.gauges import add_placement_gauges
 from jayyoke.server.entrylistener import EntryListener
 from jayyoke.server.inputguard import InputGuard
 from jayyoke.server.listener import Listener
@@ -55,6 +56,7 @@
 from jayyoke.utils.boottime import read_boot_time_s
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.task import cancel_tasks
+from jayyoke.zones.preference import Zones
 
 EXIT_USAGE = 2
 # A change of the settings file without a signal is noticed within this time.
@@ -121,6 +123,9 @@
             self.roster.list_sharing,
             find_ordering(policy),
             read_common_s=self.read_common_s,
+            zones=Zones(settings.domain, settings.zones),
+            admission=settings.admission,
+            domain=settings.domain,
         )
         self.pool = ConnectionPool()
         self.metrics = Metrics()
@@ -156,6 +161,7 @@
             self.quarantine_rows.mark_changed,
             self.stop_window,
             None if self.duties is None else self.duties.usage,
+            settings.admission.send_priority,
         )
         self.guard = build_reporting_guard(self.metrics, log_refused_clients)
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s, self.guard)
@@ -165,6 +171,7 @@
             self.placement.limit_exchange,
             self.era,
             self.roster.record_contact,
+            self.placement.admitter.exchange,
         )
         self.peers = PeerFollower(
             self.view,
@@ -176,6 +183,7 @@
             settings.link_bytes_per_s,
             self.placement.load_exchange,
             self.placement.limit_exchange,
+            self.placement.admitter.exchange,
             self.era,
             settings.bounds.converge_s,
         )
@@ -189,6 +197,7 @@
         self.metrics.add_gauge(
             "jayyoke_upstream_connections_opened", "Connections.", lambda: self.pool.opened
         )
+        add_placement_gauges(self.metrics, self.placement)
         self.metrics.add_gauge(
             "jayyoke_suspected_parts", "Parts of prompts.", lambda: self.quarantine.suspected
         )
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
 
@@ -81,6 +82,7 @@
         seeds: tuple[str, ...] = (),
         duty_service: DutyServiceSettings | None = None,
         bounds: Bounds | None = None,
+        **settings_fields: object,
     ) -> RunningEntry:
         """Start an instance; use `wait_ready` to wait until it has read the store."""
         port, peer_port = find_free_ports(2)
@@ -97,6 +99,7 @@
             bounds=bounds or Bounds(),
             duty_service=duty_service,
         )
+        settings = replace(settings, **settings_fields)  # type: ignore[arg-type]
         http = aiohttp.ClientSession(headers={"User-Agent": name})
         instance = Instance(settings, http)
         tasks = instance.start_tasks()
--- a/tests/eraviews.py
+++ b/tests/eraviews.py
@@ -9,6 +9,7 @@
 
 from thrift.TSerialization import deserialize, serialize
 
+from jayyoke.admission.exchange import DemandExchange
 from jayyoke.core.error import StoreUnavailable
 from jayyoke.core.route import MoveState, MoveStatus
 from jayyoke.edge.follow import PeerFollower
@@ -70,6 +71,7 @@
             1e6,
             self.loads,
             self.limits,
+            DemandExchange("i", "a", {}, self.read_s),
             self.era,
         )
 
@@ -81,7 +83,7 @@
         """Refuse a feed of the store."""
         raise StoreUnavailable("the store is not there")
 
-    async def fetch(self, peer, known, wait_s, loads, limits, eras, sent, own, member):
+    async def fetch(self, peer, known, wait_s, loads, limits, eras, sent, own, member, demands):
         """Ask the target as RelayClient does."""
         if self.target.previous_release:
             eras = sent = own = None
