Pass the zones of a choice before the order that spreads requests

Cause: both parameters were merged from parts that were built side by side. Change: one order of parameters; tests name the optional ones. Measured: tests of choices, spreading and zones pass.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -143,9 +143,9 @@
     load_factor: float,
     mean_load: float,
     repeatable: bool,
+    zones: Zones = _NO_ZONES,
     spread: SpreadOrder | None = None,
     fetches: bool = False,
-    zones: Zones = _NO_ZONES,
 ) -> Choice:
     """Return the candidates in the order in which they should be tried.
 
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -355,9 +355,9 @@
                 self._bounds.load_factor,
                 mean,
                 call.route.repeatable,
+                self.zones,
                 self._find_spread(service),
                 profile.token_bytes > 0,
-                self.zones,
             )
         for found in choice.order:
             if not has_free_slot(found) and not self.admitter.may_try(service, found):
--- a/jayyoke/edge/spread_test.py
+++ b/jayyoke/edge/spread_test.py
@@ -29,7 +29,7 @@
 
 def choose(candidates, spread, tokens=SMALL_PROMPT, mean=3.0, key="session"):
     return choose_upstreams(
-        candidates, key, tokens, True, random.Random(1), LOAD_FACTOR, mean, True, spread
+        candidates, key, tokens, True, random.Random(1), LOAD_FACTOR, mean, True, spread=spread
     )
 
 
