Ask a follower of each domain for the loads of its upstreams

Instances hear mostly of the upstreams that they use, so a holder would have had no fresh loads of other domains where requests stay in their domain, and would have ordered nothing there. It now asks a follower of each domain in turn, and takes its sums where they are fresher than its own.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -414,3 +414,19 @@
   4: optional binary packed
   5: i64 unix_ms
 }
+
+// Asks a follower for the loads of its domain's upstreams.
+struct LoadQuery {
+  1: string domain
+}
+
+// Live upstreams of services in a domain, their slots, their estimated requests in hundredths, and how many of them
+// reported lately; items at the same position belong together. disturbed: a domain is evacuated or unreachable.
+struct DomainLoads {
+  1: list<string> services
+  2: list<i32> live
+  3: list<i32> slots
+  4: list<i32> requests
+  5: list<i32> fresh
+  6: bool disturbed
+}
--- a/jayyoke/duties/scaling.py
+++ b/jayyoke/duties/scaling.py
@@ -12,7 +12,7 @@
 import math
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from jayyoke.core.route import ScaleLimits
 from jayyoke.utils.jsontext import parse_unique_json
@@ -63,6 +63,14 @@
     disturbed: bool = False
 
 
+def choose_load(own: DomainLoad, heard: DomainLoad | None) -> DomainLoad:
+    """Return which of two views of a domain knows more; either may tell of a disturbance."""
+    if heard is None:
+        return own
+    chosen = heard if heard.fresh_part >= own.fresh_part else own
+    return replace(chosen, disturbed=own.disturbed or heard.disturbed)
+
+
 @dataclass(slots=True)
 class _State:
     """Holds what is known of a subject; times are seconds since boot."""
--- a/jayyoke/edge/countexchange.py
+++ b/jayyoke/edge/countexchange.py
@@ -74,6 +74,8 @@
         self._incarnation = random_source.getrandbits(62)
         self._own_serial = 0
         self._marks: dict[str, _Mark] = {}
+        # Followers that did not take the last message.
+        self._failing: set[str] = set()
         self._turn = 0
         self.reports = 0
 
@@ -155,8 +157,11 @@
         try:
             receipt = await self._client.report(follower.address, report)
         except PeerUnavailable as error:
-            log_event("counts-not-sent", peer=follower.address, reason=str(error))
+            if follower.address not in self._failing:
+                log_event("counts-not-sent", peer=follower.address, reason=str(error))
+            self._failing.add(follower.address)
             return
+        self._failing.discard(follower.address)
         self.reports += 1
         answered_s = self._now_s()
         if receipt.unix_ms:
--- a/jayyoke/edge/countmessage.py
+++ b/jayyoke/edge/countmessage.py
@@ -1,4 +1,4 @@
-"""Messages of counts between instances, on the peer listener."""
+"""Messages of the duties between instances, on the peer listener: counts and loads."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
 
 COUNTS_PATH = "/counts"
 COUNT_QUERY_PATH = "/count-query"
+LOADS_PATH = "/loads"
 CALL_TIMEOUT_S = 0.6
 # All windows of an instance with 3,900 teams, after a follower has started again.
 MAX_COUNTS_BYTES = 512 << 10
@@ -29,7 +30,7 @@
 
 
 class CountClient:
-    """Sends messages of counts to other instances."""
+    """Sends messages of the duties to other instances."""
 
     def __init__(self, http: aiohttp.ClientSession):
         self._http = http
@@ -44,6 +45,11 @@
         body = await self._send(peer, COUNT_QUERY_PATH, serialize(query))
         return read_message(ttypes.CountAnswer(), body, PeerUnavailable)
 
+    async def ask_loads(self, peer: str, query: ttypes.LoadQuery) -> ttypes.DomainLoads:
+        """Ask a follower for the loads of its domain; raise PeerUnavailable."""
+        body = await self._send(peer, LOADS_PATH, serialize(query))
+        return read_message(ttypes.DomainLoads(), body, PeerUnavailable)
+
     async def _send(self, peer: str, path: str, message: bytes) -> bytes:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         headers = {}
--- a/jayyoke/edge/dutyunit.py
+++ b/jayyoke/edge/dutyunit.py
@@ -18,8 +18,9 @@
 from jayyoke.duties.usagecount import UsageCounter
 from jayyoke.edge.countcollector import CountCollector
 from jayyoke.edge.countexchange import CountExchange
-from jayyoke.edge.countmessage import CountClient
+from jayyoke.edge.countmessage import COUNT_QUERY_PATH, COUNTS_PATH, LOADS_PATH, CountClient
 from jayyoke.edge.dutyholder import DutyHolder
+from jayyoke.edge.loadsummary import LoadSummary
 from jayyoke.edge.placement import Placer
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.scaler import Scaler
@@ -101,7 +102,17 @@
         self.reporter = UsageReporter(
             self.planner, self.holder, collector, client, self.true_time, now_s
         )
-        self.scaler = Scaler(self.holder, client, host.placement, host.view, now_s)
+        self.summary = LoadSummary(host.placement, host.view, now_s)
+        self.scaler = Scaler(
+            settings.instance,
+            self.holder,
+            client,
+            counts,
+            host.roster,
+            self.summary,
+            host.view,
+            now_s,
+        )
         self._add_metrics(host.metrics)
 
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
@@ -115,6 +126,14 @@
             found.append(self.scaler.run())
         return found
 
+    def list_answers(self) -> dict[str, Callable[[bytes], bytes]]:
+        """Return what answers other instances, by path."""
+        return {
+            COUNTS_PATH: self.exchange.answer_report,
+            COUNT_QUERY_PATH: self.exchange.answer_query,
+            LOADS_PATH: self.summary.answer,
+        }
+
     async def release(self) -> None:
         """Give the lease back if this instance has it, within RELEASE_S."""
         try:
--- a/jayyoke/edge/scaler.py
+++ b/jayyoke/edge/scaler.py
@@ -3,28 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
-from jayyoke.core.error import Conflict, DutyCallFailed, StoreUnavailable
-from jayyoke.core.upstream import Upstream, UpstreamState
+from jayyoke.core.error import Conflict, DutyCallFailed, PeerUnavailable, StoreUnavailable
 from jayyoke.duties.scaling import (
     DomainLoad,
     ScalePlanner,
     Subject,
+    choose_load,
     decode_orders,
     encode_orders,
 )
+from jayyoke.edge.countmessage import CountClient
 from jayyoke.edge.dutyholder import DutyHolder
-from jayyoke.edge.load import Loads
+from jayyoke.edge.loadsummary import LoadSummary, decode_loads
 from jayyoke.edge.log import log_event
-from jayyoke.edge.placement import Placer
+from jayyoke.edge.roster import Roster
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.dutyservice import DutyClient
+from jayyoke.wire.gen import ttypes
 
+# A follower of each domain is asked in this time, and more seldom with more than seven domains.
 PERIOD_S = 1.0
+PERIOD_S_PER_DOMAIN = 0.14
 ORDERS_KEY = "scale"
-# Instances hear of an engine's load several times a second; an older one says nothing of now.
-FRESH_S = 3.0
 # The view knows the upstreams of all domains by then.
 SETTLE_S = 5.0
 
@@ -34,27 +36,35 @@
 
     def __init__(
         self,
+        name: str,
         holder: DutyHolder,
         client: DutyClient,
-        placement: Placer,
+        peers: CountClient,
+        roster: Roster,
+        summary: LoadSummary,
         view: FleetView,
         now_s: Callable[[], float],
     ):
+        self._name = name
         self._planner = ScalePlanner()
         self._holder = holder
         self._client = client
-        self._placement = placement
+        self._peers = peers
+        self._roster = roster
+        self._summary = summary
         self._view = view
         self._now_s = now_s
         # The tenure whose orders were read from the store, and since when it is held.
         self._tenure: object = None
         self._since_s = 0.0
+        self._turn = 0
         self.sent = 0
 
     async def run(self) -> None:
         """Order upstreams while this process holds the duties, until cancelled."""
         while True:
-            await asyncio.sleep(PERIOD_S)
+            domains = len(self._summary.list_domains()) if self._holder.active else 0
+            await asyncio.sleep(max(PERIOD_S, PERIOD_S_PER_DOMAIN * domains))
             if not self._holder.active:
                 continue
             try:
@@ -71,17 +81,17 @@
         config = self._view.config
         if config is None or now_s - self._since_s < SETTLE_S:
             return
+        loads = await self._collect()
+        now_s = self._now_s()
         orders: dict[Subject, tuple[int, DomainLoad]] = {}
-        for service in config.services.values():
-            limits = service.scale_limits
-            if limits is None:
+        for subject, load in loads.items():
+            service = config.services.get(subject.service)
+            if service is None or service.scale_limits is None:
                 continue
-            for domain, load in self._find_loads(service.name).items():
-                subject = Subject(service.name, domain)
-                self._planner.observe(subject, load, limits, now_s)
-                number = self._planner.find_order(subject, limits, now_s)
-                if number is not None:
-                    orders[subject] = (number, load)
+            self._planner.observe(subject, load, service.scale_limits, now_s)
+            number = self._planner.find_order(subject, service.scale_limits, now_s)
+            if number is not None:
+                orders[subject] = (number, load)
         if orders:
             await self._send(orders)
 
@@ -97,38 +107,33 @@
                 log_event("scale-order", state="row-unusable", reason=str(error))
         self._planner.begin(orders)
 
-    def _find_loads(self, service: str) -> dict[str, DomainLoad]:
-        """Return the loads of a service by domain."""
-        now_s = self._now_s()
-        loads = self._placement.estimate_loads(service, now_s)
-        by_domain: dict[str, list[Upstream]] = {}
-        for found in self._view.by_service.get(service, ()):
-            if found.state is UpstreamState.LIVE:
-                by_domain.setdefault(found.domain, []).append(found)
-        evacuated = self._view.evacuated
-        suspected = any(self._placement.is_suspected(domain) for domain in by_domain)
-        disturbed = bool(evacuated) or suspected
-        for subject in self._planner.ordered:
-            if subject.service == service:
-                by_domain.setdefault(subject.domain, [])
-        return {
-            domain: self._find_load(upstreams, loads, disturbed)
-            for domain, upstreams in by_domain.items()
-        }
+    async def _collect(self) -> dict[Subject, DomainLoad]:
+        """Return the loads of all services with limits in all domains."""
+        self._turn += 1
+        own = self._summary.summarize()
+        found = await asyncio.gather(*(self._collect_domain(*known) for known in own.items()))
+        loads = {}
+        for domain, by_service in zip(own, found, strict=True):
+            for service, load in by_service.items():
+                loads[Subject(service, domain)] = load
+        return loads
 
-    def _find_load(
-        self, upstreams: Iterable[Upstream], loads: Loads, disturbed: bool
-    ) -> DomainLoad:
-        now_s = self._now_s()
-        live = slots = fresh = 0
-        requests = 0.0
-        for found in upstreams:
-            live += 1
-            slots += found.slots
-            requests += loads.find(found.incarnation)
-            age_s = self._placement.tracker.get(found.incarnation).find_load_age_s(now_s)
-            fresh += age_s is not None and age_s < FRESH_S
-        return DomainLoad(live, slots, requests, fresh / live if live else 0.0, disturbed)
+    async def _collect_domain(
+        self, domain: str, own: dict[str, DomainLoad]
+    ) -> dict[str, DomainLoad]:
+        """Return a domain's loads by service, as this process or a follower knows them."""
+        members = self._roster.list_followers().get(domain, ())
+        others = [found for found in members if found.name != self._name]
+        if not others or len(others) < len(members):
+            # This process follows for the domain itself.
+            return own
+        follower = others[self._turn % len(others)]
+        try:
+            answer = await self._peers.ask_loads(follower.address, ttypes.LoadQuery(domain))
+        except PeerUnavailable:
+            return own
+        heard = decode_loads(answer)
+        return {service: choose_load(load, heard.get(service)) for service, load in own.items()}
 
     async def _send(self, orders: Mapping[Subject, tuple[int, DomainLoad]]) -> None:
         """Store the numbers and order them."""
@@ -141,6 +146,7 @@
     async def _order(self, subject: Subject, number: int, load: DomainLoad) -> None:
         """Order a number; it is ordered again until the service has accepted it."""
         before = self._planner.ordered.get(subject)
+        fields = {"service": subject.service, "domain": subject.domain, "desired": number}
         try:
             status = await self._holder.call(
                 lambda fence: self._client.order_upstreams(
@@ -149,14 +155,7 @@
             )
         except DutyCallFailed as error:
             self._planner.record_sent(subject, number, self._now_s(), False)
-            log_event(
-                "scale-order",
-                state="not-answered",
-                service=subject.service,
-                domain=subject.domain,
-                desired=number,
-                reason=str(error),
-            )
+            log_event("scale-order", state="not-answered", **fields, reason=str(error))
             return
         if status is None:
             self._planner.record_sent(subject, number, self._now_s(), False)
@@ -168,9 +167,7 @@
         log_event(
             "scale-order",
             state="accepted" if accepted else "refused",
-            service=subject.service,
-            domain=subject.domain,
-            desired=number,
+            **fields,
             before=before,
             live=load.live,
             requests=round(load.requests, 1),
--- a/jayyoke/platform/dutyservice.py
+++ b/jayyoke/platform/dutyservice.py
@@ -92,6 +92,9 @@
             connection.abort()
             task.cancel()
             await asyncio.wait((task,))
+            if not task.cancelled():
+                # It was raised, or another error was.
+                task.exception()
 
 
 class _Connection(asyncio.Protocol):
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -229,8 +229,7 @@
 
     def build_peer_app(self) -> web.Application:
         """Return the application that other instances call."""
-        counts = None if self.duties is None else self.duties.exchange
-        return build_relay_app(self.relay, self.part_exchange, counts)
+        return build_relay_app(self.relay, self.part_exchange, self.duties)
 
     def start_tasks(self) -> list[asyncio.Task[None]]:
         """Start the background tasks."""
--- a/jayyoke/server/relayapp.py
+++ b/jayyoke/server/relayapp.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 
 from jayyoke.core.error import PeerProtocolError
-from jayyoke.edge.countexchange import CountExchange
-from jayyoke.edge.countmessage import COUNT_QUERY_PATH, COUNTS_PATH, MAX_COUNTS_BYTES
+from jayyoke.edge.countmessage import MAX_COUNTS_BYTES
+from jayyoke.edge.dutyunit import DutyUnit
 from jayyoke.edge.log import log_event
 from jayyoke.edge.partexchange import EVIDENCE_PATH, MAX_MESSAGE_BYTES, PartExchange
 from jayyoke.edge.relay import MAX_REQUEST_BYTES, RELAY_PATH, RelayServer
@@ -17,17 +17,17 @@
 
 
 def build_relay_app(
-    relay: RelayServer, part_exchange: PartExchange, counts: CountExchange | None = None
+    relay: RelayServer, part_exchange: PartExchange, duties: DutyUnit | None = None
 ) -> web.Application:
-    """Return the application that other instances call; `counts` serves the duties."""
-    largest = max(MAX_REQUEST_BYTES, MAX_MESSAGE_BYTES, MAX_COUNTS_BYTES if counts else 0)
+    """Return the application that other instances call; `duties` answers for the holder."""
+    largest = max(MAX_REQUEST_BYTES, MAX_MESSAGE_BYTES, MAX_COUNTS_BYTES if duties else 0)
     app = web.Application(client_max_size=largest)
 
     app.router.add_post(RELAY_PATH, _build_handler(relay.answer))
     app.router.add_post(EVIDENCE_PATH, _build_handler(_build_answer(part_exchange.answer)))
-    if counts is not None:
-        app.router.add_post(COUNTS_PATH, _build_handler(_build_answer(counts.answer_report)))
-        app.router.add_post(COUNT_QUERY_PATH, _build_handler(_build_answer(counts.answer_query)))
+    if duties is not None:
+        for path, answer in duties.list_answers().items():
+            app.router.add_post(path, _build_handler(_build_answer(answer)))
     return app
 
 
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -5378,6 +5378,242 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class LoadQuery(object):
+    """
+    Attributes:
+     - domain
+
+    """
+
+    __slots__ = (
+        'domain',
+    )
+
+
+    def __init__(self, domain=None,):
+        self.domain = domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadQuery')
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 1)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DomainLoads(object):
+    """
+    Attributes:
+     - services
+     - live
+     - slots
+     - requests
+     - fresh
+     - disturbed
+
+    """
+
+    __slots__ = (
+        'services',
+        'live',
+        'slots',
+        'requests',
+        'fresh',
+        'disturbed',
+    )
+
+
+    def __init__(self, services=None, live=None, slots=None, requests=None, fresh=None, disturbed=None,):
+        self.services = services
+        self.live = live
+        self.slots = slots
+        self.requests = requests
+        self.fresh = fresh
+        self.disturbed = disturbed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem266)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.live = []
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = iprot.readI32()
+                        self.live.append(_elem273)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.slots = []
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = iprot.readI32()
+                        self.slots.append(_elem280)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = iprot.readI32()
+                        self.requests.append(_elem287)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.fresh = []
+                    (_etype292, _size289) = iprot.readListBegin()
+                    for _i293 in range(_size289):
+                        _elem294 = iprot.readI32()
+                        self.fresh.append(_elem294)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.disturbed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DomainLoads')
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.services))
+            for iter267 in self.services:
+                oprot.writeString(iter267.encode('utf-8') if sys.version_info[0] == 2 else iter267)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.live is not None:
+            oprot.writeFieldBegin('live', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.live))
+            for iter274 in self.live:
+                oprot.writeI32(iter274)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.slots))
+            for iter281 in self.slots:
+                oprot.writeI32(iter281)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.requests))
+            for iter288 in self.requests:
+                oprot.writeI32(iter288)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fresh is not None:
+            oprot.writeFieldBegin('fresh', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.fresh))
+            for iter295 in self.fresh:
+                oprot.writeI32(iter295)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.disturbed is not None:
+            oprot.writeFieldBegin('disturbed', TType.BOOL, 6)
+            oprot.writeBool(self.disturbed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -5758,5 +5994,20 @@
     (4, TType.STRING, 'packed', 'BINARY', None, ),  # 4
     (5, TType.I64, 'unix_ms', None, None, ),  # 5
 )
+all_structs.append(LoadQuery)
+LoadQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'domain', 'UTF8', None, ),  # 1
+)
+all_structs.append(DomainLoads)
+DomainLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'live', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'slots', (TType.I32, None, False), None, ),  # 3
+    (4, TType.LIST, 'requests', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'fresh', (TType.I32, None, False), None, ),  # 5
+    (6, TType.BOOL, 'disturbed', None, None, ),  # 6
+)
 fix_spec(all_structs)
 del all_structs
--- a/tests/entry_duties_test.py
+++ b/tests/entry_duties_test.py
@@ -5,12 +5,14 @@
 import asyncio
 
 import aiohttp
+from thrift.TSerialization import deserialize, serialize
 
 from jayyoke.core.entrysettings import Bounds, DutyService
 from jayyoke.duties import scaling
 from jayyoke.duties.usagecount import TeamTotals
 from jayyoke.edge import scaler
 from jayyoke.edge.countmessage import CountClient, encode_totals
+from jayyoke.edge.loadsummary import decode_loads
 from jayyoke.utils.task import cancel_tasks
 from jayyoke.wire.gen import ttypes
 from standin.dutyservice import DutyService as DutyServer
@@ -28,6 +30,7 @@
 
 LEASE_S = 0.6
 WINDOW_S = 0.5
+ZONE_QUERY = ttypes.LoadQuery("zone-a")
 BOUNDS = Bounds(lease_s=LEASE_S, report_window_s=WINDOW_S, usage_delay_s=2.0)
 
 
@@ -86,6 +89,10 @@
             await cancel_tasks([calling])
             assert list(service.orders) == [("desk", "zone-a")]
             assert service.orders["desk", "zone-a"] == [2]
+            summary = entry.instance.duties.summary
+            heard = deserialize(ttypes.DomainLoads(), summary.answer(serialize(ZONE_QUERY)))
+            own = summary.summarize()["zone-a"]
+            assert decode_loads(heard)["desk"].live == own["desk"].live == 1
             assert find_violations(service.calls, LEASE_S) == []
 
         backends = [{"name": "desk", "autoscale": {"min": 1, "max": 3, "startupS": 8.0}}]
