Weigh answer times of plain upstreams by their age; count slow upstreams

Plain services report no load, and the average of an instance's answer times lags behind spells of 0.6 s. The wait at a plain upstream now takes its last answer time into account while that is fresh, and an average without answers returns to the service's median within seconds. Requests to engines are unchanged.

Two gauges show how many upstreams count as slow and how many requests left one.

--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -100,6 +100,7 @@
             load_age_s=stats.find_load_age_s(now_s),
             slowness=loads.slowness.get(upstream.incarnation, 1.0),
             figure=stats.figures.figure,
+            last_answer=stats.find_last_answer(now_s),
         )
 
     def estimate_loads(self, service: str, now_s: float) -> Loads:
@@ -119,6 +120,12 @@
             }
         return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded, limited)
 
+    def count_slow(self) -> int:
+        """Return how many upstreams of all services are slow now."""
+        now_s = self._now_s()
+        loads = [self.estimate_loads(service, now_s) for service in self._view.by_service]
+        return sum(len(found.slowness) for found in loads)
+
     def find_estimator(self, service: str) -> LoadEstimator:
         """Return the estimator of the loads of a service's upstreams."""
         return self._estimators.setdefault(service, LoadEstimator())
--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 import statistics
@@ -29,6 +30,7 @@
 from jayyoke.core.upstream import Upstream
 from jayyoke.ops.rendezvous import rank_weighted
 from jayyoke.pace.figure import SLOW, Figure
+from jayyoke.pace.latency import LastAnswer, estimate_latency_s
 from jayyoke.pace.leave import find_move_cost_s, should_leave
 from jayyoke.platform.message import PromptPart
 
@@ -55,6 +57,8 @@
 SAME_AGE_S = 15.0
 # How many upstreams of a large plain service are compared for one request.
 SAMPLE_SIZE = 4
+# How many of them tell what is usual.
+USUAL_SAMPLE_SIZE = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +83,7 @@
     load_age_s: float | None = None
     slowness: float = 1.0
     figure: Figure | None = None
+    last_answer: LastAnswer | None = None
 
 
 class SpreadOrder(Protocol):
@@ -111,6 +116,11 @@
     limit: float | None = None
     suspended: int = 0
 
+    @property
+    def avoids_slow(self) -> bool:
+        """Tell whether the first upstream was passed over since it is slow for a moment."""
+        return ",slow" in self.reason
+
 
 def find_home_key(parts: Sequence[PromptPart]) -> str:
     """Return the id of the last part that requests of a session share, or an empty string.
@@ -234,7 +244,17 @@
     sample = (
         candidates if len(candidates) <= SAMPLE_SIZE else source.sample(candidates, SAMPLE_SIZE)
     )
-    return tuple(sorted(sample, key=lambda found: (_estimate_wait(found, engine), source.random())))
+    usual_s = 0.0 if engine else _find_usual_latency_s(candidates)
+    return tuple(
+        sorted(sample, key=lambda found: (_estimate_wait(found, usual_s, engine), source.random()))
+    )
+
+
+def _find_usual_latency_s(candidates: Sequence[Candidate]) -> float:
+    """Return the median answer time of the upstreams that have answered, or 0 if none has."""
+    answered = (found for found in candidates if found.last_answer is not None)
+    known_s = [found.latency_s for found in itertools.islice(answered, USUAL_SAMPLE_SIZE)]
+    return statistics.median(known_s) if known_s else 0.0
 
 
 def rank_homes(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
@@ -268,10 +288,14 @@
     return min(1.0, max(INITIAL_HOME_WEIGHT, age_s / HOME_RAMP_S))
 
 
-def _estimate_wait(candidate: Candidate, engine: bool) -> float:
+def _estimate_wait(candidate: Candidate, usual_s: float, engine: bool) -> float:
     """Return a measure of the wait: requests ahead times the upstream's latency now."""
     work = candidate.load if engine else float(candidate.own)
-    return (work + 1.0) * max(candidate.latency_s, 0.001) * candidate.slowness
+    last = candidate.last_answer
+    if engine or last is None:
+        return (work + 1.0) * max(candidate.latency_s, 0.001) * candidate.slowness
+    latency_s = estimate_latency_s(candidate.latency_s, last, usual_s, candidate.slowness)
+    return (work + 1.0) * max(latency_s, 0.001)
 
 
 def has_free_slot(candidate: Candidate) -> bool:
--- a/jayyoke/edge/choose_pace_test.py
+++ b/jayyoke/edge/choose_pace_test.py
@@ -8,6 +8,7 @@
 
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.edge.choose import Candidate, choose_upstreams, rank_homes
+from jayyoke.pace.latency import LastAnswer
 
 ENGINES = 12
 SHORT, LONG = 700, 10_500
@@ -90,3 +91,15 @@
         assert [found.upstream.name for found in choice.order] == ["e01", "e00"]
         busy = [candidates[0], replace(candidates[1], own=4)]
         assert choose(busy, key="", engine=False).order[0].upstream.name == "e00"
+
+    def test_last_answer_counts_at_plain_upstreams_alone(self):
+        """Guards against engines placed by answer times that depend on the prompt."""
+        candidates = build_candidates()[:2]
+        candidates[0] = replace(candidates[0], last_answer=LastAnswer(0.3, 0.0))
+        for number in range(8):
+            key = f"k{number}"
+            assert choose(candidates, key="", engine=False).order[0].upstream.name == "e01"
+            without = choose([replace(f, last_answer=None) for f in candidates], key=key)
+            assert choose(candidates, key=key).order == tuple(
+                next(f for f in candidates if f.upstream == g.upstream) for g in without.order
+            )
--- a/jayyoke/edge/loadexchange_test.py
+++ b/jayyoke/edge/loadexchange_test.py
@@ -191,7 +191,9 @@
         head = AnswerHead("r", True, False, report, None, None, False, False)
         follower.record_answer_head(home, head)
         ask(asker, follower, clock)
+        assert asker.count_slow() == 1
         assert place() != home
+        assert asker.slow_left == 1
         assert "slowness" not in lines[-1]
         clock.now_s += 2.0
         assert place() == home
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -74,6 +74,8 @@
         self._baseline = baseline
         self._queues: dict[str, WaitQueue] = {}
         self._spreads: dict[str, Spread] = {}
+        # Requests that left an upstream since it was slow for a moment.
+        self.slow_left = 0
         self._instance = instance
         self._prompt_locator = PromptLocator(
             lambda found, _: self._candidates.describe(found, NO_LOADS)
@@ -106,6 +108,10 @@
         """Return how many instances share budgets, this one included."""
         return len({self._instance, *self._list_instances()})
 
+    def count_slow(self) -> int:
+        """Return how many upstreams are slow now, by the figures of all services."""
+        return self._candidates.count_slow()
+
     def draw_service(self, call: Call) -> str:
         """Return the service of a call, drawn by the route's shares."""
         shares = call.route.shares
@@ -363,6 +369,7 @@
             fetch_from = self._find_fetch_address(call, key, upstream, profile, now_s)
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
+            self.slow_left += choice.avoids_slow
             log_placed(call, service, found, choice, mean, len(candidates), fetch_from, now_s)
             return Assignment(upstream, fetch_from, limited)
         return Refused("no-place" if choice.order else "load-limit", FULL_RETRY_S)
--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from jayyoke.pace.figure import FigureTrack
+from jayyoke.pace.latency import LastAnswer
 from jayyoke.platform.message import LoadReport
 from jayyoke.utils.ewma import Ewma
 
@@ -45,6 +46,9 @@
     mean_others: float = 0.0
     mean_since_s: float = 0.0
     latency: Ewma = field(default_factory=lambda: Ewma(LATENCY_WEIGHT))
+    # The last answer time and when it ended.
+    last_latency_s: float = 0.0
+    last_latency_at_s: float = 0.0
     failure_rate: float = 0.0
     outcomes: float = 0.0
     suspended_until_s: float = 0.0
@@ -81,6 +85,12 @@
             return
         self._update_mean(gap_s)
 
+    def find_last_answer(self, now_s: float) -> LastAnswer | None:
+        """Return the last answer whose time is known, or None."""
+        if self.latency.value is None:
+            return None
+        return LastAnswer(self.last_latency_s, now_s - self.last_latency_at_s)
+
     def weigh_mean(self, now_s: float) -> float:
         """Return the weight of the mean load, from 0 after one report or long silence to 1."""
         span_s = self.reported_at_s - self.mean_since_s
@@ -99,6 +109,7 @@
         self.failure_rate -= OUTCOME_WEIGHT * self.failure_rate
         if latency_s is not None:
             self.latency.add(latency_s)
+            self.last_latency_s, self.last_latency_at_s = latency_s, now_s
         if now_s - self.suspended_until_s > SUSPENSION_RESET_S:
             self.suspension_s = 0.0
 
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -179,6 +179,16 @@
             "Upstreams that name a limit of requests a second.",
             lambda: self.placement.limits.limited,
         )
+        self.metrics.add_gauge(
+            "jayyoke_slow_upstreams",
+            "Upstreams whose own figure says that they are slow now.",
+            self.placement.count_slow,
+        )
+        self.metrics.add_gauge(
+            "jayyoke_slow_upstreams_left",
+            "Requests that left an upstream since it was slow for a moment.",
+            lambda: self.placement.slow_left,
+        )
 
     @property
     def ready(self) -> bool:
