--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -79,6 +79,8 @@
         self._baseline = baseline
         self._queues: dict[str, WaitQueue] = {}
         self._spreads: dict[str, Spread] = {}
+        # Requests that left an upstream since it was slow for a moment.
+        self.slow_left = 0
         self._instance = instance
         self.zones = zones or Zones()
         self._prompt_locator = PromptLocator(
@@ -117,6 +119,10 @@
         """Return how many instances share budgets, this one included."""
         return len({self._instance, *self._list_instances()})
 
+    def count_slow(self) -> int:
+        """Return how many upstreams are slow now, by the figures of all services."""
+        return self._candidates.count_slow()
+
     def draw_service(self, call: Call) -> str:
         """Return the service of a call, drawn by the route's shares."""
         shares = call.route.shares
@@ -380,6 +386,7 @@
                 )
             if key:
                 self._prompt_locator.record(call.head.parts, upstream, now_s)
+            self.slow_left += choice.avoids_slow
             crosses = self.zones.count(upstream)
             log_placed(
                 call, service, found, choice, mean, len(candidates), fetch_from, now_s, crosses
