--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import resource
 from collections.abc import Iterator
 
 from absl import logging
@@ -29,6 +30,10 @@
 # must carry a change within the 9 s in which the change has to be in force.
 REACHABLE_BACKOFF_S = 0.2
 MAX_ACCEPTED = 1024
+# The rest is for callers, upstreams and the platform.
+ACCEPTED_DESCRIPTOR_SHARE = 1 / 8
+# Bytes that are read ahead of the handshake.
+READ_AHEAD_BYTES = 16 << 10
 # No request uses this id, so a heartbeat's acknowledgement only shows that the link works.
 _HEARTBEAT_CORRELATION = (1 << 30) + 1
 _HEARTBEATS_PER_ACKNOWLEDGEMENT = 2
@@ -58,7 +63,10 @@
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._self_message_tasks: set[asyncio.Task[None]] = set()
         self._serving_tasks: set[asyncio.Task[None]] = set()
-        self._handshakes = 0
+        # Connections whose handshake is not complete, the one that began first in front.
+        self._handshakes: dict[asyncio.Task[None], asyncio.WriteTransport] = {}
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._max_accepted = min(MAX_ACCEPTED, max(1, int(descriptors * ACCEPTED_DESCRIPTOR_SHARE)))
         self._server: asyncio.Server | None = None
         self.digests = Digests(self)
         self.digests.add_handler(membership.on_digest)
@@ -123,7 +131,9 @@
     async def start(self) -> None:
         """Listen for peers; raise OSError."""
         host, _, port = self._listen_address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve_peer, host, int(port))
+        self._server = await asyncio.start_server(
+            self._serve_peer, host, int(port), limit=READ_AHEAD_BYTES
+        )
 
     async def run(self) -> None:
         """Maintain the links and send heartbeats until cancelled."""
@@ -238,14 +248,18 @@
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
     async def _serve_peer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._accepted) + self._handshakes >= MAX_ACCEPTED:
-            logging.warning("connection refused: %d connections are already open", MAX_ACCEPTED)
-            writer.close()
-            return
         task = asyncio.current_task()
+        assert task is not None
+        if len(self._accepted) + len(self._handshakes) >= self._max_accepted:
+            logging.warning("connection refused: %d connections are open", self._max_accepted)
+            if not self._handshakes:
+                writer.close()
+                return
+            oldest = next(iter(self._handshakes))
+            self._handshakes.pop(oldest).abort()
         self._serving_tasks.add(task)
         task.add_done_callback(self._serving_tasks.discard)
-        self._handshakes += 1
+        self._handshakes[task] = writer.transport
         try:
             connection = await accept(
                 reader, writer, self._key, self._build_welcome(), self._clock, self.traffic
@@ -255,7 +269,7 @@
             logging.warning("connection from %s closed: %s", address, error or "handshake timeout")
             return
         finally:
-            self._handshakes -= 1
+            self._handshakes.pop(task, None)
         await self._run_connection(connection, self._accepted)
 
     async def _run_connection(
--- a/jayyoke/server/peer_test.py
+++ b/jayyoke/server/peer_test.py
@@ -150,6 +150,23 @@
         run_with_server(check)
 
 
+class TestSilentConnections:
+    """Tests connections that never complete their handshake."""
+
+    def test_they_do_not_keep_peers_out(self):
+        """Guards against a crowd without the key that takes all connections of peers."""
+
+        async def check(server: TcpPeers) -> None:
+            server._max_accepted = 3
+            host, _, port = server.address.rpartition(":")
+            for _ in range(10):
+                opened.append(await asyncio.open_connection(host, int(port)))
+            await wait_until(lambda: len(server._handshakes) == 3)
+
+        opened: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        run_with_server(check)
+
+
 class TestFrameCodec:
     def test_replayed_reflected_and_reordered_frames_are_rejected(self):
         """Guards against an attacker on the network path who repeats or returns valid frames."""
--- a/tests/early_answers_test.py
+++ b/tests/early_answers_test.py
@@ -7,7 +7,15 @@
 import aiohttp
 import pytest
 
-from jayyoke.core.error import Effect, StoreUnavailable
+from jayyoke.core.clock import SystemClock
+from jayyoke.core.config import ClassKind, ClassSpec, TeamSpec
+from jayyoke.core.error import AnswerBroken, Effect, StoreUnavailable
+from jayyoke.core.request import CallerRequest
+from jayyoke.core.upstream import Upstream
+from jayyoke.ops.forward import call_plain
+from jayyoke.ops.notices import UpstreamNotices
+from jayyoke.ops.requestlimit import build_own_limits
+from jayyoke.ops.steward_test import SERVICE
 from jayyoke.platform.objects import Objects
 from jayyoke.utils.connector import BoundedConnector
 from standin.earlyupstream import ENDINGS, EarlyUpstream
@@ -200,6 +208,26 @@
 
         run_client(EarlyUpstream("u1", part, "half-close-then-read"), use)
 
+    @pytest.mark.parametrize("status", ["000", "600", "200"])
+    @pytest.mark.parametrize("kind", [ClassKind.LOOKUP, ClassKind.ONCE])
+    def test_call_of_a_plain_service_may_have_run(self, kind, status):
+        """Guards against a caller of `jayyoked` that gets a part or an odd status as an answer."""
+        part = PARTS["short"][0].replace(b"200", status.encode()).replace(b"Request", b"X-Request")
+
+        async def use(http: aiohttp.ClientSession, url: str) -> None:
+            now_s = SystemClock().now_s
+            spec = ClassSpec("check", kind, "desk", 9.0)
+            request = CallerRequest(
+                "r1", TeamSpec("t", ""), spec, SERVICE, 0.0, 1e9, body=b"b" * LARGE_BYTES
+            )
+            upstream = Upstream("u1", "desk", "a", url.removeprefix("http://"))
+            with pytest.raises(AnswerBroken):
+                await call_plain(
+                    http, upstream, request, 5.0, UpstreamNotices(now_s), build_own_limits(now_s)
+                )
+
+        run_client(EarlyUpstream("u1", part, "half-close-then-read"), use)
+
     def test_write_that_was_not_sent_whole_may_have_no_effect(self):
         """Guards against an object that counts as written while its bytes were being sent."""
 
