Keep idle connections open after white space around header values

Cause: the bytes of a head were counted without the white space around its values, so the rest looked like the beginning of another head, and the connection was closed after the time limit of a head instead of the idle one.

Change: after progress, pending bytes do not start the time limit; bytes that come without progress do, also beside a request in progress.

Measured: the new test fails without the change and passes with it.

--- a/jayyoke/inputlimits/meter.py
+++ b/jayyoke/inputlimits/meter.py
@@ -20,13 +20,22 @@
 class InputMeter:
     """Counts the bytes that were read since the last progress of a request."""
 
-    __slots__ = ("_limit_bytes", "_lines", "_pending_bytes", "_read_bytes")
+    __slots__ = ("_limit_bytes", "_lines", "_pending_bytes", "_read_bytes", "_unfinished")
 
     def __init__(self, header_bytes: int, read_bytes: int):
         self._limit_bytes = HEAD_SHARE * header_bytes
         self._read_bytes = read_bytes
         self._pending_bytes = 0
         self._lines = 0
+        self._unfinished = False
+
+    @property
+    def unfinished(self) -> bool:
+        """Tell whether bytes have come that are certainly part of no request so far.
+
+        After progress that is uncertain, since white space around values is not counted as used.
+        """
+        return self._unfinished
 
     @property
     def pending_bytes(self) -> int:
@@ -53,6 +62,7 @@
         `ended` tells that they end with the end of a request. After progress only the bytes of the
         last read can be pending; the rest framed what has been parsed.
         """
+        self._unfinished = not progressed and (bool(data) or self._unfinished)
         if ended:
             self._pending_bytes = self._lines = 0
             return
--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -104,7 +104,7 @@
             return Phase.BODY
         if self._costs:
             return Phase.ANSWER
-        if self._meter.pending_bytes or not self._request_count:
+        if self._meter.unfinished or not self._request_count:
             return Phase.HEAD
         return Phase.IDLE
 
@@ -225,7 +225,7 @@
                 self._costs_bytes -= self._costs.popleft()
             self._enter_phase()
             self._hold()
-            if not self._costs and self._meter.pending_bytes:
+            if not self._costs and self._meter.unfinished:
                 self.note_head_pending()
 
     def _resume_reading_if_drained(self) -> None:
--- a/tests/client_limits_test.py
+++ b/tests/client_limits_test.py
@@ -8,7 +8,7 @@
 
 from jayyoke.inputlimits.budget import InputBudget
 from standin.entryconfig import HOST, KEY, build_config
-from standin.entryupstream import answer_whole
+from standin.entryupstream import ReceivedRequest, answer_whole
 from tests.entryrig import Rig, RunningEntry, run_rig, wait_ready, wait_until
 
 HEADER_BYTES = 16384
@@ -19,6 +19,12 @@
 MANY_FIELDS = 120
 
 
+async def answer_late(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    """Answer after some time."""
+    await asyncio.sleep(0.4)
+    await answer_whole(request, writer)
+
+
 async def exchange(entry: RunningEntry, *parts: bytes, pause_s: float = 0.0) -> bytes:
     """Send parts over one connection; return what it answers until it is closed."""
     host, _, port = entry.url.removeprefix("http://").rpartition(":")
@@ -129,6 +135,19 @@
 
         run_entry(main)
 
+    def test_idle_connection_stays_open_after_unusual_white_space(self):
+        """Guards against white space around values that is taken for the beginning of a head."""
+        spaces = "X-Spaces:" + " " * 200 + "v" + " " * 200
+        first = build_head("r1", "Content-Length: 3", spaces, last=False) + b"abc"
+        second = build_head("r2", "Content-Length: 0")
+
+        async def main(entry, upstream) -> None:
+            # Longer than the time limit of a head.
+            answer = await exchange(entry, first, second, pause_s=0.8)
+            assert answer.count(b"HTTP/1.1 200") == 2
+
+        run_entry(main)
+
     def test_large_requests_in_turn_hold_nothing(self):
         """Guards against a budget that counts requests that are answered."""
         field = "X-F: " + "v" * 15_000
@@ -175,12 +194,15 @@
         """Guards against slow heads that begin before the answer to an earlier request."""
         first = build_head("r1", "Content-Length: 0", last=False)
 
-        async def main(entry, upstream) -> None:
+        async def main(rig: Rig) -> None:
+            await rig.add_upstream("u1", answer_late)
+            entry = await rig.add_entry()
+            await wait_ready(entry, 1)
             # The time limit of a head is 0.5 s, that of an idle connection 17 s.
-            answer = await exchange(entry, first + b"POST /safe/x HTTP/1.1\r\nX: ")
+            answer = await exchange(entry, first, b"POST /safe/x HTTP/1.1\r\nX: ", pause_s=0.1)
             assert answer.startswith(b"HTTP/1.1 200")
 
-        run_entry(main)
+        run_rig(main, build_config())
 
     def test_large_heads_without_end_make_room_for_small_ones(self):
         """Guards against a budget that is used up by heads that never end."""
