Refuse waiting calls in time when room becomes scarce

Cause: a call that began to wait before the gate knew of the shortage was held for half of its objective.

Change: the wait limit is looked up again whenever the call checks for a place, and the gate adapts then too.

--- a/bench/roomfleet.py
+++ b/bench/roomfleet.py
@@ -107,7 +107,8 @@
 
     `engines` is how many engines there are, spread evenly, or the domain of each.
     `find_rate` returns the multiple of a kind's rate for a domain at a time, `find_team` draws a
-    team. `figures_age_s` delays what instances tell each other.
+    team. `figures_age_s` delays what instances tell each other, and from
+    `silent_from_s` on they tell nothing.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
         find_team: Callable[[random.Random, float], str] = lambda source, at_s: "team",
         figures_age_s: float = 0.2,
         returning: bool = True,
+        silent_from_s: float = math.inf,
     ):
         self._loop = VirtualLoop()
         self._start_s = self._loop.time()
@@ -133,6 +135,7 @@
         self._find_team = find_team
         self._figures_age_s = figures_age_s
         self._returning = returning
+        self._silent_from_s = silent_from_s
         self.source = random.Random(seed)
         self._slots = slots
         self.engines: dict[str, Engine] = {}
@@ -191,6 +194,8 @@
         ]
         while True:
             await asyncio.sleep(EXCHANGE_PERIOD_S)
+            if self.now_s - self._start_s >= self._silent_from_s:
+                return
             since_s = self.now_s - MAX_SHARED_AGE_S
             for number in range(len(DOMAINS)):
                 members = self.placers[number :: len(DOMAINS)]
--- a/jayyoke/edge/admitter.py
+++ b/jayyoke/edge/admitter.py
@@ -83,10 +83,15 @@
         turned = gate.decide(asked, now_s)
         return None if turned is None else Refused(turned.reason, turned.return_s, spread=True)
 
-    def find_wait_until_s(self, call: Call, service: str) -> float:
+    def find_wait_until_s(self, call: Call, service: str, loads: Loads) -> float:
         """Return until when a call may wait for a place, infinite while there is room."""
         gate = self.gates.get(service)
-        wait_s = None if gate is None else gate.find_wait_s(call.route.objective_s)
+        if gate is None:
+            return math.inf
+        now_s = self._now_s()
+        if gate.is_due(now_s):
+            self._update(service, gate, loads, now_s)
+        wait_s = gate.find_wait_s(call.route.objective_s)
         return math.inf if wait_s is None else call.arrived_s + wait_s
 
     def may_try(self, service: str, found: Candidate) -> bool:
--- a/jayyoke/edge/demandexchange_test.py
+++ b/jayyoke/edge/demandexchange_test.py
@@ -87,6 +87,19 @@
         assert decode_peer_answer("peer", answer, 10.0).demands == []
 
 
+class TestRelay:
+    def test_request_tells_the_follower_and_its_answer_the_sums(self):
+        """Guards against figures that are encoded but never travel with the relay's requests."""
+        follower, asker = Instance("a1", "a"), Instance("a2", "a")
+        loads = LoadExchange(lambda: 100.0, lambda load: None)
+        server = RelayServer(FleetView(lambda: 100.0), loads, None, follower.exchange)
+        request = encode_fetch_request({}, 0.001, (), 100.0, (), asker.exchange.list_own())
+        answer = decode_peer_answer("a1", asyncio.run(server.answer(request)), 100.0)
+        asker.exchange.merge(answer.demands)
+        assert asker.sum_arrived() == pytest.approx(follower.sum_arrived(), rel=0.01)
+        assert asker.sum_arrived() > sum(asker.gate.counter.read().arrived.values())
+
+
 class TestSums:
     def test_follower_tells_the_sum_of_all_domains_and_nothing_counts_twice(self):
         """Guards against instances that cut differently since each knows only its own calls."""
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -150,7 +150,7 @@
                 turned = self.admitter.admit(call, service, candidates, loads)
                 if turned is not None:
                     return turned
-                wait_until_s = min(wait_until_s, self.admitter.find_wait_until_s(call, service))
+            wait_until_s = min(wait_until_s, self.admitter.find_wait_until_s(call, service, loads))
             if waited or not queue.outranked(call.rank, call.deadline_s):
                 taken = self._assign(call, service, candidates, loads)
                 if isinstance(taken, Assignment):
