Name the optional parameters in tests of the exchange of demand

Cause: parameters of both parts were merged in another order. Change: the tests pass them by name. Measured: the tests of the exchange pass.

--- a/jayyoke/edge/demandexchange_test.py
+++ b/jayyoke/edge/demandexchange_test.py
@@ -96,8 +96,8 @@
         """Guards against figures that are encoded but never travel with the relay's requests."""
         follower, asker = Instance("a1", "a"), Instance("a2", "a")
         loads = LoadExchange(lambda: 100.0, lambda load: None)
-        server = RelayServer(FleetView(lambda: 100.0), loads, None, follower.exchange)
-        request = encode_fetch_request({}, 0.001, (), 100.0, (), asker.exchange.list_own())
+        server = RelayServer(FleetView(lambda: 100.0), loads, demand_exchange=follower.exchange)
+        request = encode_fetch_request({}, 0.001, (), 100.0, demands=asker.exchange.list_own())
         answer = decode_peer_answer("a1", asyncio.run(server.answer(request)), 100.0)
         asker.exchange.merge(answer.demands)
         assert asker.sum_arrived() == pytest.approx(follower.sum_arrived(), rel=0.01)
