Give the lease up if no renewal is confirmed

A holder whose renewals take effect while all their answers are lost kept its row changing, so no other instance took the lease, although the holder itself did not act. It now gives up one lease after its own ran out, and treats its row like that of another instance.

--- a/jayyoke/duties/lease.py
+++ b/jayyoke/duties/lease.py
@@ -125,11 +125,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Tenure:
-    """Holds the own lease; without a confirmed renewal `until_s` has passed."""
+    """Holds the own lease; without a confirmed renewal `until_s` has passed.
+
+    `found_s` is when the row was found to be the own one.
+    """
 
     lease: LeaseRow
     revision: int
     until_s: float
+    found_s: float
 
 
 class LeaseKeeper:
@@ -142,6 +146,8 @@
         self._seen: _Seen | None = None
         self._era_since_s = now_s
         self._tenure: _Tenure | None = None
+        # The era and counter of a tenure whose renewals were not confirmed for a whole lease.
+        self._given_up = (0, 0)
         # This process, or an earlier one of its name, may have acted until then.
         self._acted_until_s = now_s
 
@@ -208,15 +214,16 @@
         changed = known != (era, revision, lease, readable)
         if changed:
             self._seen = _Seen(era, revision, lease, readable, now_s)
-        self._match_tenure(revision, lease, era)
+        self._match_tenure(revision, lease, era, now_s)
         return not changed
 
-    def _match_tenure(self, revision: int, lease: LeaseRow | None, era: int) -> None:
+    def _match_tenure(self, revision: int, lease: LeaseRow | None, era: int, now_s: float) -> None:
         own = (
             lease is not None
             and lease.holder == self._name
             and lease.incarnation == self._incarnation
             and lease.era == era
+            and (era, lease.counter) != self._given_up
         )
         if lease is None or not own:
             self._tenure = None
@@ -224,9 +231,20 @@
         tenure = self._tenure
         if tenure is None or tenure.lease.counter != lease.counter:
             # A write whose answer was lost has taken effect; the next renewal starts the lease.
-            self._tenure = _Tenure(lease, revision, float("-inf"))
+            self._tenure = _Tenure(lease, revision, float("-inf"), now_s)
         elif tenure.revision != revision:
-            self._tenure = _Tenure(lease, revision, tenure.until_s)
+            self._tenure = replace(tenure, lease=lease, revision=revision)
+
+    def give_up_late(self, now_s: float) -> None:
+        """End the tenure if no renewal was confirmed for a whole lease after it ran out.
+
+        Renewals whose answers are lost would keep others from the lease and give this process none.
+        """
+        tenure = self._tenure
+        if tenure is None or now_s < max(tenure.until_s, tenure.found_s) + self._lease_s:
+            return
+        self._given_up = (tenure.lease.era, tenure.lease.counter)
+        self._tenure = None
 
     def find_take_s(self, era: int) -> float | None:
         """Return when the lease may be taken if its row stays as it is, or None if never."""
@@ -291,11 +309,11 @@
             return
         until_s = sent_s + self._lease_s * (1.0 - MARGIN)
         self._acted_until_s = max(self._acted_until_s, until_s)
-        self._tenure = _Tenure(lease, revision, until_s)
+        self._tenure = _Tenure(lease, revision, until_s, sent_s)
         self._seen = _Seen(era, revision, lease, True, sent_s)
 
     def suspend(self) -> None:
         """Stop acting until a renewal is confirmed, since the row is not as it was written."""
         tenure = self._tenure
         if tenure is not None:
-            self._tenure = _Tenure(tenure.lease, tenure.revision, float("-inf"))
+            self._tenure = replace(tenure, until_s=float("-inf"))
--- a/jayyoke/duties/lease_test.py
+++ b/jayyoke/duties/lease_test.py
@@ -86,6 +86,22 @@
         keeper.confirm(renewed, 10, 8.1, 1)
         assert keeper.may_act(8.2, 1)
 
+    def test_holder_whose_renewals_are_never_confirmed_lets_others_have_the_lease(self):
+        """Guards against duties that nobody takes care of while one instance gets no answers."""
+        keeper = build_keeper("a")
+        keeper.observe(0, None, 1, 0.0)
+        lease = take(keeper, 5, 4.0)
+        keeper.give_up_late(4.0 + 1.9 * LEASE_S)
+        assert keeper.holds
+        keeper.give_up_late(4.0 + 2.0 * LEASE_S)
+        assert not keeper.holds
+        # Its own row is like that of another instance now.
+        show(keeper, lease, 9, 11.0)
+        assert not keeper.holds
+        assert keeper.find_take_s(1) >= 11.0 + LEASE_S
+        taken, _ = keeper.build_take(barred=7)
+        assert taken.counter == lease.counter + 1
+
     def test_row_of_another_process_of_the_name_is_not_the_own(self):
         """Guards against a restarted or replaced instance that acts on an older one's lease."""
         first = build_keeper("a")
--- a/jayyoke/edge/dutyholder.py
+++ b/jayyoke/edge/dutyholder.py
@@ -185,6 +185,7 @@
         """Look at the lease, take or renew it; return the time until the next step."""
         if self._stopped:
             return IDLE_S
+        self._keeper.give_up_late(self._now_s())
         if self._keeper.holds:
             return await self._renew()
         candidates = self._list_candidates()
