Copy the counts of a domain to the next one

Counts of a domain lay only with its own instances, so a window was short by a domain's requests if the domain failed. Followers now copy what changed to a follower of the next domain each 1.5 s, and the holder asks there for a domain that does not answer.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -430,3 +430,8 @@
   5: list<i32> fresh
   6: bool disturbed
 }
+
+// Counts of the processes of a domain, copied by one of its followers to one of the next domain.
+struct CountCopy {
+  1: list<CountReport> reports
+}
--- a/jayyoke/edge/countcollector.py
+++ b/jayyoke/edge/countcollector.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from jayyoke.core.error import PeerUnavailable
-from jayyoke.duties.countmerge import add_counts, assign_sources
+from jayyoke.duties.countmerge import add_counts, assign_sources, find_next_domain
 from jayyoke.duties.truetime import TrueTime
 from jayyoke.edge.countexchange import CountExchange
 from jayyoke.edge.countmessage import CountClient, unpack_counts
@@ -65,12 +65,23 @@
         for name, part in zip(followers, found, strict=True):
             if part is None:
                 collected.missing.append(name)
-                continue
+                part = await self._collect_copy(name, window, followers)
+                if part is None:
+                    continue
             counts, pending = part
             add_counts(collected.counts, counts)
             collected.pending += pending
         return collected
 
+    async def _collect_copy(
+        self, domain: str, window: int, followers: Mapping[str, Sequence[Member]]
+    ) -> tuple[dict[str, int], int] | None:
+        """Return a domain's counts as far as its followers have copied them to the next one."""
+        target = find_next_domain(domain, followers)
+        if target is None:
+            return None
+        return await self._collect_domain(domain, window, followers[target])
+
     async def _collect_domain(
         self, domain: str, window: int, members: Sequence[Member]
     ) -> tuple[dict[str, int], int] | None:
--- a/jayyoke/edge/countexchange.py
+++ b/jayyoke/edge/countexchange.py
@@ -14,7 +14,7 @@
 from thrift.TSerialization import serialize
 
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
-from jayyoke.duties.countmerge import CountBook
+from jayyoke.duties.countmerge import CountBook, find_next_domain
 from jayyoke.duties.truetime import TrueTime
 from jayyoke.duties.usagecount import UsageCounter
 from jayyoke.edge.countmessage import (
@@ -32,6 +32,8 @@
 # follower gets at most 8 messages a second.
 PERIOD_S = 0.8
 PERIOD_S_PER_INSTANCE = 0.06
+# How often a follower copies its domain's counts to the next domain.
+COPY_PERIOD_S = 1.5
 # A follower hears of an idle instance after this time.
 IDLE_S = 3.0
 
@@ -74,6 +76,7 @@
         self._incarnation = random_source.getrandbits(62)
         self._own_serial = 0
         self._marks: dict[str, _Mark] = {}
+        self._copy_marks: dict[str, _Mark] = {}
         # Followers that did not take the last message.
         self._failing: set[str] = set()
         self._turn = 0
@@ -103,6 +106,57 @@
         receipt = ttypes.CountReceipt(self._incarnation, self._read_ms())
         return serialize(receipt)
 
+    def answer_copy(self, message: bytes) -> bytes:
+        """Record the counts of another domain; raise PeerProtocolError."""
+        copied = read_message(ttypes.CountCopy(), message, PeerProtocolError)
+        for report in copied.reports or ():
+            if not report.source or not report.domain or report.domain == self._domain:
+                raise PeerProtocolError("the copied counts are of no other domain")
+            complete = -1 if report.complete is None else report.complete
+            windows = decode_totals(report.windows)
+            self._book.merge(report.source, report.domain, complete, windows, self._now_s())
+        return serialize(ttypes.CountReceipt(self._incarnation, self._read_ms()))
+
+    async def run_copy(self) -> None:
+        """Copy the counts of the domain to the next one while this process follows for it."""
+        while True:
+            await asyncio.sleep(COPY_PERIOD_S * self._random_source.uniform(0.9, 1.1))
+            await self._copy()
+
+    async def _copy(self) -> None:
+        followers = self._roster.list_followers()
+        own = [found.name for found in followers.get(self._domain, ())]
+        target = find_next_domain(self._domain, followers)
+        if self._name not in own or target is None:
+            return
+        # The first follower of a domain copies to the first one of the next domain.
+        receivers = followers[target]
+        receiver = receivers[own.index(self._name) % len(receivers)]
+        self._record_own()
+        mark = self._copy_marks.get(receiver.address, _Mark(0))
+        serial = self._book.serial
+        changes = self._book.list_changes(mark.serial, self._domain)
+        if not changes:
+            return
+        reports = [
+            ttypes.CountReport(
+                source=found.source,
+                domain=self._domain,
+                complete=found.complete,
+                windows=encode_totals(found.windows),
+            )
+            for found in changes
+        ]
+        try:
+            receipt = await self._client.copy(receiver.address, ttypes.CountCopy(reports))
+        except PeerUnavailable:
+            return
+        incarnation = receipt.incarnation or 0
+        if mark.incarnation not in (0, incarnation):
+            # Another process, which lacks what was sent to the one before.
+            serial = 0
+        self._copy_marks = {receiver.address: _Mark(incarnation, serial)}
+
     def answer_query(self, message: bytes) -> bytes:
         """Return the counts of a domain; raise PeerProtocolError."""
         query = read_message(ttypes.CountQuery(), message, PeerProtocolError)
--- a/jayyoke/edge/countexchange_test.py
+++ b/jayyoke/edge/countexchange_test.py
@@ -70,6 +70,11 @@
         raw = self._deliver(peer, serialize(query))
         return deserialize(ttypes.CountAnswer(), self.exchanges[peer].answer_query(raw))
 
+    async def copy(self, peer: str, copied: ttypes.CountCopy) -> ttypes.CountReceipt:
+        """Deliver a copy."""
+        raw = self._deliver(peer, serialize(copied))
+        return deserialize(ttypes.CountReceipt(), self.exchanges[peer].answer_copy(raw))
+
     def _deliver(self, peer: str, raw: bytes) -> bytes:
         if peer in self.cut:
             raise PeerUnavailable(peer)
@@ -149,6 +154,45 @@
 
         asyncio.run(main())
 
+    def test_counts_outlive_their_domain(self):
+        """Guards against a window without the requests of a domain that has failed."""
+
+        async def main():
+            fleet = FakeFleet()
+            for name in ("d1-0", "d1-1", "d1-2"):
+                fleet.counters[name].add("yard", UNIX_S + 1)
+            await fleet.exchange()
+            for _ in range(2):
+                for exchange in fleet.exchanges.values():
+                    await exchange._copy()
+            fleet.counters["d1-2"].add("yard", UNIX_S + 2)
+            await fleet.exchange()
+            for exchange in fleet.exchanges.values():
+                await exchange._copy()
+            assert (await fleet.collector.collect(200)).counts == {"yard": 4}
+            fleet.cut = {"d1-0", "d1-1", "d1-2", "d1-3"}
+            collected = await fleet.collector.collect(200)
+            assert collected.counts == {"yard": 4}
+            assert collected.missing == ["d1"]
+
+        asyncio.run(main())
+
+    def test_copy_goes_again_to_a_follower_that_started_again(self):
+        """Guards against a copy that lacks what the follower before had."""
+
+        async def main():
+            fleet = FakeFleet()
+            fleet.counters["d1-0"].add("yard", UNIX_S + 1)
+            await fleet.exchanges["d1-0"]._copy()
+            fleet.start("d0-0", "d0", "2")
+            for second in range(2):
+                fleet.counters["d1-0"].add("dock", UNIX_S + 2 + second)
+                await fleet.exchanges["d1-0"]._copy()
+            answer = fleet.exchanges["d0-0"].find_counts(ttypes.CountQuery(200, "d1"))
+            assert answer.totals == [3]
+
+        asyncio.run(main())
+
     def test_domain_that_does_not_answer_is_missing(self):
         """Guards against a report that is taken for complete without a domain."""
 
--- a/jayyoke/edge/countmessage.py
+++ b/jayyoke/edge/countmessage.py
@@ -16,6 +16,7 @@
 from jayyoke.wire.gen import ttypes
 
 COUNTS_PATH = "/counts"
+COUNT_COPY_PATH = "/count-copy"
 COUNT_QUERY_PATH = "/count-query"
 LOADS_PATH = "/loads"
 CALL_TIMEOUT_S = 0.6
@@ -40,6 +41,11 @@
         body = await self._send(peer, COUNTS_PATH, serialize(report))
         return read_message(ttypes.CountReceipt(), body, PeerUnavailable)
 
+    async def copy(self, peer: str, copied: ttypes.CountCopy) -> ttypes.CountReceipt:
+        """Send the counts of a domain to a follower of the next one; raise PeerUnavailable."""
+        body = await self._send(peer, COUNT_COPY_PATH, serialize(copied))
+        return read_message(ttypes.CountReceipt(), body, PeerUnavailable)
+
     async def query(self, peer: str, query: ttypes.CountQuery) -> ttypes.CountAnswer:
         """Ask a follower for the counts of its domain; raise PeerUnavailable."""
         body = await self._send(peer, COUNT_QUERY_PATH, serialize(query))
--- a/jayyoke/edge/dutyunit.py
+++ b/jayyoke/edge/dutyunit.py
@@ -18,7 +18,13 @@
 from jayyoke.duties.usagecount import UsageCounter
 from jayyoke.edge.countcollector import CountCollector
 from jayyoke.edge.countexchange import CountExchange
-from jayyoke.edge.countmessage import COUNT_QUERY_PATH, COUNTS_PATH, LOADS_PATH, CountClient
+from jayyoke.edge.countmessage import (
+    COUNT_COPY_PATH,
+    COUNT_QUERY_PATH,
+    COUNTS_PATH,
+    LOADS_PATH,
+    CountClient,
+)
 from jayyoke.edge.dutyholder import DutyHolder
 from jayyoke.edge.loadsummary import LoadSummary
 from jayyoke.edge.placement import Placer
@@ -121,7 +127,7 @@
             return []
         found = [self.holder.run()]
         if self._service.metering:
-            found += [self.exchange.run(), self.reporter.run()]
+            found += [self.exchange.run(), self.exchange.run_copy(), self.reporter.run()]
         if self._service.scaling:
             found.append(self.scaler.run())
         return found
@@ -130,6 +136,7 @@
         """Return what answers other instances, by path."""
         return {
             COUNTS_PATH: self.exchange.answer_report,
+            COUNT_COPY_PATH: self.exchange.answer_copy,
             COUNT_QUERY_PATH: self.exchange.answer_query,
             LOADS_PATH: self.summary.answer,
         }
--- a/jayyoke/wire/gen/ttypes.py
+++ b/jayyoke/wire/gen/ttypes.py
@@ -5614,6 +5614,83 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class CountCopy(object):
+    """
+    Attributes:
+     - reports
+
+    """
+
+    __slots__ = (
+        'reports',
+    )
+
+
+    def __init__(self, reports=None,):
+        self.reports = reports
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype299, _size296) = iprot.readListBegin()
+                    for _i300 in range(_size296):
+                        _elem301 = CountReport()
+                        _elem301.read(iprot)
+                        self.reports.append(_elem301)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CountCopy')
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter302 in self.reports:
+                iter302.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -6009,5 +6086,10 @@
     (5, TType.LIST, 'fresh', (TType.I32, None, False), None, ),  # 5
     (6, TType.BOOL, 'disturbed', None, None, ),  # 6
 )
+all_structs.append(CountCopy)
+CountCopy.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'reports', (TType.STRUCT, [CountReport, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
