--- a/tests/entry_eras_test.py
+++ b/tests/entry_eras_test.py
@@ -231,6 +231,23 @@
 
         run_rig(test)
 
+    def test_lost_history_that_a_read_does_not_mend_makes_no_storm_of_calls(self):
+        """Guards against reads without a pause at a store that names no era and goes back."""
+
+        async def test(rig: Rig) -> None:
+            entries = await start(rig, 1)
+            rig.store.era = None
+            copy = rig.store.save_copy()
+            rig.store.put("op", "evacuate/zone-b", {})
+            await wait_until(lambda: entries[0].instance.view.evacuated)
+            rig.store.return_to(copy)
+            rig.store.era = None
+            rig.store.calls = 0
+            await asyncio.sleep(1.5)
+            assert rig.store.calls < 60
+
+        run_rig(test)
+
     def test_store_without_the_header_is_read_as_before(self):
         """Guards against calls that only a store with eras needs."""
 
--- a/tests/eras_view_test.py
+++ b/tests/eras_view_test.py
@@ -168,6 +168,14 @@
         assert order.version == "v3"
         assert split_versions(order, status, False).share == 0.0
 
+    def test_status_of_another_order_with_the_same_revision_is_not_its_own(self):
+        """Guards against a version that gets all requests by the row of a move that was lost."""
+        peer = Peer()
+        peer.read("op", [build_row("rollout/desk", 90, ORDER | {"to": "v3"})], 92, 2)
+        peer.read("status", [build_status(MoveState.DONE, 90, 50)], 92, 2)
+        order, status = peer.view.orders["desk"], peer.view.statuses["desk"]
+        assert split_versions(order, status, False).share == 0.0
+
     def test_status_of_a_new_instance_does_not_replace_a_final_one(self):
         """Guards against a new instance that begins a reverted move for all."""
         peer = self.build_moved(MoveState.ROLLED_BACK)
