--- a/jayyoke/edge/track.py
+++ b/jayyoke/edge/track.py
@@ -86,8 +86,8 @@
         self._update_mean(gap_s)
 
     def find_last_answer(self, now_s: float) -> LastAnswer | None:
-        """Return the last answer whose time is known, or None."""
-        if self.latency.value is None:
+        """Return the last answer whose time is known; None also if the upstream reports loads."""
+        if self.reported or self.latency.value is None:
             return None
         return LastAnswer(self.last_latency_s, now_s - self.last_latency_at_s)
 
--- a/jayyoke/pace/figure.py
+++ b/jayyoke/pace/figure.py
@@ -82,10 +82,10 @@
     `figures` has one item for each live upstream of the service. While most are slow none is, since
     there is nowhere better to go.
     """
+    known = list(figures)
+    count = len(known)
     estimates = {}
-    count = 0
-    for name, figure in figures:
-        count += 1
+    for name, figure in known:
         if figure is not None and now_s - figure.reported_at_s <= MAX_AGE_S:
             estimates[name] = figure.estimate(now_s)
     if not estimates:
