Spread requests that leave a full home over eight engines, and long prompts never

Cause: requests with few shared tokens that found their home full went to all engines in turn, and all prompts did when traffic began: each engine computes the prompt anew. Change: they take one of the next eight engines of the ranking in turn; when traffic begins, only short prompts are spread.

--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -58,6 +58,9 @@
 SAME_AGE_S = 15.0
 # How many upstreams of a large plain service are compared for one request.
 SAMPLE_SIZE = 4
+# Over how many engines the requests of a session are spread that find their home full. Each of
+# them computes the prompt anew.
+SPREAD_CHOICES = 8
 # How many of them tell what is usual.
 USUAL_SAMPLE_SIZE = 32
 _NO_ZONES = Zones()
@@ -162,8 +165,8 @@
     `load_factor` is the users' bound on an engine's load over the mean of its service, `mean_load`
     that mean over all live engines, also those that the request may not use. A request that is not
     `repeatable` goes to a suspended engine only if no other is left. `spread` orders engines for
-    requests that do not go to their home: all of them when traffic begins, later only those with
-    few shared tokens whose home is full. `fetches` is set if engines fetch prompts from others.
+    requests with few shared tokens that do not go to their home: all of them when traffic begins,
+    later only those whose home is full. `fetches` is set if engines fetch prompts from others.
     `zones` decides whether the candidates of a failure domain come first.
     """
     reason = "home" if home_key else "least-work"
@@ -206,9 +209,11 @@
         if within[0].upstream.incarnation in names:
             reason += ",slow"
         within = [found for found in within if found.upstream.incarnation not in names]
-    if within and spread is not None and spread.useful and (away or spread.is_starting(candidates)):
+    starting = short and spread is not None and spread.is_starting(candidates)
+    if within and spread is not None and spread.useful and (away or starting):
         # Without the slow engines, whose neighbours would get their requests too.
-        within = spread.order(within)
+        count = len(within) if starting else SPREAD_CHOICES
+        within = spread.order(within[:count]) + within[count:]
         reason += ",spread"
     return Choice((*within, *slow, *beyond), reason, limit, suspended)
 
