--- a/jayyoke/edge/candidates.py
+++ b/jayyoke/edge/candidates.py
@@ -117,6 +117,14 @@
             }
         return self.find_estimator(service).estimate(stats_by_incarnation, now_s, excluded, limited)
 
+    def is_suspected(self, domain: str) -> bool:
+        """Tell whether a domain seems unreachable to this instance."""
+        return self._domain_tracker.is_suspected(domain)
+
+    def find_load_age_s(self, upstream: Upstream, now_s: float) -> float | None:
+        """Return how old the last load of an upstream is, or None if it has reported none."""
+        return self._tracker.get(upstream.incarnation).find_load_age_s(now_s)
+
     def find_estimator(self, service: str) -> LoadEstimator:
         """Return the estimator of the loads of a service's upstreams."""
         return self._estimators.setdefault(service, LoadEstimator())
--- a/jayyoke/edge/dutyunit.py
+++ b/jayyoke/edge/dutyunit.py
@@ -108,7 +108,7 @@
         self.reporter = UsageReporter(
             self.planner, self.holder, collector, client, self.true_time, now_s
         )
-        self.summary = LoadSummary(host.placement, host.view, now_s)
+        self.summary = LoadSummary(host.placement.candidates, host.view, now_s)
         self.scaler = Scaler(
             settings.instance,
             self.holder,
--- a/jayyoke/edge/loadsummary.py
+++ b/jayyoke/edge/loadsummary.py
@@ -13,9 +13,9 @@
 from jayyoke.core.error import PeerProtocolError
 from jayyoke.core.upstream import Upstream, UpstreamState
 from jayyoke.duties.scaling import DomainLoad
+from jayyoke.edge.candidates import CandidateFinder
 from jayyoke.edge.countmessage import read_message
 from jayyoke.edge.load import Loads
-from jayyoke.edge.placement import Placer
 from jayyoke.edge.view import FleetView
 from jayyoke.wire.gen import ttypes
 
@@ -28,8 +28,8 @@
 class LoadSummary:
     """Reads the view and the estimated loads of this instance."""
 
-    def __init__(self, placement: Placer, view: FleetView, now_s: Callable[[], float]):
-        self._placement = placement
+    def __init__(self, candidates: CandidateFinder, view: FleetView, now_s: Callable[[], float]):
+        self._candidates = candidates
         self._view = view
         self._now_s = now_s
 
@@ -43,7 +43,7 @@
         disturbed = self._is_disturbed()
         found: dict[str, dict[str, DomainLoad]] = {}
         for name in self._list_services():
-            loads = self._placement.estimate_loads(name, now_s)
+            loads = self._candidates.estimate_loads(name, now_s)
             by_domain: dict[str, list[Upstream]] = {}
             for upstream in self._list_live(name):
                 by_domain.setdefault(upstream.domain, []).append(upstream)
@@ -73,7 +73,7 @@
     def _is_disturbed(self) -> bool:
         if self._view.evacuated:
             return True
-        return any(self._placement.is_suspected(domain) for domain in self.list_domains())
+        return any(self._candidates.is_suspected(domain) for domain in self.list_domains())
 
     def _add_up(
         self, upstreams: Iterable[Upstream], loads: Loads, disturbed: bool, now_s: float
@@ -84,7 +84,7 @@
             live += 1
             slots += found.slots
             requests += loads.find(found.incarnation)
-            age_s = self._placement.tracker.get(found.incarnation).find_load_age_s(now_s)
+            age_s = self._candidates.find_load_age_s(found, now_s)
             fresh += age_s is not None and age_s < FRESH_S
         return DomainLoad(live, slots, requests, fresh / live, disturbed)
 
--- a/jayyoke/edge/placement.py
+++ b/jayyoke/edge/placement.py
@@ -81,7 +81,7 @@
         self.notices = UpstreamNotices(now_s, source)
         self._domain_tracker = DomainTracker()
         self.limits = RequestLimits(instance, list_instances, read_common_s or now_s, now_s, source)
-        self._candidates = CandidateFinder(
+        self.candidates = self._candidates = CandidateFinder(
             view,
             moves,
             self.tracker,
@@ -91,8 +91,6 @@
             now_s,
             read_unix_s,
         )
-        self.estimate_loads = self._candidates.estimate_loads
-        self.is_suspected = self._domain_tracker.is_suspected
         self._returns = ReturnTimes(self._candidates, self.notices, self.limits, now_s)
         self.load_exchange = LoadExchange(now_s, self._record_peer_load)
         self.limit_exchange = LimitExchange(self.limits)
