--- a/bench/chatfleet.py
+++ b/bench/chatfleet.py
@@ -187,7 +187,9 @@
         speed = machines.speeds[number % len(machines.speeds)]
         return Engine(
             f"e{number}",
-            plan=SpeedPlan(random.Random(f"{seed}-{number}"), machines.spells, speed),
+            plan=SpeedPlan(
+                random.Random(f"{seed}-{number}"), machines.spells, speed, self._start_s
+            ),
             first_token_s=machines.first_token_s,
             tokens_per_s=machines.tokens_per_s,
         )
--- a/bench/spells.py
+++ b/bench/spells.py
@@ -17,12 +17,19 @@
 
 
 class SpeedPlan:
-    """Holds one engine's spells, which are drawn as time goes on.
+    """Holds one engine's spells from a time on, which are drawn as time goes on.
 
     `speed` is that of the machine outside of spells; 1.0 is usual.
     """
 
-    def __init__(self, source: random.Random, spells: Spells | None, speed: float = 1.0):
+    def __init__(
+        self,
+        source: random.Random,
+        spells: Spells | None,
+        speed: float = 1.0,
+        begins_s: float = 0.0,
+    ):
+        self._begins_s = begins_s
         self._source = source
         self._spells = spells
         self._speed = speed
@@ -64,7 +71,7 @@
             if not self._ends_s:
                 # The first spell of an engine may have begun before the simulation.
                 length_s -= self._spells.length_s * self._source.random()
-            self._ends_s.append((self._ends_s[-1] if self._ends_s else at_s) + length_s)
+            self._ends_s.append((self._ends_s[-1] if self._ends_s else self._begins_s) + length_s)
         return bisect.bisect_right(self._ends_s, at_s)
 
 
