--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import random
 from collections import deque
 
 from aiohttp import web
@@ -36,6 +37,7 @@
 DROPPED_BYTES = 256 << 10
 INPUT_STATUSES = (400, 431, 503)
 MAX_MESSAGE_CHARACTERS = 200
+INPUT_FULL_RETRY_S = (0.3, 1.0)
 # All connections share it, since its bytes are parsed before the next read of any of them.
 _read_buffer = bytearray(READ_BYTES)
 
@@ -212,7 +214,10 @@
 
     def format_refusal(self, status: int, message: str) -> web.StreamResponse:
         """Return the answer to refused input."""
-        return web.Response(status=status, text=message)
+        response = web.Response(status=status, text=message)
+        if status == 503:
+            response.headers["Retry-After"] = f"{random.uniform(*INPUT_FULL_RETRY_S):.3f}"
+        return response
 
     def note_head_pending(self) -> None:
         """Let a subclass bound the time of a head that arrived beside an earlier request."""
--- a/tests/client_limits_test.py
+++ b/tests/client_limits_test.py
@@ -221,6 +221,21 @@
 
         run_entry(main)
 
+    def test_large_head_without_room_is_refused_and_a_small_one_runs(self):
+        """Guards against a full budget that refuses everything, or runs what it refuses."""
+        field = "X-F: " + "v" * 12_000
+
+        async def main(entry, upstream) -> None:
+            guard = entry.instance.guard
+            guard.budget = InputBudget(guard.budget.connection_limit, 4096)
+            answer = await exchange(entry, build_head("r1", "Content-Length: 0", field))
+            assert b" 503 " in answer.partition(b"\r\n")[0] and b"Retry-After: " in answer
+            answer = await exchange(entry, build_head("r2", "Content-Length: 0"))
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert [request.id for request in upstream.received] == ["r2"]
+
+        run_entry(main)
+
     def test_connections_over_the_limit_replace_those_without_a_head(self):
         """Guards against silent connections that keep callers out."""
 
