--- a/tests/abusive_clients_test.py
+++ b/tests/abusive_clients_test.py
@@ -203,3 +203,38 @@
 
         with hold_machine():
             asyncio.run(main())
+
+    @pytest.mark.parametrize("port", ["callers", "operators", "peers"])
+    def test_silent_connections_leave_descriptors(self, port):
+        """Guards against connections of clients that leave no descriptor to the daemon."""
+
+        async def main() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                with lower_descriptors(DESCRIPTORS):
+                    fleet = await stack.enter_async_context(run_fleet(FLEET))
+                instance = fleet.instances[0]
+                addresses = {
+                    "callers": instance.address,
+                    "operators": instance.operator_address,
+                    "peers": instance.peer_address,
+                }
+                number = int(addresses[port].rpartition(":")[2])
+                form = Form(b"GET /x HTTP/1.1\r\nX", b"x", 0.1)
+                crowd = Crowd(number, form, IDLE_CLIENTS, 8)
+                try:
+                    await crowd.send(CROWD_LIMIT_S)
+                    opened = count_descriptors(instance.child.pid)
+                    print(f"{opened} descriptors")
+                    headers = {"Authorization": f"Bearer {TEAM_KEYS[0]}"}
+                    url = f"{instance.url}/v1/models"
+                    timeout = aiohttp.ClientTimeout(30)
+                    async with fleet.http.get(url, headers=headers, timeout=timeout) as answer:
+                        status = answer.status
+                finally:
+                    await crowd.close()
+                assert instance.child.poll() is None
+                assert opened < DESCRIPTORS - 16
+                assert status == 200
+
+        with hold_machine():
+            asyncio.run(main())
