--- a/jayyoke/edge/admitter.py
+++ b/jayyoke/edge/admitter.py
@@ -132,7 +132,11 @@
         duration_s = self._candidates.find_estimator(service).duration_s
         room = Room(slots, per_slot, duration_s, self._count_instances())
         fleet, kept = self.exchange.find_fleet(service)
-        if not gate.update(now_s, room, fleet, kept):
+        before = set(gate.kept)
+        changed = gate.update(now_s, room, fleet, kept)
+        if set(gate.kept) != before:
+            log_event("team-surge", service=service, teams=sorted(gate.kept))
+        if not changed:
             return
         log_event(
             "room-scarce" if gate.scarce else "room-again",
