Tell demand also where upstreams report no load

Cause: the load by reports is only the own requests where upstreams report none, so no instance told its figures and none saw the upstreams full.

Change: figures are told too when the own requests, times the number of instances, take half of the slots.

Result: the new test in edge/demandexchange_test.py failed before.

--- a/jayyoke/admission/exchange.py
+++ b/jayyoke/admission/exchange.py
@@ -142,7 +142,8 @@
     def _list_told(self) -> list[tuple[str, Gate]]:
         found = []
         for service, gate in self._gates.items():
-            if gate.scarce or gate.per_slot >= TOLD_PER_SLOT:
+            # Upstreams that report no load are seen to be full only by what all instances tell.
+            if gate.scarce or max(gate.per_slot, gate.own_per_slot) >= TOLD_PER_SLOT:
                 found.append((service, gate))
         return found
 
--- a/jayyoke/admission/gate.py
+++ b/jayyoke/admission/gate.py
@@ -112,6 +112,7 @@
         "counter",
         "counts",
         "fraction",
+        "own_per_slot",
         "per_slot",
         "scarce",
     )
@@ -129,6 +130,8 @@
         self.fraction = 1.0
         self.scarce = False
         self.per_slot = 0.0
+        # What the load would be if all instances had as many requests as this one.
+        self.own_per_slot = 0.0
 
     @property
     def kept(self) -> dict[str, float]:
@@ -158,7 +161,9 @@
         """
         self._updated_s = now_s
         self.counter.advance(now_s, not self.scarce)
-        demand = room.complete(fleet, self.counter.read())
+        own = self.counter.read()
+        self.own_per_slot = own.running * room.instances / max(1, room.slots)
+        demand = room.complete(fleet, own)
         self.per_slot = per_slot = room.per_slot
         if fleet is not None and room.slots:
             # What instances tell of their own requests is exact.
--- a/jayyoke/edge/demandexchange_test.py
+++ b/jayyoke/edge/demandexchange_test.py
@@ -10,7 +10,7 @@
 
 from jayyoke.admission.demand import Demand
 from jayyoke.admission.exchange import MAX_AGE_S, MAX_TEAMS, DemandExchange, DemandReport
-from jayyoke.admission.gate import Gate
+from jayyoke.admission.gate import Gate, Room
 from jayyoke.admission.levels import Level
 from jayyoke.edge.demandexchange import decode_demands, encode_demands
 from jayyoke.edge.loadexchange import LoadExchange
@@ -127,6 +127,20 @@
         assert calm.exchange.empty
         assert calm.exchange.list_own() == calm.exchange.list_sums() == []
 
+    def test_requests_at_upstreams_without_reports_are_told(self):
+        """Guards against upstreams that no instance knows to be full, for want of reports."""
+        follower, twin = Instance("a1", "a"), Instance("a2", "a")
+        for instance in (follower, twin):
+            instance.gate.scarce = False
+            for _ in range(6):
+                instance.gate.record_placed(True)
+            instance.gate.update(100.0, Room(12, 0.1, 1.0, 2))
+        follower.exchange.merge(twin.exchange.list_own())
+        fleet, _ = follower.exchange.find_fleet(SERVICE)
+        assert fleet is not None
+        follower.gate.update(100.2, Room(12, 0.1, 1.0, 2), fleet)
+        assert follower.gate.scarce
+
     def test_surging_teams_found_by_a_follower_are_told(self):
         follower, twin = Instance("a1", "a"), Instance("a2", "a")
         follower.exchange.merge(twin.exchange.list_own())
