Read admission and domains from tables of the settings file

Cause: both decisions had settings that nothing could set. Change: the tables admission and domains of the settings file; all findings are reported together. Measured: tests of the settings file pass.

--- a/jayyoke/platform/boot.py
+++ b/jayyoke/platform/boot.py
@@ -5,7 +5,15 @@
 import tomllib
 from typing import Any
 
-from jayyoke.core.entrysettings import Bounds, DutyService, EntrySettings, StoreProfile
+from jayyoke.core.entrysettings import (
+    AdmissionSettings,
+    Bounds,
+    DutyService,
+    EntrySettings,
+    HomeScope,
+    StoreProfile,
+    ZoneSettings,
+)
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.finding import Finding
 from jayyoke.platform.address import is_address
@@ -33,6 +41,8 @@
     findings = _find_missing(document, _REQUIRED, "", file)
     findings += _find_missing(listen, _REQUIRED_LISTEN, "listen.", file)
     findings += _find_missing(store, {"address": "HOST:PORT of the store"}, "platform.", file)
+    zones = _parse_zones(_get_table(document, "domains"), file, findings)
+    admission = _parse_admission(_get_table(document, "admission"), file, findings)
     if findings:
         raise InvalidDocument(findings)
     limits = _get_table(document, "limits")
@@ -53,6 +63,30 @@
         bounds=_parse_bounds(_get_table(document, "bounds")),
         link_bytes_per_s=_get_number(limits, "bandwidthMbps", 1000.0) * 1e6 / 8,
         duty_service=_parse_duty_service(_get_table(document, "cloudApi")),
+        zones=zones,
+        admission=admission,
+    )
+
+
+def _parse_zones(table: dict[str, Any], file: str, findings: list[Finding]) -> ZoneSettings:
+    """Return which requests prefer a failure domain, from a table of the operator's own."""
+    default = ZoneSettings()
+    return ZoneSettings(
+        fetch_max_bytes=_get_number(table, "fetchMaxBytes", default.fetch_max_bytes),
+        short_homes=_get_scope(table, "shortHomes", file, findings),
+        long_homes=_get_scope(table, "longHomes", file, findings),
+        plain=_get_flag(table, "plain", "domains.", file, findings),
+        crossing_cost_s=_get_number(table, "crossingCostMs", default.crossing_cost_s * 1000) / 1000,
+    )
+
+
+def _parse_admission(
+    table: dict[str, Any], file: str, findings: list[Finding]
+) -> AdmissionSettings:
+    """Return which decisions on admission are in force, from a table of the operator's own."""
+    return AdmissionSettings(
+        enabled=_get_flag(table, "enabled", "admission.", file, findings),
+        send_priority=_get_flag(table, "sendPriority", "admission.", file, findings),
     )
 
 
@@ -114,6 +148,25 @@
     return found if isinstance(found, dict) else {}
 
 
+def _get_flag(
+    table: dict[str, Any], name: str, prefix: str, file: str, findings: list[Finding]
+) -> bool:
+    found = table.get(name, False)
+    if not isinstance(found, bool):
+        findings.append(Finding(file, 0, prefix + name, repr(found), "true or false"))
+    return found is True
+
+
+def _get_scope(table: dict[str, Any], name: str, file: str, findings: list[Finding]) -> HomeScope:
+    found = table.get(name, HomeScope.ALL.value)
+    try:
+        return HomeScope(found)
+    except ValueError:
+        words = ", ".join(scope.value for scope in HomeScope)
+        findings.append(Finding(file, 0, f"domains.{name}", repr(found), f"one of {words}"))
+        return HomeScope.ALL
+
+
 def _get_number(table: dict[str, Any], name: str, fallback: float) -> float:
     found = table.get(name)
     if isinstance(found, bool) or not isinstance(found, int | float):
--- a/jayyoke/platform/boot_test.py
+++ b/jayyoke/platform/boot_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jayyoke.core.entrysettings import AdmissionSettings, HomeScope, ZoneSettings
 from jayyoke.core.error import InvalidDocument
 from jayyoke.platform.boot import parse_boot_settings
 
@@ -69,3 +70,35 @@
         bounds = settings.bounds
         assert (bounds.lease_s, bounds.thaw_s, bounds.fencing) == (1.5, 0.2, True)
         assert (bounds.report_window_s, bounds.usage_delay_s) == (5.0, 10.0)
+
+
+class TestOwnSettings:
+    """Tests the tables of the product's own decisions."""
+
+    def test_decisions_are_off_without_their_tables(self):
+        """Guards against deployments that are served in another way without asking for it."""
+        settings = parse_boot_settings(TEXT, "boot.toml")
+        assert settings.admission == AdmissionSettings()
+        assert settings.zones == ZoneSettings()
+
+    def test_tables_switch_decisions_on(self):
+        """Guards against settings that have no effect."""
+        text = TEXT + "[admission]\nenabled = true\nsendPriority = true\n"
+        text += '[domains]\nplain = true\nshortHomes = "own"\nfetchMaxBytes = 0\n'
+        settings = parse_boot_settings(text, "boot.toml")
+        assert settings.admission == AdmissionSettings(enabled=True, send_priority=True)
+        zones = settings.zones
+        assert (zones.plain, zones.short_homes, zones.long_homes) == (
+            True,
+            HomeScope.OWN,
+            HomeScope.ALL,
+        )
+        assert zones.fetch_max_bytes == 0.0
+
+    def test_unusable_values_are_all_reported(self):
+        """Guards against a misspelt setting that leaves a decision off."""
+        text = TEXT + "[admission]\nenabled = 1\n" + '[domains]\nlongHomes = "near"\n'
+        with pytest.raises(InvalidDocument) as caught:
+            parse_boot_settings(text, "boot.toml")
+        keys = {finding.key for finding in caught.value.findings}
+        assert keys == {"admission.enabled", "domains.longHomes"}
