--- a/jayyoke/edge/demandexchange_test.py
+++ b/jayyoke/edge/demandexchange_test.py
@@ -14,12 +14,8 @@
 from jayyoke.admission.levels import Level
 from jayyoke.edge.demandexchange import decode_demands, encode_demands
 from jayyoke.edge.loadexchange import LoadExchange
-from jayyoke.edge.relay import (
-    MAX_REQUEST_BYTES,
-    RelayServer,
-    decode_peer_answer,
-    encode_fetch_request,
-)
+from jayyoke.edge.relay import MAX_REQUEST_BYTES, RelayServer
+from jayyoke.edge.relaymessage import decode_peer_answer, encode_fetch_request
 from jayyoke.edge.view import FleetView
 from jayyoke.wire.gen import ttypes
 
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -19,7 +19,8 @@
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
 from jayyoke.edge.log import log_event
-from jayyoke.edge.relay import LARGE_ROW_BYTES, PeerAnswer, RelayClient, RelayedTable
+from jayyoke.edge.relay import LARGE_ROW_BYTES, RelayClient
+from jayyoke.edge.relaymessage import PeerAnswer, RelayedTable
 from jayyoke.edge.roster import Roster
 from jayyoke.edge.storeclock import StoreClock
 from jayyoke.edge.storeera import StoreEra
--- a/jayyoke/edge/limitexchange_test.py
+++ b/jayyoke/edge/limitexchange_test.py
@@ -11,12 +11,8 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.edge.limitexchange import LimitExchange, decode_limits, encode_limits
 from jayyoke.edge.loadexchange import MAX_SHARED, LoadExchange, ReportedLoad
-from jayyoke.edge.relay import (
-    MAX_REQUEST_BYTES,
-    RelayServer,
-    decode_peer_answer,
-    encode_fetch_request,
-)
+from jayyoke.edge.relay import MAX_REQUEST_BYTES, RelayServer
+from jayyoke.edge.relaymessage import decode_peer_answer, encode_fetch_request
 from jayyoke.edge.view import TABLES, FleetView
 from jayyoke.ops.requestlimit import LimitReport, RequestLimits
 from jayyoke.wire.gen.ttypes import FetchedTables, FetchTables, HeardLimits
--- a/jayyoke/edge/loadexchange_test.py
+++ b/jayyoke/edge/loadexchange_test.py
@@ -15,7 +15,8 @@
 from jayyoke.edge.loadexchange import MAX_KNOWN, LoadExchange, ReportedLoad
 from jayyoke.edge.placement import Assignment, Placer
 from jayyoke.edge.placement_test import DOMAINS, SERVICE, Clock, build_call, build_placement
-from jayyoke.edge.relay import RelayServer, decode_peer_answer, encode_fetch_request
+from jayyoke.edge.relay import RelayServer
+from jayyoke.edge.relaymessage import decode_peer_answer, encode_fetch_request
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.message import AnswerHead, LoadReport, PromptPart
 from jayyoke.wire.gen import ttypes
--- a/jayyoke/edge/relay_test.py
+++ b/jayyoke/edge/relay_test.py
@@ -15,7 +15,8 @@
 from jayyoke.core.error import PeerProtocolError, PeerUnavailable
 from jayyoke.edge import relay
 from jayyoke.edge.loadexchange import LoadExchange, ReportedLoad
-from jayyoke.edge.relay import MAX_ROW_BYTES, RelayedTable, RelayServer, decode_peer_answer
+from jayyoke.edge.relay import RelayServer
+from jayyoke.edge.relaymessage import MAX_ROW_BYTES, RelayedTable, decode_peer_answer
 from jayyoke.edge.view import FleetView
 from jayyoke.platform.table import Row
 from jayyoke.wire.gen import ttypes
--- a/tests/eraviews.py
+++ b/tests/eraviews.py
@@ -15,7 +15,8 @@
 from jayyoke.edge.follow import PeerFollower
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import LoadExchange
-from jayyoke.edge.relay import RelayServer, decode_peer_answer, encode_fetch_request
+from jayyoke.edge.relay import RelayServer
+from jayyoke.edge.relaymessage import decode_peer_answer, encode_fetch_request
 from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.view import FleetView
 from jayyoke.ops.requestlimit import RequestLimits
--- a/tests/newer_rows_test.py
+++ b/tests/newer_rows_test.py
@@ -14,7 +14,7 @@
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.move import Move, OutcomeCounts
 from jayyoke.edge.moves import _parse_counts
-from jayyoke.edge.relay import decode_peer_answer
+from jayyoke.edge.relaymessage import decode_peer_answer
 from jayyoke.ops.change import Delta, apply_delta
 from jayyoke.ops.claim import Claim, decode_claim, encode_claim
 from jayyoke.ops.evidencerows import _decode_totals
