Hedge late calls of the entry within a share that the operator sets

Cause: a few slow answers spoil the slowest percentiles, and the entry sent a call to another upstream only after the route's whole objective. The takeover carries it out, so limits, attempts and the retry budget hold. The loser is cancelled and not suspended; a first upstream that stays silent is suspended as before. No hedge is sent while over a tenth of the service's recent requests are slow. Without the option nothing changes.

--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -123,3 +123,4 @@
     duty_service: DutyService | None = None
     zones: ZoneSettings = ZoneSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    hedge: HedgeSettings = HedgeSettings()
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from jayyoke.core.entrysettings import Bounds
+from jayyoke.core.entrysettings import Bounds, HedgeSettings
 from jayyoke.core.route import RouteKind
 from jayyoke.edge.answerrelay import AnswerRelay
 from jayyoke.edge.assignment import Refused
@@ -23,6 +23,7 @@
 from jayyoke.edge.stream import EventRelay
 from jayyoke.edge.takeover import TakenOver, Takeover, find_silence_timeout_s
 from jayyoke.edge.usagerecorder import UsageRecorder
+from jayyoke.hedging.hedger import Hedger
 from jayyoke.ops.endobserver import EndObserver
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.partkeys import build_part_keys, build_request_key
@@ -55,6 +56,7 @@
         stop_window: StopWindow,
         usage: UsageRecorder | None = None,
         send_priority: bool = False,
+        hedge: HedgeSettings | None = None,
     ):
         self._placement = placement
         self._moves = moves
@@ -67,7 +69,16 @@
         self._on_cleared = on_cleared
         self._stop_window = stop_window
         self._sender = Sender(placement, moves, pool, quarantine, now_s, usage, send_priority)
-        self._takeover = Takeover(placement, self._sender, quarantine, now_s, self._observe_end)
+        self._hedger = Hedger(hedge or HedgeSettings())
+        self._takeover = Takeover(
+            placement,
+            self._sender,
+            quarantine,
+            now_s,
+            self._observe_end,
+            self._hedger,
+            self._record_hedge,
+        )
         self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
         self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
         self._budgets: dict[str, RetryBudget] = {}
@@ -85,6 +96,7 @@
             budget = RetryBudget(self._bounds, self._started_s)
             self._budgets[service] = budget
         budget.add_request(self._now_s())
+        self._hedger.add_request(call.route, self._now_s())
         relay = EventRelay(call.head.last_event, self._held_bytes)
         progress = Progress(service, relay, budget, part_keys)
         try:
@@ -279,16 +291,47 @@
     async def _run(self, call: Call, caller: Caller, send: Send, progress: Progress) -> Outcome:
         """Take a send to its end: send the request unless that is done, and relay the answer."""
         outcome: Outcome = CANCELLED
+        first = progress.sends == 1
         try:
             outcome = await self._exchange(call, caller, send, progress)
         except TakenOver:
-            outcome = MayHaveRun("no answer in time", silent=True)
+            if first:
+                self._record_time(call, send, progress)
+            if send.silence_recorded:
+                outcome = MayHaveRun("no answer in time", silent=True)
+            else:
+                # The loser to a hedge is sound: `finish` gets CANCELLED, which suspends nobody.
+                return MayHaveRun("hedged", silent=True)
         except SEND_ERRORS as error:
             outcome = describe_error(error)
         finally:
             self._sender.finish(call, send, outcome, progress)
+        if first and isinstance(outcome, Delivered):
+            self._record_time(call, send, progress)
         return outcome
 
+    def _record_time(self, call: Call, send: Send, progress: Progress) -> None:
+        """Record the time to the first answer, or until another upstream's was used."""
+        now_s = self._now_s()
+        ended_s = now_s if send.first_s is None else send.first_s
+        took_s = ended_s - send.sent_s
+        self._hedger.record_answer(call.route, progress.service, took_s, progress.late, now_s)
+
+    def _record_hedge(self, call: Call, send: Send, outcome: str, reason: str) -> None:
+        """Count what became of a hedge, and log it if it was sent."""
+        if reason:
+            self._metrics.count(self._metrics.hedges_refused, call.route.name, reason)
+            return
+        self._metrics.count(self._metrics.hedges, call.route.name, outcome)
+        log_event(
+            "hedge",
+            request_id=call.head.request_id,
+            route=call.route.name,
+            upstream=send.upstream.name,
+            outcome=outcome,
+            after_ms=round((self._now_s() - send.sent_s) * 1000, 1),
+        )
+
     async def _exchange(
         self, call: Call, caller: Caller, send: Send, progress: Progress
     ) -> Outcome:
--- a/jayyoke/edge/progress.py
+++ b/jayyoke/edge/progress.py
@@ -35,6 +35,10 @@
     last_reason: str = ""
     # A send that another upstream has begun to answer, in place of one that is silent.
     replacement: Send | None = None
+    # Whether the first send had no answer when a hedge was due.
+    late: bool = False
+    # Why the call was last not sent to another upstream beside a silent one.
+    not_opened: str = ""
 
     def begin_send(self, assignment: Assignment, now_s: float) -> Send:
         """Count a send and return it."""
--- a/jayyoke/edge/takeover.py
+++ b/jayyoke/edge/takeover.py
@@ -3,11 +3,14 @@
 A silent upstream may be sound: it reads a long prompt, or has preempted the request for a while. So
 its send goes on until another upstream has begun to answer, and whichever answers first serves the
 caller. If no other upstream takes the call, the first one keeps it until the deadline.
+
+A hedge takes the same path earlier and does not suspend the first upstream.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -21,6 +24,7 @@
 from jayyoke.edge.send import Send
 from jayyoke.edge.sender import MIN_TIME_S, SEND_ERRORS, Sender, describe_error
 from jayyoke.edge.stream import MAX_EVENT_BYTES, has_event
+from jayyoke.hedging.hedger import Hedger
 from jayyoke.ops.quarantine import Quarantine
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 from jayyoke.utils.task import cancel_tasks
@@ -41,7 +45,8 @@
 class Takeover:
     """Waits for upstreams, and sends a call to another one while the first is silent.
 
-    `on_broken` is called with sends to other upstreams that have broken off.
+    `on_broken` is called with sends to other upstreams that have broken off, `on_hedge` with what
+    became of a hedge and, if it was refused, the reason.
     """
 
     def __init__(
@@ -51,12 +56,16 @@
         quarantine: Quarantine,
         now_s: Callable[[], float],
         on_broken: Callable[[Call, Send, Progress], Awaitable[None]],
+        hedger: Hedger | None = None,
+        on_hedge: Callable[[Call, Send, str, str], None] | None = None,
     ):
         self._placement = placement
         self._sender = sender
         self._quarantine = quarantine
         self._now_s = now_s
         self._on_broken = on_broken
+        self._hedger = hedger
+        self._on_hedge = on_hedge
 
     async def wait(
         self,
@@ -72,6 +81,102 @@
         Raise TimeoutError at the call's deadline. If nothing is read within the timeout, other
         upstreams are tried meanwhile; raise TakenOver once one of them has begun to answer.
         """
+        began_s = self._now_s()
+        hedge_s = self._find_hedge_wait_s(call, send, progress, silence_timeout_s)
+        if hedge_s is None:
+            return await self._wait_silent(call, caller, send, progress, read, silence_timeout_s)
+        send.timeout = StallTolerantTimeout(hedge_s)
+        try:
+            async with send.timeout:
+                return await read()
+        except TimeoutError:
+            pass
+        silence_left_s = max(0.0, silence_timeout_s - (self._now_s() - began_s))
+        if not self._may_hedge_now(call, send, progress):
+            return await self._wait_silent(call, caller, send, progress, read, silence_left_s)
+        reading = asyncio.ensure_future(read())
+        try:
+            await self._hedge(call, caller, send, progress, reading, silence_left_s)
+            silence_left_s = max(0.0, silence_timeout_s - (self._now_s() - began_s))
+            return await self._wait_silent(
+                call, caller, send, progress, lambda: asyncio.shield(reading), silence_left_s
+            )
+        finally:
+            await cancel_tasks([reading])
+
+    def _find_hedge_wait_s(
+        self, call: Call, send: Send, progress: Progress, silence_timeout_s: float
+    ) -> float | None:
+        """Return the seconds after which the call may be hedged, or None if it is not."""
+        if self._hedger is None or progress.sends > 1 or progress.late:
+            return None
+        if not may_take_over(call, progress):
+            return None
+        delay_s = self._hedger.find_delay_s(call.route, progress.relay.count)
+        if delay_s is None:
+            return None
+        now_s = self._now_s()
+        wait_s = max(0.0, send.sent_s + delay_s - now_s)
+        if wait_s >= min(silence_timeout_s, call.deadline_s - MIN_TIME_S - now_s):
+            return None
+        return wait_s
+
+    def _may_hedge_now(self, call: Call, send: Send, progress: Progress) -> bool:
+        """Record that a call is late, and take its hedge from the route's share."""
+        assert self._hedger is not None
+        now_s = self._now_s()
+        progress.late = True
+        self._hedger.record_late(progress.service, now_s)
+        refusal = self._hedger.spend(call.route, progress.service, now_s)
+        if refusal is not None:
+            self._report_hedge(call, send, "refused", refusal)
+        return refusal is None
+
+    async def _hedge(
+        self,
+        call: Call,
+        caller: Caller,
+        send: Send,
+        progress: Progress,
+        reading: asyncio.Future[T],
+        silence_left_s: float,
+    ) -> None:
+        """Send a call to another upstream too; raise TakenOver if that one answers first."""
+        assert self._hedger is not None
+        sends = progress.sends
+        won = False
+
+        def record_silence() -> None:
+            self._record_silence(call, send, progress)
+
+        try:
+            replacement = await self._open_beside(
+                call, caller, progress, reading, silence_left_s, record_silence
+            )
+            won = replacement is not None and not has_result(reading)
+            if replacement is not None:
+                self._take(call, replacement, progress, reading)
+        finally:
+            if progress.sends > sends:
+                self._report_hedge(call, send, "won" if won else "lost")
+            else:
+                self._hedger.give_back(call.route, self._now_s())
+                self._report_hedge(call, send, "refused", progress.not_opened or "answered")
+
+    def _report_hedge(self, call: Call, send: Send, outcome: str, reason: str = "") -> None:
+        if self._on_hedge is not None:
+            self._on_hedge(call, send, outcome, reason)
+
+    async def _wait_silent(
+        self,
+        call: Call,
+        caller: Caller,
+        send: Send,
+        progress: Progress,
+        read: Callable[[], Awaitable[T]],
+        silence_timeout_s: float,
+    ) -> T:
+        """Return what `read` returns; try other upstreams if that takes longer than the timeout."""
         now_s = self._now_s()
         left_s = call.deadline_s - now_s
         if left_s <= 0.0 and send.is_overdue(now_s):
@@ -85,6 +190,14 @@
         except TimeoutError:
             if not allowed or self._is_over(call):
                 raise
+        self._record_silence(call, send, progress)
+        reading = asyncio.ensure_future(read())
+        try:
+            return await self._read_or_replace(call, caller, progress, reading)
+        finally:
+            await cancel_tasks([reading])
+
+    def _record_silence(self, call: Call, send: Send, progress: Progress) -> None:
         self._sender.record_silence(call, send)
         log_event(
             "upstream-silent",
@@ -94,11 +207,6 @@
             answering=send.answering,
             timer_late_ms=send.timer_late_ms,
         )
-        reading = asyncio.ensure_future(read())
-        try:
-            return await self._read_or_replace(call, caller, progress, reading)
-        finally:
-            await cancel_tasks([reading])
 
     async def _read_or_replace(
         self, call: Call, caller: Caller, progress: Progress, reading: asyncio.Future[T]
@@ -106,16 +214,9 @@
         retry_s = FIRST_RETRY_S
         while True:
             replacement = await self._open_beside(call, caller, progress, reading)
-            if replacement is not None and has_result(reading):
-                # The first upstream has gone on since the other one was chosen.
-                self._leave(call, replacement, progress)
-                return reading.result()
             if replacement is not None:
-                progress.replacement = replacement
-                if reading.done():
-                    # The first upstream broke off meanwhile.
-                    return reading.result()
-                raise TakenOver
+                self._take(call, replacement, progress, reading)
+                return reading.result()
             await self._wait_for(reading, min(retry_s, call.deadline_s - self._now_s()))
             if reading.done():
                 return reading.result()
@@ -123,19 +224,46 @@
                 raise TimeoutError
             retry_s *= 2
 
+    def _take(
+        self, call: Call, replacement: Send, progress: Progress, reading: asyncio.Future[T]
+    ) -> None:
+        """Let a send replace the first one, unless that one has gone on; raise TakenOver."""
+        if has_result(reading):
+            # The first upstream has gone on since the other one was chosen.
+            self._leave(call, replacement, progress)
+            return
+        progress.replacement = replacement
+        if reading.done():
+            # The first upstream broke off meanwhile; this raises its error.
+            reading.result()
+        raise TakenOver
+
     async def _open_beside(
-        self, call: Call, caller: Caller, progress: Progress, reading: asyncio.Future[T]
+        self,
+        call: Call,
+        caller: Caller,
+        progress: Progress,
+        reading: asyncio.Future[T],
+        silence_left_s: float = math.inf,
+        on_silent: Callable[[], None] | None = None,
     ) -> Send | None:
         """Return a send that another upstream answers, or None if there is none in time.
 
-        If the first upstream goes on meanwhile, the other one is left again.
+        If the first upstream goes on meanwhile, the other one is left again. If neither has
+        answered after `silence_left_s` seconds, `on_silent` is called.
         """
         if not may_take_over(call, progress):
             return None
         opening = asyncio.ensure_future(self._open(call, caller, progress))
         wanted = False
         try:
-            await self._wait_for(reading, self._find_opening_limit_s(call, progress), opening)
+            limit_s = self._find_opening_limit_s(call, progress)
+            if on_silent is not None and silence_left_s < limit_s:
+                await self._wait_for(reading, silence_left_s, opening)
+                if not reading.done() and not opening.done():
+                    on_silent()
+                limit_s -= silence_left_s
+            await self._wait_for(reading, limit_s, opening)
             if reading.done() and not has_result(reading):
                 await self._wait_for(opening, call.deadline_s - self._now_s())
             wanted = not has_result(reading)
@@ -154,17 +282,17 @@
     async def _open(self, call: Call, caller: Caller, progress: Progress) -> Send | None:
         """Send the call to another upstream; return the send once it is being answered."""
         if self._quarantine.find_wait_s(progress.part_keys) is not None:
-            return self._give_up(call, "part-quarantined")
+            return self._give_up(call, progress, "part-quarantined")
         assignment = await self._placement.assign(
             call, progress.service, progress.tried, caller.started
         )
         if isinstance(assignment, Refused):
-            return self._give_up(call, assignment.reason)
+            return self._give_up(call, progress, assignment.reason)
         if not progress.budget.spend(self._now_s(), self._placement.instances):
             self._placement.release(
                 progress.service, assignment.upstream, give_back=assignment.limited
             )
-            return self._give_up(call, "no-retry-budget")
+            return self._give_up(call, progress, "no-retry-budget")
         send = progress.begin_send(assignment, self._now_s())
         outcome: Outcome | None = CANCELLED
         try:
@@ -186,7 +314,7 @@
         if isinstance(outcome, NotRun):
             # It may have a place when other upstreams are asked again.
             progress.tried.discard(send.upstream.incarnation)
-        return self._give_up(call, progress.last_reason)
+        return self._give_up(call, progress, progress.last_reason)
 
     async def _open_answer(
         self, call: Call, caller: Caller, send: Send, progress: Progress
@@ -223,7 +351,8 @@
             return min(left_s, find_silence_timeout_s(call))
         return left_s
 
-    def _give_up(self, call: Call, reason: str) -> None:
+    def _give_up(self, call: Call, progress: Progress, reason: str) -> None:
+        progress.not_opened = reason
         log_event("not-taken-over", request_id=call.head.request_id, reason=reason)
 
     def _is_over(self, call: Call) -> bool:
--- a/jayyoke/hedging/window.py
+++ b/jayyoke/hedging/window.py
@@ -24,6 +24,7 @@
             self._slots.append([slot, 0])
         self._slots[-1][1] += count
         self._total += count
+        self.read(now_s)
 
     def read(self, now_s: float) -> int:
         """Return the number of events in the window."""
--- a/jayyoke/ops/metrics.py
+++ b/jayyoke/ops/metrics.py
@@ -55,6 +55,18 @@
             ["fault"],
             registry=registry,
         )
+        self.hedges = Counter(
+            "jayyoke_hedges",
+            "Hedges sent, by whether they answered first.",
+            ["route", "outcome"],
+            registry=registry,
+        )
+        self.hedges_refused = Counter(
+            "jayyoke_hedges_refused",
+            "Late requests that were not hedged, by reason.",
+            ["route", "reason"],
+            registry=registry,
+        )
         self.missed_targets = Counter(
             "jayyoke_targets_missed",
             "Events later than the class's target.",
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -8,7 +8,7 @@
 import random
 import signal
 import sys
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -16,7 +16,7 @@
 import typer
 from aiohttp import web
 
-from jayyoke.core.entrysettings import EntrySettings
+from jayyoke.core.entrysettings import EntrySettings, HedgeSettings
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.registry import UnknownPlugin
 from jayyoke.edge import log
@@ -78,6 +78,7 @@
 
     metrics_port: int = METRICS_PORT
     policy: str = HOME_POLICY
+    hedge_share: float = 0.0
 
 
 class Instance:
@@ -162,6 +163,7 @@
             self.stop_window,
             None if self.duties is None else self.duties.usage,
             settings.admission.send_priority,
+            settings.hedge,
         )
         self.guard = build_reporting_guard(self.metrics, log_refused_clients)
         self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s, self.guard)
@@ -304,6 +306,7 @@
     loop.add_signal_handler(signal.SIGINT, stop.set)
     connector = BoundedConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as http:
+        settings = replace(settings, hedge=HedgeSettings(options.hedge_share))
         instance = Instance(settings, http, options.policy)
         reload = asyncio.Event()
         loop.add_signal_handler(signal.SIGHUP, reload.set)
@@ -378,6 +381,8 @@
         except (OSError, InvalidDocument) as error:
             log_event("reload-failed", error=str(error))
             continue
+        # The command line gives the hedge settings, and the file has none.
+        settings = replace(settings, hedge=instance.settings.hedge)
         known = text
         log_event(
             "reload",
@@ -413,6 +418,9 @@
     policy: Annotated[
         str, typer.Option(help="Order of engines; others than 'home' are baselines.")
     ] = HOME_POLICY,
+    hedge_share: Annotated[
+        float, typer.Option(help="Share of a route's requests to hedge.", min=0.0, max=1.0)
+    ] = 0.0,
 ) -> None:
     """Run an entry instance with the settings file that the environment names."""
     log.start_log(lines_per_s=log_lines_per_s)
@@ -420,7 +428,7 @@
     try:
         text = _read_text(path)
         settings = parse_boot_settings(text, str(path))
-        options = Options(metrics_port, policy)
+        options = Options(metrics_port, policy, hedge_share)
         find_ordering(policy)
     except (OSError, InvalidDocument, UnknownPlugin) as error:
         log_event("settings-unusable", error=str(error))
