Test hedges that fail or stay silent

Cause: no test held a hedge whose upstream refuses, breaks off or fails, and the test of two silent upstreams passed without the suspension at the silence timeout. Change: tests of these on loopback; the suspension is checked while the call runs.

--- a/tests/hedging_test.py
+++ b/tests/hedging_test.py
@@ -21,6 +21,7 @@
 from jayyoke.utils.heldbytes import HeldBytes
 from standin.entryupstream import answer_whole
 from tests.entry_silence_test import (
+    OTHERS,
     WHOLE,
     check_released,
     count_received,
@@ -28,7 +29,7 @@
     start_call,
     write_stream,
 )
-from tests.entryrig import Rig, run_rig
+from tests.entryrig import Rig, run_rig, wait_until
 from tests.streams import read_stream
 
 SHARE = 0.06
@@ -158,7 +159,7 @@
     return {"hedge": HedgeSettings(share=share)}
 
 
-async def _start_hedged(rig: Rig, first, call, path: str, share: float = 1.0):
+async def _start_hedged(rig: Rig, first, call, path: str, share: float = 1.0, second=None):
     """Send a call whose first upstream is `first` to an instance that knows the usual times."""
     original = rig.add_entry
 
@@ -172,7 +173,7 @@
         return entry
 
     rig.add_entry = add_entry
-    second = write_stream() if path == "resume" else answer_whole
+    second = second or (write_stream() if path == "resume" else answer_whole)
     return await start_call(rig, first, [second], call)
 
 
@@ -214,18 +215,37 @@
 
         run_rig(test)
 
-    def test_two_silent_upstreams_are_suspended(self):
+    @pytest.mark.parametrize("other", ["full", "breaks-off", "fails"])
+    def test_failed_hedge_leaves_the_first_answer(self, other):
+        """Guards against a hedge whose failure ends a call that its first upstream answers."""
+
+        async def answer_late(request, writer) -> None:
+            await asyncio.sleep(0.6)
+            await answer_whole(request, writer)
+
+        async def test(rig: Rig) -> None:
+            async def call(entry):
+                return await entry.call("/safe/x", method="GET")
+
+            task, entry = await _start_hedged(rig, answer_late, call, "safe", second=OTHERS[other])
+            assert (await task)[:2] == (200, b"done r1")
+            metrics = entry.instance.metrics
+            assert metrics.hedges.labels("safe", "lost")._value.get() == 1
+            await check_released(rig, entry)
+
+        run_rig(test)
+
+    def test_silent_first_upstream_is_suspended_beside_a_silent_hedge(self):
         """Guards against a hedge that hides an upstream which is silent for long."""
 
         async def test(rig: Rig) -> None:
             async def call(entry):
-                return await entry.call("/safe/x", method="GET", Deadline_Ms="800")
+                return await entry.call("/safe/x", method="GET", Deadline_Ms="1500")
 
-            task, entry = await _start_hedged(rig, say_nothing, call, "safe")
-            for upstream in rig.upstreams[1:]:
-                upstream.script = say_nothing
+            task, entry = await _start_hedged(rig, say_nothing, call, "safe", second=say_nothing)
+            await wait_until(lambda: "u1" in _list_suspended(entry) or task.done())
+            assert not task.done()
             assert (await task)[0] == 504
-            assert "u1" in _list_suspended(entry)
             await check_released(rig, entry)
 
         run_rig(test)
