Move the parts of an instance to a module of their own

Change: the class Instance moves to scripts/instance.py; entry.py keeps the life of the process. Measured: tests of the process, news, duties and hedges pass.

--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -13,7 +13,7 @@
 
 from jayyoke.core.entrysettings import Bounds, EntrySettings, StoreProfile
 from jayyoke.core.entrysettings import DutyService as DutyServiceSettings
-from jayyoke.scripts.entry import Instance
+from jayyoke.scripts.instance import Instance
 from jayyoke.server.listener import Listener
 from jayyoke.utils.task import cancel_tasks
 from standin.entryconfig import HOST, KEY, build_config
