Import the prefill rate from the module that holds it now

Cause: two parts moved and used a constant of the load model side by side; the tests of bench/roomfleet.py could not be collected. Change: one import.

--- a/bench/roomfleet.py
+++ b/bench/roomfleet.py
@@ -13,7 +13,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from bench.chatfleet import PREFILL_TOKENS_PER_S, START_UNIX_S
+from bench.chatfleet import START_UNIX_S
+from bench.chatkinds import PREFILL_TOKENS_PER_S
 from bench.memory import VirtualLoop
 from jayyoke.core.entrysettings import AdmissionSettings, Bounds, ZoneSettings
 from jayyoke.core.route import Route, RouteKind, ServiceShare
