--- a/jayyoke/edge/partexchange.py
+++ b/jayyoke/edge/partexchange.py
@@ -3,8 +3,8 @@
 Each news goes to a few instances chosen at random, which pass it on (epidemic broadcast). An
 instance that hears news all the time, as after the crash of several engines, passes it on twice a
 second, and in a large fleet mostly within its failure domain: 76 instances sent 12,000 messages in
-2 s, two thirds of them to other domains, when each news of such a crash went to five at once.
-Without suspected parts nothing is sent.
+2 s, two thirds of them to other domains, when each news of such a crash went to five at once. Only
+a part that becomes quarantined does not wait. Without suspected parts nothing is sent.
 
 While there are some, each instance asks a random other one from time to time, so that one that was
 cut off or has started again learns them too; the store need not be reachable for that.
@@ -112,6 +112,9 @@
         self._source = source
         self._news: dict[str, None] = {}
         self._changed = asyncio.Event()
+        # Set by a part that is quarantined here for the first time; such news does not wait.
+        self._urgent = asyncio.Event()
+        self._known_quarantined: set[str] = set()
         self._sending: set[asyncio.Task[bool]] = set()
         quarantine.changes.subscribe(self._add_news)
 
@@ -130,7 +133,7 @@
                     asked_s = now_s
                     self._ask(1)
                 if self._changed.is_set():
-                    await asyncio.sleep(self._find_batch_s(self._now_s()))
+                    await self._collect_news(self._find_batch_s(self._now_s()))
                     self._told_s = self._now_s()
                     self._tell_news()
         finally:
@@ -175,13 +178,27 @@
             self._batch_s = min(MAX_BATCH_S, BATCH_FACTOR * self._batch_s)
         return self._batch_s
 
+    async def _collect_news(self, batch_s: float) -> None:
+        await asyncio.sleep(BATCH_S)
+        try:
+            async with asyncio.timeout(batch_s - BATCH_S):
+                await self._urgent.wait()
+        except TimeoutError:
+            return
+
     def _add_news(self, key: str) -> None:
         self._news[key] = None
         self._changed.set()
+        if not self._quarantine.is_quarantined(key):
+            self._known_quarantined.discard(key)
+        elif key not in self._known_quarantined:
+            self._known_quarantined.add(key)
+            self._urgent.set()
 
     def _tell_news(self) -> None:
         news, self._news = list(self._news), {}
         self._changed.clear()
+        self._urgent.clear()
         evidence = [self._quarantine.describe(key) for key in news]
         for batch in split_evidence(evidence):
             for peer in self._choose_receivers():
--- a/jayyoke/edge/partexchange_test.py
+++ b/jayyoke/edge/partexchange_test.py
@@ -214,6 +214,30 @@
 
         run_fleet(60, test, domains=3)
 
+    def test_quarantined_part_does_not_wait_for_other_news(self):
+        """Guards against requests that end engines while their part is known elsewhere."""
+
+        async def test(fleet: Fleet) -> None:
+            exchange = fleet.exchanges["i0"]
+            fleet.end("i0", "other", "e0", ago_s=0.5)
+            await asyncio.sleep(0.1)
+            fleet.end("i0", "deadly", "e1", ago_s=0.5)
+            fleet.end("i0", "deadly", "e2")
+            await fleet.wait_until(lambda: fleet.count_quarantined("deadly") == 6)
+            assert not exchange._news
+
+        exchange_s: list[float] = []
+        original = PartExchange._collect_news
+
+        async def collect(self, batch_s: float) -> None:
+            exchange_s.append(batch_s)
+            await original(self, 60.0 if batch_s > 0.1 else batch_s)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(PartExchange, "_collect_news", collect)
+            run_fleet(6, test)
+        assert max(exchange_s) > 0.1
+
     def test_nothing_is_sent_without_suspects(self):
         """Guards against control traffic on calm days."""
 
--- a/jayyoke/ops/quarantine.py
+++ b/jayyoke/ops/quarantine.py
@@ -89,6 +89,11 @@
         """Return the parts that are held back or on trial."""
         return [key for key, record in self._records.items() if record.hold_s is not None]
 
+    def is_quarantined(self, key: str) -> bool:
+        """Tell whether a part is held back or on trial."""
+        record = self._records.get(key)
+        return record is not None and record.hold_s is not None
+
     def find_wait_s(self, keys: Iterable[str]) -> float | None:
         """Return after how many seconds a request with these parts may be sent, or None for now."""
         if not self._records:
