--- a/jayyoke/edge/follow_test.py
+++ b/jayyoke/edge/feedtimes_test.py
@@ -1,10 +1,11 @@
-"""Tests of how long feeds wait for a change."""
+"""Tests of the times of feeds."""
 
 from __future__ import annotations
 
 import pytest
 
-from jayyoke.edge.follow import RELAY_WAIT_S, find_feed_times
+from jayyoke.edge.feedtimes import find_feed_times
+from jayyoke.edge.follow import RELAY_WAIT_S
 from jayyoke.edge.lapse import MIN_OUTAGE_S
 
 
--- a/jayyoke/edge/follow.py
+++ b/jayyoke/edge/follow.py
@@ -11,10 +11,10 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 
 from jayyoke.admission.exchange import DemandExchange, DemandReport
 from jayyoke.core.error import PeerUnavailable, StoreUnavailable
+from jayyoke.edge.feedtimes import find_feed_times
 from jayyoke.edge.keptrelay import find_digest, select_eras
 from jayyoke.edge.limitexchange import LimitExchange
 from jayyoke.edge.loadexchange import MAX_SHARED_AGE_S, LoadExchange, ReportedLoad
@@ -29,22 +29,10 @@
 from jayyoke.platform.rowstore import HistoryLost, RowStore
 from jayyoke.platform.table import Row
 
-# The store answers a feed after this time even without changes, so a dead feed is noticed soon.
-MIN_FEED_WAIT_S = 0.8
-# Longer gaps between confirmations would look like an outage to `lapse.LapseGrace`.
-MAX_FEED_WAIT_S = 1.4
-# Of the time within which a configuration has to be in force, this is left for noticing that a
-# follower is lost (0.7 s beyond its wait) and for reading the store without it.
-CONVERGE_MARGIN_S = 1.6
 # How long a follower holds the request of another instance while nothing changes.
 RELAY_WAIT_S = 0.4
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
-# A follower whose tables are older than a feed's wait and this asks other instances.
-STALE_SLACK_S = 0.5
-# The wait at a follower, and some time for the transfer. An instance whose tables are older than
-# a feed's wait and this follows the store itself.
-RELAYED_SLACK_S = 0.7
 # How often an instance checks whether its followers still supply it with rows.
 CHECK_PERIOD_S = 0.1
 # The fraction of the link that table changes may use, and the longest pause between them: a third
@@ -59,21 +47,6 @@
 ERA_ASK_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class FeedTimes:
-    """Holds how long a feed waits for a change, and from which age on tables count as stale."""
-
-    wait_s: float
-    stale_s: float
-    relayed_stale_s: float
-
-
-def find_feed_times(converge_s: float) -> FeedTimes:
-    """Return the times for a bound on the time until a configuration is in force."""
-    wait_s = min(MAX_FEED_WAIT_S, max(MIN_FEED_WAIT_S, converge_s - CONVERGE_MARGIN_S))
-    return FeedTimes(wait_s, wait_s + STALE_SLACK_S, wait_s + RELAYED_SLACK_S)
-
-
 def count_bytes(rows: Iterable[Row]) -> int:
     """Return the transfer size of rows in bytes; base64 makes them a third larger."""
     return sum(len(row.value) for row in rows) * 4 // 3
--- a/tests/entry_news_test.py
+++ b/tests/entry_news_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from jayyoke.core.entrysettings import Bounds
-from jayyoke.edge.follow import find_feed_times
+from jayyoke.edge.feedtimes import find_feed_times
 from standin.entryconfig import build_config, build_route
 from standin.entryupstream import answer_whole
 from standin.rowstore import Fault
