--- a/jayyoke/edge/choose.py
+++ b/jayyoke/edge/choose.py
@@ -100,7 +100,7 @@
         ...
 
     def is_starting(self, candidates: Sequence[Candidate]) -> bool:
-        """Tell whether no request should go to its home, since loads are not known yet."""
+        """Tell whether short prompts should not go home, since loads are not known yet."""
         ...
 
     def order(self, candidates: Sequence[Candidate]) -> list[Candidate]:
