Move the caller of a request to a module of its own

Change: HttpCaller and Stage stand in server/httpcaller.py; nothing else changes. Measured: tests of the entry, of its stop and of bodies pass.

--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -6,9 +6,8 @@
 import contextlib
 import random
 from collections.abc import Callable
-from enum import Enum
 
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 
 from jayyoke.core.entrysettings import Bounds
 from jayyoke.core.route import CallerLimits
@@ -30,8 +29,8 @@
 from jayyoke.server.boundedhandler import RefusedConnection
 from jayyoke.server.callerconnection import CallerConnection
 from jayyoke.server.closingsockets import ClosingSockets
+from jayyoke.server.httpcaller import HttpCaller, Stage, awaits_continue
 from jayyoke.server.inputguard import InputGuard, build_guard, listen
-from jayyoke.utils.pipelining import has_next_request
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 # Time limit of a body, counted once its head has been read.
@@ -135,7 +134,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = self._now_s()
         head = decode_request(request.raw_headers)
-        caller = _HttpCaller(request, self)
+        caller = HttpCaller(request, lambda: self.draining)
         task = asyncio.current_task()
         assert task is not None
         self._calls.add(task)
@@ -173,7 +172,7 @@
         self,
         request: web.BaseRequest,
         head: RequestHead,
-        caller: _HttpCaller,
+        caller: HttpCaller,
         held: HeldBody,
         arrived_s: float,
     ) -> web.StreamResponse:
@@ -221,15 +220,15 @@
             config_version=admitted.config_version,
         )
 
-    async def _answer_stopped(self, head: RequestHead, caller: _HttpCaller) -> web.StreamResponse:
+    async def _answer_stopped(self, head: RequestHead, caller: HttpCaller) -> web.StreamResponse:
         """Answer a request that the end of the process cuts off before its answer has begun."""
-        if caller.stage is _Stage.SENT:
+        if caller.stage is Stage.SENT:
             return await self._reject(head, caller, Rejected(504, "stopped"))
         retry_after_s = random.uniform(*STOPPING_RETRY_S)
         return await self._reject(head, caller, Rejected(503, "stopping", retry_after_s))
 
     async def _reject(
-        self, head: RequestHead, caller: _HttpCaller, decision: Rejected
+        self, head: RequestHead, caller: HttpCaller, decision: Rejected
     ) -> web.StreamResponse:
         log_event(
             "rejected",
@@ -249,108 +248,6 @@
         return caller.response
 
 
-class _Stage(Enum):
-    """How far a request has come."""
-
-    RECEIVING = "receiving"
-    WAITING = "waiting"
-    SENT = "sent"
-    ANSWERING = "answering"
-
-
-class _HttpCaller:
-    """Writes one answer to the caller's connection."""
-
-    __slots__ = ("_listener", "_request", "response", "stage")
-
-    def __init__(self, request: web.BaseRequest, listener: EntryListener):
-        self._request = request
-        self._listener = listener
-        self.response: web.StreamResponse | None = None
-        self.stage = _Stage.RECEIVING
-
-    @property
-    def started(self) -> bool:
-        """Tell whether sending the answer has begun."""
-        return self.response is not None
-
-    @property
-    def _may_leave_body_unsent(self) -> bool:
-        """Tell whether the next bytes may be the body or, if the caller drops it, a request."""
-        return _awaits_continue(self._request) and not self._request.content.is_eof()
-
-    @property
-    def _is_last(self) -> bool:
-        """Tell whether the connection is to be closed after this answer."""
-        if self._may_leave_body_unsent:
-            return True
-        return self._listener.draining and not has_next_request(self._request)
-
-    def note_received(self) -> None:
-        """Record that the request is whole."""
-        self.stage = _Stage.WAITING
-
-    def note_sent(self) -> None:
-        """Record that the request was sent to an upstream, and so may have run."""
-        if not self.started:
-            self.stage = _Stage.SENT
-
-    async def start(
-        self, status: int, phrase: str, headers: tuple[tuple[str, str], ...], length: int | None
-    ) -> None:
-        """Send the head; raise CallerGone."""
-        response = web.StreamResponse(status=status, reason=phrase or None)
-        for name, value in headers:
-            response.headers.add(name, value)
-        if length is not None:
-            response.content_length = length
-        if self._is_last:
-            response.force_close()
-        self.response = response
-        self.stage = _Stage.ANSWERING
-        try:
-            await response.prepare(self._request)
-        except ConnectionError as error:
-            raise CallerGone(str(error)) from error
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body; raise CallerGone."""
-        assert self.response is not None
-        if not data:
-            return
-        try:
-            await self.response.write(data)
-        except ConnectionError as error:
-            raise CallerGone(str(error)) from error
-
-    async def finish(self) -> None:
-        """End a whole answer; raise CallerGone."""
-        assert self.response is not None
-        try:
-            await self.response.write_eof()
-        except ConnectionError as error:
-            raise CallerGone(str(error)) from error
-
-    def cut(self) -> None:
-        """End an unfinished answer, so that it does not look whole."""
-        if self._request.version < HttpVersion11:
-            # Its answers have no chunks, so an orderly close would end them.
-            connection = self._request.protocol
-            assert isinstance(connection, CallerConnection)
-            connection.reset()
-
-    def abort(self) -> None:
-        """Close the connection, so that an unfinished answer does not look whole."""
-        self.cut()
-        transport = self._request.transport
-        if transport is not None:
-            transport.abort()
-
-
-def _awaits_continue(request: web.BaseRequest) -> bool:
-    return request.headers.get("Expect", "").lower() == "100-continue"
-
-
 async def _read_body(
     request: web.BaseRequest, limits: CallerLimits, held: HeldBody | None
 ) -> bytes | Rejected | None:
@@ -361,7 +258,7 @@
     try:
         if held is not None:
             check_length(request.content_length, limits.body_bytes, held)
-        if _awaits_continue(request) and request.transport:
+        if awaits_continue(request) and request.transport:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         async with StallTolerantTimeout(BODY_TIMEOUT_S):
             if held is None:
