Read the memory of a machine from the settings

Cause: the limits of what clients may hold were constants for one size of machine. Change: limits.ramMb of an entry instance's settings and memory_bytes of jayyoked's are read, in bytes, 300 MB by default. Nothing uses them yet. Measured: tests of both settings.

--- a/jayyoke/core/entrysettings.py
+++ b/jayyoke/core/entrysettings.py
@@ -6,6 +6,8 @@
 import math
 from dataclasses import dataclass, field
 
+from jayyoke.core.machine import DEFAULT_MEMORY_BYTES
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -120,6 +122,7 @@
     first_start: bool = False
     bounds: Bounds = Bounds()
     link_bytes_per_s: float = 125e6
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     duty_service: DutyService | None = None
     zones: ZoneSettings = ZoneSettings()
     admission: AdmissionSettings = AdmissionSettings()
--- a/jayyoke/parser/settings.py
+++ b/jayyoke/parser/settings.py
@@ -8,6 +8,7 @@
 from urllib.parse import urlsplit
 
 from jayyoke.core.error import InvalidDocument
+from jayyoke.core.machine import DEFAULT_MEMORY_BYTES
 from jayyoke.parser.document import Document
 from jayyoke.parser.section import Section
 
@@ -15,6 +16,9 @@
 MIN_STOP_GRACE_S = 1.0
 MAX_STOP_GRACE_S = 3600.0
 DEFAULT_STOP_GRACE_S = 70.0
+# A process needs more than half of it without any client.
+MIN_MEMORY_BYTES = 100_000_000
+MAX_MEMORY_BYTES = 10**12
 LOG_LEVELS = ("debug", "info", "warning", "error")
 _ADDRESS_FORM = "IP number and port, such as 10.0.0.7:8080"
 _URL_FORM = "a URL such as http://10.0.0.5:7000"
@@ -45,6 +49,8 @@
     peer_listen_address: str = ""
     # Time between SIGTERM and the kill of the process.
     stop_grace_s: float = DEFAULT_STOP_GRACE_S
+    # Memory that the process may use.
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
     @property
     def source(self) -> str:
@@ -82,6 +88,9 @@
         stop_grace_s=section.duration(
             "stop_grace", DEFAULT_STOP_GRACE_S, MIN_STOP_GRACE_S, MAX_STOP_GRACE_S
         ),
+        memory_bytes=section.count(
+            "memory_bytes", DEFAULT_MEMORY_BYTES, MIN_MEMORY_BYTES, MAX_MEMORY_BYTES
+        ),
     )
     _check_distinct(section, settings)
     section.reject_unknown_keys()
--- a/jayyoke/parser/settings_test.py
+++ b/jayyoke/parser/settings_test.py
@@ -39,6 +39,14 @@
         settings = parse_settings(yaml.safe_dump(GOOD | own), "file.yaml")
         assert (settings.source, settings.peer_listener) == ("127.20.0.1", "127.20.0.1:9")
 
+    def test_memory_is_in_bytes(self):
+        """Guards against limits that are derived from another machine's memory."""
+        settings = parse_settings(yaml.safe_dump(GOOD | {"memory_bytes": "200M"}), "file.yaml")
+        assert settings.memory_bytes == 200_000_000
+        assert parse_settings(yaml.safe_dump(GOOD), "file.yaml").memory_bytes == 300_000_000
+        with pytest.raises(InvalidDocument):
+            parse_settings(yaml.safe_dump(GOOD | {"memory_bytes": 5}), "file.yaml")
+
     @pytest.mark.parametrize(
         "changes",
         [
--- a/jayyoke/platform/boot.py
+++ b/jayyoke/platform/boot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from typing import Any
 
@@ -16,6 +17,7 @@
 )
 from jayyoke.core.error import InvalidDocument
 from jayyoke.core.finding import Finding
+from jayyoke.core.machine import DEFAULT_MEMORY_BYTES
 from jayyoke.platform.address import is_address
 
 _REQUIRED = {
@@ -62,12 +64,18 @@
         first_start=document.get("bootstrap") is True,
         bounds=_parse_bounds(_get_table(document, "bounds")),
         link_bytes_per_s=_get_number(limits, "bandwidthMbps", 1000.0) * 1e6 / 8,
+        memory_bytes=_parse_memory(limits),
         duty_service=_parse_duty_service(_get_table(document, "cloudApi")),
         zones=zones,
         admission=admission,
     )
 
 
+def _parse_memory(limits: dict[str, Any]) -> int:
+    memory_bytes = _get_number(limits, "ramMb", 0.0) * 1e6
+    return int(memory_bytes) if 0 < memory_bytes < math.inf else DEFAULT_MEMORY_BYTES
+
+
 def _parse_zones(table: dict[str, Any], file: str, findings: list[Finding]) -> ZoneSettings:
     """Return which requests prefer a failure domain, from a table of the operator's own."""
     default = ZoneSettings()
--- a/jayyoke/platform/boot_test.py
+++ b/jayyoke/platform/boot_test.py
@@ -102,3 +102,17 @@
             parse_boot_settings(text, "boot.toml")
         keys = {finding.key for finding in caught.value.findings}
         assert keys == {"admission.enabled", "domains.longHomes"}
+
+
+class TestMemory:
+    """Tests the memory of the machine."""
+
+    @pytest.mark.parametrize(
+        ("text", "expected_bytes"),
+        [("200", 200_000_000), ("0.5", 500_000), ("0", 300_000_000), ("inf", 300_000_000)],
+    )
+    def test_memory_is_in_bytes(self, text, expected_bytes):
+        """Guards against limits that are derived from no memory."""
+        settings = parse_boot_settings(f"{TEXT}[limits]\nramMb = {text}\n", "boot.toml")
+        assert settings.memory_bytes == expected_bytes
+        assert parse_boot_settings(TEXT, "boot.toml").memory_bytes == 300_000_000
