Show crowds within the limits that take a process over the memory of its machine

Cause: requests that are inside the limits one by one fill the memory together: long bodies, bodies that do not end, bodies behind a request, answers that nobody reads. No limit counts the transport's copies, what the system has received and the process has not read, nor the size of the machine.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(PY) -m standin.demo --deployment $(DEPLOYMENT) --seed $(SEED)
 
 test: venv
-	$(PY) -m pytest -n $(TEST_PROCESSES)
+	$(PY) -m pytest -n $(TEST_PROCESSES) -m "not crowd"
+	$(PY) -m pytest -m crowd
 
 bench: venv
 	$(PY) -m bench --seed $(SEED)
--- a/standin/abusiveclients.py
+++ b/standin/abusiveclients.py
@@ -4,18 +4,25 @@
 
 import asyncio
 import contextlib
+import socket
 from dataclasses import dataclass
 
 BLOCK_BYTES = 16 << 10
+# What the system takes for a client that does not read.
+UNREAD_BYTES = 4 << 10
 
 
 @dataclass(frozen=True, slots=True)
 class Form:
-    """Holds what a client sends first, and what it repeats; `pause_s` lies between blocks."""
+    """Holds what a client sends first, and what it repeats; `pause_s` lies between blocks.
+
+    A client that is not `reading` leaves answers where the system holds them.
+    """
 
     opening: bytes
     block: bytes
     pause_s: float = 0.0
+    reading: bool = True
 
 
 def build_forms(head: str, post_head: str, slow_pause_s: float = 0.05) -> dict[str, Form]:
@@ -67,9 +74,16 @@
         self.ended = 0
 
     async def send(self, limit_s: float) -> None:
-        """Send until every client is done, closed or blocked for good, at most `limit_s`."""
+        """Send until every client is done, closed or blocked for good, at most `limit_s`.
+
+        Clients that do not read stay as long, since their answers go on.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
         self._tasks = [asyncio.create_task(self._run_client()) for _ in range(self._count)]
         await asyncio.wait(self._tasks, timeout=limit_s)
+        if not self._form.reading:
+            await asyncio.sleep(max(0.0, end_s - loop.time()))
 
     async def close(self) -> None:
         """Close every connection."""
@@ -79,9 +93,26 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    async def _connect(self) -> asyncio.StreamWriter:
+        """Return a new connection; raise OSError."""
+        if self._form.reading:
+            _, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            return writer
+        opened = socket.socket()
+        opened.setblocking(False)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+        try:
+            await asyncio.get_running_loop().sock_connect(opened, ("127.0.0.1", self._port))
+        except OSError:
+            opened.close()
+            raise
+        _, writer = await asyncio.open_connection(sock=opened)
+        writer.transport.pause_reading()
+        return writer
+
     async def _run_client(self) -> None:
         with contextlib.suppress(OSError):
-            _, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            writer = await self._connect()
             self._writers.append(writer)
             writer.write(self._form.opening)
             sent_bytes = 0
