Derive what clients may hold from the memory of the machine

Callers saw: an entry process that the platform kills for its memory, with every request in it, while each client kept to the limits. Cause: bodies of 80 MiB, 16 MiB of input and as many connections as descriptors allow were constants, whatever memory the machine has; nobody had added them up with the process and what the system holds unread. Change: jayyoke/inputlimits/memoryplan.py divides the memory less 70 MB for the process: bodies, small bodies, input, connections. Machines of 300 MB keep the limits of before, but for connections (2,159 of 26 KiB each instead of 3,075). No client inside the platform's limits meets them: a 200 MB machine takes 1,220 connections.

--- a/jayyoke/ops/bodybudget.py
+++ b/jayyoke/ops/bodybudget.py
@@ -9,12 +9,17 @@
 
 
 class BodyBudget:
-    """Decides which bodies a process holds."""
+    """Decides which bodies a process holds; small ones may use `reserve_bytes` beyond the limit."""
 
-    __slots__ = ("_limit_bytes", "_total_bytes")
+    __slots__ = ("_limit_bytes", "_reserve_bytes", "_total_bytes")
 
-    def __init__(self, limit_bytes: int = MAX_HELD_BYTES):
+    def __init__(
+        self,
+        limit_bytes: int = MAX_HELD_BYTES,
+        reserve_bytes: int = SMALL_BODIES_RESERVE_BYTES,
+    ):
         self._limit_bytes = limit_bytes
+        self._reserve_bytes = reserve_bytes
         self._total_bytes = 0
 
     @property
@@ -32,7 +37,7 @@
             return True
         limit_bytes = self._limit_bytes
         if body_bytes <= SMALL_BODY_BYTES:
-            limit_bytes += SMALL_BODIES_RESERVE_BYTES
+            limit_bytes += self._reserve_bytes
         return others_bytes + body_bytes <= limit_bytes
 
     def change(self, by_bytes: int) -> None:
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -15,6 +15,7 @@
 
 from jayyoke.core import registry
 from jayyoke.core.error import InvalidDocument
+from jayyoke.inputlimits.memoryplan import plan_memory
 from jayyoke.ops.decisionlog import log_end
 from jayyoke.ops.node import Node
 from jayyoke.ops.plainservice import open_single_session
@@ -66,11 +67,14 @@
         node = build_node(settings, http, http_single)
         await node.peers.start()
         tasks = [asyncio.create_task(coroutine) for coroutine in list_coroutines(node)]
+        plan = plan_memory(settings.memory_bytes)
         guard = build_reporting_guard(
             node.metrics,
             lambda reason, count: logging.warning("%d connections closed: %s", count, reason),
+            plan,
         )
-        callers = await _listen(CallerServer(node).build(), settings.caller_address, guard)
+        caller_app = CallerServer(node, plan=plan).build()
+        callers = await _listen(caller_app, settings.caller_address, guard)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address, guard)
         _tune_garbage_collector()
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
--- a/jayyoke/scripts/instance.py
+++ b/jayyoke/scripts/instance.py
@@ -28,6 +28,7 @@
 from jayyoke.edge.storeera import StoreEra
 from jayyoke.edge.storereturn import build_row_writer, connect_era
 from jayyoke.edge.view import FleetView
+from jayyoke.inputlimits.memoryplan import plan_memory
 from jayyoke.ops.endobserver import EndObserver, ObservedEnd
 from jayyoke.ops.metrics import Metrics
 from jayyoke.ops.quarantine import Quarantine
@@ -129,8 +130,11 @@
             settings.admission.send_priority,
             settings.hedge,
         )
-        self.guard = build_reporting_guard(self.metrics, log_refused_clients)
-        self.listener = EntryListener(self.view, self.forwarder, settings.bounds, now_s, self.guard)
+        plan = plan_memory(settings.memory_bytes)
+        self.guard = build_reporting_guard(self.metrics, log_refused_clients, plan)
+        self.listener = EntryListener(
+            self.view, self.forwarder, settings.bounds, now_s, self.guard, plan
+        )
         self.relay = RelayServer(
             self.view,
             self.placement.load_exchange,
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -16,6 +16,7 @@
 from jayyoke.core.error import Refusal, RunState
 from jayyoke.core.registry import find_plugin
 from jayyoke.core.request import CallerRequest
+from jayyoke.inputlimits.memoryplan import MemoryPlan, plan_memory
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.deadline import DEADLINE_HEADER, parse_deadline
 from jayyoke.ops.decisionlog import log_end, log_refusal
@@ -42,11 +43,14 @@
 class CallerServer:
     """Authenticates callers, parses requests and hands them to class plug-ins."""
 
-    def __init__(self, node: Node, body_timeout_s: float = BODY_TIMEOUT_S):
+    def __init__(
+        self, node: Node, body_timeout_s: float = BODY_TIMEOUT_S, plan: MemoryPlan | None = None
+    ):
         self._node = node
         self._body_timeout_s = body_timeout_s
         self._in_progress: set[tuple[str, str]] = set()
-        self._bodies = BodyBudget()
+        plan = plan or plan_memory()
+        self._bodies = BodyBudget(plan.body_bytes, plan.small_body_bytes)
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -16,6 +16,7 @@
 from jayyoke.edge.forward import Forwarder
 from jayyoke.edge.log import log_event
 from jayyoke.edge.view import FleetView
+from jayyoke.inputlimits.memoryplan import MemoryPlan, plan_memory
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
 from jayyoke.ops.stopwindow import STOPPING_RETRY_S
 from jayyoke.platform.message import RequestHead, decode_request
@@ -53,6 +54,7 @@
         bounds: Bounds,
         now_s: Callable[[], float],
         guard: InputGuard | None = None,
+        plan: MemoryPlan | None = None,
     ):
         self._view = view
         self._forwarder = forwarder
@@ -63,7 +65,8 @@
         self._server: asyncio.Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._ending = False
-        self._bodies = BodyBudget()
+        plan = plan or plan_memory()
+        self._bodies = BodyBudget(plan.body_bytes, plan.small_body_bytes)
         self._closing = ClosingSockets()
         self.draining = False
 
--- a/jayyoke/server/inputguard.py
+++ b/jayyoke/server/inputguard.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from jayyoke.inputlimits.budget import Client, InputBudget, derive_connection_limit
+from jayyoke.inputlimits.memoryplan import MemoryPlan, plan_memory
 from jayyoke.inputlimits.refusals import Reason, RefusalLog
 
 # Connections that the system accepts before the process takes them.
@@ -104,10 +105,12 @@
         connection.cut_off()
 
 
-def build_guard(report: Report | None = None) -> InputGuard:
-    """Return the guard of a process with the limits that its descriptors allow."""
+def build_guard(report: Report | None = None, plan: MemoryPlan | None = None) -> InputGuard:
+    """Return the guard of a process with the limits that its descriptors and memory allow."""
+    plan = plan or plan_memory()
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return InputGuard(InputBudget(derive_connection_limit(descriptors)), report)
+    connections = min(derive_connection_limit(descriptors), plan.connections)
+    return InputGuard(InputBudget(connections, plan.input_bytes), report)
 
 
 async def listen(
