Write bodies to upstreams in parts

Cause: the transport copies what the upstream does not take at once, so each body was held twice, once uncounted. aiohttp's client does the same in jayyoked. Change: UpstreamConnection writes 32 KiB and goes on when the transport is empty; what has not been written counts as unsent for reuse, early answers and usage. jayyoked passes bodies over 32 KiB as PartedPayload.

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -40,10 +40,11 @@
 STATUSES = range(100, 600)
 # Read and parsed at once: the parser makes an object of each tiny answer and chunk.
 PARSED_BYTES = 16 << 10
-# Bodies of up to this size are copied to be written together with the head, in one call.
-JOINED_BODY_BYTES = 64 << 10
+# What is written at once of a request; the transport copies what the upstream does not take.
+SENT_BYTES = 32 << 10
 # All connections share it, since its bytes are parsed before the next read of any of them.
 _read_buffer = bytearray(PARSED_BYTES)
+_NOTHING = memoryview(b"")
 
 
 class UpstreamConnection(BaseProtocol, asyncio.BufferedProtocol):
@@ -62,9 +63,16 @@
         self._broken = False
         self._idle = True
         self._reused = False
+        self._unsent = _NOTHING
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of the request have not been passed to the system."""
+        waiting = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return len(self._unsent) + waiting
+
     @property
     def reusable(self) -> bool:
         """Tell whether the connection is open and got no bytes outside of an answer."""
@@ -74,12 +82,14 @@
             and not self._not_reusable
             and not self._answers
             and (self._payload is None or self._payload.is_eof())
-            and self.transport.get_write_buffer_size() == 0
+            and not self.unsent_bytes
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect a dead connection."""
         super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=0)
         set_liveness_options(transport.get_extra_info("socket"))
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -134,12 +144,14 @@
         """
         payload = self._newest_payload
         unfinished = payload is None or not payload.is_eof()
-        if not self._idle and unfinished and count_unwritten_bytes(self.transport):
+        unwritten = self._unsent or count_unwritten_bytes(self.transport)
+        if not self._idle and unfinished and unwritten:
             self._break("the upstream ended its answer before the request was written")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the answer: complete if it has no length and the end was orderly, else broken."""
         super().connection_lost(exc)
+        self._unsent = _NOTHING
         # The system ends a connection with a timeout if its other end acknowledges nothing.
         kind = PathLost if isinstance(exc, TimeoutError) else AnswerBroken
         self._fail(kind(f"the connection ended: {exc or 'closed by the upstream'}"))
@@ -181,12 +193,14 @@
         self._newest_payload = None
         self._received = 0
         self._head_received = 0
-        if len(body) <= JOINED_BODY_BYTES:
-            self.transport.write(head + body)
-            return
-        self.transport.write(head)
-        # The transport copies what the upstream does not take at once.
-        self.transport.write(memoryview(body))
+        self._unsent = memoryview(body)[SENT_BYTES:]
+        self.transport.write(head + body[:SENT_BYTES])
+        self._send_parts()
+
+    def resume_writing(self) -> None:
+        """Write more of the body, since the upstream has taken what was written."""
+        super().resume_writing()
+        self._send_parts()
 
     async def receive(self, request_id: str) -> Answer:
         """Return the answer to the request sent last; raise AnswerBroken or AnswerMismatched.
@@ -235,6 +249,17 @@
                 self._waiter = None
         return self._answers.popleft()
 
+    def _send_parts(self) -> None:
+        """Write the body in parts until the upstream does not take one at once."""
+        transport = self.transport
+        while self._unsent and not self._paused and transport and not transport.is_closing():
+            part = self._unsent[:SENT_BYTES]
+            self._unsent = self._unsent[SENT_BYTES:]
+            transport.write(part)
+        if not self._unsent:
+            # An empty view would keep the body.
+            self._unsent = _NOTHING
+
     def _break(self, reason: str) -> None:
         """Abort the connection and its answer, since the upstream's answer is invalid."""
         self._broken = True
--- a/jayyoke/edge/usagerecorder.py
+++ b/jayyoke/edge/usagerecorder.py
@@ -80,13 +80,14 @@
 
     An upstream that has ended since has got it as well, as far as can be known.
     """
-    transport = None if send.connection is None else send.connection.transport
-    if transport is None:
+    connection = send.connection
+    transport = None if connection is None else connection.transport
+    if connection is None or transport is None:
         return True
     opened: socket.socket | None = transport.get_extra_info("socket")
     if opened is None or opened.fileno() < 0:
         return True
-    if transport.get_write_buffer_size() > 0:
+    if connection.unsent_bytes:
         return False
     try:
         packed = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
--- a/jayyoke/ops/forward.py
+++ b/jayyoke/ops/forward.py
@@ -21,6 +21,7 @@
 from jayyoke.platform.message import decode_notice
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.heldbytes import HeldBytes
+from jayyoke.utils.partedpayload import build_payload
 from jayyoke.utils.sockets import build_socket_factory
 
 CONNECT_TIMEOUT_S = 1.0
@@ -139,7 +140,7 @@
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 answer = await session.post(
                     self._get_url(upstream),
-                    data=request.body,
+                    data=build_payload(request.body),
                     headers=headers,
                     timeout=self._timeout,
                     # A redirect would send the request a second time.
@@ -307,7 +308,7 @@
         async with http.request(
             request.method,
             url,
-            data=request.body,
+            data=build_payload(request.body),
             headers=headers,
             timeout=timeout,
             allow_redirects=False,
