Bound what the system keeps of a connection until it is read

Cause: the system's own receive buffers, 115 KB for each client of a process that stands still; a crowd fills them within one turn of the event loop, before anything can be counted. Connections to upstreams had them too. Change: listeners of HTTP keep 16 KiB for each connection, which the plan counts, and connections to upstreams 64 KiB.

--- a/jayyoke/edge/connection.py
+++ b/jayyoke/edge/connection.py
@@ -40,6 +40,8 @@
 STATUSES = range(100, 600)
 # Read and parsed at once: the parser makes an object of each tiny answer and chunk.
 PARSED_BYTES = 16 << 10
+# Bytes that the system keeps of an answer until they are read.
+RECEIVE_BYTES = 64 << 10
 # What is written at once of a request; the transport copies what the upstream does not take.
 SENT_BYTES = 32 << 10
 # All connections share it, since its bytes are parsed before the next read of any of them.
@@ -90,7 +92,10 @@
         super().connection_made(transport)
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(high=0)
-        set_liveness_options(transport.get_extra_info("socket"))
+        opened = transport.get_extra_info("socket")
+        set_liveness_options(opened)
+        if opened is not None:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES // 2)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next bytes."""
--- a/jayyoke/server/inputguard.py
+++ b/jayyoke/server/inputguard.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from jayyoke.inputlimits.budget import Client, InputBudget, derive_connection_limit
-from jayyoke.inputlimits.memoryplan import MemoryPlan, plan_memory
+from jayyoke.inputlimits.memoryplan import RECEIVE_BYTES, MemoryPlan, plan_memory
 from jayyoke.inputlimits.refusals import Reason, RefusalLog
 
 # Connections that the system accepts before the process takes them.
@@ -129,5 +129,7 @@
     server = await loop.create_server(build_protocol, host, int(port), backlog=at_once)
     for listening in server.sockets:
         with socket.socket(fileno=os.dup(listening.fileno())) as duplicate:
+            # Connections inherit it; the system doubles the value.
+            duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES // 2)
             duplicate.listen(MAX_BACKLOG)
     return server
