Return large blocks to the system when they are freed

Callers saw: memory that grows with each crowd of large bodies, and is not given back. Cause: the first large block that is freed raises the size from which glibc returns blocks (mallopt(3)); later bodies grow within the heap, and small blocks between them keep it. Change: both processes fix that size at its first value when they start.

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -27,6 +27,7 @@
 from jayyoke.server.inputguard import InputGuard
 from jayyoke.server.listener import CLOSE_TIMEOUT_S, Listener
 from jayyoke.server.operator import OperatorServer
+from jayyoke.utils.allocator import return_large_blocks
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.sockets import build_socket_factory
 from jayyoke.utils.task import cancel_tasks
@@ -163,6 +164,7 @@
         return
     logging.set_verbosity(_LEVELS[parsed.log_level])
     logging.use_absl_handler()
+    return_large_blocks()
     asyncio.run(run_daemon(parsed))
 
 
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -28,6 +28,7 @@
 from jayyoke.server.inputguard import InputGuard
 from jayyoke.server.listener import Listener
 from jayyoke.server.metrics import add_metrics_route
+from jayyoke.utils.allocator import return_large_blocks
 from jayyoke.utils.connector import BoundedConnector
 from jayyoke.utils.task import cancel_tasks
 
@@ -187,6 +188,7 @@
         log_event("settings-unusable", error=str(error))
         sys.exit(EXIT_USAGE)
     gc.set_threshold(GC_THRESHOLD)
+    return_large_blocks()
     asyncio.run(run_instance(path, text, settings, options))
     log.flush_log(LOG_FLUSH_S)
     # The interpreter would spend a good part of the grace on freeing its objects.
