Count what waits for clients that do not read their answers

Cause: the limit on input counted an answer in the transport once, and only from 32 KiB on; not the copy in its handler, what waits at the connection to the upstream, nor answers that have not come whole. Change: writes wait from 8 KiB on; a client that does not read counts with both copies and with 96 KiB that wait behind it; long answers are written to callers in parts of 16 KiB; buffered answers and incomplete events have a share of the memory, beyond which answers are passed on as they come.

--- a/jayyoke/edge/answerrelay.py
+++ b/jayyoke/edge/answerrelay.py
@@ -12,28 +12,36 @@
 from jayyoke.edge.send import Send
 from jayyoke.edge.takeover import Takeover, find_silence_timeout_s
 from jayyoke.platform.message import select_answer_headers
+from jayyoke.utils.heldbytes import HeldBytes
 from jayyoke.utils.stalltimeout import StallTolerantTimeout
 
 # Answers up to this size, other than streams, are buffered before they are passed on, so that a
 # broken one never looks complete and its request can be repeated.
 MAX_BUFFERED_ANSWER_BYTES = 256 << 10
+# The limit of an answer while all buffered ones together hold too much.
+MAX_CROWDED_ANSWER_BYTES = 16 << 10
 # Another upstream is asked for the rest of a stream that pauses for this multiple of its target.
 PAUSE_FACTOR = 3.0
 MIN_PAUSE_S = 0.9
 
 
 class AnswerRelay:
-    """Relays answers; `on_events` is called after each part of a stream with whole events."""
+    """Relays answers; `on_events` is called after each part of a stream with whole events.
+
+    `held` counts the bytes of all answers that are buffered.
+    """
 
     def __init__(
         self,
         now_s: Callable[[], float],
         takeover: Takeover,
         on_events: Callable[[Call, Send, Progress], None],
+        held: HeldBytes,
     ):
         self._now_s = now_s
         self._takeover = takeover
         self._on_events = on_events
+        self._held = held
 
     async def relay(
         self, call: Call, caller: Caller, answer: Answer, send: Send, progress: Progress
@@ -43,13 +51,29 @@
             return await self._relay_stream(call, caller, answer, send, progress)
         return await self._relay_whole(call, caller, answer, send)
 
+    @property
+    def _buffer_bytes(self) -> int:
+        """Return how much of an answer may be buffered now."""
+        return MAX_CROWDED_ANSWER_BYTES if self._held.exceeded else MAX_BUFFERED_ANSWER_BYTES
+
     async def _relay_whole(self, call: Call, caller: Caller, answer: Answer, send: Send) -> Outcome:
-        headers = tuple(select_answer_headers(answer.raw_headers))
         body = b""
-        send.timeout = StallTolerantTimeout(call.deadline_s - self._now_s())
-        async with send.timeout:
-            while not answer.body.at_eof() and len(body) <= MAX_BUFFERED_ANSWER_BYTES:
-                body += await answer.body.readany()
+        try:
+            send.timeout = StallTolerantTimeout(call.deadline_s - self._now_s())
+            async with send.timeout:
+                while not answer.body.at_eof() and len(body) <= self._buffer_bytes:
+                    part = await answer.body.readany()
+                    self._held.change(len(part))
+                    body += part
+            return await self._pass_on(call, caller, answer, send, body)
+        finally:
+            self._held.change(-len(body))
+
+    async def _pass_on(
+        self, call: Call, caller: Caller, answer: Answer, send: Send, body: bytes
+    ) -> Outcome:
+        """Relay an answer of which `body` has come; the rest may follow."""
+        headers = tuple(select_answer_headers(answer.raw_headers))
         send.first_s = self._now_s()
         if not answer.body.at_eof() and (answer.status >= 500 or caller.started):
             return MayHaveRun("the upstream's failure is too long to pass on", silent=False)
--- a/jayyoke/edge/forward.py
+++ b/jayyoke/edge/forward.py
@@ -34,8 +34,8 @@
 # Retry-After for requests that the upstreams refused: their queues last about as long.
 REFUSED_RETRY_S = 0.3
 RETRY_JITTER = (0.7, 1.5)
-# Incomplete events of all streams, in bytes.
-MAX_HELD_EVENT_BYTES = 32 << 20
+# Incomplete events of all streams, and as many bytes of answers that are no streams.
+MAX_HELD_ANSWER_BYTES = 16 << 20
 
 
 class Forwarder:
@@ -57,6 +57,7 @@
         usage: UsageRecorder | None = None,
         send_priority: bool = False,
         hedge: HedgeSettings | None = None,
+        max_answer_bytes: int = MAX_HELD_ANSWER_BYTES,
     ):
         self._placement = placement
         self._moves = moves
@@ -79,8 +80,9 @@
             self._hedger,
             self._record_hedge,
         )
-        self._relay = AnswerRelay(now_s, self._takeover, self._record_events)
-        self._held_bytes = HeldBytes(MAX_HELD_EVENT_BYTES)
+        held_answers = HeldBytes(max_answer_bytes)
+        self._relay = AnswerRelay(now_s, self._takeover, self._record_events, held_answers)
+        self._held_bytes = HeldBytes(max_answer_bytes)
         self._budgets: dict[str, RetryBudget] = {}
         self._started_s = now_s()
 
--- a/jayyoke/scripts/instance.py
+++ b/jayyoke/scripts/instance.py
@@ -112,6 +112,7 @@
             random_source,
             self.roster.list_near,
         )
+        plan = plan_memory(settings.memory_bytes)
         self.stop_window = StopWindow()
         self.duties = build_duty_unit(self, http, now_s, random_source)
         self.forwarder = Forwarder(
@@ -129,8 +130,8 @@
             None if self.duties is None else self.duties.usage,
             settings.admission.send_priority,
             settings.hedge,
+            plan.answer_bytes,
         )
-        plan = plan_memory(settings.memory_bytes)
         self.guard = build_reporting_guard(self.metrics, log_refused_clients, plan)
         self.listener = EntryListener(
             self.view, self.forwarder, settings.bounds, now_s, self.guard, plan
--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -28,7 +28,11 @@
 BODY_BUFFER_BYTES = 16 << 10
 CHUNK_BYTES = 100
 # Bytes of answers that are written ahead of a slow client.
-WRITE_AHEAD_BYTES = 32 << 10
+WRITE_AHEAD_BYTES = 8 << 10
+# What is written at once is held by its handler and by the transport.
+ANSWER_COPIES = 2
+# What waits at the upstream's connection while a client does not read its answer.
+UNREAD_ANSWER_BYTES = 96 << 10
 # Requests that are parsed ahead of the one in progress; others wait as bytes.
 MAX_QUEUED_REQUESTS = 8
 # Memory of pipelined requests that are read ahead of the one in progress.
@@ -331,7 +335,9 @@
         """Return the memory that the connection holds, and that of a request that is whole."""
         held_bytes = self._costs_bytes + self._meter.held_bytes + self._unread_bytes
         if self.transport is not None:
-            held_bytes += self.transport.get_write_buffer_size()
+            held_bytes += ANSWER_COPIES * self.transport.get_write_buffer_size()
+        if self._paused:
+            held_bytes += UNREAD_ANSWER_BYTES
         kept_bytes = 0
         if self._client.phase is Phase.ANSWER and self._costs:
             kept_bytes = self._costs[0]
--- a/jayyoke/server/httpcaller.py
+++ b/jayyoke/server/httpcaller.py
@@ -11,6 +11,9 @@
 from jayyoke.server.callerconnection import CallerConnection
 from jayyoke.utils.pipelining import has_next_request
 
+# What is written at once of an answer, which the transport copies if the caller does not read.
+WRITTEN_BYTES = 16 << 10
+
 
 class Stage(Enum):
     """How far a request has come."""
@@ -79,10 +82,9 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body; raise CallerGone."""
         assert self.response is not None
-        if not data:
-            return
         try:
-            await self.response.write(data)
+            for start in range(0, len(data), WRITTEN_BYTES):
+                await self.response.write(data[start : start + WRITTEN_BYTES])
         except ConnectionError as error:
             raise CallerGone(str(error)) from error
 
--- a/tests/client_memory_test.py
+++ b/tests/client_memory_test.py
@@ -11,10 +11,11 @@
 
 import pytest
 
+from jayyoke.inputlimits.memoryplan import CONNECTION_BYTES, REQUEST_BYTES, plan_memory
 from standin.abusiveclients import Crowd
 from standin.crowdcases import CASES
 from standin.crowdmachine import Machine, build_machine_config, run_machine
-from standin.processmemory import MemoryWatch, watch_memory
+from standin.processmemory import MemoryWatch, read_peak_bytes, watch_memory
 from tests.abusive_clients_test import hold_machine
 
 pytestmark = pytest.mark.crowd
@@ -60,6 +61,38 @@
             asyncio.run(main())
 
 
+class TestUnreadAnswers:
+    """Tests what a process keeps for clients that do not read."""
+
+    @pytest.mark.parametrize("name", ["answers-that-nobody-reads", "streams-that-nobody-reads"])
+    def test_growth_stays_within_the_plan(self, name, tmp_path):
+        """Guards against answers that the limit on input does not count."""
+        case = CASES[name]
+        plan = plan_memory(MACHINE_MB * 1_000_000)
+        allowed_bytes = plan.input_bytes + 2 * plan.answer_bytes
+        allowed_bytes += plan.connections * CONNECTION_BYTES + plan.requests * REQUEST_BYTES
+
+        async def main() -> None:
+            upstream = case.build_upstream("u2")
+            async with run_machine(
+                tmp_path, MACHINE_MB, DESCRIPTORS, upstream, case.kind
+            ) as machine:
+                before_bytes = read_peak_bytes(machine.process.pid)
+                crowd = Crowd(machine.ports["callers"], case.form, CLIENTS, case.bytes_each)
+                try:
+                    await crowd.send(case.limit_s)
+                    grown_bytes = read_peak_bytes(machine.process.pid) - before_bytes
+                finally:
+                    await crowd.close()
+                print(
+                    f"peak {grown_bytes / 1e6:.1f} MB above, {allowed_bytes / 1e6:.1f} MB allowed"
+                )
+                assert grown_bytes <= allowed_bytes
+
+        with hold_machine():
+            asyncio.run(main())
+
+
 async def change_limits(machine: Machine) -> None:
     """Lower the limit of bodies, and raise it again."""
     for version, body_bytes in ((2, 1 << 20), (3, 4 << 20)):
