Let ordinary requests take the place of those that make no progress

Callers saw: 503 bodies-full for ordinary bodies of 24 kB until the time of other bodies was over (10 s), while small bodies that do not end hold the memory for bodies. Requests in progress, and clients that do not read their answers, had no bound but that of connections. Cause: whoever came first kept the memory, whatever progress its request made. Change: a small body that does not fit takes the place of the body that has been arriving for longest, if that has taken over a second; the other caller gets 503 bodies-full, whose request has not begun. Requests in progress have a share of the memory (jayyoke/ops/requestbudget.py): beyond it, a slow body or a client that has not read for a second gives way, else the answer is 503 requests-full. Evidence: 74 bodies of 99,900 bytes that do not end, on 90 MB: an ordinary request got 503 bodies-full before and 200 now (TestSlowBodies). The decisions have tests without a network.

--- a/jayyoke/inputlimits/budget.py
+++ b/jayyoke/inputlimits/budget.py
@@ -21,6 +21,8 @@
 SMALL_HEAD_BYTES = 16 << 10
 # A choice that found nothing to close is not repeated for this long.
 CHOICE_INTERVAL_S = 0.05
+# A client that reads takes what a connection holds of its answer in less time.
+STALLED_S = 1.0
 # Descriptors that are left for upstreams, the store, peers and the process itself.
 MIN_RESERVED_DESCRIPTORS = 64
 RESERVED_SHARE = 1 / 4
@@ -41,11 +43,13 @@
     """Holds what is known of one connection.
 
     `kept_bytes` of `held_bytes` belong to a request that is whole and must not be given up.
+    `stalled_since_s` is set while the client does not read its answer.
     """
 
-    __slots__ = ("held_bytes", "kept_bytes", "phase", "since_s")
+    __slots__ = ("held_bytes", "kept_bytes", "phase", "since_s", "stalled_since_s")
 
     def __init__(self, now_s: float):
+        self.stalled_since_s: float | None = None
         self.phase = Phase.HEAD
         self.since_s = now_s
         self.held_bytes = 0
@@ -126,6 +130,16 @@
         count = max(1, int(self.connection_limit * CLOSED_SHARE))
         return heapq.nsmallest(count, waiting, key=lambda client: (client.phase, client.since_s))
 
+    def choose_stalled(self, clients: Iterable[Client], now_s: float) -> Client | None:
+        """Return the client to close for another request: one that does not read its answer."""
+        longest: Client | None = None
+        for client in clients:
+            if client.stalled_since_s is None or now_s - client.stalled_since_s < STALLED_S:
+                continue
+            if longest is None or client.stalled_since_s < longest.stalled_since_s:
+                longest = client
+        return longest
+
 
 def derive_connection_limit(descriptor_limit: int) -> int:
     """Return how many clients' connections a process with this limit of descriptors takes."""
--- a/jayyoke/inputlimits/budget_test.py
+++ b/jayyoke/inputlimits/budget_test.py
@@ -7,6 +7,7 @@
 from jayyoke.inputlimits.budget import (
     CHOICE_INTERVAL_S,
     MAX_CONNECTIONS,
+    STALLED_S,
     Client,
     InputBudget,
     Phase,
@@ -70,6 +71,19 @@
         assert budget.total_bytes == 0 and not budget.short
 
 
+class TestStalled:
+    """Tests the choice of a client that does not read its answer."""
+
+    def test_longest_is_chosen_and_readers_stay(self):
+        """Guards against requests that are refused for answers that nobody reads."""
+        budget = InputBudget(4)
+        clients = [Client(0.0) for _ in range(4)]
+        for client, since_s in zip(clients, (None, 7.0, 5.0, 10.0 - STALLED_S / 2), strict=True):
+            client.stalled_since_s = since_s
+        assert budget.choose_stalled(clients, 10.0) is clients[2]
+        assert budget.choose_stalled([clients[0], clients[3]], 10.0) is None
+
+
 class TestConnections:
     """Tests the choice of connections that make room for another one."""
 
--- a/jayyoke/inputlimits/refusals.py
+++ b/jayyoke/inputlimits/refusals.py
@@ -17,6 +17,7 @@
     TOO_LARGE = "head-too-large"
     MEMORY = "input-full"
     CONNECTIONS = "connections-full"
+    STALLED = "answer-not-read"
     SLOW_BODY = "body-too-slow"
 
 
--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -74,7 +74,7 @@
             lambda reason, count: logging.warning("%d connections closed: %s", count, reason),
             plan,
         )
-        caller_app = CallerServer(node, plan=plan).build()
+        caller_app = CallerServer(node, plan=plan, close_stalled=guard.close_stalled).build()
         callers = await _listen(caller_app, settings.caller_address, guard)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address, guard)
         _tune_garbage_collector()
--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -189,11 +189,13 @@
     def pause_writing(self) -> None:
         """Count the answers that the client does not read."""
         super().pause_writing()
+        self._client.stalled_since_s = self._loop.time()
         self._hold()
 
     def resume_writing(self) -> None:
         """Count the answers that the client has read no more."""
         super().resume_writing()
+        self._client.stalled_since_s = None
         self._hold()
 
     def measure(self) -> None:
--- a/jayyoke/server/caller.py
+++ b/jayyoke/server/caller.py
@@ -6,6 +6,7 @@
 import hashlib
 import random
 import re
+from collections.abc import Callable
 
 from absl import logging
 from aiohttp import web
@@ -22,6 +23,7 @@
 from jayyoke.ops.decisionlog import log_end, log_refusal
 from jayyoke.ops.fairness import Ticket
 from jayyoke.ops.node import Node
+from jayyoke.ops.requestbudget import RequestBudget
 from jayyoke.ops.requestdrain import RunningRequest, Stage, refuse_stopped
 from jayyoke.plugins.late import fetch_reply
 from jayyoke.server.bodyreader import BodiesFull, BodyTooLarge, check_length, read_body
@@ -34,6 +36,8 @@
 BODY_TIMEOUT_S = 10.0
 # Bodies are held until their requests end, which takes about as long.
 BODIES_FULL_RETRY_S = (0.3, 1.0)
+# Requests in progress end in about this time.
+REQUESTS_FULL_RETRY_S = (0.3, 1.0)
 MAX_KEY_CHARACTERS = 512
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._~:/+=@-]{1,128}")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
@@ -41,16 +45,25 @@
 
 
 class CallerServer:
-    """Authenticates callers, parses requests and hands them to class plug-ins."""
+    """Authenticates callers, parses requests and hands them to class plug-ins.
+
+    `close_stalled` closes a connection whose client does not read its answer, if there is one.
+    """
 
     def __init__(
-        self, node: Node, body_timeout_s: float = BODY_TIMEOUT_S, plan: MemoryPlan | None = None
+        self,
+        node: Node,
+        body_timeout_s: float = BODY_TIMEOUT_S,
+        plan: MemoryPlan | None = None,
+        close_stalled: Callable[[], bool] = lambda: False,
     ):
         self._node = node
         self._body_timeout_s = body_timeout_s
         self._in_progress: set[tuple[str, str]] = set()
         plan = plan or plan_memory()
         self._bodies = BodyBudget(plan.body_bytes, plan.small_body_bytes)
+        self._close_stalled = close_stalled
+        self._requests = RequestBudget(plan.requests)
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
@@ -109,8 +122,12 @@
         held = HeldBody(self._bodies)
         try:
             running.request_id = request_id = _read_request_id(http_request) or request_id
-            request = await self._parse_while_open(http_request, request_id, chat, held)
-            response = await self._run(request, http_request, running)
+            class_name = http_request.match_info.get("class", "")
+            if not self._find_room(class_name):
+                raise _refuse_full_requests()
+            with self._requests.running(class_name):
+                request = await self._parse_while_open(http_request, request_id, chat, held)
+                response = await self._run(request, http_request, running)
         except Refusal as refusal:
             response = self._refuse(refusal, request_id)
         except (ConnectionError, asyncio.CancelledError):
@@ -130,6 +147,12 @@
             response.force_close()
         return response
 
+    def _find_room(self, class_name: str) -> bool:
+        """Tell whether a request may begin, after ending one that makes no progress if need be."""
+        if self._requests.allows(class_name):
+            return True
+        return self._bodies.evict_slowest() or self._close_stalled()
+
     async def _run(
         self, request: CallerRequest, http_request: web.Request, running: RunningRequest
     ) -> web.StreamResponse:
@@ -238,9 +261,12 @@
             check_length(http_request.content_length, MAX_BODY_BYTES, held)
             if content.is_eof():
                 return await read_body(content, MAX_BODY_BYTES, held)
-            async with StallTolerantTimeout(self._body_timeout_s):
-                return await read_body(content, MAX_BODY_BYTES, held)
+            async with StallTolerantTimeout(self._body_timeout_s) as timeout:
+                with held.arriving(timeout.expire):
+                    return await read_body(content, MAX_BODY_BYTES, held)
         except TimeoutError:
+            if held.evicted:
+                raise _refuse_full_bodies() from None
             detail = f"the body did not arrive within {self._body_timeout_s:g} s"
             raise refuse(408, code.BODY_TIMEOUT, detail) from None
         except BodyTooLarge:
@@ -284,5 +310,10 @@
     return refuse(503, code.BODIES_FULL, detail, random.uniform(*BODIES_FULL_RETRY_S))
 
 
+def _refuse_full_requests() -> Refusal:
+    detail = "the requests in progress take the memory for this one"
+    return refuse(503, code.REQUESTS_FULL, detail, random.uniform(*REQUESTS_FULL_RETRY_S))
+
+
 def _format_model(spec: ClassSpec) -> dict[str, object]:
     return {"id": spec.name, "object": "model", "created": 0, "owned_by": spec.service}
--- a/jayyoke/server/entrylistener.py
+++ b/jayyoke/server/entrylistener.py
@@ -18,6 +18,7 @@
 from jayyoke.edge.view import FleetView
 from jayyoke.inputlimits.memoryplan import MemoryPlan, plan_memory
 from jayyoke.ops.bodybudget import BodyBudget, HeldBody
+from jayyoke.ops.requestbudget import RequestBudget
 from jayyoke.ops.stopwindow import STOPPING_RETRY_S
 from jayyoke.platform.message import RequestHead, decode_request
 from jayyoke.server.bodyreader import (
@@ -42,6 +43,8 @@
 END_CALLS_S = 0.05
 # Bodies are held until their calls end, which takes about as long.
 BODIES_FULL_RETRY_S = (0.3, 1.0)
+# Requests in progress end in about this time.
+REQUESTS_FULL_RETRY_S = (0.3, 1.0)
 
 
 class EntryListener:
@@ -67,6 +70,7 @@
         self._ending = False
         plan = plan or plan_memory()
         self._bodies = BodyBudget(plan.body_bytes, plan.small_body_bytes)
+        self._requests = RequestBudget(plan.requests)
         self._closing = ClosingSockets()
         self.draining = False
 
@@ -181,12 +185,34 @@
     ) -> web.StreamResponse:
         path = request.raw_path.partition("?")[0]
         decision = admit(self._view, self._bounds, request.headers.get("Host", ""), path, head)
+        route = "" if isinstance(decision, Rejected) else decision.route.name
+        if not self._find_room(route):
+            retry_after_s = random.uniform(*REQUESTS_FULL_RETRY_S)
+            return await self._reject(head, caller, Rejected(503, "requests-full", retry_after_s))
+        with self._requests.running(route):
+            return await self._serve_admitted(request, head, caller, held, decision, arrived_s)
+
+    def _find_room(self, route: str) -> bool:
+        """Tell whether a request may begin, after ending one that makes no progress if need be."""
+        if self._requests.allows(route):
+            return True
+        return self._bodies.evict_slowest() or self._guard.close_stalled()
+
+    async def _serve_admitted(
+        self,
+        request: web.BaseRequest,
+        head: RequestHead,
+        caller: HttpCaller,
+        held: HeldBody,
+        decision: Admitted | Rejected,
+        arrived_s: float,
+    ) -> web.StreamResponse:
         config = self._view.config
         limits = config.limits if config is not None else CallerLimits()
         body: bytes | Rejected | None = None
         if request.body_exists:
-            holder = None if isinstance(decision, Rejected) else held
-            body = await _read_body(request, limits, holder)
+            kept = not isinstance(decision, Rejected)
+            body = await _read_body(request, limits, held, kept)
         if isinstance(body, Rejected):
             decision = body
         if isinstance(decision, Rejected):
@@ -252,25 +278,28 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, limits: CallerLimits, held: HeldBody | None
+    request: web.BaseRequest, limits: CallerLimits, held: HeldBody, kept: bool
 ) -> bytes | Rejected | None:
     """Return the whole body, or why the request is rejected.
 
-    Without `held` the body is read and not kept.
+    A body that is not `kept` is only read.
     """
     try:
-        if held is not None:
+        if kept:
             check_length(request.content_length, limits.body_bytes, held)
         if awaits_continue(request) and request.transport:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        async with StallTolerantTimeout(BODY_TIMEOUT_S):
-            if held is None:
+        async with StallTolerantTimeout(BODY_TIMEOUT_S) as timeout:
+            with held.arriving(timeout.expire):
+                if kept:
+                    return await read_body(request.content, limits.body_bytes, held)
                 await discard_body(request.content, limits.body_bytes)
                 return None
-            return await read_body(request.content, limits.body_bytes, held)
     except BodyTooLarge:
         return Rejected(413, "body-too-large")
     except BodiesFull:
         return Rejected(503, "bodies-full", random.uniform(*BODIES_FULL_RETRY_S))
     except TimeoutError:
+        if held.evicted:
+            return Rejected(503, "bodies-full", random.uniform(*BODIES_FULL_RETRY_S))
         return Rejected(408, "body-too-slow")
--- a/jayyoke/server/inputguard.py
+++ b/jayyoke/server/inputguard.py
@@ -58,6 +58,15 @@
         self.refuse(Reason.CONNECTIONS)
         return False
 
+    def close_stalled(self) -> bool:
+        """Close a connection whose client does not read its answer; return False without one."""
+        now_s = asyncio.get_running_loop().time()
+        client = self.budget.choose_stalled(self._connections, now_s)
+        if client is None:
+            return False
+        self._close(client, Reason.STALLED)
+        return True
+
     def open(self, connection: GuardedConnection) -> Client:
         """Count a new connection."""
         client = Client(asyncio.get_running_loop().time())
--- a/jayyoke/utils/stalltimeout.py
+++ b/jayyoke/utils/stalltimeout.py
@@ -52,11 +52,12 @@
     def _on_timer(self) -> None:
         self._stalled_s = self._loop.time() - self._due_s
         if self._stalled_s > STALL_THRESHOLD_S:
-            self._timer = self._loop.call_later(READ_AFTER_STALL_S, self._expire)
+            self._timer = self._loop.call_later(READ_AFTER_STALL_S, self.expire)
             return
-        self._expire()
+        self.expire()
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Let the timeout expire now."""
         # The timeout takes effect in the next iteration of the loop, so that tasks whose answers
         # have been read run first.
         self._timeout.reschedule(self._loop.time())
--- a/standin/crowdcases.py
+++ b/standin/crowdcases.py
@@ -13,6 +13,7 @@
 BODY_BYTES = 4_000_000
 FIELDS = f"Host: {HOST}\r\nAuthorization: Bearer {KEY}\r\nDeadline-Ms: 8000\r\nRequest-Id: a\r\n"
 POST = f"POST /crowd/x HTTP/1.1\r\n{FIELDS}".encode()
+KEYLESS = POST.replace(KEY.encode(), b"unknown")
 LENGTH = b"Content-Length: %d\r\n\r\n" % BODY_BYTES
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 BLOCK = b"b" * BLOCK_BYTES
@@ -41,6 +42,10 @@
     "bodies-that-do-not-end": Case(
         StuckUpstream, Form(POST + LENGTH, BLOCK), BODY_BYTES - 2 * BLOCK_BYTES
     ),
+    "bodies-without-a-key": Case(
+        StuckUpstream, Form(KEYLESS + b"Content-Length: 100000\r\n\r\n", b"b", 0.5)
+    ),
+    "requests-that-no-upstream-answers": Case(StuckUpstream, Form(POST + ASK, b"", 1.0), 1),
     "bodies-after-an-early-answer": Case(EarlyUpstream, Form(POST + LENGTH, BLOCK)),
     "bodies-behind-a-request-in-progress": Case(
         StuckUpstream, Form(POST + ASK, POST + BEHIND), 300_000
--- a/standin/crowdmachine.py
+++ b/standin/crowdmachine.py
@@ -25,6 +25,8 @@
     "idleTimeoutMs": 15_000,
 }
 SLOTS = 400
+# The usual size of a chat.
+ORDINARY_BODY = bytes(24_000)
 GRACE_S = 6.0
 POLL_S = 0.1
 START_TIMEOUT_S = 20.0
@@ -51,7 +53,7 @@
         }
         try:
             url = f"http://127.0.0.1:{self.ports['callers']}/sound/x"
-            async with self.http.post(url, data=b"x", headers=headers) as answer:
+            async with self.http.post(url, data=ORDINARY_BODY, headers=headers) as answer:
                 body = await answer.read()
                 return 200 if answer.status == 200 else f"{answer.status} {body[:100]!r}"
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/tests/client_memory_test.py
+++ b/tests/client_memory_test.py
@@ -12,9 +12,10 @@
 import pytest
 
 from jayyoke.inputlimits.memoryplan import CONNECTION_BYTES, REQUEST_BYTES, plan_memory
-from standin.abusiveclients import Crowd
-from standin.crowdcases import CASES
+from standin.abusiveclients import Crowd, Form
+from standin.crowdcases import CASES, POST
 from standin.crowdmachine import Machine, build_machine_config, run_machine
+from standin.entryupstream import EntryUpstream, answer_whole
 from standin.processmemory import MemoryWatch, read_peak_bytes, watch_memory
 from tests.abusive_clients_test import hold_machine
 
@@ -24,6 +25,12 @@
 DESCRIPTORS = 1100
 CLIENTS = 300
 CROWD_LIMIT_S = 5.0
+# As many as fit leave less than an ordinary body.
+SMALL_BYTES = 99_900
+# All at once would exceed the limit on input.
+PARTS = 9
+PART_PAUSE_S = 0.05
+SLOW_S = 2.0
 # The grace of the settings, and time for the system to end the process.
 STOP_TIMEOUT_S = 20.0
 
@@ -93,6 +100,34 @@
             asyncio.run(main())
 
 
+class TestSlowBodies:
+    """Tests small bodies that do not end and take all the memory for bodies."""
+
+    def test_ordinary_request_is_served(self, tmp_path):
+        """Guards against callers who are refused until the time of other bodies is over."""
+        plan = plan_memory(MACHINE_MB * 1_000_000)
+        clients = (plan.body_bytes + plan.small_body_bytes) // SMALL_BYTES
+        opening = POST + b"Content-Length: %d\r\n\r\n" % (SMALL_BYTES + 1)
+        form = Form(opening, b"b" * (SMALL_BYTES // PARTS), PART_PAUSE_S)
+
+        async def main() -> None:
+            upstream = EntryUpstream("u2", answer_whole)
+            async with run_machine(
+                tmp_path, MACHINE_MB, DESCRIPTORS, upstream, "unsafe"
+            ) as machine:
+                crowd = Crowd(machine.ports["callers"], form, clients, SMALL_BYTES)
+                try:
+                    await crowd.send(CROWD_LIMIT_S)
+                    await asyncio.sleep(SLOW_S)
+                    assert await machine.call() == 200
+                finally:
+                    await crowd.close()
+                assert machine.process.returncode is None
+
+        with hold_machine():
+            asyncio.run(main())
+
+
 async def change_limits(machine: Machine) -> None:
     """Lower the limit of bodies, and raise it again."""
     for version, body_bytes in ((2, 1 << 20), (3, 4 << 20)):
