Count bodies and decoders at ports whose applications do not bound them

Callers saw: jayyoked at 115 to 118 MB of 100 before 300 clients that sent 64 KB each, compressed, also to GET /metrics. Cause: a body that a handler had read counted no more until its answer, and no decoder counted (48 KiB with its window); the ports of an entry instance decoded bodies that nobody sends compressed. Change: at all ports but the callers', whose bodies have a budget, bodies count as input until the answer; a decoder counts 64 KiB; the entry's readiness, peers' and metrics ports decode nothing. Evidence: three tests in jayyoke/server/boundedhandler_test.py failed before (the third for want of the option).

--- a/jayyoke/scripts/daemon.py
+++ b/jayyoke/scripts/daemon.py
@@ -75,7 +75,8 @@
             plan,
         )
         caller_app = CallerServer(node, plan=plan, close_stalled=guard.close_stalled).build()
-        callers = await _listen(caller_app, settings.caller_address, guard)
+        callers = Listener(caller_app, guard=guard, own_bodies=True)
+        await callers.start(settings.caller_address)
         operators = await _listen(OperatorServer(node).build(), settings.operator_address, guard)
         _tune_garbage_collector()
         logging.info("instance %s serves on %s", settings.instance, settings.caller_address)
--- a/jayyoke/scripts/entry.py
+++ b/jayyoke/scripts/entry.py
@@ -99,7 +99,7 @@
 
 
 async def _listen(app: web.Application, address: str, guard: InputGuard) -> Listener:
-    listener = Listener(app, guard=guard)
+    listener = Listener(app, guard=guard, decompresses=False)
     await listener.start(address)
     return listener
 
--- a/jayyoke/server/boundedhandler.py
+++ b/jayyoke/server/boundedhandler.py
@@ -33,6 +33,8 @@
 ANSWER_COPIES = 2
 # What waits at the upstream's connection while a client does not read its answer.
 UNREAD_ANSWER_BYTES = 96 << 10
+# The window and the state of a decompressor.
+DECODER_BYTES = 64 << 10
 # Requests that are parsed ahead of the one in progress; others wait as bytes.
 MAX_QUEUED_REQUESTS = 8
 # Memory of pipelined requests that are read ahead of the one in progress.
@@ -54,6 +56,8 @@
         "_client",
         "_costs",
         "_costs_bytes",
+        "_counts_bodies",
+        "_decodes",
         "_dropped_bytes",
         "_guard",
         "_meter",
@@ -69,6 +73,7 @@
         header_bytes: int,
         keep_alive_s: float,
         auto_decompress: bool = True,
+        counts_bodies: bool = False,
     ):
         super().__init__(
             server,
@@ -92,6 +97,8 @@
         )
         self._max_msg_queue_size = MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
+        self._decodes = auto_decompress
+        self._counts_bodies = counts_bodies
         self._guard = guard
         self._meter = InputMeter(header_bytes, READ_BYTES)
         # The memory of each request that is not answered, the one in progress first.
@@ -116,11 +123,12 @@
 
     @property
     def _unread_bytes(self) -> int:
-        """Return the memory of body bytes that no handler has read."""
+        """Return the memory of body bytes that no handler has read, or of all if they count."""
         payload = self._newest_payload
         if payload is EMPTY_PAYLOAD:
             return self._ahead_body_bytes
-        size = payload._size + CHUNK_BYTES * len(payload._http_chunk_splits or ())
+        size = payload.total_bytes if self._counts_bodies and self._costs else payload._size
+        size += CHUNK_BYTES * len(payload._http_chunk_splits or ())
         return size + self._ahead_body_bytes
 
     @property
@@ -268,6 +276,8 @@
                 break
             head_bytes = _measure_head(message)
             cost = estimate_request(head_bytes, len(message.raw_headers))
+            if message.compression and self._decodes:
+                cost += DECODER_BYTES
             self._costs.append(cost)
             self._costs_bytes += cost
             if not self._meter.allows_head(head_bytes):
--- a/jayyoke/server/boundedhandler_test.py
+++ b/jayyoke/server/boundedhandler_test.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from contextlib import asynccontextmanager
 
 from aiohttp import web
 
+from jayyoke.server.boundedhandler import DECODER_BYTES
 from jayyoke.server.inputguard import InputGuard, build_guard
 from jayyoke.server.listener import Listener
 
@@ -57,3 +59,41 @@
                 await wait_until_held(guard, BEHIND * BODY_BYTES)
 
         asyncio.run(main())
+
+    def test_body_that_a_handler_has_read_counts(self):
+        """Guards against whole bodies at ports whose applications do not bound them."""
+
+        async def main() -> None:
+            async with open_connection() as (guard, writer):
+                writer.write(HEAD + BODY)
+                await wait_until_held(guard, BODY_BYTES)
+                await asyncio.sleep(0.1)
+                assert guard.budget.total_bytes > BODY_BYTES
+
+        asyncio.run(main())
+
+    def test_decoder_counts(self):
+        """Guards against compressed bodies that begin and do not end."""
+
+        async def main() -> None:
+            async with open_connection() as (guard, writer):
+                writer.write(
+                    HEAD + b"Content-Encoding: deflate\r\nContent-Length: 9\r\n\r\n\x78\x9c"
+                )
+                await wait_until_held(guard, DECODER_BYTES)
+
+        asyncio.run(main())
+
+    def test_body_is_not_decoded_where_that_is_off(self):
+        """Guards against a little input that becomes much at ports that need no compression."""
+
+        async def main() -> None:
+            packed = zlib.compress(bytes(100_000))
+            length = b"Content-Length: %d\r\n\r\n" % len(packed)
+            async with open_connection(decompresses=False) as (guard, writer):
+                writer.write(HEAD + b"Content-Encoding: deflate\r\n" + length + packed)
+                await wait_until_held(guard, len(packed))
+                await asyncio.sleep(0.1)
+                assert guard.budget.total_bytes < 50_000
+
+        asyncio.run(main())
--- a/jayyoke/server/listener.py
+++ b/jayyoke/server/listener.py
@@ -38,8 +38,17 @@
         on_opened: Callable[[asyncio.Transport], None],
         on_closing: Callable[[asyncio.Transport, bool], None],
         keep_alive_s: float,
+        own_bodies: bool,
+        decompresses: bool,
     ):
-        super().__init__(server, guard, MAX_HEADER_BYTES, keep_alive_s)
+        super().__init__(
+            server,
+            guard,
+            MAX_HEADER_BYTES,
+            keep_alive_s,
+            auto_decompress=decompresses,
+            counts_bodies=not own_bodies,
+        )
         self._body_timer: asyncio.TimerHandle | None = None
         self._on_opened = on_opened
         self._on_closing = on_closing
@@ -91,17 +100,26 @@
 
 
 class Listener:
-    """Serves one application on one address."""
+    """Serves one application on one address.
+
+    An application with `own_bodies` bounds the bodies that it has read; those of others count as
+    input until their requests are answered. Where nobody sends compressed bodies, `decompresses`
+    can be off.
+    """
 
     def __init__(
         self,
         app: web.Application,
         keep_alive_s: float = KEEP_ALIVE_S,
         guard: InputGuard | None = None,
+        own_bodies: bool = False,
+        decompresses: bool = True,
     ):
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         self._keep_alive_s = keep_alive_s
         self._guard = guard or build_guard()
+        self._own_bodies = own_bodies
+        self._decompresses = decompresses
         self._server: asyncio.Server | None = None
         self._draining = False
         self._opened: set[asyncio.Transport] = set()
@@ -163,5 +181,11 @@
         server = self._runner.server
         assert server is not None
         return _Handler(
-            server, self._guard, self._opened.add, self._note_closing, self._keep_alive_s
+            server,
+            self._guard,
+            self._opened.add,
+            self._note_closing,
+            self._keep_alive_s,
+            self._own_bodies,
+            self._decompresses,
         )
