Bound handshakes, and what the system keeps of them

Callers saw: nothing yet; found by the list of what clients can do to each port. Cause: at the peers' port of jayyoked the system kept 115 KB for each client before its handshake, for up to 512 clients at 4,100 descriptors: more than a quarter of 200 MB. Change: 32 KiB for each connection of that port, and 128 handshakes in progress; beyond it, the oldest is closed as before. Evidence: 100 clients before a paused process: 11,468,800 bytes unread before, 2,457,600 after, 3,276,800 allowed (TestPausedDaemon, which failed before for that port).

--- a/jayyoke/server/peer.py
+++ b/jayyoke/server/peer.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import resource
+import socket
 from collections.abc import Iterator
 
 from absl import logging
@@ -32,8 +33,11 @@
 MAX_ACCEPTED = 1024
 # The rest is for callers, upstreams and the platform.
 ACCEPTED_DESCRIPTOR_SHARE = 1 / 8
-# Bytes that are read ahead of the handshake.
+# Handshakes in progress; each takes a few round trips.
+MAX_HANDSHAKES = 128
+# Bytes that are read ahead of the handshake, and that the system keeps of a connection.
 READ_AHEAD_BYTES = 16 << 10
+RECEIVE_BYTES = 32 << 10
 # No request uses this id, so a heartbeat's acknowledgement only shows that the link works.
 _HEARTBEAT_CORRELATION = (1 << 30) + 1
 _HEARTBEATS_PER_ACKNOWLEDGEMENT = 2
@@ -134,6 +138,9 @@
         self._server = await asyncio.start_server(
             self._serve_peer, host, int(port), limit=READ_AHEAD_BYTES
         )
+        for listening in self._server.sockets:
+            # Connections inherit it; the system doubles the value.
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES // 2)
 
     async def run(self) -> None:
         """Maintain the links and send heartbeats until cancelled."""
@@ -250,8 +257,9 @@
     async def _serve_peer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        if len(self._accepted) + len(self._handshakes) >= self._max_accepted:
-            logging.warning("connection refused: %d connections are open", self._max_accepted)
+        opened = len(self._accepted) + len(self._handshakes)
+        if opened >= self._max_accepted or len(self._handshakes) >= MAX_HANDSHAKES:
+            logging.warning("connection refused: %d connections are open", opened)
             if not self._handshakes:
                 writer.close()
                 return
