Run the tests of abusive clients apart from others

Cause: they held a lock against each other, but ran beside the other tests. Change: they have the marker crowd; their crowds and bounds stay.

--- a/tests/abusive_clients_test.py
+++ b/tests/abusive_clients_test.py
@@ -23,6 +23,8 @@
 from tests.entry_memory_test import wait_until_serving
 from tests.entryrig import open_rig
 
+pytestmark = pytest.mark.crowd
+
 CLIENTS = 120
 BYTES_EACH = 1 << 20
 # How much a process may grow before a crowd.
